proof: scripts that bring about one failure each, and what they found

Cause: nothing was proved under failure. What must always hold is checked after each step.

Found by them and mended here, each with the script that failed first: - member-killed-asking: an asking that came to nothing and the next one had the same attempt number, so workers took the second for the first, which they had stopped. Guarantees go first in a pass. - bad-worker: a crashed job was placed on the same worker three times. A job avoids workers on which it crashed. - guarantee-once-borrower: a job that could never run beside the guarantees held a reservation for ever. It is refused with the reason. - backends-hang: a timeout was reported as a lost answer.

Ruled out for the first: lost syncs, the lapse of gated leases.

--- a/core/fake/worker/worker.go
+++ b/core/fake/worker/worker.go
@@ -40,13 +40,13 @@
 	// Plan says how a task will behave.
 	Plan func(worker.Want) Run
 	// Started is told when a gate opens and Ended when a task ends.
-	Started func(id.Job, int)
-	Ended   func(id.Job, int, worker.TaskState)
+	Started func(id.Job, id.Lease)
+	Ended   func(id.Job, id.Lease, worker.TaskState)
 }
 
 type name struct {
-	job     id.Job
-	attempt int
+	job   id.Job
+	lease id.Lease
 }
 
 type task struct {
@@ -115,7 +115,7 @@
 	w.epoch, w.seq = s.Epoch, s.Seq
 	wanted := map[name]bool{}
 	for _, t := range s.Tasks {
-		wanted[name{t.Job, t.Attempt}] = true
+		wanted[name{t.Job, t.Lease}] = true
 	}
 	for _, n := range w.names() {
 		if t := w.tasks[n]; !wanted[n] && !t.state.Ended() {
@@ -136,7 +136,7 @@
 
 // take brings one task into the wanted state as far as the rules allow.
 func (w *Worker) take(t worker.Want) worker.Task {
-	n := name{t.Job, t.Attempt}
+	n := name{t.Job, t.Lease}
 	have, ok := w.tasks[n]
 	switch {
 	case !ok && !t.Create:
@@ -171,19 +171,19 @@
 	t.state = to
 	if ev == open {
 		if w.hooks.Started != nil {
-			w.hooks.Started(n.job, n.attempt)
+			w.hooks.Started(n.job, n.lease)
 		}
 		return
 	}
 	t.ended = w.clock
 	w.free |= t.want.Mask
 	if w.hooks.Ended != nil {
-		w.hooks.Ended(n.job, n.attempt, to)
+		w.hooks.Ended(n.job, n.lease, to)
 	}
 }
 
 func (w *Worker) report(n name, st worker.TaskState, mask uint64) worker.Task {
-	return worker.Task{Job: n.job, Attempt: n.attempt, State: st, Mask: mask}
+	return worker.Task{Job: n.job, Lease: n.lease, State: st, Mask: mask}
 }
 
 // Running returns the jobs that run here, in ascending order.
@@ -203,7 +203,7 @@
 		out = append(out, n)
 	}
 	slices.SortFunc(out, func(a, b name) int {
-		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.attempt, b.attempt))
+		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.lease, b.lease))
 	})
 	return out
 }
--- a/core/gang/gang.go
+++ b/core/gang/gang.go
@@ -94,6 +94,7 @@
 type Gang struct {
 	Job     record.Job
 	Attempt int
+	Lease   id.Lease
 	Block   block.Block
 	Cell    record.Cell
 	Home    block.Block
@@ -113,7 +114,7 @@
 // New returns a gang that begins to ask for its leases.
 func New(now unit.Instant, p record.Place, j record.Job, members []Member) *Gang {
 	g := &Gang{
-		Job: j, Attempt: p.Attempt, Block: p.Block, Cell: p.Cell, Home: p.Home,
+		Job: j, Attempt: p.Attempt, Lease: p.Lease, Block: p.Block, Cell: p.Cell, Home: p.Home,
 		Members: members, State: leaseChart.Start(), started: now,
 	}
 	for i := range g.Members {
@@ -267,7 +268,7 @@
 			continue
 		}
 		t := worker.Want{
-			Job: g.Job.ID, Attempt: g.Attempt, Mask: m.Mask,
+			Job: g.Job.ID, Lease: g.Lease, Mask: m.Mask,
 			Create: g.State == Asking, Open: g.State == Open,
 			Cores: g.Job.Cores, Memory: g.Job.Memory,
 			Command: g.Job.Command, Trace: g.Job.Trace,
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -32,6 +32,9 @@
 	Request uint64
 	// Plan names a plan. It is a hash of the changes and of their basis.
 	Plan string
+	// Lease names one asking for a gang's tasks, for ever. An asking that came to
+	// nothing and the next one for the same job have different leases.
+	Lease uint64
 	// Offset is a position in the platform's log. The first record has offset 1;
 	// 0 stands for "before everything".
 	Offset uint64
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -426,3 +426,15 @@
 
 // Applied returns the last offset that the host has applied.
 func (n *Node) Applied() id.Offset { return n.state.Applied }
+
+// State returns the host's state.
+func (n *Node) State() State { return n.st }
+
+// ConfigAt returns the offset of the configuration in force here.
+func (n *Node) ConfigAt() id.Offset { return n.state.ConfigAt }
+
+// Digest returns the digest of the replayed state.
+func (n *Node) Digest() (uint64, error) { return n.state.Digest() }
+
+// Shared returns the replayed state. The caller must not change it.
+func (n *Node) Shared() *state.State { return n.state }
--- /dev/null
+++ b/core/proof/script_test.go
@@ -0,0 +1,495 @@
+package proof_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"curlewsill.org/curlewsill/core/config"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/plan"
+	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/core/route"
+	"curlewsill.org/curlewsill/core/state"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+var update = flag.Bool("update", false, "write the output that scripts compare with")
+
+// TestScripts runs each script of testdata in a world of its own. The
+// commands are listed in commands; docs/PROOFS.md says what each script proves.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata",
+		UpdateScripts: *update,
+		Setup: func(e *testscript.Env) error {
+			e.Values["world"] = &script{world: newWorld(1), kept: map[string]plan.Plan{}}
+			return nil
+		},
+		Cmds: scriptCommands(),
+	})
+}
+
+// script is a world with the plans that a script has drawn.
+type script struct {
+	*world
+	kept map[string]plan.Plan
+}
+
+// commands maps each command of the test language to its function. Arguments are
+// words or key=value pairs.
+var commands = map[string]func(*script, words) error{
+	"hosts":   cmdHosts,
+	"site":    cmdSite,
+	"run":     cmdRun,
+	"plan":    cmdPlan,
+	"confirm": cmdConfirm,
+	"submit":  cmdSubmit,
+	"cancel":  cmdCancel,
+	"request": cmdRequest,
+	"host":    cmdHost,
+	"worker":  cmdWorker,
+	"backend": cmdBackend,
+	"log":     cmdLog,
+	"network": cmdNetwork,
+	"job":     cmdJob,
+	"verdict": cmdVerdict,
+	"answer":  cmdAnswer,
+	"keyruns": cmdKeyRuns,
+	"expect":  cmdExpect,
+	"planned": cmdPlanned,
+}
+
+func scriptCommands() map[string]func(*testscript.TestScript, bool, []string) {
+	out := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, f := range commands {
+		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			s := ts.Value("world").(*script)
+			err := f(s, parseWords(args))
+			if neg == (err == nil) {
+				ts.Fatalf("%s %s: %v", name, strings.Join(args, " "), err)
+			}
+			if len(s.broken) > 0 {
+				ts.Fatalf("invariants violated:\n%s", strings.Join(s.broken, "\n"))
+			}
+		}
+	}
+	return out
+}
+
+// words are the arguments of a command.
+type words struct {
+	plain []string
+	named map[string]string
+}
+
+func parseWords(args []string) words {
+	w := words{named: map[string]string{}}
+	for _, a := range args {
+		if k, v, ok := strings.Cut(a, "="); ok {
+			w.named[k] = v
+			continue
+		}
+		w.plain = append(w.plain, a)
+	}
+	return w
+}
+
+func (w words) at(i int) string {
+	if i < len(w.plain) {
+		return w.plain[i]
+	}
+	return ""
+}
+
+func (w words) number(key string, def int) int {
+	if n, err := strconv.Atoi(w.named[key]); err == nil {
+		return n
+	}
+	return def
+}
+
+func (w words) duration(key string, def time.Duration) time.Duration {
+	if d, err := time.ParseDuration(w.named[key]); err == nil {
+		return d
+	}
+	return def
+}
+
+func (w words) list(key string) []string {
+	return strings.FieldsFunc(w.named[key], func(r rune) bool { return r == ',' })
+}
+
+// cmdHosts starts hosts: hosts N.
+func cmdHosts(s *script, w words) error {
+	n, err := strconv.Atoi(w.at(0))
+	for i := range n {
+		s.startHost(id.Host(fmt.Sprintf("h%d", i+1)))
+	}
+	s.run(4 * time.Second)
+	return err
+}
+
+// siteChanges is the configuration that most scripts start from.
+func siteChanges(racks int, guarantees []string) ([]config.Change, error) {
+	changes := []config.Change{
+		{SetCustomer: &config.Customer{ID: "frost", Weight: 2}},
+		{SetCustomer: &config.Customer{ID: "ghent", Weight: 1}},
+		{SetService: &config.Service{ID: "svc", Slots: 8, Connections: 60, Timeout: svcTimeout}},
+	}
+	for i := range racks {
+		r := config.Rack{ID: id.Rack(fmt.Sprintf("r%d", i+1)), Domain: "d1"}
+		for k := range 8 {
+			r.Workers = append(r.Workers, config.Worker{
+				ID: id.Worker(fmt.Sprintf("r%dw%d", i+1, k)), Accelerators: perWorker, Cores: 60, Memory: 250 * unit.GiB,
+			})
+		}
+		changes = append(changes, config.Change{SetRack: &r})
+	}
+	for _, g := range guarantees {
+		// NAME:CUSTOMER:SIZE:COUNT
+		f := strings.Split(g, ":")
+		if len(f) != 4 {
+			return nil, fmt.Errorf("guarantee %s: want NAME:CUSTOMER:SIZE:COUNT", g)
+		}
+		size, err1 := strconv.Atoi(f[2])
+		count, err2 := strconv.Atoi(f[3])
+		if err1 != nil || err2 != nil {
+			return nil, fmt.Errorf("guarantee %s: size and count are numbers", g)
+		}
+		changes = append(changes, config.Change{SetGuarantee: &config.Guarantee{
+			ID: id.Guarantee(f[0]), Customer: id.Customer(f[1]), Size: size, Count: count,
+		}})
+	}
+	return changes, nil
+}
+
+// cmdSite configures racks of 8 workers and starts the workers and backend servers:
+// site racks=2 backends=4 guarantees=NAME:CUSTOMER:SIZE:COUNT,...
+func cmdSite(s *script, w words) error {
+	racks := w.number("racks", 1)
+	changes, err := siteChanges(racks, w.list("guarantees"))
+	if err != nil {
+		return err
+	}
+	for i := range racks {
+		for k := range 8 {
+			s.addWorker(id.Worker(fmt.Sprintf("r%dw%d", i+1, k)), perWorker)
+		}
+	}
+	for i := range w.number("backends", 0) {
+		s.backends[id.Backend(fmt.Sprintf("b%d", i+1))] = &backend{work: 20 * time.Millisecond}
+	}
+	m := s.anyHost()
+	if m == nil {
+		return fmt.Errorf("no host is ready")
+	}
+	p, err := plan.Draw(s.ref, changes)
+	if err != nil {
+		return err
+	}
+	if p.Problem != "" {
+		return fmt.Errorf("%s", p.Problem)
+	}
+	e, err := p.Entry()
+	if err != nil {
+		return err
+	}
+	s.propose(m, "site", e)
+	s.run(3 * time.Second)
+	return s.settled["site"]
+}
+
+// cmdRun lets time pass: run DURATION.
+func cmdRun(s *script, w words) error {
+	d, err := time.ParseDuration(w.at(0))
+	s.advance(d)
+	return err
+}
+
+// advance lets time pass and checks what shows only with time.
+func (w *world) advance(d time.Duration) {
+	for end := w.now.Add(d); w.now < end; {
+		w.run(min(250*time.Millisecond, end.Sub(w.now)))
+		w.checkParts()
+		w.checkConfig()
+	}
+	w.checkSame()
+}
+
+// cmdPlan draws a plan at a host and keeps it: plan NAME HOST [guarantees=...]
+// [customer=NAME weight=N].
+func cmdPlan(s *script, w words) error {
+	changes, err := siteChanges(0, w.list("guarantees"))
+	if err != nil {
+		return err
+	}
+	changes = changes[3:]
+	if c := w.named["customer"]; c != "" {
+		changes = append(changes, config.Change{SetCustomer: &config.Customer{
+			ID: id.Customer(c), Weight: w.number("weight", 1), Quota: w.number("quota", 0),
+		}})
+	}
+	m := s.machines[id.Host(w.at(1))]
+	p, err := plan.Draw(m.core.Shared(), changes)
+	s.kept[w.at(0)] = p
+	if err == nil && p.Problem != "" {
+		return fmt.Errorf("%s", p.Problem)
+	}
+	return err
+}
+
+// cmdConfirm confirms a plan at a host: confirm NAME HOST.
+func cmdConfirm(s *script, w words) error {
+	e, err := s.kept[w.at(0)].Entry()
+	if err != nil {
+		return err
+	}
+	s.propose(s.machines[id.Host(w.at(1))], w.at(0), e)
+	return nil
+}
+
+// cmdSubmit submits a job at a host: submit JOB customer=C size=N run="run 5s" host=H
+// [once=yes] [urgent=yes] [declared=1h].
+func cmdSubmit(s *script, w words) error {
+	m := s.machines[id.Host(w.named["host"])]
+	if m == nil {
+		m = s.anyHost()
+	}
+	if m == nil {
+		return fmt.Errorf("no host is ready")
+	}
+	s.propose(m, w.at(0), record.Entry{Submit: &record.Submit{Job: record.Job{
+		ID: id.Job(w.at(0)), Customer: id.Customer(w.named["customer"]), Accelerators: w.number("size", 1),
+		Declared: w.duration("declared", time.Hour), Once: w.named["once"] == "yes", Urgent: w.named["urgent"] == "yes",
+		Command: strings.ReplaceAll(w.named["run"], "-", " "), Submitted: s.now,
+		Cores: w.number("cores", 0),
+	}}})
+	return nil
+}
+
+// cmdCancel cancels a job: cancel JOB [host=H].
+func cmdCancel(s *script, w words) error {
+	m := s.machines[id.Host(w.named["host"])]
+	if m == nil {
+		m = s.anyHost()
+	}
+	s.propose(m, "cancel-"+w.at(0), record.Entry{Cancel: &record.Cancel{Job: id.Job(w.at(0))}})
+	return nil
+}
+
+// cmdRequest sends requests to a host: request NAME host=H [count=N] [once=yes]
+// [key=K] [customer=C] [timeout=D].
+func cmdRequest(s *script, w words) error {
+	for i := range w.number("count", 1) {
+		q := route.Request{
+			Service: "svc", Customer: id.Customer(w.named["customer"]),
+			Once: w.named["once"] == "yes", Key: w.named["key"],
+		}
+		if q.Customer == "" {
+			q.Customer = "ghent"
+		}
+		if d := w.duration("timeout", 0); d > 0 {
+			q.Deadline = s.now.Add(d)
+		}
+		name := w.at(0)
+		if i > 0 {
+			name += "-" + strconv.Itoa(i)
+		}
+		s.request(s.machines[id.Host(w.named["host"])], name, q)
+	}
+	return nil
+}
+
+// cmdHost does something to a host: host H start|kill|pause|resume|stop|cut-log|
+// mend-log|cut-peers|mend-peers|cut-workers|mend-workers. H may be "owner" or "all".
+func cmdHost(s *script, w words) error {
+	names := []id.Host{id.Host(w.at(0))}
+	switch w.at(0) {
+	case "owner":
+		names = []id.Host{s.ref.Owner.Host}
+	case "all":
+		names = config.Sorted(s.machines)
+	}
+	for _, n := range names {
+		if err := s.disturb(n, w.at(1)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cmdWorker does something to workers: worker W[,W...] kill|start|silent|answer|
+// break|mend. A name may end in * for all that begin so.
+func cmdWorker(s *script, w words) error {
+	found := false
+	for _, pattern := range strings.Split(w.at(0), ",") {
+		prefix, wild := strings.CutSuffix(pattern, "*")
+		for _, name := range config.Sorted(s.workers) {
+			if string(name) != pattern && !(wild && strings.HasPrefix(string(name), prefix)) {
+				continue
+			}
+			found = true
+			if err := s.disturbWorker(name, w.at(1)); err != nil {
+				return err
+			}
+		}
+	}
+	if !found {
+		return fmt.Errorf("no worker %s", w.at(0))
+	}
+	return nil
+}
+
+// cmdBackend sets the mode of backend servers: backend B|all MODE.
+func cmdBackend(s *script, w words) error {
+	for _, n := range config.Sorted(s.backends) {
+		if w.at(0) == "all" || string(n) == w.at(0) {
+			s.setBackend(n, w.at(1))
+		}
+	}
+	return nil
+}
+
+// cmdLog sets the mode of the log: log fine|refuse|hang|lose|late [by=2m]
+// [damage] [forget] [forget-old]. Damage appends a broken record, forget drops all
+// records.
+func cmdLog(s *script, w words) error {
+	switch w.at(0) {
+	case "damage":
+		s.land([]byte("this is no record of ours"))
+	case "forget":
+		s.log.Forget(s.log.Head() + 1)
+	case "forget-old":
+		// Keeps the newest snapshot and what follows it.
+		s.log.Forget(s.log.Head() - 2)
+	default:
+		s.lateBy = w.duration("by", 2*time.Minute)
+		s.setLog(logMode(w.at(0)))
+	}
+	return nil
+}
+
+// cmdNetwork sets what happens to messages of workers, and the lag of the host list:
+// network loss=PERCENT dup=PERCENT lag=D.
+func cmdNetwork(s *script, w words) error {
+	s.netLoss = float64(w.number("loss", 0)) / 100
+	s.netDup = float64(w.number("dup", 0)) / 100
+	s.listLag = w.duration("lag", s.listLag)
+	return nil
+}
+
+// cmdJob expects a job's state: job JOB STATE [attempt=N].
+func cmdJob(s *script, w words) error {
+	j := s.ref.Jobs[id.Job(w.at(0))]
+	if j == nil {
+		return state.ErrNoJob
+	}
+	if string(j.State) != w.at(1) || w.number("attempt", j.Attempt) != j.Attempt {
+		return fmt.Errorf("job %s is %s in attempt %d (%s)", w.at(0), j.State, j.Attempt, j.Reason)
+	}
+	return nil
+}
+
+// cmdVerdict expects the verdict on a proposal: verdict NAME accepted|pending|TEXT.
+func cmdVerdict(s *script, w words) error {
+	err, ok := s.settled[w.at(0)]
+	got := "accepted"
+	switch {
+	case !ok:
+		got = "pending"
+	case err != nil:
+		got = err.Error()
+	}
+	if !strings.Contains(got, strings.Join(w.plain[1:], " ")) {
+		return fmt.Errorf("the verdict is: %s", got)
+	}
+	return nil
+}
+
+// cmdAnswer expects the answers to the requests of a name: answer NAME
+// whole|CODE|pending [ran=no|yes|unknown] [count=N].
+func cmdAnswer(s *script, w words) error {
+	got := map[string]int{}
+	for _, c := range s.calls {
+		if c.name == w.at(0) || strings.HasPrefix(c.name, w.at(0)+"-") {
+			got[c.result(w.named["ran"] != "")]++
+		}
+	}
+	want := w.at(1)
+	if r := w.named["ran"]; r != "" {
+		want += " ran=" + r
+	}
+	n := w.number("count", -1)
+	if got[want] == 0 && n != 0 || n >= 0 && got[want] != n || n < 0 && len(got) > 1 {
+		return fmt.Errorf("the answers are %v", got)
+	}
+	return nil
+}
+
+// result names the final answer of a call.
+func (c *call) result(ran bool) string {
+	if len(c.replies) == 0 {
+		return "pending"
+	}
+	r := c.replies[0]
+	out := string(r.Code)
+	if r.Relay != 0 {
+		out = "whole"
+	}
+	if ran {
+		out += " ran=" + string(r.Ran)
+	}
+	return out
+}
+
+// cmdKeyRuns expects how often requests with a key ran: keyruns KEY N.
+func cmdKeyRuns(s *script, w words) error {
+	if n := strconv.Itoa(s.keys[w.at(0)]); n != w.at(1) {
+		return fmt.Errorf("key %s ran %s times", w.at(0), n)
+	}
+	return nil
+}
+
+// cmdExpect expects something of a host: expect HOST ready|joining|isolated|draining|
+// stopped|owner|config=latest.
+func cmdExpect(s *script, w words) error {
+	m := s.machines[id.Host(w.at(0))]
+	if w.at(1) == "owner" {
+		if s.ref.Owner.Host != m.name {
+			return fmt.Errorf("the owner is %s", s.ref.Owner.Host)
+		}
+		return nil
+	}
+	if w.named["config"] == "latest" {
+		if m.core.ConfigAt() != s.ref.ConfigAt {
+			return fmt.Errorf("host %s is at %d, the log at %d", m.name, m.core.ConfigAt(), s.ref.ConfigAt)
+		}
+		return nil
+	}
+	if string(m.core.State()) != w.at(1) {
+		return fmt.Errorf("host %s is %s", m.name, m.core.State())
+	}
+	return nil
+}
+
+// cmdPlanned expects of a kept plan that some line contains a text: planned NAME TEXT.
+func cmdPlanned(s *script, w words) error {
+	p := s.kept[w.at(0)]
+	all := slices.Clone(p.Lines)
+	for _, j := range p.Preempts {
+		all = append(all, "preempts "+string(j))
+	}
+	all = append(all, p.Problem)
+	text := strings.Join(w.plain[1:], " ")
+	if !slices.ContainsFunc(all, func(l string) bool { return strings.Contains(l, text) }) {
+		return fmt.Errorf("the plan says %q", all)
+	}
+	return nil
+}
--- a/core/record/entry.go
+++ b/core/record/entry.go
@@ -83,6 +83,8 @@
 	Block block.Block `cbor:"3,keyasint"`
 	// Attempt counts the placements of the job from 1.
 	Attempt int `cbor:"4,keyasint"`
+	// Lease is under which the workers hold the gang's tasks.
+	Lease id.Lease `cbor:"7,keyasint"`
 	// Cell is the guaranteed block that the gang uses; empty if it borrows.
 	Cell Cell `cbor:"5,keyasint"`
 	// Home is where the whole cell lies; it contains Block. It is the zero block
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -298,6 +298,10 @@
 	}
 	if res.Outcome == Broken {
 		req.unsure = true
+		if now >= req.Deadline {
+			r.answer(req, Reply{Code: CodeTimeout, Ran: RanUnknown, RetryAfter: time.Second})
+			return
+		}
 		if req.Once {
 			r.answer(req, Reply{Code: CodeInterrupted, Ran: RanUnknown})
 			return
--- a/core/sched/advance.go
+++ b/core/sched/advance.go
@@ -20,7 +20,7 @@
 		if j.State != state.Running || s.gangs[name] != nil {
 			continue
 		}
-		p := record.Place{Job: name, Attempt: j.Attempt, Block: j.Block, Cell: j.Cell, Home: j.Home}
+		p := record.Place{Job: name, Attempt: j.Attempt, Lease: j.Lease, Block: j.Block, Cell: j.Cell, Home: j.Home}
 		s.gangs[name] = &run{
 			Gang:  gang.Adopt(now, p, j.Spec, s.members(j.Block)),
 			began: now,
@@ -39,6 +39,7 @@
 		if r.State != before {
 			s.dirty = true
 			s.wake(r)
+			s.doubt(r)
 		}
 		s.write(now, name, r)
 		if r.State == gang.Open {
@@ -47,6 +48,19 @@
 	}
 }
 
+// doubt stops counting on workers that did not answer when they were asked for a
+// task, until they answer again.
+func (s *Scheduler) doubt(r *run) {
+	if r.Committed() || r.State != gang.Stopping {
+		return
+	}
+	for _, m := range r.Members {
+		if h := s.workers[m.Worker]; h != nil && m.State == "" {
+			h.heard = 0
+		}
+	}
+}
+
 // noteEnd stops a gang whose job was cancelled.
 func (s *Scheduler) noteEnd(now unit.Instant, r *run) {
 	j, ok := s.state.Jobs[r.Job.ID]
@@ -66,7 +80,7 @@
 		r.placed = true
 		s.emit(record.Entry{Place: &record.Place{
 			Job: name, Epoch: s.epoch, Block: r.Block,
-			Attempt: r.Attempt, Cell: r.Cell, Home: r.Home,
+			Attempt: r.Attempt, Lease: r.Lease, Cell: r.Cell, Home: r.Home,
 		}})
 	case gang.Released:
 		s.release(now, name, r)
@@ -88,6 +102,9 @@
 		return
 	}
 	r.ended = true
+	if verdictOn(r) != record.Requeued {
+		delete(s.bad, name)
+	}
 	s.learn(now, r)
 	s.emit(record.Entry{End: &record.End{
 		Job: name, Epoch: s.epoch, Attempt: r.Attempt,
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -139,13 +139,7 @@
 
 // tryBorrow starts the job on capacity that nobody uses now.
 func (s *Scheduler) tryBorrow(now unit.Instant, f *floor, j record.Job) bool {
-	avoid := map[id.Rack]uint64{}
-	for _, b := range f.spare {
-		avoid[b.Rack] |= b.Mask()
-	}
-	for _, b := range f.homes {
-		avoid[b.Rack] |= b.Mask()
-	}
+	avoid := f.guarded()
 	var except uint64
 	if f.reserved.Size > 0 && s.expected(j.Customer, j.Declared) > f.until {
 		except = f.reserved.Mask()
@@ -164,6 +158,18 @@
 	return ok
 }
 
+// guarded returns the places of all guaranteed blocks, in use or not.
+func (f *floor) guarded() map[id.Rack]uint64 {
+	out := map[id.Rack]uint64{}
+	for _, b := range f.spare {
+		out[b.Rack] |= b.Mask()
+	}
+	for _, b := range f.homes {
+		out[b.Rack] |= b.Mask()
+	}
+	return out
+}
+
 // preempt stops the borrowers that overlap a block.
 func (s *Scheduler) preempt(now unit.Instant, b block.Block, reason string) {
 	for _, name := range config.Sorted(s.gangs) {
@@ -215,9 +221,13 @@
 		return
 	}
 	first := time.Duration(-1)
+	guarded := f.guarded()
 	for _, k := range f.racks {
 		frees := s.frees(now, k)
 		room := f.live[k] & s.fits(s.state.Config.Racks[k], j)
+		if j.Once {
+			room &^= guarded[k]
+		}
 		for starts := block.Starts(room, j.Accelerators); starts != 0; starts &= starts - 1 {
 			at := bits.TrailingZeros64(starts)
 			wait := slices.Max(frees[at : at+j.Accelerators])
--- a/core/sched/pass.go
+++ b/core/sched/pass.go
@@ -48,8 +48,18 @@
 	f := s.survey(now)
 	jobs := s.queue(f)
 	s.stats.Pending = len(jobs)
+	// Guarantees go first: a borrower that was stopped for one would otherwise be
+	// the first to take the room again.
+	var rest []record.Job
 	for _, j := range jobs {
-		s.tryJob(now, f, j.Spec)
+		if s.mayRun(f, j.Spec) && !s.tryGuaranteed(now, f, j.Spec) {
+			rest = append(rest, j.Spec)
+		}
+	}
+	for _, j := range rest {
+		if s.mayRun(f, j) {
+			s.tryElsewhere(now, f, j)
+		}
 	}
 	s.measure(f, jobs)
 }
@@ -103,17 +113,17 @@
 
 // spare finds a place for each cell not in use, on live workers if that can be.
 func (s *Scheduler) spare(f *floor) (w witness.Witness, atRisk bool) {
-	w, err := f.find(s.state.Config, func(k id.Rack) uint64 { return f.live[k] }, nil)
+	w, err := f.find(s.state.Config, func(k id.Rack) uint64 { return f.live[k] })
 	if err == nil {
 		return w, false
 	}
 	// Lost workers took the room. Plan as if they were back, and say so.
-	w, _ = f.find(s.state.Config, func(k id.Rack) uint64 { return state.Usable(s.state.Config, k) }, nil)
+	w, _ = f.find(s.state.Config, func(k id.Rack) uint64 { return state.Usable(s.state.Config, k) })
 	return w, true
 }
 
-// find looks for a place for each cell that is neither in use nor the given one.
-func (f *floor) find(c config.Config, usable func(id.Rack) uint64, except *record.Cell) (witness.Witness, error) {
+// find looks for a place for each cell that is not in use.
+func (f *floor) find(c config.Config, usable func(id.Rack) uint64) (witness.Witness, error) {
 	rooms := make([]witness.Room, 0, len(f.racks))
 	for _, k := range f.racks {
 		rooms = append(rooms, witness.Room{Rack: k, Free: usable(k) &^ f.firm[k]})
@@ -123,7 +133,7 @@
 		g := c.Guarantees[k]
 		for i := range g.Count {
 			cell := record.Cell{Guarantee: k, Index: i}
-			if _, used := f.homes[cell]; !used && (except == nil || *except != cell) {
+			if _, used := f.homes[cell]; !used {
 				needs = append(needs, witness.Need{Cell: cell, Size: g.Size})
 			}
 		}
@@ -161,17 +171,24 @@
 	return out
 }
 
-// tryJob starts a gang for the job, makes room for one, or leaves the job waiting.
-func (s *Scheduler) tryJob(now unit.Instant, f *floor, j record.Job) {
+// mayRun reports whether the job could be started now as far as its customer is
+// concerned. A job that can never run is refused.
+func (s *Scheduler) mayRun(f *floor, j record.Job) bool {
+	if s.ends[j.ID] {
+		return false
+	}
 	if reason := s.never(j); reason != "" {
 		s.refuse(j, reason)
-		return
+		return false
 	}
 	c := s.state.Config.Customers[j.Customer]
-	if c.Quota > 0 && f.held[j.Customer]+j.Accelerators > c.Quota {
-		return
-	}
-	if s.tryGuaranteed(now, f, j) || s.tryBorrow(now, f, j) {
+	return c.Quota == 0 || f.held[j.Customer]+j.Accelerators <= c.Quota
+}
+
+// tryElsewhere starts the job on borrowed accelerators, makes room for it if it is
+// urgent, or leaves it waiting.
+func (s *Scheduler) tryElsewhere(now unit.Instant, f *floor, j record.Job) {
+	if s.tryBorrow(now, f, j) {
 		return
 	}
 	if j.Urgent && !j.Once && s.makeRoom(now, f, j) {
@@ -193,18 +210,65 @@
 		return "the gang is larger than the customer's quota"
 	}
 	for _, r := range s.state.Config.Racks {
-		if block.LongestRun(s.fits(r, j)) >= j.Accelerators {
-			return ""
+		if block.LongestRun(s.fits(r, j)) < j.Accelerators {
+			continue
+		}
+		if j.Once && !s.ownsCell(j.Customer, j.Accelerators) && !s.couldBeFirm(j.Accelerators) {
+			return "a job that can't be stopped would leave a guarantee without a place"
 		}
+		return ""
+	}
+	if len(s.bad[j.ID]) > 0 {
+		return "the job crashed on every worker that could hold it"
 	}
 	return "no rack has that many adjacent accelerators with the cores and memory asked for"
 }
 
+// couldBeFirm reports whether a gang of the size that can't be stopped could be
+// placed on an empty floor so that every guarantee still has a place.
+func (s *Scheduler) couldBeFirm(size int) bool {
+	if ok, known := s.firmSizes[size]; known {
+		return ok
+	}
+	c := s.state.Config
+	ok := false
+	for _, k := range config.Sorted(c.Racks) {
+		// The first place of the size in a rack leaves the longest run behind.
+		starts := block.Starts(state.Usable(c, k), size)
+		if starts == 0 {
+			continue
+		}
+		f := floor{racks: config.Sorted(c.Racks), firm: map[id.Rack]uint64{
+			k: block.Run(bits.TrailingZeros64(starts), size),
+		}}
+		if _, err := f.find(c, func(r id.Rack) uint64 { return state.Usable(c, r) }); err == nil {
+			ok = true
+			break
+		}
+	}
+	s.firmSizes[size] = ok
+	return ok
+}
+
+// ownsCell reports whether the customer has a guarantee that holds the size.
+func (s *Scheduler) ownsCell(c id.Customer, size int) bool {
+	for _, g := range s.state.Config.Guarantees {
+		if g.Customer == c && g.Size >= size {
+			return true
+		}
+	}
+	return false
+}
+
 // fits returns the accelerators of a rack whose workers have the cores and memory
-// that the job asks for with each accelerator.
+// that the job asks for with each accelerator, and on which the job has not crashed.
 func (s *Scheduler) fits(r config.Rack, j record.Job) uint64 {
 	var m uint64
+	bad := s.bad[j.ID]
 	for i, w := range r.Workers {
+		if bad[w.ID] {
+			continue
+		}
 		n := min(j.Accelerators, w.Accelerators)
 		if j.Cores*n <= w.Cores && int64(j.Memory)*int64(n) <= int64(w.Memory) {
 			m |= r.Span(i).Mask()
@@ -222,8 +286,9 @@
 
 // start begins to ask for the leases of a gang.
 func (s *Scheduler) start(now unit.Instant, f *floor, j record.Job, b block.Block, cell record.Cell, home block.Block) {
+	s.asked++
 	p := record.Place{
-		Job: j.ID, Epoch: s.epoch, Block: b, Cell: cell, Home: home,
+		Job: j.ID, Epoch: s.epoch, Lease: s.lease(), Block: b, Cell: cell, Home: home,
 		Attempt: s.state.Jobs[j.ID].Attempt + 1,
 	}
 	r := &run{Gang: gang.New(now, p, j, s.members(b))}
@@ -232,6 +297,12 @@
 	s.wake(r)
 }
 
+// leaseBits is the width of the number within an epoch.
+const leaseBits = 20
+
+// lease returns the name of the latest asking. No other epoch has the same.
+func (s *Scheduler) lease() id.Lease { return id.Lease(uint64(s.epoch)<<leaseBits | s.asked) }
+
 // measure computes the fragmentation: the share of free accelerators that no gang
 // of the sizes in demand could use, averaged over those sizes.
 func (s *Scheduler) measure(f *floor, jobs []*state.Job) {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -39,9 +39,16 @@
 	seenConfig id.Offset
 	// ends lists pending jobs whose refusal is under way.
 	ends map[id.Job]bool
+	// bad lists the workers on which a job crashed.
+	bad map[id.Job]map[id.Worker]bool
+	// firmSizes remembers, for the configuration indexed, whether a gang that
+	// can't be stopped could ever be placed beside all guarantees.
+	firmSizes map[int]bool
 	// truth learns how run times compare with what customers declare.
 	truth map[id.Customer]*ratio
 
+	// asked counts the gangs that were asked for.
+	asked uint64
 	// dirty is set when something changed that the queue may profit from.
 	dirty  bool
 	passed unit.Instant
@@ -89,6 +96,7 @@
 		epoch: epoch, state: st, policy: p,
 		gangs: map[id.Job]*run{}, workers: map[id.Worker]*health{},
 		where: map[id.Worker]spot{}, ends: map[id.Job]bool{},
+		bad:   map[id.Job]map[id.Worker]bool{},
 		truth: map[id.Customer]*ratio{}, dirty: true,
 	}
 }
@@ -165,12 +173,12 @@
 	named := map[id.Job]bool{}
 	for _, t := range rep.Tasks {
 		r, ok := s.gangs[t.Job]
-		if !ok || r.Attempt != t.Attempt {
+		if !ok || r.Lease != t.Lease {
 			continue
 		}
 		named[t.Job] = true
 		r.Report(now, rep.Worker, rep.Clock, t.State)
-		s.judge(now, r, h, t.State)
+		s.judge(now, r, rep.Worker, h, t.State)
 	}
 	for name, r := range s.gangs {
 		// A worker that was told to drop a task, or that was restarted, and no
@@ -183,11 +191,15 @@
 }
 
 // judge counts the end of a task for or against its worker.
-func (s *Scheduler) judge(now unit.Instant, r *run, h *health, st worker.TaskState) {
+func (s *Scheduler) judge(now unit.Instant, r *run, w id.Worker, h *health, st worker.TaskState) {
 	switch {
 	case st == worker.Crashed && !r.blamed:
 		r.blamed = true
 		h.blame(now, r.Job.ID)
+		if s.bad[r.Job.ID] == nil {
+			s.bad[r.Job.ID] = map[id.Worker]bool{}
+		}
+		s.bad[r.Job.ID][w] = true
 	case st == worker.Exited:
 		h.praise()
 	}
@@ -199,6 +211,7 @@
 		return
 	}
 	s.seenConfig, s.dirty = s.state.ConfigAt, true
+	s.firmSizes = map[int]bool{}
 	s.where = map[id.Worker]spot{}
 	for _, k := range config.Sorted(s.state.Config.Racks) {
 		r := s.state.Config.Racks[k]
--- a/core/state/apply.go
+++ b/core/state/apply.go
@@ -165,7 +165,7 @@
 	if err := s.step(j, eventPlace); err != nil {
 		return err
 	}
-	j.Attempt, j.Block, j.Cell, j.Home = p.Attempt, p.Block, p.Cell, p.Home
+	j.Attempt, j.Lease, j.Block, j.Cell, j.Home = p.Attempt, p.Lease, p.Block, p.Cell, p.Home
 	return nil
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -50,6 +50,8 @@
 	Block block.Block `cbor:"4,keyasint" json:"block"`
 	Cell  record.Cell `cbor:"5,keyasint" json:"cell"`
 	Home  block.Block `cbor:"6,keyasint" json:"home"`
+	// Lease is that of the last placement.
+	Lease id.Lease `cbor:"9,keyasint" json:"lease"`
 	// Reason says why the job ended as it did, in words.
 	Reason string `cbor:"7,keyasint,omitempty" json:"reason,omitempty"`
 	// Changed is the offset of the last record that changed the job.
--- a/core/worker/worker.go
+++ b/core/worker/worker.go
@@ -10,7 +10,7 @@
 //     epoch, changes nothing.
 //   - A task that is not listed is stopped.
 //   - A task is created only if the sync allows it and the worker never held that
-//     attempt before. It is created gated: it holds its accelerators and runs
+//     lease before. It is created gated: it holds its accelerators and runs
 //     nothing until its gate is opened.
 //   - A task whose lease has run out by the worker's own clock is stopped. A new
 //     task has GatedTerm; after that only renewals count.
@@ -38,8 +38,8 @@
 
 // Want is one task that a worker should hold.
 type Want struct {
-	Job     id.Job `json:"job"`
-	Attempt int    `json:"attempt"`
+	Job   id.Job   `json:"job"`
+	Lease id.Lease `json:"lease"`
 	// Mask has a bit for each accelerator of this worker, from bit 0.
 	Mask uint64 `json:"mask"`
 	// Create allows the worker to create the task, gated.
@@ -78,10 +78,10 @@
 
 // Task is what a worker says of one task.
 type Task struct {
-	Job     id.Job    `json:"job"`
-	Attempt int       `json:"attempt"`
-	State   TaskState `json:"state"`
-	Mask    uint64    `json:"mask"`
+	Job   id.Job    `json:"job"`
+	Lease id.Lease  `json:"lease"`
+	State TaskState `json:"state"`
+	Mask  uint64    `json:"mask"`
 }
 
 // Report is a worker's answer to a sync.
--- a/internal/standin/workersvc/workersvc.go
+++ b/internal/standin/workersvc/workersvc.go
@@ -32,9 +32,9 @@
 
 // Start is one opening of a gate.
 type Start struct {
-	Worker  id.Worker `json:"worker"`
-	Job     id.Job    `json:"job"`
-	Attempt int       `json:"attempt"`
+	Worker id.Worker `json:"worker"`
+	Job    id.Job    `json:"job"`
+	Lease  id.Lease  `json:"lease"`
 }
 
 // Ledger lists what the workers ran.
@@ -128,10 +128,10 @@
 	if w == nil {
 		w = fake.New(name, accelerators, uint64(time.Now().UnixNano()), fake.Hooks{
 			Plan: plan,
-			Started: func(j id.Job, attempt int) {
-				s.ledger.Starts = append(s.ledger.Starts, Start{name, j, attempt})
+			Started: func(j id.Job, l id.Lease) {
+				s.ledger.Starts = append(s.ledger.Starts, Start{name, j, l})
 			},
-			Ended: func(_ id.Job, _ int, st worker.TaskState) { s.ledger.Ends[st]++ },
+			Ended: func(_ id.Job, _ id.Lease, st worker.TaskState) { s.ledger.Ends[st]++ },
 		})
 		s.workers[name] = w
 	}
