--- a/core/gang/gang.go
+++ b/core/gang/gang.go
@@ -273,7 +273,7 @@
 			Cores: g.Job.Cores, Memory: g.Job.Memory,
 			Command: g.Job.Command, Trace: g.Job.Trace,
 		}
-		if renew && m.clock > 0 {
+		if renew {
 			t.Until = m.clock + Term
 			m.lapse = max(m.lapse, m.heard.Add(Term+Margin))
 		}
@@ -282,10 +282,11 @@
 	return worker.Want{}, false
 }
 
-// renewable reports whether every member that still runs was heard of lately.
+// renewable reports whether every member that still runs has answered this owner,
+// and lately.
 func (g *Gang) renewable(now unit.Instant) bool {
 	for _, m := range g.Members {
-		if m.State != worker.Exited && now.Sub(m.heard) > Grace {
+		if m.State != worker.Exited && (m.clock == 0 || now.Sub(m.heard) > Grace) {
 			return false
 		}
 	}
--- a/core/node/message.go
+++ b/core/node/message.go
@@ -52,6 +52,11 @@
 	Arrived struct{ Request route.Request }
 	// Ended brings the end of an attempt.
 	Ended struct{ Result route.Result }
+	// Probed brings the end of a probe.
+	Probed struct {
+		Probe   route.Probe
+		Outcome route.Outcome
+	}
 	// Gone says that the caller of a request went away.
 	Gone struct{ Request id.Request }
 	// Propose asks for an entry to be written to the log; Settled answers.
@@ -82,6 +87,7 @@
 func (Report) event()       {}
 func (Arrived) event()      {}
 func (Ended) event()        {}
+func (Probed) event()       {}
 func (Gone) event()         {}
 func (Propose) event()      {}
 func (Draw) event()         {}
@@ -99,6 +105,7 @@
 	Syncs []worker.Sync
 	// Sends go to backend servers and Replies to callers.
 	Sends   []route.Attempt
+	Probes  []route.Probe
 	Replies []route.Reply
 	// Settled, Drawn and Inspected answer questions.
 	Settled   []Settled
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -165,6 +165,8 @@
 		n.arrived(now, ev.Request)
 	case Ended:
 		n.router.Ended(now, ev.Result)
+	case Probed:
+		n.router.Probed(now, ev.Probe, ev.Outcome)
 	case Gone:
 		n.router.Gone(ev.Request)
 	case Propose:
@@ -185,6 +187,7 @@
 func (n *Node) finish(now unit.Instant) {
 	acts, faults := n.router.Take()
 	n.out.Sends = append(n.out.Sends, acts.Sends...)
+	n.out.Probes = append(n.out.Probes, acts.Probes...)
 	n.out.Replies = append(n.out.Replies, acts.Replies...)
 	for _, c := range acts.Claims {
 		n.claimKey(now, c)
@@ -215,6 +218,7 @@
 func (n *Node) tick(now unit.Instant) {
 	n.moveState(now)
 	n.router.Tick(now)
+	n.router.Probe(now, n.self, n.table.Near(now))
 	if now.Sub(n.beatAt) >= peer.Every {
 		n.beatAt = now
 		n.beat(now)
--- a/core/node/replay.go
+++ b/core/node/replay.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/owner"
 	"curlewsill.org/curlewsill/core/peer"
 	"curlewsill.org/curlewsill/core/sched"
 	"curlewsill.org/curlewsill/core/state"
@@ -98,13 +99,13 @@
 		if e.Claim != nil && a.Batch.Host == n.self && a.Batch.Incarnation == n.life {
 			n.ownEpoch = n.state.Owner.Epoch
 		}
-		firm = firm || e.Configure != nil || e.Place != nil
+		firm = firm || e.Snapshot == nil && e.Submit == nil && e.Once == nil
 	}
 	if !firm {
 		return
 	}
 	// The reducer takes no entry that leaves no witness. This is the assertion.
-	if _, err := n.state.Witness(); err != nil {
+	if err := n.state.CheckWitness(); err != nil {
 		n.fault(fmt.Errorf("%w: %w", ErrNoWitness, err))
 	}
 }
@@ -149,10 +150,7 @@
 		b = n.elect.Advance(now, n.ownEpoch, leaving)
 	}
 	for _, h := range n.table.Targets(now) {
-		f := peer.Frame{
-			From: n.self, Applied: n.state.Applied, Beat: b, CheckAt: n.checkAt, Check: n.check,
-			Leaving: n.router.Leaving(now), Stopping: leaving,
-		}
+		f := n.frame(now, b)
 		if applied, ok := n.table.Applied(now, h); ok && applied < n.state.Applied {
 			f.First, f.Records = n.recent.after(applied)
 		}
@@ -160,14 +158,38 @@
 	}
 }
 
+// frame returns a heartbeat without records.
+func (n *Node) frame(now unit.Instant, b owner.Beat) peer.Frame {
+	return peer.Frame{
+		From: n.self, Applied: n.state.Applied, Beat: b, CheckAt: n.checkAt, Check: n.check,
+		Leaving: n.router.Departures(now), Stopping: n.st == Draining,
+	}
+}
+
+// catchUp answers a peer that asked for records, and asks one that has more than this
+// host can read from the log.
+func (n *Node) catchUp(now unit.Instant, f peer.Frame) {
+	reply := n.frame(now, n.elect.Beat())
+	switch {
+	case f.Behind && f.Applied < n.state.Applied:
+		reply.First, reply.Records = n.recent.after(f.Applied)
+		if len(reply.Records) == 0 {
+			return
+		}
+	case f.Applied > n.state.Applied && !n.logUp(now):
+		reply.Behind = true
+	default:
+		return
+	}
+	n.out.Frames = append(n.out.Frames, Frame{To: f.From, Frame: reply})
+}
+
 // heard takes in a peer's frame.
 func (n *Node) heard(now unit.Instant, f peer.Frame) {
 	n.table.Hear(now, f)
 	n.elect.Hear(now, f.Beat)
-	for service, list := range f.Leaving {
-		for _, b := range list {
-			n.router.Leaves(now, service, b)
-		}
+	for _, d := range f.Leaving {
+		n.router.Departed(now, d)
 	}
 	if f.CheckAt != 0 && f.CheckAt == n.checkAt && f.Check != n.check {
 		n.counts.Diverged++
@@ -179,6 +201,7 @@
 		// What a peer passes on is no sign that the log can be read.
 		n.readAt, n.head = read, max(head, n.state.Applied)
 	}
+	n.catchUp(now, f)
 	if f.Beat.Epoch > n.ownEpoch && n.sched != nil {
 		// A newer owner exists, although this host hasn't read so yet.
 		n.sched = nil
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -8,12 +8,11 @@
 package owner
 
 import (
-	"slices"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/rank"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -89,7 +88,8 @@
 	if e.last.Leaving || current == 0 {
 		wait = 0
 	}
-	wait += time.Duration(rank(e.self, current, live)) * Stagger
+	place := rank.Of(e.self, strconv.FormatUint(uint64(current), 10), live)
+	wait += time.Duration(place) * Stagger
 	if now.Sub(e.at) < wait {
 		return false
 	}
@@ -99,50 +99,3 @@
 	e.claimed, e.replaced = now, current
 	return true
 }
-
-// rank returns the place of self among live by rendezvous hashing, so that another
-// host comes first in each epoch.
-func rank(self id.Host, epoch id.Epoch, live []id.Host) int {
-	mine := score(self, epoch)
-	n := 0
-	for _, h := range live {
-		if h != self && score(h, epoch) > mine {
-			n++
-		}
-	}
-	return n
-}
-
-func score(h id.Host, epoch id.Epoch) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(h))
-	_, _ = d.Write([]byte{byte(epoch), byte(epoch >> 8), byte(epoch >> 16), byte(epoch >> 24)})
-	return d.Sum64()
-}
-
-// Neighbors returns the peers that self sends its heartbeats to: the next n hosts
-// on a ring in the order of a hash. Every host has n of them however many there
-// are, and the ring with its shortcuts is connected.
-func Neighbors(self id.Host, live []id.Host, n int) []id.Host {
-	ring := slices.Clone(live)
-	slices.SortFunc(ring, func(a, b id.Host) int {
-		x, y := score(a, 0), score(b, 0)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		}
-		return 0
-	})
-	at := slices.Index(ring, self)
-	if at < 0 || len(ring) < 2 {
-		return nil
-	}
-	var out []id.Host
-	for step := 1; len(out) < n && step < len(ring); step *= 2 {
-		out = append(out, ring[(at+step)%len(ring)])
-	}
-	return out
-}
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -14,6 +14,8 @@
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/owner"
+	"curlewsill.org/curlewsill/core/rank"
+	"curlewsill.org/curlewsill/core/route"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -26,6 +28,8 @@
 	// Silence is how long a host counts as up without a frame or a mention in the
 	// platform's host list.
 	Silence = 4 * time.Second
+	// nearFor is how long a host counts as near after a frame.
+	nearFor = 1500 * time.Millisecond
 )
 
 // Frame is one message to a peer.
@@ -38,9 +42,12 @@
 	CheckAt id.Offset `cbor:"4,keyasint,omitempty"`
 	Check   uint64    `cbor:"5,keyasint,omitempty"`
 	// Leaving lists backend servers that the sender knows to be leaving.
-	Leaving map[id.Service][]id.Backend `cbor:"6,keyasint,omitempty"`
+	Leaving []route.Departure `cbor:"6,keyasint,omitempty"`
 	// Stopping is set by a host that is about to stop.
 	Stopping bool `cbor:"7,keyasint,omitempty"`
+	// Behind asks the receiver for the records after Applied, because the sender
+	// can't read the log.
+	Behind bool `cbor:"10,keyasint,omitempty"`
 	// Records follow one another from offset First.
 	First   id.Offset `cbor:"8,keyasint,omitempty"`
 	Records [][]byte  `cbor:"9,keyasint,omitempty"`
@@ -82,7 +89,7 @@
 	}
 }
 
-// Hear takes in a frame and reports whether the sender is new.
+// Hear takes in a frame.
 func (t *Table) Hear(now unit.Instant, f Frame) {
 	p := t.get(f.From)
 	p.heard, p.applied, p.stopping = now, f.Applied, f.Stopping
@@ -112,7 +119,7 @@
 
 // Targets returns the hosts that get this host's frames.
 func (t *Table) Targets(now unit.Instant) []id.Host {
-	return owner.Neighbors(t.self, t.Live(now), Neighbors)
+	return rank.Neighbors(t.self, t.Live(now), Neighbors)
 }
 
 // Applied returns the last offset that a peer is known to have applied, and whether
@@ -125,6 +132,18 @@
 	return p.applied, true
 }
 
+// Near returns the hosts that were heard of lately, this one included, in ascending
+// order.
+func (t *Table) Near(now unit.Instant) []id.Host {
+	near := map[id.Host]bool{t.self: true}
+	for h, p := range t.peers {
+		if p.heard != 0 && now.Sub(p.heard) < nearFor && !p.stopping {
+			near[h] = true
+		}
+	}
+	return config.Sorted(near)
+}
+
 // Heard reports whether any peer was heard of within d.
 func (t *Table) Heard(now unit.Instant, d time.Duration) bool {
 	for _, p := range t.peers {
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -67,7 +67,7 @@
 		p.Problem = err.Error()
 		return p, nil
 	}
-	if err := st.CheckConfig(next); err != nil {
+	if _, err := st.CheckConfig(next); err != nil {
 		p.Problem = err.Error()
 		return p, nil
 	}
--- a/core/route/backend.go
+++ b/core/route/backend.go
@@ -22,6 +22,10 @@
 	trustLeaving = 90 * time.Second
 	// loadFresh is how long a reported load is believed.
 	loadFresh = 2 * time.Second
+	// probeEvery is how often a backend server is asked by each of the probers
+	// hosts that look after it.
+	probeEvery = time.Second
+	probers    = 2
 )
 
 type backendState string
@@ -56,6 +60,8 @@
 	fails int
 	pause time.Duration
 	until unit.Instant
+	// probed is when this host last asked whether it takes requests.
+	probed unit.Instant
 	// left is when first-hand evidence said that it leaves.
 	left unit.Instant
 }
--- a/core/route/message.go
+++ b/core/route/message.go
@@ -110,9 +110,25 @@
 	Release bool
 }
 
+// Probe asks a backend server whether it takes requests. Its end is reported as a
+// Result without a request: Whole, Leaving or Unreached.
+type Probe struct {
+	Service id.Service
+	Backend id.Backend
+}
+
+// Departure is first-hand evidence that a backend server is leaving.
+type Departure struct {
+	Service id.Service `cbor:"1,keyasint"`
+	Backend id.Backend `cbor:"2,keyasint"`
+	// Age is how long ago the evidence was had.
+	Age time.Duration `cbor:"3,keyasint"`
+}
+
 // Actions is what the router wants to have done.
 type Actions struct {
 	Sends   []Attempt
+	Probes  []Probe
 	Replies []Reply
 	Claims  []Claim
 }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -7,6 +7,7 @@
 
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/rank"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -129,30 +130,68 @@
 // taken to be shared until refusals tell more.
 const hostsGuess = 4
 
-// Leaves notes a peer's evidence that a backend server leaves.
-func (r *Router) Leaves(now unit.Instant, service id.Service, name id.Backend) {
-	p := r.pools[service]
-	if p == nil {
+// Departed takes in a peer's evidence that a backend server leaves.
+func (r *Router) Departed(now unit.Instant, d Departure) {
+	p := r.pools[d.Service]
+	if p == nil || d.Age >= trustLeaving {
 		return
 	}
-	if b := p.find(name); b != nil && b.apply(leave) {
-		b.left = now
+	if b := p.find(d.Backend); b != nil {
+		// The age goes with the evidence, or hosts would renew it among themselves.
+		b.left = max(b.left, now.Add(-d.Age))
+		b.apply(leave)
 	}
 }
 
-// Leaving returns the backend servers known at first hand to be leaving.
-func (r *Router) Leaving(now unit.Instant) map[id.Service][]id.Backend {
-	out := map[id.Service][]id.Backend{}
-	for k, p := range r.pools {
-		for _, b := range p.backends {
+// Departures returns the backend servers known at first hand to be leaving.
+func (r *Router) Departures(now unit.Instant) []Departure {
+	var out []Departure
+	for _, k := range config.Sorted(r.pools) {
+		for _, b := range r.pools[k].backends {
 			if b.state == leaving && b.left != 0 && now.Sub(b.left) < trustLeaving {
-				out[k] = append(out[k], b.id)
+				out = append(out, Departure{k, b.id, now.Sub(b.left)})
 			}
 		}
 	}
 	return out
 }
 
+// Probe asks the backend servers that this host looks after whether they take
+// requests. Hosts are those that this host hears of, itself included; a host that
+// hears of no other looks after all.
+func (r *Router) Probe(now unit.Instant, self id.Host, hosts []id.Host) {
+	for _, k := range config.Sorted(r.pools) {
+		for _, b := range r.pools[k].backends {
+			if b.state == leaving || now.Sub(b.probed) < probeEvery || rank.Of(self, string(b.id), hosts) >= probers {
+				continue
+			}
+			b.probed = now
+			r.out.Probes = append(r.out.Probes, Probe{k, b.id})
+		}
+	}
+}
+
+// Probed takes in the end of a probe.
+func (r *Router) Probed(now unit.Instant, q Probe, o Outcome) {
+	p := r.pools[q.Service]
+	if p == nil {
+		return
+	}
+	b := p.find(q.Backend)
+	if b == nil {
+		return
+	}
+	switch o {
+	case Leaving:
+		b.left = now
+		b.apply(leave)
+	case Unreached:
+		if b.state == live {
+			b.failed(now, p.mayEject())
+		}
+	}
+}
+
 // Arrive takes in a request.
 func (r *Router) Arrive(now unit.Instant, q Request, weight int, logUp bool) {
 	p := r.pools[q.Service]
--- a/core/sched/advance.go
+++ b/core/sched/advance.go
@@ -169,7 +169,7 @@
 		if busy[w] {
 			h.due = now.Add(gang.Renewal)
 		}
-		s.out.Syncs = append(s.out.Syncs, worker.Sync{Worker: w, Epoch: s.epoch, Seq: h.seq, Tasks: wants[w]})
+		s.out.Syncs = append(s.out.Syncs, worker.Sync{Worker: w, Epoch: s.epoch, Seq: h.seq, Life: h.life, Tasks: wants[w]})
 	}
 }
 
--- a/core/sched/pass.go
+++ b/core/sched/pass.go
@@ -113,17 +113,17 @@
 
 // spare finds a place for each cell not in use, on live workers if that can be.
 func (s *Scheduler) spare(f *floor) (w witness.Witness, atRisk bool) {
-	w, err := f.find(s.state.Config, func(k id.Rack) uint64 { return f.live[k] })
+	w, err := f.find(s.state.Config, s.state.Spare, func(k id.Rack) uint64 { return f.live[k] })
 	if err == nil {
 		return w, false
 	}
 	// Lost workers took the room. Plan as if they were back, and say so.
-	w, _ = f.find(s.state.Config, func(k id.Rack) uint64 { return state.Usable(s.state.Config, k) })
+	w, _ = f.find(s.state.Config, s.state.Spare, func(k id.Rack) uint64 { return state.Usable(s.state.Config, k) })
 	return w, true
 }
 
 // find looks for a place for each cell that is not in use.
-func (f *floor) find(c config.Config, usable func(id.Rack) uint64) (witness.Witness, error) {
+func (f *floor) find(c config.Config, old witness.Witness, usable func(id.Rack) uint64) (witness.Witness, error) {
 	rooms := make([]witness.Room, 0, len(f.racks))
 	for _, k := range f.racks {
 		rooms = append(rooms, witness.Room{Rack: k, Free: usable(k) &^ f.firm[k]})
@@ -138,7 +138,7 @@
 			}
 		}
 	}
-	return witness.Find(rooms, needs)
+	return witness.Keep(rooms, old, needs)
 }
 
 // queue returns the pending jobs in the order in which they are tried: urgent ones
@@ -241,7 +241,7 @@
 		f := floor{racks: config.Sorted(c.Racks), firm: map[id.Rack]uint64{
 			k: block.Run(bits.TrailingZeros64(starts), size),
 		}}
-		if _, err := f.find(c, func(r id.Rack) uint64 { return state.Usable(c, r) }); err == nil {
+		if _, err := f.find(c, nil, func(r id.Rack) uint64 { return state.Usable(c, r) }); err == nil {
 			ok = true
 			break
 		}
--- a/core/state/apply.go
+++ b/core/state/apply.go
@@ -120,10 +120,11 @@
 	if err != nil {
 		return err
 	}
-	if err := s.CheckConfig(next); err != nil {
+	spare, err := s.CheckConfig(next)
+	if err != nil {
 		return err
 	}
-	s.Config, s.ConfigAt = next, s.Applied
+	s.Config, s.ConfigAt, s.Spare = next, s.Applied, spare
 	return nil
 }
 
@@ -159,13 +160,15 @@
 	case j.Spec.Once && p.Attempt > 1:
 		return ErrNotRepeatable
 	}
-	if err := s.CheckPlace(p); err != nil {
+	spare, err := s.CheckPlace(p)
+	if err != nil {
 		return err
 	}
 	if err := s.step(j, eventPlace); err != nil {
 		return err
 	}
 	j.Attempt, j.Lease, j.Block, j.Cell, j.Home = p.Attempt, p.Lease, p.Block, p.Cell, p.Home
+	s.Spare = spare
 	return nil
 }
 
@@ -197,7 +200,11 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrJobState, err)
 	}
+	was := j.State
 	j.State, j.Changed = to, s.Applied
+	if was == Running {
+		s.unbind(j)
+	}
 	if jobChart.Final(to) {
 		s.ended = append(s.ended, j.Spec.ID)
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -10,6 +10,7 @@
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/core/witness"
 )
 
 // Bounds of the state. Everything that grows with use has one.
@@ -112,6 +113,10 @@
 	Jobs     map[id.Job]*Job
 	Writers  map[Life]Writer
 	Keys     map[Key]Claim
+	// Spare is the standing witness: a place for each guaranteed block that is not
+	// in use. The places are disjoint, usable, and clear of every job that can't be
+	// preempted.
+	Spare witness.Witness
 
 	// keyOrder and ended list keys and ended jobs, oldest first, for forgetting.
 	keyOrder []Key
@@ -125,6 +130,7 @@
 		Jobs:    map[id.Job]*Job{},
 		Writers: map[Life]Writer{},
 		Keys:    map[Key]Claim{},
+		Spare:   witness.Witness{},
 	}
 }
 
@@ -138,6 +144,12 @@
 	Writers  []writerImage `cbor:"6,keyasint"`
 	Keys     []keyImage    `cbor:"7,keyasint"`
 	Ended    []id.Job      `cbor:"8,keyasint"`
+	Spare    []spareImage  `cbor:"9,keyasint"`
+}
+
+type spareImage struct {
+	Cell  record.Cell `cbor:"1,keyasint"`
+	Block block.Block `cbor:"2,keyasint"`
 }
 
 type writerImage struct {
@@ -167,6 +179,9 @@
 	for _, k := range s.keyOrder {
 		im.Keys = append(im.Keys, keyImage{k, s.Keys[k]})
 	}
+	for _, c := range s.Spare.Cells() {
+		im.Spare = append(im.Spare, spareImage{c, s.Spare[c]})
+	}
 	return images.Encode(im)
 }
 
@@ -195,6 +210,9 @@
 		n.Keys[k.Key] = k.Claim
 		n.keyOrder = append(n.keyOrder, k.Key)
 	}
+	for _, p := range im.Spare {
+		n.Spare[p.Cell] = p.Block
+	}
 	*s = *n
 	return nil
 }
--- a/core/witness/witness.go
+++ b/core/witness/witness.go
@@ -13,6 +13,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/bits"
 	"slices"
 
@@ -43,6 +44,13 @@
 // Witness is a place for each cell that is not in use.
 type Witness map[record.Cell]block.Block
 
+// Cells returns the cells of w in ascending order.
+func (w Witness) Cells() []record.Cell {
+	return slices.SortedFunc(maps.Keys(w), func(a, b record.Cell) int {
+		return cmp.Or(cmp.Compare(a.Guarantee, b.Guarantee), cmp.Compare(a.Index, b.Index))
+	})
+}
+
 // Find returns a witness, or ErrNone with the first cell that found no place. It
 // sorts needs in place and leaves rooms as they are.
 func Find(rooms []Room, needs []Need) (Witness, error) {
@@ -60,6 +68,42 @@
 	return w, nil
 }
 
+// Keep returns a witness for needs that leaves the places of old where they are, as
+// far as they are still free. If the others find no place beside them, all are placed
+// anew. It sorts needs in place and leaves rooms and old as they are.
+func Keep(rooms []Room, old Witness, needs []Need) (Witness, error) {
+	left := slices.Clone(rooms)
+	kept := make(Witness, len(needs))
+	var rest []Need
+	slices.SortFunc(needs, largestFirst)
+	for _, n := range needs {
+		b, ok := old[n.Cell]
+		if !ok || b.Size != n.Size || !take(left, b) {
+			rest = append(rest, n)
+			continue
+		}
+		kept[n.Cell] = b
+	}
+	for _, n := range rest {
+		b, ok := bestFit(left, n.Size)
+		if !ok {
+			return Find(rooms, needs)
+		}
+		kept[n.Cell] = b
+	}
+	return kept, nil
+}
+
+// take takes a block out of its room if it is free.
+func take(rooms []Room, b block.Block) bool {
+	i := slices.IndexFunc(rooms, func(r Room) bool { return r.Rack == b.Rack })
+	if i < 0 || b.Mask()&^rooms[i].Free != 0 {
+		return false
+	}
+	rooms[i].Free &^= b.Mask()
+	return true
+}
+
 func largestFirst(a, b Need) int {
 	return cmp.Or(
 		cmp.Compare(b.Size, a.Size),
--- a/core/worker/worker.go
+++ b/core/worker/worker.go
@@ -4,10 +4,12 @@
 // The owner sends the whole list of tasks that a worker should hold, and the
 // worker answers with the whole list that it holds. Both are states and not
 // commands, so a message that is lost, doubled or late does no harm: the next one
-// says everything again. A worker keeps to four rules:
+// says everything again. A worker keeps to five rules:
 //
 //   - A sync of a lower epoch, or one that is not newer than the last of the same
 //     epoch, changes nothing.
+//   - A sync that is meant for another life of the worker changes nothing either: a
+//     worker that was restarted remembers neither epochs nor leases.
 //   - A task that is not listed is stopped.
 //   - A task is created only if the sync allows it and the worker never held that
 //     lease before. It is created gated: it holds its accelerators and runs
@@ -32,6 +34,9 @@
 	Epoch  id.Epoch  `json:"epoch"`
 	// Seq grows with each sync of an epoch to a worker.
 	Seq id.Seq `json:"seq"`
+	// Life is the worker's life that the sync is meant for; 0 if the owner has not
+	// heard of the worker yet. A worker of another life takes nothing from it.
+	Life uint64 `json:"life"`
 	// Tasks is the whole list.
 	Tasks []Want `json:"tasks"`
 }
