--- a/core/node/node.go
+++ b/core/node/node.go
@@ -120,6 +120,8 @@
 	snapCovers id.Offset
 	snapAt     unit.Instant
 	beatAt     unit.Instant
+	// turn counts heartbeats.
+	turn       int
 	stopAt     unit.Instant
 	configured id.Offset
 	hosts      int
--- a/core/node/replay.go
+++ b/core/node/replay.go
@@ -149,7 +149,8 @@
 	if n.ownEpoch != 0 && n.ownEpoch == n.state.Owner.Epoch && (n.sched != nil || leaving) {
 		b = n.elect.Advance(now, n.ownEpoch, leaving)
 	}
-	for _, h := range n.table.Targets(now) {
+	n.turn++
+	for _, h := range n.table.Targets(now, !n.logUp(now), n.turn) {
 		f := n.frame(now, b)
 		if applied, ok := n.table.Applied(now, h); ok && applied < n.state.Applied {
 			f.First, f.Records = n.recent.after(applied)
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -9,6 +9,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"curlewsill.org/curlewsill/core/config"
@@ -117,9 +118,18 @@
 	return config.Sorted(up)
 }
 
-// Targets returns the hosts that get this host's frames.
-func (t *Table) Targets(now unit.Instant) []id.Host {
-	return rank.Neighbors(t.self, t.Live(now), Neighbors)
+// Targets returns the hosts that get this host's frames. A host that looks for help
+// adds one more, another at each turn, so that it finds a peer even if all its
+// neighbors are cut off.
+func (t *Table) Targets(now unit.Instant, help bool, turn int) []id.Host {
+	live := t.Live(now)
+	out := rank.Neighbors(t.self, live, Neighbors)
+	if help {
+		if h := live[turn%len(live)]; h != t.self && !slices.Contains(out, h) {
+			out = append(out, h)
+		}
+	}
+	return out
 }
 
 // Applied returns the last offset that a peer is known to have applied, and whether
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -26,8 +26,9 @@
 }
 
 // Neighbors returns up to n hosts for self on a ring in the order of a hash: those 1,
-// 2, 4 and so on places further. Every host has as many however many there are, and
-// news reach all within a number of hops that grows with the logarithm of theirs.
+// 2, 4 and so on places further, and then any others. Every host has as many however
+// many there are, and news reach all within a number of hops that grows with the
+// logarithm of theirs.
 func Neighbors(self id.Host, hosts []id.Host, n int) []id.Host {
 	ring := slices.Clone(hosts)
 	slices.SortFunc(ring, func(a, b id.Host) int {
@@ -41,6 +42,11 @@
 	for step := 1; len(out) < n && step < len(ring); step *= 2 {
 		out = append(out, ring[(at+step)%len(ring)])
 	}
+	for step := 3; len(out) < n && step < len(ring); step++ {
+		if step&(step-1) != 0 {
+			out = append(out, ring[(at+step)%len(ring)])
+		}
+	}
 	return out
 }
 
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -10,6 +10,7 @@
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/gang"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/place"
 	"curlewsill.org/curlewsill/core/record"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -145,19 +146,44 @@
 		except = f.reserved.Mask()
 	}
 	rooms := s.rooms(f, j, except, avoid)
+	choose := s.policy.Choose
 	if j.Once {
-		// A job that can't be stopped must stay clear of every guarantee.
-		for i := range rooms {
-			rooms[i].Free &^= rooms[i].Avoid
-		}
+		choose = func(r []place.Room, size int) (block.Block, bool) { return s.chooseFirm(f, r, size) }
 	}
-	b, ok := s.policy.Choose(rooms, j.Accelerators)
+	b, ok := choose(rooms, j.Accelerators)
 	if ok {
 		s.start(now, f, j, b, record.Cell{}, block.Block{})
 	}
 	return ok
 }
 
+// chooseFirm chooses a block for a gang that can't be stopped: clear of every
+// guarantee's place, or else where the places in its way can be had elsewhere.
+func (s *Scheduler) chooseFirm(f *floor, rooms []place.Room, size int) (block.Block, bool) {
+	clear := slices.Clone(rooms)
+	for i := range clear {
+		clear[i].Free &^= clear[i].Avoid
+	}
+	if b, ok := s.policy.Choose(clear, size); ok {
+		return b, true
+	}
+	for i := range rooms {
+		b, ok := s.policy.Choose(rooms[i:i+1], size)
+		if !ok {
+			continue
+		}
+		was := f.firm[b.Rack]
+		f.firm[b.Rack] |= b.Mask()
+		spare, err := f.find(s.state.Config, f.spare, func(k id.Rack) uint64 { return f.live[k] })
+		f.firm[b.Rack] = was
+		if err == nil {
+			f.spare = spare
+			return b, true
+		}
+	}
+	return block.Block{}, false
+}
+
 // guarded returns the places of all guaranteed blocks, in use or not.
 func (f *floor) guarded() map[id.Rack]uint64 {
 	out := map[id.Rack]uint64{}
@@ -221,13 +247,9 @@
 		return
 	}
 	first := time.Duration(-1)
-	guarded := f.guarded()
 	for _, k := range f.racks {
 		frees := s.frees(now, k)
 		room := f.live[k] & s.fits(s.state.Config.Racks[k], j)
-		if j.Once {
-			room &^= guarded[k]
-		}
 		for starts := block.Starts(room, j.Accelerators); starts != 0; starts &= starts - 1 {
 			at := bits.TrailingZeros64(starts)
 			wait := slices.Max(frees[at : at+j.Accelerators])
