demo, load: the whole system in one process, and prompt refusals without the log

Cause: nothing showed the whole at work. demo runs a shipped site with three entry hosts, 300 requests a second, 40 gangs, a change each second and an outage of the log; load is its open-loop sender, which compares the answers with the ledger of the stand-ins.

Also: backend servers are probed on connections of their own, and a host sends no more requests to one than its part of the connections allows.

--- a/cmd/curlewsill/cmd/commands.go
+++ b/cmd/curlewsill/cmd/commands.go
@@ -30,6 +30,11 @@
 				Submit: jobsSubmitCmd{env: e}, List: jobsListCmd{env: e}, Show: jobsShowCmd{env: e}, Cancel: jobsCancelCmd{env: e},
 			},
 		},
+		{
+			"load", "Send requests at a steady rate and check the answers",
+			"Sends requests to entry hosts, open loop, and compares the answers with the ledger of the stand-in backend servers.",
+			&loadCmd{env: e},
+		},
 		{
 			"standin", "Run a stand-in of the platform",
 			"Runs the log, the workers or the backend servers in memory, for trials.",
@@ -37,6 +42,11 @@
 				Log: standinLogCmd{env: e}, Workers: standinWorkersCmd{env: e}, Backends: standinBackendsCmd{env: e},
 			},
 		},
+		{
+			"demo", "Run the whole system for a moment",
+			"Runs stand-ins, three entry hosts and a shipped site in this process, with an outage of the log, and reports.",
+			&demoCmd{env: e},
+		},
 		{
 			"version", "Show the version",
 			"Shows the version and the formats it speaks.",
--- /dev/null
+++ b/cmd/curlewsill/cmd/demo.go
@@ -0,0 +1,44 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"curlewsill.org/curlewsill/core/config"
+	"curlewsill.org/curlewsill/internal/demo"
+)
+
+// demoCmd is the subcommand demo.
+type demoCmd struct {
+	env  *env
+	Site string `long:"site" default:"delta-north" choice:"delta-north" choice:"be-oost" description:"site to run"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCmd) Execute([]string) error {
+	rep, err := demo.Run(c.env.ctx, c.Site, c.env.stderr)
+	if perr := c.env.print(rep, func(w io.Writer) { showDemo(w, rep) }); perr != nil {
+		return perr
+	}
+	return err
+}
+
+func showDemo(w io.Writer, r demo.Report) {
+	fmt.Fprintf(w, "\nsite %s\n\nrequests\n", r.Site)
+	showLoad(w, r.Requests)
+	fmt.Fprintf(w, "\ngangs\n%d started, %d against their mark started again\n", r.Started, r.Twice)
+	for _, st := range config.Sorted(r.Jobs) {
+		fmt.Fprintf(w, "%d %s\n", r.Jobs[st], st)
+	}
+	fmt.Fprintf(w, "fragmentation %.3f\n", r.Fragmentation)
+	fmt.Fprintf(w, "\nconfiguration\n%d changes accepted, %d refused while the log was down\n", r.Changes, r.Refused)
+	fmt.Fprintf(w, "in force on every host after %s at most\n", r.InForce.Round(time.Millisecond))
+	fmt.Fprintf(w, "\n%d appends to the log\n", r.Appends)
+	for _, v := range r.Violations {
+		fmt.Fprintf(w, "VIOLATED: %s\n", v)
+	}
+	if len(r.Violations) == 0 {
+		fmt.Fprintln(w, "everything that must always hold did")
+	}
+}
--- /dev/null
+++ b/cmd/curlewsill/cmd/load.go
@@ -0,0 +1,72 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/internal/load"
+	"curlewsill.org/curlewsill/internal/standin/backendsvc"
+)
+
+// loadCmd is the subcommand load.
+type loadCmd struct {
+	env       *env
+	Target    string        `long:"target" required:"yes" value-name:"URL,..." description:"callers' addresses of entry hosts"`
+	Service   string        `long:"service" required:"yes" description:"service to call"`
+	Customers string        `long:"customers" required:"yes" value-name:"NAME,..." description:"customers that take turns"`
+	Rate      float64       `long:"rate" default:"100" description:"requests a second"`
+	Duration  time.Duration `long:"duration" default:"10s" description:"how long to send"`
+	OnceShare float64       `long:"once-share" default:"0" description:"share that must not be repeated, 0 to 1"`
+	Body      int           `long:"body" default:"256" description:"bytes of each request"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of what is drawn"`
+	Ledger    string        `long:"ledger" value-name:"URL" description:"any stand-in backend server, to compare with what ran"`
+}
+
+// Execute implements flags.Commander.
+func (c *loadCmd) Execute([]string) error {
+	r := load.Run{
+		Targets: strings.Split(c.Target, ","), Service: id.Service(c.Service), Rate: c.Rate, Duration: c.Duration,
+		OnceShare: c.OnceShare, Body: c.Body, Seed: c.Seed, Name: fmt.Sprint(time.Now().UnixNano()),
+	}
+	for _, n := range strings.Split(c.Customers, ",") {
+		r.Customers = append(r.Customers, id.Customer(n))
+	}
+	ledger := c.ledger
+	if c.Ledger == "" {
+		ledger = nil
+	}
+	rep, err := load.Do(c.env.ctx, r, ledger)
+	if err != nil {
+		return err
+	}
+	return c.env.print(rep, func(w io.Writer) { showLoad(w, rep) })
+}
+
+// ledger reads what the backend servers ran.
+func (c *loadCmd) ledger(ctx context.Context) (backendsvc.Ledger, error) {
+	var l backendsvc.Ledger
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(c.Ledger, "/")+backendsvc.LedgerPath, nil)
+	if err != nil {
+		return l, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return l, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return l, json.NewDecoder(resp.Body).Decode(&l)
+}
+
+func showLoad(w io.Writer, r load.Report) {
+	fmt.Fprintf(w, "sent %d: %d whole, %d refused as not run, %d unknown, %d cut, %d wrong\n",
+		r.Sent, r.Whole, r.RefusedNotRun, r.Unknown, r.Cut, r.Wrong)
+	fmt.Fprintf(w, "ran twice against its mark %d, refused as not run but ran %d, repeated %d, overbooked %d\n",
+		r.RanTwice, r.NotRunButRan, r.Repeated, r.Overbooked)
+	fmt.Fprintf(w, "latency p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms\n", r.P50, r.P99, r.P999)
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -109,6 +109,8 @@
 	// was last read.
 	head   id.Offset
 	readAt unit.Instant
+	// readFailed is set while the last read of the log failed.
+	readFailed bool
 	// recent holds the last records, for peers that can't read the log.
 	recent recent
 	// halted is set for good when the log is newer than the program.
@@ -151,7 +153,7 @@
 	case Records:
 		n.records(now, ev)
 	case LogDown:
-		// The age of the last read says it all.
+		n.readFailed = true
 	case AppendFailed:
 		n.journal.Retry(now)
 	case Heard:
@@ -262,7 +264,7 @@
 
 // logUp reports whether the log was read lately.
 func (n *Node) logUp(now unit.Instant) bool {
-	return n.readAt != 0 && now.Sub(n.readAt) < logFresh
+	return n.readAt != 0 && !n.readFailed && now.Sub(n.readAt) < logFresh
 }
 
 // isolated reports whether neither the log nor a peer was heard of for long.
--- a/core/node/replay.go
+++ b/core/node/replay.go
@@ -17,7 +17,7 @@
 		return
 	}
 	if ev.Head != 0 || len(ev.Raw) == 0 {
-		n.readAt = now
+		n.readAt, n.readFailed = now, false
 		n.head = max(n.head, ev.Head)
 	}
 	before := n.state.ConfigAt
@@ -197,10 +197,7 @@
 		n.fault(fmt.Errorf("%w: %s at offset %d", ErrDiverged, f.From, f.CheckAt))
 	}
 	if len(f.Records) > 0 && f.First <= n.state.Applied+1 {
-		read, head := n.readAt, n.head
 		n.records(now, Records{First: f.First, Raw: f.Records})
-		// What a peer passes on is no sign that the log can be read.
-		n.readAt, n.head = read, max(head, n.state.Applied)
 	}
 	n.catchUp(now, f)
 	if f.Beat.Epoch > n.ownEpoch && n.sched != nil {
--- a/core/route/backend.go
+++ b/core/route/backend.go
@@ -76,14 +76,14 @@
 }
 
 // usable reports whether the backend server may get a request at now, by a host
-// that knows of the given number of slots.
-func (b *backend) usable(now unit.Instant, slots int) bool {
+// that may have the given number of requests there.
+func (b *backend) usable(now unit.Instant, share int) bool {
 	if b.state == ejected && now >= b.until {
 		b.apply(probe)
 	}
 	switch b.state {
 	case live:
-		return b.flying < slots
+		return b.flying < share
 	case probing:
 		return b.flying == 0
 	}
--- a/core/route/pool.go
+++ b/core/route/pool.go
@@ -30,7 +30,11 @@
 
 // pool is the set of backend servers of one service and the requests for it.
 type pool struct {
-	slots    int
+	slots int
+	// share is how many requests this host may have at one backend server: its
+	// slots, or this host's part of the connections that it accepts, if that is
+	// less. One connection is left for probes.
+	share    int
 	timeout  time.Duration
 	backends []*backend
 	waiting  *fair.Queue[id.Customer, *request]
@@ -57,7 +61,7 @@
 func (p *pool) pick(now unit.Instant, rng *rand.Rand, tried []id.Backend) *backend {
 	var usable []*backend
 	for _, b := range p.backends {
-		if b.usable(now, p.slots) && !slices.Contains(tried, b.id) {
+		if b.usable(now, p.share) && !slices.Contains(tried, b.id) {
 			usable = append(usable, b)
 		}
 	}
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -29,8 +29,9 @@
 	sends int
 	// unsure is set if an attempt may have run although no answer came.
 	unsure bool
-	// claiming is set while the log decides on the key.
+	// claiming is set while the log decides on the key, until claimBy at the most.
 	claiming bool
+	claimBy  unit.Instant
 	// flying is the number of the attempt under way, 0 if there is none.
 	flying int
 	tried  []id.Backend
@@ -82,6 +83,7 @@
 			r.pools[k] = p
 		}
 		p.slots, p.timeout = s.Slots, s.Timeout
+		p.share = max(1, min(s.Slots, s.Connections/max(hosts, 1)-1))
 		if p.limit == 0 {
 			p.limit = max(1, float64(s.Slots*len(p.backends)/max(hosts, 1)))
 		}
@@ -216,7 +218,7 @@
 		r.refuse(req, CodeLogDown, 2*time.Second)
 		return
 	}
-	req.claiming = true
+	req.claiming, req.claimBy = true, min(now.Add(claimWait), req.Deadline.Add(-leftOver))
 	r.out.Claims = append(r.out.Claims, Claim{Request: q.ID, Customer: q.Customer, Key: q.Key})
 }
 
@@ -387,7 +389,7 @@
 	for _, name := range config.Sorted(r.requests) {
 		req := r.requests[name]
 		switch {
-		case req.claiming && now.Add(p95Service) >= req.Deadline:
+		case req.claiming && now >= req.claimBy:
 			r.refuse(req, CodeLogDown, 2*time.Second)
 		case req.flying != 0 && now >= req.Deadline:
 			r.answer(req, Reply{Code: CodeTimeout, Ran: RanUnknown, RetryAfter: time.Second})
@@ -395,8 +397,13 @@
 	}
 }
 
-// p95Service is the time that a request must have left when its key is granted.
-const p95Service = 100 * time.Millisecond
+const (
+	// claimWait is how long a request waits for its key. The log usually answers
+	// in a tenth of that; when it doesn't, an early refusal serves the caller best.
+	claimWait = 1500 * time.Millisecond
+	// leftOver is the time that a request must have left when its key is granted.
+	leftOver = 100 * time.Millisecond
+)
 
 // refuse answers that the request did not run. If it may have, the answer says
 // unknown.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,8 +36,9 @@
 	idleTimeout   = 2 * time.Minute
 	// maxHeader bounds a request's headers in bytes.
 	maxHeader = 32 << 10
-	// backendConns bounds this host's connections to one backend server.
-	backendConns = 8
+	// idleConns is how many idle connections to one backend server are kept. How
+	// many are open is bounded by the router.
+	idleConns = 64
 	// announceEvery is how often the host tells the host list that it is there.
 	announceEvery = time.Second
 )
@@ -78,7 +79,7 @@
 		Hosts:   d.hosts,
 		Workers: workers.New(s.WorkersURL, platform),
 	}, &http.Client{}, s.CertFile != "", collected.Fault)
-	d.edge = edge.New(s.Host, d.host, backendClient(), tracer, s.BodyLimit, s.Requests, collected.Request)
+	d.edge = edge.New(s.Host, d.host, edge.Clients{Requests: backendClient(), Probes: backendClient()}, tracer, s.BodyLimit, s.Requests, collected.Request)
 	collected.Watch(d.host)
 	api, err := admin.New(d.host, token, collected.Registry())
 	if err != nil {
@@ -117,7 +118,7 @@
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: &http.Transport{
-			MaxConnsPerHost: backendConns, MaxIdleConnsPerHost: backendConns,
+			MaxIdleConns: 0, MaxIdleConnsPerHost: idleConns,
 			IdleConnTimeout: idleTimeout, DisableCompression: true,
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		},
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -50,6 +50,8 @@
 	LoadHeader = "Curlewsill-Load"
 	// RefusalHeader says why a backend server refused: busy or leaving.
 	RefusalHeader = "Curlewsill-Refusal"
+	// HealthPath is where backend servers say whether they take requests.
+	HealthPath = "/healthz"
 	// RequestHeader carries the id of a request to the backend server and back.
 	RequestHeader = "Curlewsill-Request"
 )
@@ -69,11 +71,17 @@
 // Observer is told of every final answer.
 type Observer func(service id.Service, code route.Code, ran route.Ran, took time.Duration)
 
+// Clients are the ways to backend servers. Probes have connections of their own, so
+// that a probe never waits for a request.
+type Clients struct {
+	Requests, Probes *http.Client
+}
+
 // Edge is the handler of callers' requests.
 type Edge struct {
 	host      id.Host
 	core      Core
-	http      *http.Client
+	clients   Clients
 	tracer    *trace.Tracer
 	observe   Observer
 	bodyLimit unit.Bytes
@@ -107,9 +115,9 @@
 }
 
 // New returns a handler that keeps at most limit requests under way.
-func New(host id.Host, core Core, c *http.Client, t *trace.Tracer, bodyLimit unit.Bytes, limit int, o Observer) *Edge {
+func New(host id.Host, core Core, c Clients, t *trace.Tracer, bodyLimit unit.Bytes, limit int, o Observer) *Edge {
 	return &Edge{
-		host: host, core: core, http: c, tracer: t, observe: o, bodyLimit: bodyLimit,
+		host: host, core: core, clients: c, tracer: t, observe: o, bodyLimit: bodyLimit,
 		slots: make(chan struct{}, limit), calls: map[id.Request]*call{},
 	}
 }
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -22,6 +22,9 @@
 // errAnswerTooLarge reports an answer above the size limit.
 var errAnswerTooLarge = errors.New("edge: answer too large")
 
+// probeTimeout bounds a probe. One that takes longer says nothing.
+const probeTimeout = 800 * time.Millisecond
+
 // hopHeaders are the headers that belong to one connection and are not passed on.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
@@ -69,7 +72,7 @@
 	if err != nil {
 		return res
 	}
-	resp, err := e.http.Do(req)
+	resp, err := e.clients.Requests.Do(req)
 	if err != nil {
 		if connected.Load() {
 			res.Outcome = route.Broken
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -60,6 +60,9 @@
 	// Send sends a request to a backend server and reports the end as an Ended
 	// event. It must not block.
 	Send(route.Attempt)
+	// Probe asks a backend server whether it takes requests and reports the end
+	// as a Probed event. It must not block.
+	Probe(context.Context, route.Probe)
 	// Reply gives a request its final answer. It must not block.
 	Reply(route.Reply)
 }
@@ -165,6 +168,9 @@
 	for _, s := range a.Sends {
 		h.calls.Send(s)
 	}
+	for _, p := range a.Probes {
+		h.calls.Probe(ctx, p)
+	}
 	for _, r := range a.Replies {
 		h.calls.Reply(r)
 	}
--- a/internal/standin/backendsvc/backendsvc.go
+++ b/internal/standin/backendsvc/backendsvc.go
@@ -142,6 +142,11 @@
 	case FaultsPath:
 		s.takeFaults(w, r)
 		return
+	case edge.HealthPath:
+		if s.mode(i) == Leave {
+			refuse(w, Leave)
+		}
+		return
 	}
 	f, ok := s.enter(i)
 	if !ok || f.Mode == Leave || f.Mode == Refuse {
@@ -211,6 +216,12 @@
 	s.busy[i]--
 }
 
+func (s *Service) mode(i int) Mode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults[i].Mode
+}
+
 func (s *Service) load(i int) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
