admin: net/http in the entry host, iris in the stand-ins

Cause: an idle entry host had 33.5 MB RSS with the site in force; the budget for control is 32 MB. A program that does nothing but import one library showed what each costs: nothing 2.7 MB, net/http 8.1, iris 20.0, the OTLP exporter 12.8, the Prometheus handler 8.8, zap 6.3 (they share net/http).

Ruled out: the heap (4.2 MB) and the garbage collector's settings.

Change: the operators' interface of curlewsilld uses net/http, whose patterns are enough for nine routes. The stand-ins, which live in the other binary, use iris.

--- a/core/route/backend.go
+++ b/core/route/backend.go
@@ -60,7 +60,8 @@
 	fails int
 	pause time.Duration
 	until unit.Instant
-	// probed is when this host last asked whether it takes requests.
+	// probed is when this host last asked whether it takes requests, or left that
+	// to others.
 	probed unit.Instant
 	// left is when first-hand evidence said that it leaves.
 	left unit.Instant
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -164,10 +164,13 @@
 func (r *Router) Probe(now unit.Instant, self id.Host, hosts []id.Host) {
 	for _, k := range config.Sorted(r.pools) {
 		for _, b := range r.pools[k].backends {
-			if b.state == leaving || now.Sub(b.probed) < probeEvery || rank.Of(self, string(b.id), hosts) >= probers {
+			if b.state == leaving || now.Sub(b.probed) < probeEvery {
 				continue
 			}
 			b.probed = now
+			if rank.Of(self, string(b.id), hosts) >= probers {
+				continue
+			}
 			r.out.Probes = append(r.out.Probes, Probe{k, b.id})
 		}
 	}
--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"curlewsill.org/curlewsill/core/sched"
 	"curlewsill.org/curlewsill/core/state"
 	"curlewsill.org/curlewsill/core/unit"
+	protocol "curlewsill.org/curlewsill/core/worker"
 )
 
 // bench is a scheduler with its workers, under a log that accepts everything at once.
@@ -25,6 +27,9 @@
 	jobs    int
 }
 
+// batchSize is how many entries go into one record.
+const batchSize = 256
+
 // newBench returns a site of the given number of workers, with teams that each hold a
 // guarantee of 8.
 func newBench(b testing.TB, workers, teams int) *bench {
@@ -39,7 +44,7 @@
 		for k := range min(8, workers-i) {
 			w := id.Worker(fmt.Sprintf("%sw%d", r.ID, k))
 			r.Workers = append(r.Workers, config.Worker{ID: w, Accelerators: 8, Cores: 60, Memory: 250 * unit.GiB})
-			x.workers[w] = worker.New(w, 8, 1, worker.Hooks{})
+			x.workers[w] = worker.New(w, 8, 1, worker.Hooks{Plan: forever})
 		}
 		changes = append(changes, config.Change{SetRack: r})
 	}
@@ -56,6 +61,9 @@
 	return x
 }
 
+// forever lets tasks run for as long as a benchmark.
+func forever(protocol.Want) worker.Run { return worker.Run{For: 1000 * time.Hour} }
+
 // write puts entries on the log and returns their verdicts.
 func (x *bench) write(b testing.TB, entries ...record.Entry) []error {
 	x.seq++
@@ -66,8 +74,8 @@
 		b.Fatal(err)
 	}
 	a, err := x.st.Apply(x.st.Applied+1, raw)
-	if err != nil {
-		b.Fatal(err)
+	if err != nil || a.Damaged != nil {
+		b.Fatal(err, a.Damaged)
 	}
 	return a.Verdicts
 }
@@ -80,7 +88,7 @@
 			ID: id.Job(fmt.Sprintf("j%06d", x.jobs)), Customer: id.Customer(fmt.Sprintf("team%02d", x.jobs%teams)),
 			Accelerators: size, Declared: time.Hour, Submitted: unit.Instant(x.jobs),
 		}}})
-		if len(entries) == 256 {
+		if len(entries) == batchSize {
 			x.accept(b, entries)
 			entries = entries[:0]
 		}
@@ -104,10 +112,13 @@
 // step lets the scheduler decide and carries its decisions out.
 func (x *bench) step(b testing.TB) {
 	x.now = x.now.Add(50 * time.Millisecond)
-	d := x.s.Step(x.now)
-	if len(d.Entries) > 0 {
-		for i, err := range x.write(b, d.Entries...) {
-			x.s.Settled(x.now, d.Entries[i], err)
+	x.carryOut(b, x.s.Step(x.now))
+}
+
+func (x *bench) carryOut(b testing.TB, d sched.Decisions) {
+	for part := range slices.Chunk(d.Entries, batchSize) {
+		for i, err := range x.write(b, part...) {
+			x.s.Settled(x.now, part[i], err)
 		}
 	}
 	for _, q := range d.Syncs {
@@ -165,10 +176,14 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				b.StopTimer()
+				x.step(b)
 				x.submit(b, 1, 8, 26)
 				x.now++
 				b.StartTimer()
-				x.s.Step(x.now)
+				d := x.s.Step(x.now)
+				b.StopTimer()
+				x.carryOut(b, d)
+				b.StartTimer()
 			}
 		})
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -23,7 +23,7 @@
 	// void and their requests are refused as not run.
 	maxKeys = 100_000
 	// maxJobs bounds the jobs that have not ended.
-	maxJobs = 20_000
+	maxJobs = 50_000
 	// maxEnded is the number of ended jobs that are remembered. The oldest are
 	// forgotten first.
 	maxEnded = 10_000
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,11 +5,11 @@
 import (
 	"context"
 	"crypto/subtle"
+	"encoding/json"
 	"errors"
 	"net/http"
 	"time"
 
-	"github.com/kataras/iris/v12"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -55,58 +55,55 @@
 }
 
 // New returns the handler.
-func New(h Host, token string, metrics *prometheus.Registry) (http.Handler, error) {
+func New(h Host, token string, metrics *prometheus.Registry) http.Handler {
 	a := &admin{host: h, token: token}
-	app := iris.New()
-	app.Logger().SetLevel("disable")
-	app.Get("/healthz", func(c iris.Context) { c.StatusCode(http.StatusOK) })
-	app.Get("/readyz", a.ready)
-	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})))
-	v1 := app.Party("/v1", a.authorize)
-	v1.Get("/status", view(a, false, func(v node.View) any { return v }))
-	v1.Get("/jobs", view(a, true, func(v node.View) any { return v.Jobs }))
-	v1.Post("/jobs", handle(a.submit))
-	v1.Delete("/jobs/{job}", a.cancel)
-	v1.Post("/plans", handle(a.draw))
-	v1.Post("/plans/confirm", handle(a.confirm))
-	if err := app.Build(); err != nil {
-		return nil, err
-	}
-	return app, nil
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", a.ready)
+	mux.Handle("GET /metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
+	mux.Handle("GET /v1/status", a.authorize(view(a, false, func(v node.View) any { return v })))
+	mux.Handle("GET /v1/jobs", a.authorize(view(a, true, func(v node.View) any { return v.Jobs })))
+	mux.Handle("POST /v1/jobs", a.authorize(handle(a.submit)))
+	mux.Handle("DELETE /v1/jobs/{job}", a.authorize(a.cancel))
+	mux.Handle("POST /v1/plans", a.authorize(handle(a.draw)))
+	mux.Handle("POST /v1/plans/confirm", a.authorize(handle(a.confirm)))
+	return mux
 }
 
 // handle turns a function from a typed body to a typed answer into a handler.
-func handle[Q, A any](f func(context.Context, Q) (A, error)) iris.Handler {
-	return func(c iris.Context) {
+func handle[Q, A any](f func(context.Context, Q) (A, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
 		var q Q
-		c.SetMaxRequestBodySize(bodyLimit)
-		if err := c.ReadJSON(&q, iris.JSONReader{DisallowUnknownFields: true}); err != nil {
-			problem.Write(c.ResponseWriter(), problem.Problem{
+		dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, bodyLimit))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&q); err != nil {
+			problem.Write(w, problem.Problem{
 				Status: http.StatusBadRequest, Code: "bad-body", Detail: err.Error(), Ran: route.RanNo,
 			})
 			return
 		}
-		ctx, cancel := context.WithTimeout(c.Request().Context(), verdictWait)
+		ctx, cancel := context.WithTimeout(r.Context(), verdictWait)
 		defer cancel()
 		answer, err := f(ctx, q)
-		reply(c, answer, err)
+		reply(w, answer, err)
 	}
 }
 
 // view returns a handler that shows part of what the host believes.
-func view(a *admin, jobs bool, part func(node.View) any) iris.Handler {
-	return func(c iris.Context) {
-		v, err := a.host.View(c.Request().Context(), jobs)
-		reply(c, part(v), err)
+func view(a *admin, jobs bool, part func(node.View) any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v, err := a.host.View(r.Context(), jobs)
+		reply(w, part(v), err)
 	}
 }
 
-func reply(c iris.Context, answer any, err error) {
+func reply(w http.ResponseWriter, answer any, err error) {
 	if err != nil {
-		problem.Write(c.ResponseWriter(), describe(err))
+		problem.Write(w, describe(err))
 		return
 	}
-	_ = c.JSON(answer)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(answer)
 }
 
 // refusals maps the verdicts that operators see to statuses and codes.
@@ -154,28 +151,29 @@
 }
 
 // authorize refuses calls without the token. Nothing of the call is read before.
-func (a *admin) authorize(c iris.Context) {
-	want := "Bearer " + a.token
-	if subtle.ConstantTimeCompare([]byte(c.GetHeader("Authorization")), []byte(want)) == 1 {
-		c.Next()
-		return
-	}
-	problem.Write(c.ResponseWriter(), problem.Problem{
-		Status: http.StatusUnauthorized, Code: "bad-token",
-		Detail: "the call carries no token or a wrong one; nothing was changed", Ran: route.RanNo,
+func (a *admin) authorize(next http.HandlerFunc) http.Handler {
+	want := []byte("Bearer " + a.token)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), want) != 1 {
+			problem.Write(w, problem.Problem{
+				Status: http.StatusUnauthorized, Code: "bad-token",
+				Detail: "the call carries no token or a wrong one; nothing was changed", Ran: route.RanNo,
+			})
+			return
+		}
+		next(w, r)
 	})
-	c.StopExecution()
 }
 
-func (a *admin) ready(c iris.Context) {
-	v, err := a.host.View(c.Request().Context(), false)
+func (a *admin) ready(w http.ResponseWriter, r *http.Request) {
+	v, err := a.host.View(r.Context(), false)
 	if err != nil || v.State != node.Ready {
-		problem.Write(c.ResponseWriter(), problem.Problem{
+		problem.Write(w, problem.Problem{
 			Status: http.StatusServiceUnavailable, Code: route.CodeNotReady, Detail: "the host is " + string(v.State),
 		})
 		return
 	}
-	_ = c.JSON(v.State)
+	reply(w, v.State, nil)
 }
 
 func (a *admin) submit(ctx context.Context, j record.Job) (Accepted, error) {
@@ -184,12 +182,12 @@
 	return Accepted{off}, err
 }
 
-func (a *admin) cancel(c iris.Context) {
-	ctx, done := context.WithTimeout(c.Request().Context(), verdictWait)
+func (a *admin) cancel(w http.ResponseWriter, r *http.Request) {
+	ctx, done := context.WithTimeout(r.Context(), verdictWait)
 	defer done()
-	job := id.Job(c.Params().Get("job"))
+	job := id.Job(r.PathValue("job"))
 	off, err := a.host.Propose(ctx, record.Entry{Cancel: &record.Cancel{Job: job}})
-	reply(c, Accepted{off}, err)
+	reply(w, Accepted{off}, err)
 }
 
 func (a *admin) draw(ctx context.Context, q Changes) (plan.Plan, error) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,10 +81,8 @@
 	}, &http.Client{}, s.CertFile != "", collected.Fault)
 	d.edge = edge.New(s.Host, d.host, edge.Clients{Requests: backendClient(), Probes: backendClient()}, tracer, s.BodyLimit, s.Requests, collected.Request)
 	collected.Watch(d.host)
-	api, err := admin.New(d.host, token, collected.Registry())
-	if err != nil {
-		return nil, fmt.Errorf("daemon: operators' interface: %w", err)
-	}
+	collected.WatchLinks(d.host.Links())
+	api := admin.New(d.host, token, collected.Registry())
 	peers := http.NewServeMux()
 	peers.Handle(peerlink.Path, d.host.Links())
 	callers := http.NewServeMux()
--- a/internal/standin/logsvc/logsvc.go
+++ b/internal/standin/logsvc/logsvc.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/kataras/iris/v12"
 	"golang.org/x/time/rate"
 
 	"curlewsill.org/curlewsill/core/config"
@@ -58,7 +60,7 @@
 
 // Service is the handler of the stand-in.
 type Service struct {
-	mux   *http.ServeMux
+	app   *iris.Application
 	limit *rate.Limiter
 	lag   time.Duration
 
@@ -80,19 +82,23 @@
 // told only after lag.
 func New(keep int, lag time.Duration) *Service {
 	s := &Service{
-		mux: http.NewServeMux(), limit: rate.NewLimiter(appendRate, appendBurst), lag: lag,
+		app: iris.New(), limit: rate.NewLimiter(appendRate, appendBurst), lag: lag,
 		log: log.New(keep), news: make(chan struct{}), hosts: map[string]listed{},
 	}
-	s.mux.HandleFunc("POST "+wire.RecordsPath, s.faulty(s.append))
-	s.mux.HandleFunc("GET "+wire.RecordsPath, s.faulty(s.read))
-	s.mux.HandleFunc("GET "+wire.HostsPath, s.list)
-	s.mux.HandleFunc("PUT "+wire.HostsPath+"/{name}", s.announce)
-	s.mux.HandleFunc("PUT "+FaultsPath, s.setFaults)
+	s.app.Logger().SetLevel("disable")
+	s.app.Post(wire.RecordsPath, iris.FromStd(s.faulty(s.append)))
+	s.app.Get(wire.RecordsPath, iris.FromStd(s.faulty(s.read)))
+	s.app.Get(wire.HostsPath, iris.FromStd(s.list))
+	s.app.Put(wire.HostsPath+"/{name}", s.announce)
+	s.app.Put(FaultsPath, iris.FromStd(s.setFaults))
+	if err := s.app.Build(); err != nil {
+		panic(fmt.Sprintf("logsvc: fixed routes are invalid: %v", err))
+	}
 	return s
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
 
 // Appends returns how many appends took effect.
 func (s *Service) Appends() int {
@@ -211,15 +217,15 @@
 	return n
 }
 
-func (s *Service) announce(w http.ResponseWriter, r *http.Request) {
+func (s *Service) announce(c iris.Context) {
 	var a wire.Announcement
-	if err := json.NewDecoder(r.Body).Decode(&a); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if err := c.ReadJSON(&a); err != nil {
+		c.StopWithError(http.StatusBadRequest, err)
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	name := r.PathValue("name")
+	name := c.Params().Get("name")
 	l := listed{Announcement: a, since: time.Now().Add(s.lag), until: time.Now().Add(hostExpiry)}
 	if old, ok := s.hosts[name]; ok && a.Entry != nil {
 		l.since = old.since
--- a/internal/standin/workersvc/workersvc.go
+++ b/internal/standin/workersvc/workersvc.go
@@ -4,13 +4,14 @@
 package workersvc
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/kataras/iris/v12"
+
 	fake "curlewsill.org/curlewsill/core/fake/worker"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/worker"
@@ -53,7 +54,7 @@
 
 // Service is the handler of the stand-in.
 type Service struct {
-	mux   *http.ServeMux
+	app   *iris.Application
 	began time.Time
 
 	mu      sync.Mutex
@@ -66,18 +67,22 @@
 // New returns a service without workers; each is there once it is first synced.
 func New() *Service {
 	s := &Service{
-		mux: http.NewServeMux(), began: time.Now(), workers: map[id.Worker]*fake.Worker{},
+		app: iris.New(), began: time.Now(), workers: map[id.Worker]*fake.Worker{},
 		silent: map[id.Worker]bool{}, faulty: map[id.Worker]bool{},
 		ledger: Ledger{Ends: map[worker.TaskState]int{}},
 	}
-	s.mux.HandleFunc("POST "+wire.WorkersPath+"/{id}/sync", s.sync)
-	s.mux.HandleFunc("GET "+LedgerPath, s.showLedger)
-	s.mux.HandleFunc("PUT "+FaultsPath, s.setFaults)
+	s.app.Logger().SetLevel("disable")
+	s.app.Post(wire.WorkersPath+"/{id}/sync", s.sync)
+	s.app.Get(LedgerPath, func(c iris.Context) { _ = c.JSON(s.Ledger()) })
+	s.app.Put(FaultsPath, s.setFaults)
+	if err := s.app.Build(); err != nil {
+		panic(fmt.Sprintf("workersvc: fixed routes are invalid: %v", err))
+	}
 	return s
 }
 
 // ServeHTTP implements http.Handler.
-func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
 
 // Ledger returns a copy of what the workers ran.
 func (s *Service) Ledger() Ledger {
@@ -104,23 +109,22 @@
 	}
 }
 
-func (s *Service) sync(w http.ResponseWriter, r *http.Request) {
+func (s *Service) sync(c iris.Context) {
 	var q worker.Sync
-	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if err := c.ReadJSON(&q); err != nil {
+		c.StopWithError(http.StatusBadRequest, err)
 		return
 	}
-	name := id.Worker(r.PathValue("id"))
+	name := id.Worker(c.Params().Get("id"))
 	s.mu.Lock()
 	if s.silent[name] {
 		s.mu.Unlock()
-		<-r.Context().Done()
+		<-c.Request().Context().Done()
 		return
 	}
 	rep := s.worker(name).Sync(time.Since(s.began), q)
 	s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(rep)
+	_ = c.JSON(rep)
 }
 
 func (s *Service) worker(name id.Worker) *fake.Worker {
@@ -149,15 +153,10 @@
 	return fake.Run{For: d, Crash: verb == "crash"}
 }
 
-func (s *Service) showLedger(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(s.Ledger())
-}
-
-func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+func (s *Service) setFaults(c iris.Context) {
 	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, fmt.Sprintf("faults: %v", err), http.StatusBadRequest)
+	if err := c.ReadJSON(&f); err != nil {
+		c.StopWithError(http.StatusBadRequest, err)
 		return
 	}
 	s.SetFaults(f)
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -118,6 +118,30 @@
 	s.registry.MustRegister(s)
 }
 
+// Links shows how much was exchanged with peers.
+type Links interface {
+	Bytes() (sent, received uint64)
+	Dropped() uint64
+}
+
+// WatchLinks adds the metrics of the connections to peers.
+func (s *Stats) WatchLinks(l Links) {
+	add := func(name, help string, value func() float64) {
+		s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+	}
+	add("curlewsill_peer_sent_bytes_total", "Bytes of frames sent to peers.", func() float64 {
+		sent, _ := l.Bytes()
+		return float64(sent)
+	})
+	add("curlewsill_peer_received_bytes_total", "Bytes of frames heard from peers.", func() float64 {
+		_, received := l.Bytes()
+		return float64(received)
+	})
+	add("curlewsill_peer_dropped_total", "Frames dropped because a peer took them too slowly.", func() float64 {
+		return float64(l.Dropped())
+	})
+}
+
 func one(b bool) float64 {
 	if b {
 		return 1
