--- a/cmd/curlewsill/cmd/commands.go
+++ b/cmd/curlewsill/cmd/commands.go
@@ -30,6 +30,11 @@
 				Submit: jobsSubmitCmd{env: e}, List: jobsListCmd{env: e}, Show: jobsShowCmd{env: e}, Cancel: jobsCancelCmd{env: e},
 			},
 		},
+		{
+			"replay", "Compare placement policies on a trace",
+			"Replays a recorded or generated list of events with fake workers and a virtual clock.",
+			&replayCmd{env: e},
+		},
 		{
 			"load", "Send requests at a steady rate and check the answers",
 			"Sends requests to entry hosts, open loop, and compares the answers with the ledger of the stand-in backend servers.",
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -6,6 +6,8 @@
 package place
 
 import (
+	"errors"
+	"fmt"
 	"math/bits"
 
 	"curlewsill.org/curlewsill/core/block"
@@ -132,3 +134,16 @@
 	}
 	return n
 }
+
+// ErrUnknown reports the name of a policy that doesn't exist.
+var ErrUnknown = errors.New("place: no such policy")
+
+// Named returns the policy with the given name.
+func Named(name string) (Policy, error) {
+	for _, p := range []Policy{FirstFit(), BestFit(), Buddy(), Packing()} {
+		if p.Name() == name {
+			return p, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: %s", ErrUnknown, name)
+}
