sched: a job that waits for a stopping gang keeps its place and goes nowhere else

Cause of the many preemptions: a job whose guarantee was being reclaimed was tried on borrowed room in the same pass and started there, so the borrowers were stopped in vain; and a pass that left its lane out dropped the place that was kept, which small jobs then took.

--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -40,21 +40,21 @@
 	return cmp.Or(cmp.Compare(a.waste, b.waste), cmp.Compare(a.cost, b.cost)) < 0
 }
 
-// tryGuaranteed starts the job within a guarantee of its customer and reports whether
-// it did. If borrowers are in its way, it stops them and keeps the place.
-func (s *Scheduler) tryGuaranteed(now unit.Instant, j record.Job) bool {
+// tryGuaranteed starts the job within a guarantee of its customer. If borrowers are in
+// its way, it stops them and keeps the place.
+func (s *Scheduler) tryGuaranteed(now unit.Instant, j record.Job) outcome {
 	best, ok := s.bestSeat(j)
 	if !ok {
-		return false
+		return noRoom
 	}
 	if best.clear {
 		s.start(now, j, best.block, best.cell, best.home)
 		s.floor.Refresh(s.state.Config, s.state.Spare)
-		return true
+		return started
 	}
 	s.preempt(now, best.block, "the guarantee of customer "+string(j.Customer)+" is reclaimed")
 	s.floor.Keep(best.block, best.cell, best.home)
-	return false
+	return waits
 }
 
 func (s *Scheduler) bestSeat(j record.Job) (seat, bool) {
--- a/core/sched/pass.go
+++ b/core/sched/pass.go
@@ -31,7 +31,7 @@
 	lanes := s.able(s.queue.Lanes(), all)
 	// Guarantees go first: a borrower that was stopped for one would otherwise be
 	// the first to take the room again.
-	lanes = slices.DeleteFunc(lanes, func(l *line.Lane) bool { return s.fill(now, l, s.tryGuaranteed) })
+	lanes = slices.DeleteFunc(lanes, func(l *line.Lane) bool { return s.fill(now, l) })
 	s.floor.Refresh(s.state.Config, s.state.Spare)
 	s.borrow(now, lanes)
 	s.measure()
@@ -56,12 +56,31 @@
 	return out
 }
 
-// fill starts jobs of the lane until one can't be started or none is left. It reports
-// whether none is left.
-func (s *Scheduler) fill(now unit.Instant, l *line.Lane, try func(unit.Instant, record.Job) bool) bool {
+// outcome is what became of trying a job.
+type outcome int
+
+const (
+	// noRoom means that the job waits for whatever is freed.
+	noRoom outcome = iota
+	// waits means that gangs were told to stop for the job, and their place is kept.
+	waits
+	started
+)
+
+// fill starts jobs of the lane within guarantees. It reports whether the lane needs
+// nothing more in this pass.
+func (s *Scheduler) fill(now unit.Instant, l *line.Lane) bool {
 	for len(l.Jobs) > 0 {
-		if s.overQuota(l.Head()) || !try(now, l.Head()) {
+		if s.overQuota(l.Head()) {
+			return false
+		}
+		switch s.tryGuaranteed(now, l.Head()) {
+		case noRoom:
 			return false
+		case waits:
+			// Every pass has to keep the place.
+			l.Failed = 0
+			return true
 		}
 	}
 	return true
@@ -79,12 +98,14 @@
 	for len(lanes) > 0 {
 		i := s.next(lanes)
 		l := lanes[i]
-		if s.overQuota(l.Head()) || !s.tryElsewhere(now, l.Head()) {
+		got := noRoom
+		if !s.overQuota(l.Head()) {
+			got = s.tryElsewhere(now, l.Head())
+		}
+		if got == noRoom {
 			l.Failed = s.floor.Room() + 1
-			lanes = slices.Delete(lanes, i, i+1)
-			continue
 		}
-		if len(l.Jobs) == 0 {
+		if got != started || len(l.Jobs) == 0 {
 			lanes = slices.Delete(lanes, i, i+1)
 		}
 	}
@@ -118,15 +139,15 @@
 
 // tryElsewhere starts the job on borrowed accelerators, makes room for it if it is
 // urgent, or leaves it waiting with a block reserved.
-func (s *Scheduler) tryElsewhere(now unit.Instant, j record.Job) bool {
+func (s *Scheduler) tryElsewhere(now unit.Instant, j record.Job) outcome {
 	if s.tryBorrow(now, j) {
-		return true
+		return started
 	}
 	if j.Urgent && !j.Once && s.makeRoom(now, j) {
-		return false
+		return waits
 	}
 	s.reserve(now, j)
-	return false
+	return noRoom
 }
 
 // never returns why a job can't run under this configuration however long it
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -58,7 +58,8 @@
 	// LostAccelerator is the work that was thrown away by stopping gangs, in
 	// accelerator-seconds.
 	LostAccelerator float64 `json:"lost_accelerator_s"`
-	// GuaranteeReclaimMax is the longest time until a guarantee_used job started.
+	// GuaranteeReclaimMax is the longest time until a guarantee_used job started
+	// whose customer had no other one under way.
 	GuaranteeReclaimMax float64 `json:"guarantee_reclaim_max_s"`
 	Violations          int     `json:"violations"`
 
@@ -83,6 +84,9 @@
 	ended   unit.Instant
 	leases  map[id.Lease]bool
 	running map[id.Worker]bool
+	// owed is set if the customer had no other owed job under way, so that its
+	// guarantee had to serve this one at once.
+	owed bool
 }
 
 // bench is one run.
@@ -208,7 +212,7 @@
 	case Submit, GuaranteeUsed:
 		b.result.Submitted++
 		b.lastSubmit = b.now
-		b.jobs[e.Job] = &job{event: e, leases: map[id.Lease]bool{}, running: map[id.Worker]bool{}}
+		b.jobs[e.Job] = &job{event: e, owed: b.owed(e), leases: map[id.Lease]bool{}, running: map[id.Worker]bool{}}
 		b.queue = append(b.queue, record.Entry{Submit: &record.Submit{Job: record.Job{
 			ID: e.Job, Customer: e.Customer, Accelerators: e.Accelerators, Declared: e.Declared,
 			Once: e.Once, Urgent: e.Urgent, Submitted: b.now,
@@ -230,6 +234,21 @@
 	}
 }
 
+// owed reports whether the guarantee of the job's customer is unused.
+func (b *bench) owed(e Event) bool {
+	if e.Kind != GuaranteeUsed {
+		return false
+	}
+	for name, j := range b.jobs {
+		s := b.state.Jobs[name]
+		under := s == nil || s.State == state.Pending || s.State == state.Running
+		if under && j.event.Customer == e.Customer && j.event.Kind == GuaranteeUsed {
+			return false
+		}
+	}
+	return true
+}
+
 func (b *bench) accelerators(name id.Worker) int {
 	for _, r := range b.state.Config.Racks {
 		for _, w := range r.Workers {
--- a/internal/replay/sum.go
+++ b/internal/replay/sum.go
@@ -24,7 +24,7 @@
 		if j.event.Urgent && j.started != 0 {
 			urgent = append(urgent, j.started.Sub(at).Seconds())
 		}
-		if j.event.Kind == GuaranteeUsed && j.started != 0 {
+		if j.owed && j.started != 0 {
 			r.GuaranteeReclaimMax = max(r.GuaranteeReclaimMax, j.started.Sub(at).Seconds())
 		}
 		if j.ended == 0 {
