--- a/cmd/curlewsill/cmd/replay.go
+++ b/cmd/curlewsill/cmd/replay.go
@@ -110,7 +110,8 @@
 func showReplay(out io.Writer, c comparison) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer func() { _ = w.Flush() }()
-	fmt.Fprintln(w, "policy\tfinished\trefused\tp50 s\tp99 s\tlarge p99 s\turgent p99 s\tfragmentation\tutilisation\tpreempted\tlost acc·h\treclaim s\tviolations\t")
+	fmt.Fprintln(w, "policy\tfinished\trefused\tp50 s\tp99 s\tlarge p99 s\turgent p99 s\t"+
+		"fragmentation\tutilisation\tpreempted\tlost acc·h\treclaim s\tviolations\t")
 	for _, r := range c.Policies {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.1f\t%.4f\t%.4f\t%d\t%.1f\t%.1f\t%d\t\n",
 			r.Policy, r.Finished, r.Refused, r.CompletionP50, r.CompletionP99, r.LargeCompletionP99, r.UrgentStartP99,
--- /dev/null
+++ b/cmd/curlewsill/cmd/script_test.go
@@ -0,0 +1,40 @@
+package cmd_test
+
+import (
+	"flag"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"curlewsill.org/curlewsill/cmd/curlewsill/cmd"
+	"curlewsill.org/curlewsill/internal/demo"
+)
+
+var update = flag.Bool("update", false, "write the output that scripts compare with")
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"curlewsill": func() { os.Exit(cmd.Main(os.Args[1:], os.Stdin, os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs each script with a whole system of its own site in this process.
+func TestScripts(t *testing.T) {
+	d, err := demo.Start(t.Context(), "delta-north", io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	testscript.Run(t, testscript.Params{
+		Dir:           "testdata/script",
+		UpdateScripts: *update,
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("CURLEWSILL_URL", d.Operators())
+			e.Setenv("CURLEWSILL_TOKEN_FILE", d.TokenFile())
+			e.Setenv("CALLERS", d.Callers())
+			return nil
+		},
+	})
+}
--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -1,6 +1,6 @@
 // Package proof_test runs several cores against small fakes of the platform, in one
 // goroutine and on a virtual clock, and checks what must always hold after each
-// step. Scripts under testdata bring about one failure each; the long run mixes them
+// step. Scripts under testdata/script bring about one failure each; the long run mixes them
 // at random. It is no model of a cluster: nothing has a cost or a bandwidth.
 package proof_test
 
--- /dev/null
+++ b/core/witness/witness_test.go
@@ -0,0 +1,83 @@
+package witness_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/core/witness"
+)
+
+const seed = 1
+
+func rooms(free []uint64) []witness.Room {
+	out := make([]witness.Room, len(free))
+	for i, f := range free {
+		out[i] = witness.Room{Rack: id.Rack(fmt.Sprint("r", i)), Free: f}
+	}
+	return out
+}
+
+func needs(sizes []int) []witness.Need {
+	out := make([]witness.Need, len(sizes))
+	for i, n := range sizes {
+		out[i] = witness.Need{Cell: record.Cell{Guarantee: "g", Index: i}, Size: n}
+	}
+	return out
+}
+
+// valid reports whether w is a witness.
+func valid(w witness.Witness, rs []witness.Room, ns []witness.Need) bool {
+	left := map[id.Rack]uint64{}
+	for _, r := range rs {
+		left[r.Rack] = r.Free
+	}
+	for _, n := range ns {
+		b, ok := w[n.Cell]
+		if !ok || b.Size != n.Size || b.Mask()&^left[b.Rack] != 0 {
+			return false
+		}
+		left[b.Rack] &^= b.Mask()
+	}
+	return len(w) == len(ns)
+}
+
+// TestWitness checks that what is found is a witness, that a standing one is kept as it
+// is while it holds, and that it is repaired when room is lost.
+func TestWitness(t *testing.T) {
+	p := gopter.NewProperties(gopter.DefaultTestParametersWithSeed(seed))
+	free := gen.SliceOfN(4, gen.UInt64().Map(func(x uint64) uint64 { return x | x<<1 | x<<2 }))
+	sizes := gen.SliceOf(gen.IntRange(1, 16))
+	p.Property("what is found is a witness", prop.ForAll(func(free []uint64, sizes []int) bool {
+		rs, ns := rooms(free), needs(sizes)
+		w, err := witness.Find(rs, ns)
+		return err != nil || valid(w, rs, ns)
+	}, free, sizes))
+	p.Property("a witness that holds is kept", prop.ForAll(func(free []uint64, sizes []int) bool {
+		rs, ns := rooms(free), needs(sizes)
+		w, err := witness.Find(rs, ns)
+		if err != nil {
+			return true
+		}
+		kept, err := witness.Keep(rs, w, ns)
+		return err == nil && fmt.Sprint(kept) == fmt.Sprint(w)
+	}, free, sizes))
+	p.Property("a witness that lost room is repaired or given up", prop.ForAll(func(free, lost []uint64, sizes []int) bool {
+		rs, ns := rooms(free), needs(sizes)
+		w, err := witness.Find(rs, ns)
+		if err != nil {
+			return true
+		}
+		for i := range rs {
+			rs[i].Free &^= lost[i] & (lost[i] >> 3)
+		}
+		kept, err := witness.Keep(rs, w, ns)
+		return err != nil || valid(kept, rs, ns)
+	}, free, gen.SliceOfN(4, gen.UInt64()), sizes))
+	p.TestingRun(t)
+}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -44,10 +44,10 @@
 	requestRate = 300
 	onceShare   = 0.2
 	bodySize    = 512
-	outage      = 5 * time.Second
+	outage      = 4 * time.Second
 	// before and after are the times of normal work around the outage.
-	before    = 6 * time.Second
-	after     = 9 * time.Second
+	before    = 4 * time.Second
+	after     = 6 * time.Second
 	readyWait = 15 * time.Second
 	tokenMode = 0o600
 )
@@ -81,14 +81,34 @@
 	closes []func()
 }
 
-// Run runs the demo for a site and returns its report. Progress is for people. The
-// error is ErrViolated if an invariant did not hold.
-func Run(ctx context.Context, site string, progress io.Writer) (Report, error) {
+// Start starts the system for a site and puts the site in force. Progress is for
+// people. The caller must Close what Start returns.
+func Start(ctx context.Context, site string, progress io.Writer) (*Demo, error) {
 	d := &Demo{site: site, progress: progress}
-	defer d.close()
 	if err := d.start(ctx); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Callers returns the URL of the first host for callers.
+func (d *Demo) Callers() string { return "http://" + d.daemons[0].Callers() }
+
+// Operators returns the URL of the first host for operators.
+func (d *Demo) Operators() string { return "http://" + d.daemons[0].Operators() }
+
+// TokenFile returns the file with the operators' token.
+func (d *Demo) TokenFile() string { return d.token }
+
+// Run runs the demo for a site and returns its report. The error is ErrViolated if an
+// invariant did not hold.
+func Run(ctx context.Context, site string, progress io.Writer) (Report, error) {
+	d, err := Start(ctx, site, progress)
+	if err != nil {
 		return Report{}, err
 	}
+	defer d.Close()
 	rep, err := d.play(ctx)
 	if err != nil {
 		return rep, err
@@ -228,7 +248,8 @@
 	return nil
 }
 
-func (d *Demo) close() {
+// Close stops the hosts as planned and ends everything.
+func (d *Demo) Close() {
 	for _, dm := range d.daemons {
 		dm.Stop()
 	}
--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -37,17 +37,44 @@
 
 var likenesses = map[string][]mix{
 	"delta-north": {
-		{customer: "excursion", prefix: "recon", sizes: []int{16, 32, 64}, run: 70 * time.Minute, spread: 0.7, each: 45 * time.Minute, burst: 1, owed: true},
-		{customer: "excursion", prefix: "review", sizes: []int{4, 8}, run: 30 * time.Minute, spread: 0.8, each: 12 * time.Minute, burst: 2},
-		{customer: "shelf-life", prefix: "rescore", sizes: []int{2, 4, 8, 16}, run: 20 * time.Minute, spread: 0.8, each: 8 * time.Minute, burst: 2, urgent: true},
-		{customer: "calibration", prefix: "sweep", sizes: []int{16, 32}, run: 90 * time.Minute, spread: 0.4, each: 40 * time.Minute, burst: 2, once: true, night: true},
-		{customer: "pharmacy", prefix: "batch", sizes: []int{1, 1, 2, 4}, run: 40 * time.Minute, spread: 1.2, each: 9 * time.Minute, burst: 6},
+		{
+			customer: "excursion", prefix: "recon", sizes: []int{16, 32, 64},
+			run: 70 * time.Minute, spread: 0.7, each: 45 * time.Minute, burst: 1, owed: true,
+		},
+		{
+			customer: "excursion", prefix: "review", sizes: []int{4, 8},
+			run: 30 * time.Minute, spread: 0.8, each: 12 * time.Minute, burst: 2,
+		},
+		{
+			customer: "shelf-life", prefix: "rescore", sizes: []int{2, 4, 8, 16},
+			run: 20 * time.Minute, spread: 0.8, each: 8 * time.Minute, burst: 2, urgent: true,
+		},
+		{
+			customer: "calibration", prefix: "sweep", sizes: []int{16, 32},
+			run: 90 * time.Minute, spread: 0.4, each: 40 * time.Minute, burst: 2, once: true, night: true,
+		},
+		{
+			customer: "pharmacy", prefix: "batch", sizes: []int{1, 1, 2, 4},
+			run: 40 * time.Minute, spread: 1.2, each: 9 * time.Minute, burst: 6,
+		},
 	},
 	"be-oost": {
-		{customer: "labels", prefix: "label", sizes: []int{1, 2, 4}, run: 4 * time.Minute, spread: 0.8, each: time.Minute, burst: 3, urgent: true},
-		{customer: "customs", prefix: "customs", sizes: []int{16, 32, 64}, run: 35 * time.Minute, spread: 0.6, each: 25 * time.Minute, burst: 1, owed: true},
-		{customer: "pickup", prefix: "qr", sizes: []int{1, 2, 8}, run: 6 * time.Minute, spread: 1, each: 90 * time.Second, burst: 4},
-		{customer: "archive", prefix: "archive", sizes: []int{1, 4, 8, 16}, run: time.Hour, spread: 1, each: 14 * time.Minute, burst: 3},
+		{
+			customer: "labels", prefix: "label", sizes: []int{1, 2, 4},
+			run: 4 * time.Minute, spread: 0.8, each: time.Minute, burst: 3, urgent: true,
+		},
+		{
+			customer: "customs", prefix: "customs", sizes: []int{16, 32, 64},
+			run: 35 * time.Minute, spread: 0.6, each: 25 * time.Minute, burst: 1, owed: true,
+		},
+		{
+			customer: "pickup", prefix: "qr", sizes: []int{1, 2, 8},
+			run: 6 * time.Minute, spread: 1, each: 90 * time.Second, burst: 4,
+		},
+		{
+			customer: "archive", prefix: "archive", sizes: []int{1, 4, 8, 16},
+			run: time.Hour, spread: 1, each: 14 * time.Minute, burst: 3,
+		},
 	},
 }
 
