--- a/core/proof/world_test.go
+++ b/core/proof/world_test.go
@@ -573,14 +573,6 @@
 	w.step(m, node.Arrived{Request: q})
 }
 
-// view returns what a host believes.
-func (w *world) view(m *machine) node.View {
-	w.ticket++
-	a := m.core.Step(w.now, node.Inspect{Ticket: w.ticket, Jobs: true})
-	w.carryOut(m, a)
-	return a.Inspected[0].View
-}
-
 // anyHost returns a host that is up and ready, or nil.
 func (w *world) anyHost() *machine {
 	names := config.Sorted(w.machines)
