--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -189,6 +190,25 @@
 	}
 }
 
+// BenchmarkMemory reports the heap that state and scheduler of a full site take.
+func BenchmarkMemory(b *testing.B) {
+	for _, z := range []struct{ workers, tasks int }{{50, 280}, {330, 1866}, {990, 5600}} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", z.workers, z.tasks), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				x := fullSite(b, z.workers, z.tasks, 0)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(x)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(z.workers), "B/worker")
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B")
+		})
+	}
+}
+
 // BenchmarkStep measures a step in which nothing changed.
 func BenchmarkStep(b *testing.B) {
 	for _, workers := range []int{50, 330, 990} {
--- a/internal/demo/play.go
+++ b/internal/demo/play.go
@@ -143,14 +143,14 @@
 			continue
 		}
 		rep.Changes++
-		rep.InForce = max(rep.InForce, d.inForce(ctx, off))
+		rep.InForce = max(rep.InForce, d.InForce(ctx, off))
 	}
 	return nil
 }
 
-// inForce waits until every host has the configuration of an offset, and returns how
+// InForce waits until every host has the configuration of an offset, and returns how
 // long that took.
-func (d *Demo) inForce(ctx context.Context, off id.Offset) time.Duration {
+func (d *Demo) InForce(ctx context.Context, off id.Offset) time.Duration {
 	began := time.Now()
 	for _, c := range d.clients {
 		for ctx.Err() == nil {
@@ -163,6 +163,17 @@
 	return time.Since(began)
 }
 
+// Started returns how many gates were opened for a job.
+func (d *Demo) Started(j id.Job) int {
+	n := 0
+	for _, s := range d.workers.Ledger().Starts {
+		if s.Job == j {
+			n++
+		}
+	}
+	return n
+}
+
 // watchFragmentation returns the mean fragmentation that the owner reports.
 func (d *Demo) watchFragmentation(ctx context.Context) float64 {
 	sum, n := 0.0, 0
