cmd, plan, docs: the rest of the command line, plans as diffs, the pages

Cause: operators could not list the configuration or drain a worker, a plan for a rack was one line of 600 characters, and nothing told a newcomer where to look. A plan now lists the facts that come and go. Each script of the command line has a system of its own: they run at the same time, and their plans made each other stale (seen failing: drain against the plan script).

--- a/cmd/curlewsill/cmd/apply.go
+++ b/cmd/curlewsill/cmd/apply.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"strings"
+
+	"curlewsill.org/curlewsill/core/plan"
 )
 
 // errDeclined reports that the operator did not say yes.
@@ -28,19 +30,24 @@
 	if err != nil {
 		return err
 	}
-	showPlan(c.env.stderr, p)
+	return ask(c.env, p, c.Yes)
+}
+
+// ask shows a plan, asks, and confirms it.
+func ask(e *env, p plan.Plan, yes bool) error {
+	showPlan(e.stderr, p)
 	if p.Problem != "" {
 		return errProblem
 	}
 	if len(p.Changes) == 0 {
 		return nil
 	}
-	if !c.Yes {
-		fmt.Fprint(c.env.stderr, "confirm? [yes/no] ")
-		line, _ := bufio.NewReader(c.env.stdin).ReadString('\n')
+	if !yes {
+		fmt.Fprint(e.stderr, "confirm? [yes/no] ")
+		line, _ := bufio.NewReader(e.stdin).ReadString('\n')
 		if strings.TrimSpace(line) != "yes" {
 			return errDeclined
 		}
 	}
-	return confirm(c.env, p)
+	return confirm(e, p)
 }
--- a/cmd/curlewsill/cmd/commands.go
+++ b/cmd/curlewsill/cmd/commands.go
@@ -23,6 +23,15 @@
 			"Shows offsets, owner, peers and counters of one entry host.",
 			&statusCmd{env: e},
 		},
+		{"customers", "Show the customers", "Shows the customers in force.", customersCmd(e)},
+		{"guarantees", "Show the guarantees", "Shows the guarantees in force.", guaranteesCmd(e)},
+		{"workers", "Show the workers", "Shows the racks and workers in force.", workersCmd(e)},
+		{"hosts", "Show the entry hosts", "Shows the entry hosts that one host takes to be up.", hostsCmd(e)},
+		{
+			"drain", "Keep new tasks off workers",
+			"Plans, shows, asks and confirms that workers get no new tasks. Running ones stay.",
+			&drainCmd{env: e},
+		},
 		{
 			"jobs", "Submit, list, show and cancel jobs",
 			"Works with jobs.",
@@ -52,6 +61,7 @@
 			"Runs stand-ins, three entry hosts and a shipped site in this process, with an outage of the log, and reports.",
 			&demoCmd{env: e},
 		},
+		{"completion", "Print a completion script", "Prints a script for bash.", &completionCmd{env: e}},
 		{
 			"version", "Show the version",
 			"Shows the version and the formats it speaks.",
--- /dev/null
+++ b/cmd/curlewsill/cmd/completion.go
@@ -0,0 +1,21 @@
+package cmd
+
+import "fmt"
+
+// completionCmd is the subcommand completion.
+type completionCmd struct{ env *env }
+
+// bash asks the program itself for the words that fit.
+const bash = `_curlewsill() {
+	local args=("${COMP_WORDS[@]:1:$COMP_CWORD}")
+	local IFS=$'\n'
+	COMPREPLY=($(GO_FLAGS_COMPLETION=1 "${COMP_WORDS[0]}" "${args[@]}"))
+}
+complete -o default -F _curlewsill curlewsill
+`
+
+// Execute implements flags.Commander.
+func (c *completionCmd) Execute([]string) error {
+	_, err := fmt.Fprint(c.env.stdout, bash)
+	return err
+}
--- a/cmd/curlewsill/cmd/script_test.go
+++ b/cmd/curlewsill/cmd/script_test.go
@@ -20,17 +20,18 @@
 	})
 }
 
-// TestScripts runs each script with a whole system of its own site in this process.
+// TestScripts runs each script with a whole system of its own in this process, because
+// scripts run at the same time and would race as operators do.
 func TestScripts(t *testing.T) {
-	d, err := demo.Start(t.Context(), "delta-north", io.Discard)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Close)
 	testscript.Run(t, testscript.Params{
 		Dir:           "testdata/script",
 		UpdateScripts: *update,
 		Setup: func(e *testscript.Env) error {
+			d, err := demo.Start(t.Context(), "delta-north", io.Discard)
+			if err != nil {
+				return err
+			}
+			e.Defer(d.Close)
 			e.Setenv("CURLEWSILL_URL", d.Operators())
 			e.Setenv("CURLEWSILL_TOKEN_FILE", d.TokenFile())
 			e.Setenv("CALLERS", d.Callers())
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -9,7 +9,6 @@
 import (
 	"errors"
 	"fmt"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -30,7 +29,7 @@
 	// Basis is the offset of the configuration that the plan was drawn upon.
 	Basis   id.Offset       `json:"basis"`
 	Changes []config.Change `json:"changes"`
-	// Lines describe each change: + added, ~ changed, - removed.
+	// Lines describe the changes like a diff: + added, ~ changed, - removed.
 	Lines []string `json:"lines"`
 	// Preempts lists running jobs that the reclaiming of a new guarantee could
 	// stop.
@@ -51,12 +50,12 @@
 func Draw(st *state.State, changes []config.Change) (Plan, error) {
 	p := Plan{Basis: st.ConfigAt}
 	for _, c := range changes {
-		line, same := describe(st.Config, c)
-		if same {
+		lines := describe(st.Config, c)
+		if len(lines) == 0 {
 			continue
 		}
 		p.Changes = append(p.Changes, c)
-		p.Lines = append(p.Lines, line)
+		p.Lines = append(p.Lines, lines...)
 	}
 	var err error
 	if p.ID, err = hash(p.Basis, p.Changes); err != nil {
@@ -95,30 +94,6 @@
 	return id.Plan(fmt.Sprintf("%016x", xxhash.Sum64(b))), nil
 }
 
-// describe returns a line of a diff, and whether the change changes nothing.
-func describe(c config.Config, ch config.Change) (line string, same bool) {
-	switch {
-	case ch.SetCustomer != nil:
-		return compare("customer", ch.SetCustomer.ID, c.Customers, *ch.SetCustomer)
-	case ch.SetGuarantee != nil:
-		return compare("guarantee", ch.SetGuarantee.ID, c.Guarantees, *ch.SetGuarantee)
-	case ch.SetRack != nil:
-		return compare("rack", ch.SetRack.ID, c.Racks, *ch.SetRack)
-	case ch.SetService != nil:
-		return compare("service", ch.SetService.ID, c.Services, *ch.SetService)
-	}
-	return "- " + strings.TrimPrefix(ch.String(), "delete "), false
-}
-
-func compare[K ~string, V any](kind string, key K, have map[K]V, want V) (line string, same bool) {
-	old, ok := have[key]
-	if !ok {
-		return fmt.Sprintf("+ %s %s: %+v", kind, key, want), false
-	}
-	before, after := fmt.Sprintf("%+v", old), fmt.Sprintf("%+v", want)
-	return fmt.Sprintf("~ %s %s: %s -> %s", kind, key, before, after), before == after
-}
-
 // borrowers returns the jobs that run on borrowed accelerators if the
 // configuration would add a guarantee, because its customer may reclaim them.
 func borrowers(st *state.State, next config.Config) []id.Job {
