--- /dev/null
+++ b/cmd/curlewsilld/cmd/process_test.go
@@ -0,0 +1,234 @@
+package cmd_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/node"
+	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/core/state"
+	"curlewsill.org/curlewsill/examples"
+	"curlewsill.org/curlewsill/internal/client"
+	"curlewsill.org/curlewsill/internal/intent"
+	"curlewsill.org/curlewsill/internal/load"
+	"curlewsill.org/curlewsill/internal/platform/hosts"
+	"curlewsill.org/curlewsill/internal/platform/wire"
+	"curlewsill.org/curlewsill/internal/standin/backendsvc"
+	"curlewsill.org/curlewsill/internal/standin/logsvc"
+	"curlewsill.org/curlewsill/internal/standin/workersvc"
+)
+
+// runMain makes the test binary be curlewsilld.
+const runMain = "CURLEWSILLD_RUN_MAIN"
+
+// wait bounds what must happen sooner or later.
+const wait = 60 * time.Second
+
+// process is one curlewsilld, a process of its own.
+type process struct {
+	cmd                *exec.Cmd
+	callers, operators string
+	client             *client.Client
+}
+
+// platform is the stand-ins, in the test's process.
+type platform struct {
+	logURL, workerURL string
+	workers           *workersvc.Service
+	backends          *backendsvc.Service
+}
+
+func newPlatform(t *testing.T) *platform {
+	p := &platform{workers: workersvc.New()}
+	l, w := httptest.NewServer(logsvc.New(10_000, 0)), httptest.NewServer(p.workers)
+	b, err := backendsvc.New(10, 8, 10*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close(); w.Close(); b.Close() })
+	p.logURL, p.workerURL, p.backends = l.URL, w.URL, b
+	a := wire.Announcement{Service: "thermal-analytics"}
+	for _, addr := range b.Addresses() {
+		a.Backends = append(a.Backends, wire.Backend{ID: id.Backend(addr)})
+	}
+	if err := hosts.New(l.URL, http.DefaultClient).Announce(t.Context(), "service", a); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// start starts a curlewsilld and reads its addresses from its log.
+func (p *platform) start(t *testing.T, dir, name string) *process {
+	token, file := filepath.Join(dir, "token"), filepath.Join(dir, name+".ini")
+	settings := fmt.Sprintf("[host]\nid = %s\ndomain = d\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n"+
+		"token_file = %s\n[platform]\nlog = %s\nhosts = %s\nworkers = %s\n", name, token, p.logURL, p.logURL, p.workerURL)
+	for f, text := range map[string]string{token: "t", file: settings} {
+		if err := os.WriteFile(f, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x := &process{cmd: exec.Command(os.Args[0], "--config", file)}
+	x.cmd.Env = append(os.Environ(), runMain+"=1")
+	out, err := x.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := x.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = x.cmd.Process.Kill() })
+	var line struct{ Callers, Operators string }
+	in := bufio.NewScanner(out)
+	for line.Callers == "" && in.Scan() {
+		_ = json.Unmarshal(in.Bytes(), &line)
+	}
+	go func() {
+		for in.Scan() {
+			if bytes.Contains(in.Bytes(), []byte("invariant")) {
+				t.Errorf("%s: %s", name, in.Bytes())
+			}
+		}
+	}()
+	x.callers, x.operators = "http://"+line.Callers, "http://"+line.Operators
+	x.client = client.New(x.operators, "t")
+	return x
+}
+
+func (x *process) signal(t *testing.T, s syscall.Signal) {
+	if err := x.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// until waits for something that has to happen.
+func until(t *testing.T, what string, ok func() bool) {
+	for end := time.Now().Add(wait); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen in %s", what, wait)
+		}
+	}
+}
+
+func (x *process) view(ctx context.Context) node.View {
+	v, _ := x.client.Status(ctx)
+	return v
+}
+
+// job returns a job as a host knows it.
+func (x *process) job(ctx context.Context, name id.Job) state.Job {
+	jobs, _ := x.client.Jobs(ctx)
+	for _, j := range jobs {
+		if j.Spec.ID == name {
+			return j
+		}
+	}
+	return state.Job{}
+}
+
+// TestProcesses kills, freezes and stops entry hosts that are processes of their own,
+// under load and with gangs running. Nothing that must not be repeated may run twice,
+// nothing refused as not run may have run, and a planned stop exits with 0.
+func TestProcesses(t *testing.T) {
+	p := newPlatform(t)
+	dir := t.TempDir()
+	all := map[id.Host]*process{}
+	for _, name := range []string{"h1", "h2", "h3", "h4"} {
+		all[id.Host(name)] = p.start(t, dir, name)
+	}
+	ctx := t.Context()
+	for _, x := range all {
+		until(t, "ready", func() bool {
+			v := x.view(ctx)
+			return v.State == node.Ready && len(v.Peers) == len(all) && v.Owner.Epoch > 0
+		})
+	}
+	any := all["h1"]
+	data, err := examples.Read("delta-north", "site.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	changes, err := intent.Parse("site.ini", data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan, err := any.client.Plan(ctx, changes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	off, err := any.client.Confirm(ctx, plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range all {
+		until(t, "configuration", func() bool { return x.view(ctx).ConfigAt >= off })
+	}
+	disturb(t, p, all)
+}
+
+// disturb runs the load and the failures.
+func disturb(t *testing.T, p *platform, all map[id.Host]*process) {
+	ctx := t.Context()
+	owner := all["h1"].view(ctx).Owner.Host
+	var rest []*process
+	run := load.Run{
+		Service: "thermal-analytics", Customers: []id.Customer{"pharmacy", "excursion"},
+		Rate: 150, Duration: 14 * time.Second, OnceShare: 0.5, Body: 200, Name: "p", Seed: 1,
+	}
+	for name, x := range all {
+		run.Targets = append(run.Targets, x.callers)
+		if name != owner {
+			rest = append(rest, x)
+		}
+	}
+	frozen, leaving, watch := rest[0], rest[1], rest[2]
+	if _, err := watch.client.Submit(ctx, record.Job{
+		ID: "once", Customer: "excursion", Accelerators: 16, Once: true, Declared: time.Minute, Command: "run 12s",
+	}); err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the gang", func() bool { return watch.job(ctx, "once").State == state.Running })
+	done := make(chan load.Report, 1)
+	go func() {
+		rep, err := load.Do(ctx, run, func(context.Context) (backendsvc.Ledger, error) { return p.backends.Ledger(), nil })
+		if err != nil {
+			t.Error(err)
+		}
+		done <- rep
+	}()
+	time.Sleep(2 * time.Second)
+	all[owner].signal(t, syscall.SIGKILL)
+	frozen.signal(t, syscall.SIGSTOP)
+	time.Sleep(5 * time.Second)
+	frozen.signal(t, syscall.SIGCONT)
+	time.Sleep(2 * time.Second)
+	leaving.signal(t, syscall.SIGTERM)
+	if err := leaving.cmd.Wait(); err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+	rep := <-done
+	t.Logf("%+v", rep)
+	if rep.RanTwice+rep.NotRunButRan+rep.Wrong+rep.Cut > 0 || rep.Whole == 0 {
+		t.Errorf("promises broken: %+v", rep)
+	}
+	until(t, "the end of the gang", func() bool { return watch.job(ctx, "once").State == "finished" })
+	if n := len(p.workers.Ledger().Starts); n != 2 {
+		t.Errorf("%d tasks were started, want 2", n)
+	}
+	for _, x := range []*process{frozen, watch} {
+		if n := x.view(ctx).Counts.Faults; n > 0 {
+			t.Errorf("%d invariants violated", n)
+		}
+	}
+}
--- a/cmd/curlewsilld/cmd/script_test.go
+++ b/cmd/curlewsilld/cmd/script_test.go
@@ -14,6 +14,9 @@
 var update = flag.Bool("update", false, "write the output that scripts compare with")
 
 func TestMain(m *testing.M) {
+	if os.Getenv(runMain) != "" {
+		os.Exit(cmd.Main(os.Args[1:]))
+	}
 	testscript.Main(m, map[string]func(){
 		"curlewsilld": func() { os.Exit(cmd.Main(os.Args[1:])) },
 	})
--- a/core/proof/check_test.go
+++ b/core/proof/check_test.go
@@ -34,6 +34,11 @@
 			w.violated("job %s must not be repeated and was started under leases %d and %d", j, s.lease, n)
 		}
 	}
+	for other, p := range w.parts {
+		if other.job == j && other.lease != n && len(p.running) > 0 {
+			w.violated("job %s runs under leases %d and %d at a time", j, other.lease, n)
+		}
+	}
 	a := holding{j, n}
 	p := w.parts[a]
 	if p == nil {
--- a/core/proof/long_test.go
+++ b/core/proof/long_test.go
@@ -170,6 +170,10 @@
 	once := c.rng.IntN(3) == 0
 	if once && c.rng.IntN(2) == 0 {
 		key = c.name("k")
+		if c.rng.IntN(3) == 0 {
+			// A caller that got no answer asks again, later and elsewhere.
+			key = fmt.Sprintf("k%d", 1+c.rng.IntN(c.names))
+		}
 	}
 	for range 1 + c.rng.IntN(4) {
 		m := c.host()
