host: a stopped host answers what reached it last

Requests that were offered after the core had stopped and before the listener was closed waited in the ring for ever. Ruled out: connections that were opened and never used (the library gives up on those after 5 s).

The host closes a gate behind the core and refuses the rest as not run.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -88,6 +88,10 @@
 	// applied is where the log reader goes on; it is told after each step.
 	applied chan id.Offset
 
+	// gate guards closed, which is set once the core takes no more requests.
+	gate   sync.RWMutex
+	closed bool
+
 	mu      sync.Mutex
 	ticket  node.Ticket
 	waiting map[node.Ticket]chan any
@@ -123,8 +127,32 @@
 func (h *Host) Links() *peerlink.Links { return h.links }
 
 // Offer hands an event of a caller to the core. It reports false, and does nothing,
-// if the core has too much to do.
-func (h *Host) Offer(ev node.Event) bool { return h.events.Offer(ev) }
+// if the core has too much to do or has stopped.
+func (h *Host) Offer(ev node.Event) bool {
+	h.gate.RLock()
+	defer h.gate.RUnlock()
+	return !h.closed && h.events.Offer(ev)
+}
+
+// refuseRest closes the host for callers and answers the requests that reached the
+// ring after the core had stopped. Nothing of them ran.
+func (h *Host) refuseRest() {
+	h.gate.Lock()
+	h.closed = true
+	h.gate.Unlock()
+	for {
+		select {
+		case ev := <-h.events.C():
+			if q, ok := ev.(node.Arrived); ok {
+				h.calls.Reply(route.Reply{
+					Request: q.Request.ID, Code: route.CodeStopping, Ran: route.RanNo, RetryAfter: time.Second,
+				})
+			}
+		default:
+			return
+		}
+	}
+}
 
 // Push hands an event to the core that must not be lost.
 func (h *Host) Push(ctx context.Context, ev node.Event) bool { return h.events.Push(ctx, ev) }
@@ -140,6 +168,7 @@
 		wg.Go(func() { duty(ctx) })
 	}
 	h.decide(ctx)
+	h.refuseRest()
 	cancel()
 	wg.Wait()
 }
