node: a new host is ready when it knows what its peers know

Ruled out: the probes (the first was on its way) and the age that goes with the evidence.

A host stays joining until it has heard a peer after it knows the host list, for 2 s at the most.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -61,6 +61,8 @@
 	// stopDelay is how long a stopping host goes on taking requests after it has
 	// told the balancer that it isn't ready.
 	stopDelay = 2 * time.Second
+	// informWait is how long a new host waits for a peer's frame at the most.
+	informWait = 2 * time.Second
 )
 
 // Errors that a node reports as verdicts or faults.
@@ -109,6 +111,10 @@
 	// was last read.
 	head   id.Offset
 	readAt unit.Instant
+	// born is when the core was made. Told is set once a peer was heard after the
+	// host list was known.
+	born unit.Instant
+	told bool
 	// readFailed is set while the last read of the log failed.
 	readFailed bool
 	// recent holds the last records, for peers that can't read the log.
@@ -140,7 +146,7 @@
 		state: state.New(), loader: recovery.New(),
 		journal: journal.New(self, life), origins: map[journal.Ticket]origin{},
 		table: peer.New(self), elect: owner.New(self, now),
-		router: route.New(rng), policy: p, snapAt: now,
+		router: route.New(rng), policy: p, snapAt: now, born: now,
 	}
 }
 
@@ -237,7 +243,7 @@
 	switch n.st {
 	case Joining:
 		// The first read says where the log ends.
-		if n.readAt != 0 && n.state.Applied >= n.head && n.halted == nil {
+		if n.readAt != 0 && n.state.Applied >= n.head && n.halted == nil && n.informed(now) {
 			n.apply(caughtUp)
 		}
 	case Ready:
@@ -256,6 +262,12 @@
 	}
 }
 
+// informed reports whether the host knows what its peers know of leaving backend
+// servers, or has waited for it long enough. The platform's list alone may be old.
+func (n *Node) informed(now unit.Instant) bool {
+	return n.told || n.hosts == 1 || now.Sub(n.born) >= informWait
+}
+
 func (n *Node) apply(ev event) {
 	if to, err := hostChart.Next(n.st, ev); err == nil {
 		n.st = to
--- a/core/node/replay.go
+++ b/core/node/replay.go
@@ -192,6 +192,7 @@
 func (n *Node) heard(now unit.Instant, f peer.Frame) {
 	n.table.Hear(now, f)
 	n.elect.Hear(now, f.Beat)
+	n.told = n.told || n.backends != nil
 	for _, d := range f.Leaving {
 		n.router.Departed(now, d)
 	}
--- a/core/proof/long_test.go
+++ b/core/proof/long_test.go
@@ -44,12 +44,16 @@
 	chaosHosts    = 5
 	chaosRacks    = 4
 	chaosBackends = 8
+	// recentKeys is among how many of the last keys a caller's second try chooses.
+	recentKeys = 5
 )
 
 // chaos is a world with something going wrong all the time.
 type chaos struct {
 	*world
 	names int
+	// used lists the keys of requests.
+	used []string
 	// acts counts what was done, by kind.
 	acts map[string]int
 }
@@ -170,10 +174,11 @@
 	once := c.rng.IntN(3) == 0
 	if once && c.rng.IntN(2) == 0 {
 		key = c.name("k")
-		if c.rng.IntN(3) == 0 {
+		if n := len(c.used); n > 0 && c.rng.IntN(3) == 0 {
 			// A caller that got no answer asks again, later and elsewhere.
-			key = fmt.Sprintf("k%d", 1+c.rng.IntN(c.names))
+			key = c.used[n-1-c.rng.IntN(min(n, recentKeys))]
 		}
+		c.used = append(c.used, key)
 	}
 	for range 1 + c.rng.IntN(4) {
 		m := c.host()
