--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
@@ -23,6 +25,7 @@
 	"curlewsill.org/curlewsill/core/state"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/problem"
+	"curlewsill.org/curlewsill/internal/trace"
 )
 
 const (
@@ -50,13 +53,14 @@
 }
 
 type admin struct {
-	host  Host
-	token string
+	host   Host
+	token  string
+	tracer *trace.Tracer
 }
 
 // New returns the handler.
-func New(h Host, token string, metrics *prometheus.Registry) http.Handler {
-	a := &admin{host: h, token: token}
+func New(h Host, token string, metrics *prometheus.Registry, t *trace.Tracer) http.Handler {
+	a := &admin{host: h, token: token, tracer: t}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /readyz", a.ready)
@@ -161,7 +165,10 @@
 			})
 			return
 		}
-		next(w, r)
+		ctx := a.tracer.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := a.tracer.Start(ctx, r.Pattern, oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+		defer span.End()
+		next(w, r.WithContext(ctx))
 	})
 }
 
@@ -178,6 +185,10 @@
 
 func (a *admin) submit(ctx context.Context, j record.Job) (Accepted, error) {
 	j.Submitted = unit.At(time.Now())
+	if j.Trace == "" {
+		// The record and the job's tasks carry the context on.
+		j.Trace = a.tracer.Parent(ctx)
+	}
 	off, err := a.host.Propose(ctx, record.Entry{Submit: &record.Submit{Job: j}})
 	return Accepted{off}, err
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -82,7 +82,7 @@
 	d.edge = edge.New(s.Host, d.host, edge.Clients{Requests: backendClient(), Probes: backendClient()}, tracer, s.BodyLimit, s.Requests, collected.Request)
 	collected.Watch(d.host)
 	collected.WatchLinks(d.host.Links())
-	api := admin.New(d.host, token, collected.Registry())
+	api := admin.New(d.host, token, collected.Registry(), tracer)
 	peers := http.NewServeMux()
 	peers.Handle(peerlink.Path, d.host.Links())
 	callers := http.NewServeMux()
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -41,10 +41,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("trace: %w", err)
 	}
-	return build(host, sdk.NewBatchSpanProcessor(exporter, sdk.WithMaxQueueSize(maxQueue)), sharePercent), nil
+	return With(host, sdk.NewBatchSpanProcessor(exporter, sdk.WithMaxQueueSize(maxQueue)), sharePercent), nil
 }
 
-func build(host id.Host, p sdk.SpanProcessor, sharePercent int) *Tracer {
+// With returns a tracer that hands its spans to p.
+func With(host id.Host, p sdk.SpanProcessor, sharePercent int) *Tracer {
 	provider := sdk.NewTracerProvider(
 		sdk.WithSpanProcessor(p),
 		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(float64(sharePercent)/100))),
@@ -56,5 +57,12 @@
 	return &Tracer{Tracer: provider.Tracer("curlewsill"), stop: provider.Shutdown}
 }
 
+// Parent returns the W3C traceparent of ctx; empty if it has none.
+func (t *Tracer) Parent(ctx context.Context) string {
+	c := propagation.MapCarrier{}
+	t.Inject(ctx, c)
+	return c["traceparent"]
+}
+
 // Stop sends what is queued, until ctx is done.
 func (t *Tracer) Stop(ctx context.Context) error { return t.stop(ctx) }
