route: a backend server that is believed to have come back is asked first

Ruled out: the probes of the two hosts that look after it, which had no reason to ask one that was known as leaving.

When the evidence is old, each host asks itself and sends only after the answer. Script backend-leaves-again: fails before (leaving since 9.9 s), passes after.

Also: a request that found no connection and no free slot elsewhere was refused although nothing was wrong with the other backend servers; it waits now, paid from the retry budget, so that a full outage still ends in prompt refusals (backends-down).

--- a/core/proof/script_test.go
+++ b/core/proof/script_test.go
@@ -285,7 +285,7 @@
 }
 
 // cmdRequest sends requests to a host: request NAME host=H [count=N] [once=yes]
-// [key=K] [customer=C] [timeout=D].
+// [key=K] [customer=C] [timeout=D] [every=D], one after the other with every.
 func cmdRequest(s *script, w words) error {
 	for i := range w.number("count", 1) {
 		q := route.Request{
@@ -302,7 +302,12 @@
 		if i > 0 {
 			name += "-" + strconv.Itoa(i)
 		}
-		s.request(s.machines[id.Host(w.named["host"])], name, q)
+		m := s.machines[id.Host(w.named["host"])]
+		if every := w.duration("every", 0); every > 0 {
+			s.after(time.Duration(i)*every, func() { s.request(m, name, q) })
+			continue
+		}
+		s.request(m, name, q)
 	}
 	return nil
 }
--- a/core/route/backend.go
+++ b/core/route/backend.go
@@ -63,8 +63,10 @@
 	// probed is when this host last asked whether it takes requests, or left that
 	// to others.
 	probed unit.Instant
-	// left is when first-hand evidence said that it leaves.
-	left unit.Instant
+	// left is when first-hand evidence said that it leaves. Doubted is set once that
+	// is long ago and the list shows it as live; a probe has to confirm it.
+	left    unit.Instant
+	doubted bool
 }
 
 func (b *backend) apply(ev backendEvent) bool {
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -122,8 +122,10 @@
 		switch {
 		case !list[name]:
 			b.apply(leave)
-		case b.state == leaving && now.Sub(b.left) > trustLeaving:
+		case b.state == leaving && b.left == 0:
 			b.apply(comeBack)
+		case b.state == leaving && now.Sub(b.left) > trustLeaving:
+			b.doubted = true
 		}
 	}
 }
@@ -164,11 +166,11 @@
 func (r *Router) Probe(now unit.Instant, self id.Host, hosts []id.Host) {
 	for _, k := range config.Sorted(r.pools) {
 		for _, b := range r.pools[k].backends {
-			if b.state == leaving || now.Sub(b.probed) < probeEvery {
+			if b.state == leaving && !b.doubted || now.Sub(b.probed) < probeEvery {
 				continue
 			}
 			b.probed = now
-			if rank.Of(self, string(b.id), hosts) >= probers {
+			if !b.doubted && rank.Of(self, string(b.id), hosts) >= probers {
 				continue
 			}
 			r.out.Probes = append(r.out.Probes, Probe{k, b.id})
@@ -187,8 +189,13 @@
 		return
 	}
 	switch o {
+	case Whole:
+		if b.doubted {
+			b.doubted = false
+			b.apply(comeBack)
+		}
 	case Leaving:
-		b.left = now
+		b.left, b.doubted = now, false
 		b.apply(leave)
 	case Unreached:
 		if b.state == live {
@@ -351,14 +358,16 @@
 			return
 		}
 	}
+	wait := res.Outcome == Busy
 	if now < req.Deadline && p.budget.Spend() {
 		if b := p.pick(now, r.rng, req.tried); b != nil {
 			r.send(now, p, req, b)
 			return
 		}
+		wait = !req.unsure
 	}
-	if res.Outcome == Busy && p.waiting.Push(req.Customer, req.weight, req) == nil {
-		// Nothing ran and nothing is broken; the request waits for a slot.
+	if wait && p.waiting.Push(req.Customer, req.weight, req) == nil {
+		// Nothing ran; the request waits for a slot.
 		req.tried = nil
 		return
 	}
