--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/bits"
 	"slices"
 	"time"
@@ -21,8 +22,8 @@
 	cell  record.Cell
 	home  block.Block
 	block block.Block
-	// cost is the number of accelerators to be taken from borrowers that are not
-	// stopping yet; clear is set if nobody holds any of them.
+	// cost is the work that borrowers would lose; clear is set if nobody holds any
+	// of the accelerators.
 	cost  int
 	clear bool
 	// opens is set if the cell was not in use before; waste is how much of the
@@ -43,7 +44,7 @@
 // tryGuaranteed starts the job within a guarantee of its customer. If borrowers are in
 // its way, it stops them and keeps the place.
 func (s *Scheduler) tryGuaranteed(now unit.Instant, j record.Job) outcome {
-	best, ok := s.bestSeat(j)
+	best, ok := s.bestSeat(now, j)
 	if !ok {
 		return noRoom
 	}
@@ -57,7 +58,7 @@
 	return waits
 }
 
-func (s *Scheduler) bestSeat(j record.Job) (seat, bool) {
+func (s *Scheduler) bestSeat(now unit.Instant, j record.Job) (seat, bool) {
 	var best seat
 	found := false
 	for _, g := range s.cells[j.Customer] {
@@ -72,7 +73,7 @@
 				// The cells that are not in use are all alike.
 				continue
 			}
-			st, ok := s.seatIn(j, cell, g.Size)
+			st, ok := s.seatIn(now, j, cell, g.Size)
 			fresh = fresh || !used && ok
 			if ok && (!found || st.before(best)) {
 				best, found = st, true
@@ -83,21 +84,21 @@
 }
 
 // seatIn looks for a place for the job in one cell.
-func (s *Scheduler) seatIn(j record.Job, cell record.Cell, size int) (seat, bool) {
+func (s *Scheduler) seatIn(now unit.Instant, j record.Job, cell record.Cell, size int) (seat, bool) {
 	home, used := s.floor.Home(cell)
 	if !used {
 		spare, ok := s.floor.Spare(cell)
 		if !ok {
 			return seat{}, false
 		}
-		home = s.cheapestHome(spare)
+		home = s.cheapestHome(now, spare)
 	}
 	r := s.floor.Rack(home.Rack)
 	if r == nil {
 		return seat{}, false
 	}
 	free := r.Live & home.Mask() &^ r.Pinned & s.fits(r, j)
-	b, cost, ok := cheapestStart(free, r.Staying(), home.Rack, j.Accelerators)
+	b, cost, ok := s.cheapestStart(now, free, r, j.Accelerators)
 	return seat{
 		cell: cell, home: home, block: b, cost: cost, clear: b.Mask()&r.Taken() == 0,
 		opens: !used, waste: size - j.Accelerators,
@@ -107,15 +108,15 @@
 // cheapestHome returns where a cell that is not in use would take least from
 // borrowers, without moving the place of another cell. Its own place always
 // qualifies.
-func (s *Scheduler) cheapestHome(spare block.Block) block.Block {
-	best, lowest := spare, block.MaxSize+1
+func (s *Scheduler) cheapestHome(now unit.Instant, spare block.Block) block.Block {
+	best, lowest := spare, math.MaxInt
 	for i := range s.floor.Racks {
 		r := &s.floor.Racks[i]
 		guarded := r.Guarded()
 		if r.ID == spare.Rack {
 			guarded &^= spare.Mask()
 		}
-		b, cost, ok := cheapestStart(r.Live&^guarded, r.Staying(), r.ID, spare.Size)
+		b, cost, ok := s.cheapestStart(now, r.Live&^guarded, r, spare.Size)
 		if ok && cost < lowest {
 			best, lowest = b, cost
 		}
@@ -123,21 +124,59 @@
 	return best
 }
 
-// cheapestStart returns the run of size bits within free that overlaps busy least;
-// of equals, one that starts at a multiple of the size.
-func cheapestStart(free, busy uint64, rack id.Rack, size int) (block.Block, int, bool) {
+// cheapestStart returns the run of size bits within free whose borrowers would lose the
+// least work; of equals, one that starts at a multiple of the size.
+func (s *Scheduler) cheapestStart(now unit.Instant, free uint64, r *floor.Rack, size int) (block.Block, int, bool) {
 	best, lowest, found := block.Block{}, 0, false
-	for starts := block.Starts(free, size); starts != 0; starts &= starts - 1 {
+	starts := block.Starts(free, size)
+	if starts == 0 {
+		return best, 0, false
+	}
+	prices := s.pricesOf(now, r)
+	for ; starts != 0; starts &= starts - 1 {
 		at := bits.TrailingZeros64(starts)
-		cost := 2 * bits.OnesCount64(block.Run(at, size)&busy)
+		cost := 2 * (prices[at+size] - prices[at])
 		if at%size != 0 {
 			cost++
 		}
 		if !found || cost < lowest {
-			best, lowest, found = block.Block{Rack: rack, Start: at, Size: size}, cost, true
+			best, lowest, found = block.Block{Rack: r.ID, Start: at, Size: size}, cost, true
 		}
 	}
-	return best, lowest / 2, found
+	return best, lowest, found
+}
+
+// prices has at i the work that would be lost if the gangs on the accelerators before i
+// were stopped, in accelerator-minutes.
+type prices [block.MaxSize + 1]int
+
+// pricesOf returns the prices of a rack, which are kept for one pass.
+func (s *Scheduler) pricesOf(now unit.Instant, r *floor.Rack) *prices {
+	if p := s.prices[r.ID]; p != nil && p.staying == r.Staying() {
+		return &p.prices
+	}
+	var each [block.MaxSize]int
+	for i := range each {
+		each[i] = int(r.Staying() >> i & 1)
+	}
+	for _, g := range s.inRack(r.ID) {
+		for i := range g.Block.Size {
+			at := g.Block.Start + i
+			each[at] *= 1 + int(now.Sub(g.began)/time.Minute)
+		}
+	}
+	p := &priced{staying: r.Staying()}
+	for i, x := range each {
+		p.prices[i+1] = p.prices[i] + x
+	}
+	s.prices[r.ID] = p
+	return &p.prices
+}
+
+// priced is the prices of a rack with what they were computed for.
+type priced struct {
+	prices
+	staying uint64
 }
 
 // tryBorrow starts the job on capacity that nobody uses now.
@@ -220,11 +259,11 @@
 func (s *Scheduler) makeRoom(now unit.Instant, j record.Job) bool {
 	var best block.Block
 	var rack *floor.Rack
-	lowest := block.MaxSize + 1
+	lowest := math.MaxInt
 	for i := range s.floor.Racks {
 		r := &s.floor.Racks[i]
 		free := r.Live &^ r.Firm &^ r.Urgent & s.fits(r, j)
-		b, cost, ok := cheapestStart(free, r.Staying(), r.ID, j.Accelerators)
+		b, cost, ok := s.cheapestStart(now, free, r, j.Accelerators)
 		if ok && cost < lowest {
 			best, lowest, rack = b, cost, r
 		}
--- a/core/sched/pass.go
+++ b/core/sched/pass.go
@@ -19,6 +19,7 @@
 func (s *Scheduler) pass(now unit.Instant) {
 	all := now.Sub(s.passed) >= passEvery
 	s.dirty = false
+	clear(s.prices)
 	if all {
 		s.passed = now
 		s.noteLive(now)
@@ -230,7 +231,7 @@
 		Attempt: s.state.Jobs[j.ID].Attempt + 1,
 	}
 	s.queue.Remove(j.ID)
-	s.keep(&run{Gang: gang.New(now, p, j, s.members(b))})
+	s.keep(&run{Gang: gang.New(now, p, j, s.members(b)), began: now})
 }
 
 // leaseBits is the width of the number within an epoch.
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -66,6 +66,8 @@
 
 	// demand lists the sizes of gangs that are guaranteed or wait.
 	demand []int
+	// prices has what it would cost to stop the gangs of a rack, for one pass.
+	prices map[id.Rack]*priced
 	// asked counts the gangs that were asked for.
 	asked uint64
 	// reload is set when gangs and queue must be compared with the whole state.
@@ -84,7 +86,8 @@
 	// placed is set once the placement went to the log and settled once its
 	// verdict is known; ended once the end went to the log.
 	placed, settled, ended bool
-	// began is when the gates were opened, or when the gang was adopted.
+	// began is when the gates were opened, or when the gang was adopted; before
+	// that, when it was asked for.
 	began unit.Instant
 	// dropped has the first sync to each worker that no longer listed the gang.
 	dropped map[id.Worker]id.Seq
@@ -119,7 +122,7 @@
 		gangs: map[id.Job]*run{}, hot: map[id.Job]*run{},
 		workers: map[id.Worker]*health{}, where: map[id.Worker]spot{},
 		tasks: map[id.Worker]map[id.Job]*run{}, ends: map[id.Job]bool{},
-		bad: map[id.Job]map[id.Worker]bool{}, truth: map[id.Customer]*ratio{},
+		bad: map[id.Job]map[id.Worker]bool{}, truth: map[id.Customer]*ratio{}, prices: map[id.Rack]*priced{},
 		reload: true, dirty: true,
 	}
 }
