--- a/cmd/curlewsill/cmd/load.go
+++ b/cmd/curlewsill/cmd/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,10 +9,15 @@
 	"time"
 
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/jsonhttp"
 	"curlewsill.org/curlewsill/internal/load"
 	"curlewsill.org/curlewsill/internal/standin/backendsvc"
 )
 
+// maxLedger bounds the ledger of the backend servers.
+const maxLedger = unit.GiB
+
 // loadCmd is the subcommand load.
 type loadCmd struct {
 	env       *env
@@ -56,12 +60,7 @@
 	if err != nil {
 		return l, err
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return l, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return l, json.NewDecoder(resp.Body).Decode(&l)
+	return l, jsonhttp.Do(http.DefaultClient, req, maxLedger, &l)
 }
 
 func showLoad(w io.Writer, r load.Report) {
--- a/cmd/curlewsilld/cmd/process_test.go
+++ b/cmd/curlewsilld/cmd/process_test.go
@@ -154,7 +154,7 @@
 			return v.State == node.Ready && len(v.Peers) == len(all) && v.Owner.Epoch > 0
 		})
 	}
-	any := all["h1"]
+	first := all["h1"]
 	data, err := examples.Read("delta-north", "site.ini")
 	if err != nil {
 		t.Fatal(err)
@@ -163,11 +163,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	plan, err := any.client.Plan(ctx, changes)
+	plan, err := first.client.Plan(ctx, changes)
 	if err != nil {
 		t.Fatal(err)
 	}
-	off, err := any.client.Confirm(ctx, plan)
+	off, err := first.client.Confirm(ctx, plan)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/platform/logs/logs.go
+++ b/internal/platform/logs/logs.go
@@ -4,10 +4,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +12,7 @@
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/internal/jsonhttp"
 	"curlewsill.org/curlewsill/internal/platform/wire"
 )
 
@@ -23,14 +21,11 @@
 	// maxRecords is how many records one read asks for; maxAnswer bounds the
 	// answer's size.
 	maxRecords = 128
-	maxAnswer  = 2 * maxRecords * int64(record.MaxSize)
+	maxAnswer  = 2 * maxRecords * record.MaxSize
 	// slack is how much longer than asked for a read may take.
 	slack = 3 * time.Second
 )
 
-// ErrRefused reports an answer other than success.
-var ErrRefused = errors.New("logs: refused")
-
 // Client reads and appends. It is safe for concurrent use.
 type Client struct {
 	base string
@@ -48,7 +43,7 @@
 	}
 	req.Header.Set("Content-Type", "application/octet-stream")
 	var out wire.Appended
-	if err := c.do(req, &out); err != nil {
+	if err := jsonhttp.Do(c.http, req, maxAnswer, &out); err != nil {
 		return 0, fmt.Errorf("logs: append: %w", err)
 	}
 	return out.Offset, nil
@@ -69,21 +64,8 @@
 		return wire.Records{}, fmt.Errorf("logs: read: %w", err)
 	}
 	var out wire.Records
-	if err := c.do(req, &out); err != nil {
+	if err := jsonhttp.Do(c.http, req, maxAnswer, &out); err != nil {
 		return wire.Records{}, fmt.Errorf("logs: read: %w", err)
 	}
 	return out, nil
 }
-
-func (c *Client) do(req *http.Request, out any) error {
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer))
-		return fmt.Errorf("%w: %s", ErrRefused, resp.Status)
-	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(out)
-}
