sched: standard names for what a newcomer has to find

Cause: reading the tree as a newcomer, floor, line, lane, seat and beat had to be explained; they are an inventory, a backlog, groups of it, options and heartbeats.

--- a/core/line/line.go
+++ b/core/backlog/backlog.go
@@ -1,9 +1,9 @@
-// Package line holds the jobs that wait, sorted into lanes of jobs that are alike.
+// Package backlog holds the jobs that wait, sorted into groups of jobs that are alike.
 //
-// The jobs of a lane belong to one customer and ask for the same, so if the first
-// can't be placed, none can. A walk over the queue looks at lanes and not at jobs, and
+// The jobs of a group belong to one customer and ask for the same, so if the first
+// can't be placed, none can. A walk over the queue looks at groups and not at jobs, and
 // its cost doesn't grow with the backlog.
-package line
+package backlog
 
 import (
 	"cmp"
@@ -16,7 +16,7 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// Class is what the jobs of a lane have in common.
+// Class is what the jobs of a group have in common.
 type Class struct {
 	Customer     id.Customer
 	Accelerators int
@@ -30,12 +30,12 @@
 	Alone id.Job
 }
 
-// Lane is the waiting jobs of one class, oldest first.
-type Lane struct {
+// Group is the waiting jobs of one class, oldest first.
+type Group struct {
 	Class Class
-	// Jobs is never empty for a lane in a queue.
+	// Jobs is never empty for a group in a queue.
 	Jobs []record.Job
-	// Failed is the floor's Room at which the first job found no place, plus one.
+	// Failed is the inventory's Room at which the first job found no place, plus one.
 	Failed uint64
 	// Checked is the configuration, plus one, for which the class was found able
 	// to run.
@@ -43,31 +43,31 @@
 }
 
 // Head returns the oldest job.
-func (l *Lane) Head() record.Job { return l.Jobs[0] }
+func (l *Group) Head() record.Job { return l.Jobs[0] }
 
-// Queue is all lanes. It is not safe for concurrent use.
-type Queue struct {
-	lanes map[Class]*Lane
-	where map[id.Job]Class
+// Backlog is all groups. It is not safe for concurrent use.
+type Backlog struct {
+	groups map[Class]*Group
+	where  map[id.Job]Class
 }
 
 // New returns an empty queue.
-func New() *Queue {
-	return &Queue{lanes: map[Class]*Lane{}, where: map[id.Job]Class{}}
+func New() *Backlog {
+	return &Backlog{groups: map[Class]*Group{}, where: map[id.Job]Class{}}
 }
 
 // Len returns the number of jobs.
-func (q *Queue) Len() int { return len(q.where) }
+func (q *Backlog) Len() int { return len(q.where) }
 
 // Has reports whether the job waits.
-func (q *Queue) Has(j id.Job) bool {
+func (q *Backlog) Has(j id.Job) bool {
 	_, ok := q.where[j]
 	return ok
 }
 
-// Add adds a job to its lane, or to a lane of its own. A job that waits already stays
+// Add adds a job to its group, or to a group of its own. A job that waits already stays
 // where it is.
-func (q *Queue) Add(j record.Job, alone bool) {
+func (q *Backlog) Add(j record.Job, alone bool) {
 	if q.Has(j.ID) {
 		return
 	}
@@ -78,10 +78,10 @@
 	if alone {
 		c.Alone = j.ID
 	}
-	l := q.lanes[c]
+	l := q.groups[c]
 	if l == nil {
-		l = &Lane{Class: c}
-		q.lanes[c] = l
+		l = &Group{Class: c}
+		q.groups[c] = l
 	}
 	at, _ := slices.BinarySearchFunc(l.Jobs, j, Older)
 	l.Jobs = slices.Insert(l.Jobs, at, j)
@@ -90,27 +90,27 @@
 }
 
 // Remove takes a job out, if it waits.
-func (q *Queue) Remove(name id.Job) {
+func (q *Backlog) Remove(name id.Job) {
 	c, ok := q.where[name]
 	if !ok {
 		return
 	}
 	delete(q.where, name)
-	l := q.lanes[c]
+	l := q.groups[c]
 	at := slices.IndexFunc(l.Jobs, func(j record.Job) bool { return j.ID == name })
 	l.Jobs = slices.Delete(l.Jobs, at, at+1)
 	if len(l.Jobs) == 0 {
-		delete(q.lanes, c)
+		delete(q.groups, c)
 	}
 }
 
-// Lanes returns all lanes: urgent ones first, then by the age of their oldest job.
-func (q *Queue) Lanes() []*Lane {
-	out := make([]*Lane, 0, len(q.lanes))
-	for _, l := range q.lanes {
+// Groups returns all groups: urgent ones first, then by the age of their oldest job.
+func (q *Backlog) Groups() []*Group {
+	out := make([]*Group, 0, len(q.groups))
+	for _, l := range q.groups {
 		out = append(out, l)
 	}
-	slices.SortFunc(out, func(a, b *Lane) int {
+	slices.SortFunc(out, func(a, b *Group) int {
 		if a.Class.Urgent != b.Class.Urgent {
 			if a.Class.Urgent {
 				return -1
--- a/core/floor/floor.go
+++ b/core/inventory/inventory.go
@@ -1,9 +1,9 @@
-// Package floor is the map of all accelerators as the owner of scheduling sees them:
+// Package inventory is the map of all accelerators as the owner of scheduling sees them:
 // which workers answer, what gangs hold, and where guaranteed blocks are or could be.
 //
 // Everything is a 64-bit mask for each rack and is kept up to date as gangs come and
 // go, so a question costs a few shifts for each rack and never a walk over gangs.
-package floor
+package inventory
 
 import (
 	"math/bits"
@@ -65,8 +65,8 @@
 	gangs int
 }
 
-// Floor is the map of all racks. It is not safe for concurrent use.
-type Floor struct {
+// Inventory is the map of all racks. It is not safe for concurrent use.
+type Inventory struct {
 	// Racks is in ascending order of ids. The caller may read its elements.
 	Racks []Rack
 
@@ -83,15 +83,15 @@
 }
 
 // New returns a map without racks.
-func New() *Floor {
-	return &Floor{
+func New() *Inventory {
+	return &Inventory{
 		at: map[id.Rack]int{}, holdings: map[id.Job]Holding{}, homes: map[record.Cell]home{},
 		kept: map[record.Cell]block.Block{}, held: map[id.Customer]int{}, stale: true,
 	}
 }
 
 // Configure takes over the racks of a configuration. Gangs stay where they are.
-func (f *Floor) Configure(c config.Config) {
+func (f *Inventory) Configure(c config.Config) {
 	live := map[id.Rack]uint64{}
 	for i := range f.Racks {
 		live[f.Racks[i].ID] = f.Racks[i].Live
@@ -110,7 +110,7 @@
 }
 
 // Rack returns the map of a rack, or nil.
-func (f *Floor) Rack(k id.Rack) *Rack {
+func (f *Inventory) Rack(k id.Rack) *Rack {
 	if i, ok := f.at[k]; ok {
 		return &f.Racks[i]
 	}
@@ -118,7 +118,7 @@
 }
 
 // SetLive says which accelerators of a rack have a worker that answers.
-func (f *Floor) SetLive(k id.Rack, live uint64) {
+func (f *Inventory) SetLive(k id.Rack, live uint64) {
 	r := f.Rack(k)
 	if r == nil || r.Live == live&r.Usable {
 		return
@@ -130,13 +130,13 @@
 }
 
 // Room returns a number that has grown if anything was freed since it was asked last.
-func (f *Floor) Room() uint64 { return f.room }
+func (f *Inventory) Room() uint64 { return f.room }
 
 // Held returns how many accelerators a customer's gangs hold.
-func (f *Floor) Held(c id.Customer) int { return f.held[c] }
+func (f *Inventory) Held(c id.Customer) int { return f.held[c] }
 
 // Home returns where a cell is, if it is in use or set aside.
-func (f *Floor) Home(c record.Cell) (block.Block, bool) {
+func (f *Inventory) Home(c record.Cell) (block.Block, bool) {
 	if b, ok := f.kept[c]; ok {
 		return b, true
 	}
@@ -145,7 +145,7 @@
 }
 
 // Add notes what a gang holds. The block must be free.
-func (f *Floor) Add(j id.Job, h Holding) {
+func (f *Inventory) Add(j id.Job, h Holding) {
 	f.holdings[j] = h
 	f.held[h.Customer] += h.Block.Size
 	if h.Cell.Guarantee != "" {
@@ -157,7 +157,7 @@
 }
 
 // mark sets the bits of a holding.
-func (f *Floor) mark(h Holding) {
+func (f *Inventory) mark(h Holding) {
 	r := f.Rack(h.Block.Rack)
 	if r == nil {
 		return
@@ -178,7 +178,7 @@
 }
 
 // Leave notes that a gang was told to stop.
-func (f *Floor) Leave(j id.Job) {
+func (f *Inventory) Leave(j id.Job) {
 	h, ok := f.holdings[j]
 	if !ok {
 		return
@@ -189,7 +189,7 @@
 }
 
 // Remove notes that a gang holds nothing any more.
-func (f *Floor) Remove(j id.Job) {
+func (f *Inventory) Remove(j id.Job) {
 	h, ok := f.holdings[j]
 	if !ok {
 		return
@@ -212,7 +212,7 @@
 }
 
 // leaveHome gives up a cell's home when its last gang is gone.
-func (f *Floor) leaveHome(h Holding) {
+func (f *Inventory) leaveHome(h Holding) {
 	if h.Cell.Guarantee == "" {
 		return
 	}
@@ -229,7 +229,7 @@
 
 // Keep sets a block aside for a gang that waits for others to stop, with the home of
 // its cell if it has one, until the next Begin.
-func (f *Floor) Keep(b block.Block, cell record.Cell, h block.Block) {
+func (f *Inventory) Keep(b block.Block, cell record.Cell, h block.Block) {
 	if r := f.Rack(b.Rack); r != nil {
 		r.kept |= b.Mask()
 		if cell.Guarantee != "" {
@@ -242,7 +242,7 @@
 
 // Begin forgets what was set aside and brings the places of unused cells up to date.
 // Agreed is the standing witness of the state, of which it moves as little as it can.
-func (f *Floor) Begin(c config.Config, agreed witness.Witness) {
+func (f *Inventory) Begin(c config.Config, agreed witness.Witness) {
 	if len(f.kept) > 0 {
 		f.stale = true
 		clear(f.kept)
@@ -254,7 +254,7 @@
 }
 
 // Refresh finds the places of unused cells anew if something has changed.
-func (f *Floor) Refresh(c config.Config, agreed witness.Witness) {
+func (f *Inventory) Refresh(c config.Config, agreed witness.Witness) {
 	if !f.stale {
 		return
 	}
@@ -268,7 +268,7 @@
 	f.setSpare(w)
 }
 
-func (f *Floor) setSpare(w witness.Witness) {
+func (f *Inventory) setSpare(w witness.Witness) {
 	f.spare = w
 	for i := range f.Racks {
 		f.Racks[i].Spare = 0
@@ -281,16 +281,16 @@
 }
 
 // AtRisk reports whether some guaranteed block has no place on live workers.
-func (f *Floor) AtRisk() bool { return f.risk }
+func (f *Inventory) AtRisk() bool { return f.risk }
 
 // Spare returns the place of a cell that is not in use.
-func (f *Floor) Spare(c record.Cell) (block.Block, bool) {
+func (f *Inventory) Spare(c record.Cell) (block.Block, bool) {
 	b, ok := f.spare[c]
 	return b, ok
 }
 
 // find looks for a place for each cell that is neither in use nor set aside.
-func (f *Floor) find(c config.Config, old witness.Witness, usable func(*Rack) uint64) (witness.Witness, error) {
+func (f *Inventory) find(c config.Config, old witness.Witness, usable func(*Rack) uint64) (witness.Witness, error) {
 	rooms := make([]witness.Room, len(f.Racks))
 	for i := range f.Racks {
 		r := &f.Racks[i]
@@ -311,7 +311,7 @@
 
 // Clears reports whether every unused cell would still have a place on live workers if
 // a gang that can't be preempted took b, and moves the places if so.
-func (f *Floor) Clears(c config.Config, b block.Block) bool {
+func (f *Inventory) Clears(c config.Config, b block.Block) bool {
 	r := f.Rack(b.Rack)
 	was := r.Firm
 	r.Firm |= b.Mask()
@@ -325,7 +325,7 @@
 }
 
 // CouldClear reports whether a gang of the size that can't be preempted could be placed
-// on an empty floor so that every guarantee still has a place.
+// on empty racks so that every guarantee still has a place.
 func CouldClear(c config.Config, size int) bool {
 	empty := New()
 	empty.Configure(c)
--- a/core/node/message.go
+++ b/core/node/message.go
@@ -150,13 +150,13 @@
 	Host  id.Host `json:"host"`
 	State State   `json:"state"`
 	// Applied and ConfigAt are the offsets in force here.
-	Applied  id.Offset     `json:"applied"`
-	ConfigAt id.Offset     `json:"config_at"`
-	Config   config.Config `json:"config"`
-	Owner    state.Owner   `json:"owner"`
-	Beat     owner.Beat    `json:"beat"`
-	Jobs     []state.Job   `json:"jobs"`
-	Peers    []id.Host     `json:"peers"`
+	Applied   id.Offset       `json:"applied"`
+	ConfigAt  id.Offset       `json:"config_at"`
+	Config    config.Config   `json:"config"`
+	Owner     state.Owner     `json:"owner"`
+	Heartbeat owner.Heartbeat `json:"heartbeat"`
+	Jobs      []state.Job     `json:"jobs"`
+	Peers     []id.Host       `json:"peers"`
 	// Flying is the number of requests without a final answer.
 	Flying int `json:"flying"`
 	// Sched is meaningful on the owner only.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -428,7 +428,7 @@
 func (n *Node) view(now unit.Instant, jobs bool) View {
 	v := View{
 		Host: n.self, State: n.st, Applied: n.state.Applied, ConfigAt: n.state.ConfigAt,
-		Config: n.state.Config, Owner: n.state.Owner, Beat: n.elect.Beat(),
+		Config: n.state.Config, Owner: n.state.Owner, Heartbeat: n.elect.Heartbeat(),
 		Peers: n.table.Live(now), Flying: n.router.Flying(), Counts: n.counts, Now: now,
 		LogAge: now.Sub(n.readAt),
 	}
--- a/core/node/replay.go
+++ b/core/node/replay.go
@@ -129,12 +129,12 @@
 // follow starts or drops the scheduler as the log says who is the owner.
 func (n *Node) follow(now unit.Instant) {
 	o := n.state.Owner
-	if o.Epoch > n.elect.Beat().Epoch {
+	if o.Epoch > n.elect.Heartbeat().Epoch {
 		n.elect.Accepted(now, o.Epoch)
 	}
 	mine := o.Host == n.self && n.st != Draining && n.st != Done
 	switch {
-	case !mine || n.halted != nil || n.elect.Beat().Epoch > o.Epoch:
+	case !mine || n.halted != nil || n.elect.Heartbeat().Epoch > o.Epoch:
 		n.sched = nil
 	case n.sched == nil || n.sched.Epoch() != o.Epoch:
 		// An epoch of an earlier life of this host is not ours: that life may still
@@ -147,7 +147,7 @@
 
 // beat sends the heartbeat to the neighbors.
 func (n *Node) beat(now unit.Instant) {
-	b := n.elect.Beat()
+	b := n.elect.Heartbeat()
 	leaving := n.st == Draining
 	if n.ownEpoch != 0 && n.ownEpoch == n.state.Owner.Epoch && (n.sched != nil || leaving) {
 		b = n.elect.Advance(now, n.ownEpoch, leaving)
@@ -163,9 +163,9 @@
 }
 
 // frame returns a heartbeat without records.
-func (n *Node) frame(now unit.Instant, b owner.Beat) peer.Frame {
+func (n *Node) frame(now unit.Instant, b owner.Heartbeat) peer.Frame {
 	return peer.Frame{
-		From: n.self, Applied: n.state.Applied, Beat: b, CheckAt: n.checkAt, Check: n.check,
+		From: n.self, Applied: n.state.Applied, Heartbeat: b, CheckAt: n.checkAt, Check: n.check,
 		Leaving: n.router.Departures(now), Stopping: n.st == Draining,
 	}
 }
@@ -173,7 +173,7 @@
 // catchUp answers a peer that asked for records, and asks one that has more than this
 // host can read from the log.
 func (n *Node) catchUp(now unit.Instant, f peer.Frame) {
-	reply := n.frame(now, n.elect.Beat())
+	reply := n.frame(now, n.elect.Heartbeat())
 	switch {
 	case f.Behind && f.Applied < n.state.Applied:
 		reply.First, reply.Records = n.recent.after(f.Applied)
@@ -191,7 +191,7 @@
 // heard takes in a peer's frame.
 func (n *Node) heard(now unit.Instant, f peer.Frame) {
 	n.table.Hear(now, f)
-	n.elect.Hear(now, f.Beat)
+	n.elect.Hear(now, f.Heartbeat)
 	n.told = n.told || n.backends != nil
 	for _, d := range f.Leaving {
 		n.router.Departed(now, d)
@@ -204,7 +204,7 @@
 		n.records(now, Records{First: f.First, Raw: f.Records})
 	}
 	n.catchUp(now, f)
-	if f.Beat.Epoch > n.ownEpoch && n.sched != nil {
+	if f.Heartbeat.Epoch > n.ownEpoch && n.sched != nil {
 		// A newer owner exists, although this host hasn't read so yet.
 		n.sched = nil
 	}
--- a/core/owner/owner.go
+++ b/core/owner/owner.go
@@ -24,8 +24,8 @@
 	Stagger = 400 * time.Millisecond
 )
 
-// Beat is the owner's heartbeat. The larger of two beats is the later one.
-type Beat struct {
+// Heartbeat is the owner's heartbeat. The larger of two beats is the later one.
+type Heartbeat struct {
 	Epoch id.Epoch `cbor:"1,keyasint" json:"epoch"`
 	// Count grows while the owner lives.
 	Count uint64 `cbor:"2,keyasint" json:"count"`
@@ -33,7 +33,7 @@
 	Leaving bool `cbor:"3,keyasint,omitempty" json:"leaving,omitempty"`
 }
 
-func (b Beat) after(o Beat) bool {
+func (b Heartbeat) after(o Heartbeat) bool {
 	if b.Epoch != o.Epoch {
 		return b.Epoch > o.Epoch
 	}
@@ -44,7 +44,7 @@
 type Election struct {
 	self id.Host
 	// last is the latest beat heard and at when it was.
-	last Beat
+	last Heartbeat
 	at   unit.Instant
 	// claimed is when this host last asked for a claim of epoch replaced.
 	claimed  unit.Instant
@@ -57,24 +57,24 @@
 }
 
 // Hear takes in a beat from any peer.
-func (e *Election) Hear(now unit.Instant, b Beat) {
+func (e *Election) Hear(now unit.Instant, b Heartbeat) {
 	if b.after(e.last) {
 		e.last, e.at = b, now
 	}
 }
 
-// Beat returns the latest beat, to be passed on. The owner calls Advance instead.
-func (e *Election) Beat() Beat { return e.last }
+// Heartbeat returns the latest beat, to be passed on. The owner calls Advance instead.
+func (e *Election) Heartbeat() Heartbeat { return e.last }
 
 // Advance counts the owner's own heartbeat up and returns it.
-func (e *Election) Advance(now unit.Instant, epoch id.Epoch, leaving bool) Beat {
-	e.Hear(now, Beat{Epoch: epoch, Count: e.last.Count + 1, Leaving: leaving})
+func (e *Election) Advance(now unit.Instant, epoch id.Epoch, leaving bool) Heartbeat {
+	e.Hear(now, Heartbeat{Epoch: epoch, Count: e.last.Count + 1, Leaving: leaving})
 	return e.last
 }
 
 // Accepted takes in that the log made a new owner.
 func (e *Election) Accepted(now unit.Instant, epoch id.Epoch) {
-	e.Hear(now, Beat{Epoch: epoch})
+	e.Hear(now, Heartbeat{Epoch: epoch})
 }
 
 // Claim reports whether the host should claim now. Current is the epoch in force
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -37,8 +37,8 @@
 type Frame struct {
 	From id.Host `cbor:"1,keyasint"`
 	// Applied is the last record that the sender applied.
-	Applied id.Offset  `cbor:"2,keyasint"`
-	Beat    owner.Beat `cbor:"3,keyasint"`
+	Applied   id.Offset       `cbor:"2,keyasint"`
+	Heartbeat owner.Heartbeat `cbor:"3,keyasint"`
 	// Check is the digest of the sender's state at offset CheckAt.
 	CheckAt id.Offset `cbor:"4,keyasint,omitempty"`
 	Check   uint64    `cbor:"5,keyasint,omitempty"`
--- a/core/sched/bench_test.go
+++ b/core/sched/bench_test.go
@@ -154,7 +154,7 @@
 	{50, 280, 1000}, {330, 1866, 1000}, {990, 5600, 1000}, {990, 5600, 5000}, {990, 5600, 10000},
 }
 
-// BenchmarkPass measures one whole walk of the queue on a full site: every lane is
+// BenchmarkPass measures one whole walk of the queue on a full site: every group is
 // tried, and nothing can start.
 func BenchmarkPass(b *testing.B) {
 	for _, z := range passSizes {
--- a/core/sched/choose.go
+++ b/core/sched/choose.go
@@ -9,16 +9,16 @@
 
 	"curlewsill.org/curlewsill/core/block"
 	"curlewsill.org/curlewsill/core/config"
-	"curlewsill.org/curlewsill/core/floor"
 	"curlewsill.org/curlewsill/core/gang"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/inventory"
 	"curlewsill.org/curlewsill/core/place"
 	"curlewsill.org/curlewsill/core/record"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// seat is one way to give a job a place within a guarantee.
-type seat struct {
+// option is one way to give a job a place within a guarantee.
+type option struct {
 	cell  record.Cell
 	home  block.Block
 	block block.Block
@@ -32,9 +32,9 @@
 	waste int
 }
 
-// before orders seats: those in cells already in use, then those that waste least,
+// before orders options: those in cells already in use, then those that waste least,
 // then those that take least from borrowers.
-func (a seat) before(b seat) bool {
+func (a option) before(b option) bool {
 	if a.opens != b.opens {
 		return !a.opens
 	}
@@ -44,22 +44,22 @@
 // tryGuaranteed starts the job within a guarantee of its customer. If borrowers are in
 // its way, it stops them and keeps the place.
 func (s *Scheduler) tryGuaranteed(now unit.Instant, j record.Job) outcome {
-	best, ok := s.bestSeat(now, j)
+	best, ok := s.bestOption(now, j)
 	if !ok {
 		return noRoom
 	}
 	if best.clear {
 		s.start(now, j, best.block, best.cell, best.home)
-		s.floor.Refresh(s.state.Config, s.state.Spare)
+		s.inventory.Refresh(s.state.Config, s.state.Spare)
 		return started
 	}
 	s.preempt(now, best.block, "the guarantee of customer "+string(j.Customer)+" is reclaimed")
-	s.floor.Keep(best.block, best.cell, best.home)
+	s.inventory.Keep(best.block, best.cell, best.home)
 	return waits
 }
 
-func (s *Scheduler) bestSeat(now unit.Instant, j record.Job) (seat, bool) {
-	var best seat
+func (s *Scheduler) bestOption(now unit.Instant, j record.Job) (option, bool) {
+	var best option
 	found := false
 	for _, g := range s.cells[j.Customer] {
 		if g.Size < j.Accelerators {
@@ -68,12 +68,12 @@
 		fresh := false
 		for i := range g.Count {
 			cell := record.Cell{Guarantee: g.ID, Index: i}
-			_, used := s.floor.Home(cell)
+			_, used := s.inventory.Home(cell)
 			if !used && fresh {
 				// The cells that are not in use are all alike.
 				continue
 			}
-			st, ok := s.seatIn(now, j, cell, g.Size)
+			st, ok := s.optionIn(now, j, cell, g.Size)
 			fresh = fresh || !used && ok
 			if ok && (!found || st.before(best)) {
 				best, found = st, true
@@ -83,23 +83,23 @@
 	return best, found
 }
 
-// seatIn looks for a place for the job in one cell.
-func (s *Scheduler) seatIn(now unit.Instant, j record.Job, cell record.Cell, size int) (seat, bool) {
-	home, used := s.floor.Home(cell)
+// optionIn looks for a place for the job in one cell.
+func (s *Scheduler) optionIn(now unit.Instant, j record.Job, cell record.Cell, size int) (option, bool) {
+	home, used := s.inventory.Home(cell)
 	if !used {
-		spare, ok := s.floor.Spare(cell)
+		spare, ok := s.inventory.Spare(cell)
 		if !ok {
-			return seat{}, false
+			return option{}, false
 		}
 		home = s.cheapestHome(now, spare)
 	}
-	r := s.floor.Rack(home.Rack)
+	r := s.inventory.Rack(home.Rack)
 	if r == nil {
-		return seat{}, false
+		return option{}, false
 	}
 	free := r.Live & home.Mask() &^ r.Pinned & s.fits(r, j)
 	b, cost, ok := s.cheapestStart(now, free, r, j.Accelerators)
-	return seat{
+	return option{
 		cell: cell, home: home, block: b, cost: cost, clear: b.Mask()&r.Taken() == 0,
 		opens: !used, waste: size - j.Accelerators,
 	}, ok
@@ -110,8 +110,8 @@
 // qualifies.
 func (s *Scheduler) cheapestHome(now unit.Instant, spare block.Block) block.Block {
 	best, lowest := spare, math.MaxInt
-	for i := range s.floor.Racks {
-		r := &s.floor.Racks[i]
+	for i := range s.inventory.Racks {
+		r := &s.inventory.Racks[i]
 		guarded := r.Guarded()
 		if r.ID == spare.Rack {
 			guarded &^= spare.Mask()
@@ -126,7 +126,7 @@
 
 // cheapestStart returns the run of size bits within free whose borrowers would lose the
 // least work; of equals, one that starts at a multiple of the size.
-func (s *Scheduler) cheapestStart(now unit.Instant, free uint64, r *floor.Rack, size int) (block.Block, int, bool) {
+func (s *Scheduler) cheapestStart(now unit.Instant, free uint64, r *inventory.Rack, size int) (block.Block, int, bool) {
 	best, lowest, found := block.Block{}, 0, false
 	starts := block.Starts(free, size)
 	if starts == 0 {
@@ -151,7 +151,7 @@
 type prices [block.MaxSize + 1]int
 
 // pricesOf returns the prices of a rack, which are kept for one pass.
-func (s *Scheduler) pricesOf(now unit.Instant, r *floor.Rack) *prices {
+func (s *Scheduler) pricesOf(now unit.Instant, r *inventory.Rack) *prices {
 	if p := s.prices[r.ID]; p != nil && p.staying == r.Staying() {
 		return &p.prices
 	}
@@ -185,9 +185,9 @@
 	if s.reserved.Size > 0 && s.reservedFor != j.ID && s.expected(j.Customer, j.Declared) > s.until {
 		except = s.reserved.Mask()
 	}
-	rooms := make([]place.Room, 0, len(s.floor.Racks))
-	for i := range s.floor.Racks {
-		r := &s.floor.Racks[i]
+	rooms := make([]place.Room, 0, len(s.inventory.Racks))
+	for i := range s.inventory.Racks {
+		r := &s.inventory.Racks[i]
 		free := r.Live &^ r.Taken() & s.fits(r, j)
 		if r.ID == s.reserved.Rack {
 			free &^= except
@@ -220,8 +220,8 @@
 	for i := range rooms {
 		room := rooms[i : i+1]
 		// Homes in use can't be moved.
-		room[0].Free &^= s.floor.Rack(room[0].Rack).Firm
-		if b, ok := s.policy.Choose(room, size, demand); ok && s.floor.Clears(s.state.Config, b) {
+		room[0].Free &^= s.inventory.Rack(room[0].Rack).Firm
+		if b, ok := s.policy.Choose(room, size, demand); ok && s.inventory.Clears(s.state.Config, b) {
 			return b, true
 		}
 	}
@@ -258,10 +258,10 @@
 // makeRoom stops borrowers for an urgent job, as few accelerators as it can.
 func (s *Scheduler) makeRoom(now unit.Instant, j record.Job) bool {
 	var best block.Block
-	var rack *floor.Rack
+	var rack *inventory.Rack
 	lowest := math.MaxInt
-	for i := range s.floor.Racks {
-		r := &s.floor.Racks[i]
+	for i := range s.inventory.Racks {
+		r := &s.inventory.Racks[i]
 		free := r.Live &^ r.Firm &^ r.Urgent & s.fits(r, j)
 		b, cost, ok := s.cheapestStart(now, free, r, j.Accelerators)
 		if ok && cost < lowest {
@@ -272,7 +272,7 @@
 		return false
 	}
 	s.preempt(now, best, "an urgent job needs the room")
-	s.floor.Keep(best, record.Cell{}, block.Block{})
+	s.inventory.Keep(best, record.Cell{}, block.Block{})
 	return true
 }
 
@@ -283,8 +283,8 @@
 		return
 	}
 	first := time.Duration(-1)
-	for i := range s.floor.Racks {
-		r := &s.floor.Racks[i]
+	for i := range s.inventory.Racks {
+		r := &s.inventory.Racks[i]
 		room := r.Live & s.fits(r, j)
 		starts := block.Starts(room, j.Accelerators)
 		if starts == 0 {
--- a/core/sched/gangs.go
+++ b/core/sched/gangs.go
@@ -2,9 +2,9 @@
 
 import (
 	"curlewsill.org/curlewsill/core/config"
-	"curlewsill.org/curlewsill/core/floor"
 	"curlewsill.org/curlewsill/core/gang"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/inventory"
 	"curlewsill.org/curlewsill/core/record"
 	"curlewsill.org/curlewsill/core/state"
 	"curlewsill.org/curlewsill/core/unit"
@@ -24,7 +24,7 @@
 			p := record.Place{Job: name, Attempt: j.Attempt, Lease: j.Lease, Block: j.Block, Cell: j.Cell, Home: j.Home}
 			s.keep(&run{Gang: gang.Adopt(now, p, j.Spec, s.members(j.Block)), began: now})
 		case j.State == state.Pending && s.gangs[name] == nil && !s.ends[name]:
-			s.queue.Add(j.Spec, len(s.bad[name]) > 0)
+			s.backlog.Add(j.Spec, len(s.bad[name]) > 0)
 		}
 	}
 	for _, name := range config.Sorted(s.gangs) {
@@ -39,7 +39,7 @@
 // keep adds a gang to all indexes.
 func (s *Scheduler) keep(r *run) {
 	s.gangs[r.Job.ID] = r
-	s.floor.Add(r.Job.ID, floor.Holding{
+	s.inventory.Add(r.Job.ID, inventory.Holding{
 		Customer: r.Job.Customer, Block: r.Block, Cell: r.Cell, Home: r.Home,
 		Once: r.Job.Once, Urgent: r.Job.Urgent,
 	})
@@ -58,7 +58,7 @@
 	name := r.Job.ID
 	delete(s.gangs, name)
 	delete(s.hot, name)
-	s.floor.Remove(name)
+	s.inventory.Remove(name)
 	for _, m := range r.Members {
 		delete(s.tasks[m.Worker], name)
 	}
@@ -67,7 +67,7 @@
 	switch {
 	case j == nil:
 	case j.State == state.Pending:
-		s.queue.Add(j.Spec, len(s.bad[name]) > 0)
+		s.backlog.Add(j.Spec, len(s.bad[name]) > 0)
 	case j.State == state.Running:
 		// The log holds a placement that nobody here stands for.
 		s.reload = true
@@ -85,7 +85,7 @@
 	s.touch(r)
 	s.wake(r)
 	if r.State == gang.Stopping {
-		s.floor.Leave(r.Job.ID)
+		s.inventory.Leave(r.Job.ID)
 	}
 }
 
@@ -110,7 +110,7 @@
 			s.doubt(r)
 		}
 		if r.State == gang.Stopping {
-			s.floor.Leave(name)
+			s.inventory.Leave(name)
 		}
 		if r.State == gang.Open {
 			delete(s.hot, name)
--- a/core/sched/health.go
+++ b/core/sched/health.go
@@ -58,5 +58,5 @@
 	}
 }
 
-// praise notes that a task ended well on the worker.
-func (h *health) praise() { h.crashed = nil }
+// clearBlame notes that a task ended well on the worker.
+func (h *health) clearBlame() { h.crashed = nil }
--- a/core/sched/measure.go
+++ b/core/sched/measure.go
@@ -3,18 +3,18 @@
 import (
 	"math/bits"
 
+	"curlewsill.org/curlewsill/core/backlog"
 	"curlewsill.org/curlewsill/core/config"
-	"curlewsill.org/curlewsill/core/line"
 	"curlewsill.org/curlewsill/core/place"
 )
 
 // noteDemand notes which sizes are guaranteed or wait.
-func (s *Scheduler) noteDemand(lanes []*line.Lane) {
+func (s *Scheduler) noteDemand(groups []*backlog.Group) {
 	sizes := map[int]bool{}
 	for _, g := range s.state.Config.Guarantees {
 		sizes[g.Size] = true
 	}
-	for _, l := range lanes {
+	for _, l := range groups {
 		sizes[l.Class.Accelerators] = true
 	}
 	s.demand = config.Sorted(sizes)
@@ -22,11 +22,11 @@
 
 // measure brings the shown numbers up to date.
 func (s *Scheduler) measure() {
-	s.stats.Pending, s.stats.Running = s.queue.Len(), len(s.gangs)
-	s.stats.AtRisk = s.floor.AtRisk()
-	free := make([]uint64, 0, len(s.floor.Racks))
-	for i := range s.floor.Racks {
-		r := &s.floor.Racks[i]
+	s.stats.Pending, s.stats.Running = s.backlog.Len(), len(s.gangs)
+	s.stats.AtRisk = s.inventory.AtRisk()
+	free := make([]uint64, 0, len(s.inventory.Racks))
+	for i := range s.inventory.Racks {
+		r := &s.inventory.Racks[i]
 		free = append(free, r.Live&^r.Busy)
 	}
 	s.stats.Fragmentation = Fragmentation(free, s.demand)
--- a/core/sched/pass.go
+++ b/core/sched/pass.go
@@ -4,17 +4,17 @@
 	"cmp"
 	"slices"
 
+	"curlewsill.org/curlewsill/core/backlog"
 	"curlewsill.org/curlewsill/core/block"
 	"curlewsill.org/curlewsill/core/config"
-	"curlewsill.org/curlewsill/core/floor"
 	"curlewsill.org/curlewsill/core/gang"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/line"
+	"curlewsill.org/curlewsill/core/inventory"
 	"curlewsill.org/curlewsill/core/record"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// pass walks the queue once. A walk for an event leaves out the lanes that failed when
+// pass walks the queue once. A walk for an event leaves out the groups that failed when
 // no more room was free than now; from time to time all are tried.
 func (s *Scheduler) pass(now unit.Instant) {
 	all := now.Sub(s.passed) >= passEvery
@@ -25,26 +25,26 @@
 		s.noteLive(now)
 		s.reserved, s.reservedFor = block.Block{}, ""
 	}
-	if !s.queue.Has(s.reservedFor) {
+	if !s.backlog.Has(s.reservedFor) {
 		s.reserved, s.reservedFor = block.Block{}, ""
 	}
-	s.floor.Begin(s.state.Config, s.state.Spare)
-	every := s.queue.Lanes()
+	s.inventory.Begin(s.state.Config, s.state.Spare)
+	every := s.backlog.Groups()
 	s.noteDemand(every)
-	lanes := s.able(every, all)
+	groups := s.able(every, all)
 	// Guarantees go first: a borrower that was stopped for one would otherwise be
 	// the first to take the room again.
-	lanes = slices.DeleteFunc(lanes, func(l *line.Lane) bool { return s.fill(now, l) })
-	s.floor.Refresh(s.state.Config, s.state.Spare)
-	s.borrow(now, lanes)
+	groups = slices.DeleteFunc(groups, func(l *backlog.Group) bool { return s.fill(now, l) })
+	s.inventory.Refresh(s.state.Config, s.state.Spare)
+	s.borrow(now, groups)
 	s.measure()
 }
 
-// able returns the lanes to be tried. It refuses the jobs of classes that can never
+// able returns the groups to be tried. It refuses the jobs of classes that can never
 // run.
-func (s *Scheduler) able(lanes []*line.Lane, all bool) []*line.Lane {
-	var out []*line.Lane
-	for _, l := range lanes {
+func (s *Scheduler) able(groups []*backlog.Group, all bool) []*backlog.Group {
+	var out []*backlog.Group
+	for _, l := range groups {
 		if l.Checked != s.seenConfig {
 			if reason := s.never(l.Head()); reason != "" {
 				s.refuse(l, reason)
@@ -52,7 +52,7 @@
 			}
 			l.Checked = s.seenConfig
 		}
-		if all || l.Failed != s.floor.Room()+1 {
+		if all || l.Failed != s.inventory.Room()+1 {
 			out = append(out, l)
 		}
 	}
@@ -70,9 +70,9 @@
 	started
 )
 
-// fill starts jobs of the lane within guarantees. It reports whether the lane needs
+// fill starts jobs of the group within guarantees. It reports whether the group needs
 // nothing more in this pass.
-func (s *Scheduler) fill(now unit.Instant, l *line.Lane) bool {
+func (s *Scheduler) fill(now unit.Instant, l *backlog.Group) bool {
 	for len(l.Jobs) > 0 {
 		if s.overQuota(l.Head()) {
 			return false
@@ -92,52 +92,52 @@
 // overQuota reports whether the job would take its customer above its quota.
 func (s *Scheduler) overQuota(j record.Job) bool {
 	c := s.state.Config.Customers[j.Customer]
-	return c.Quota > 0 && s.floor.Held(j.Customer)+j.Accelerators > c.Quota
+	return c.Quota > 0 && s.inventory.Held(j.Customer)+j.Accelerators > c.Quota
 }
 
 // borrow starts jobs on borrowed accelerators: urgent ones first, then always one of
 // the customer that holds least for its weight.
-func (s *Scheduler) borrow(now unit.Instant, lanes []*line.Lane) {
-	for len(lanes) > 0 {
-		i := s.next(lanes)
-		l := lanes[i]
+func (s *Scheduler) borrow(now unit.Instant, groups []*backlog.Group) {
+	for len(groups) > 0 {
+		i := s.next(groups)
+		l := groups[i]
 		got := noRoom
 		if !s.overQuota(l.Head()) {
 			got = s.tryElsewhere(now, l.Head())
 		}
 		if got == noRoom {
-			l.Failed = s.floor.Room() + 1
+			l.Failed = s.inventory.Room() + 1
 		}
 		if got != started || len(l.Jobs) == 0 {
-			lanes = slices.Delete(lanes, i, i+1)
+			groups = slices.Delete(groups, i, i+1)
 		}
 	}
 }
 
-// next returns the lane whose turn it is.
-func (s *Scheduler) next(lanes []*line.Lane) int {
+// next returns the group whose turn it is.
+func (s *Scheduler) next(groups []*backlog.Group) int {
 	best := 0
-	for i := range lanes {
-		if s.before(lanes[i], lanes[best]) {
+	for i := range groups {
+		if s.before(groups[i], groups[best]) {
 			best = i
 		}
 	}
 	return best
 }
 
-func (s *Scheduler) before(a, b *line.Lane) bool {
+func (s *Scheduler) before(a, b *backlog.Group) bool {
 	if a.Class.Urgent != b.Class.Urgent {
 		return a.Class.Urgent
 	}
 	return cmp.Or(
 		cmp.Compare(s.share(a.Class.Customer), s.share(b.Class.Customer)),
-		line.Older(a.Head(), b.Head()),
+		backlog.Older(a.Head(), b.Head()),
 	) < 0
 }
 
 // share returns what a customer holds for its weight.
 func (s *Scheduler) share(c id.Customer) float64 {
-	return float64(s.floor.Held(c)) / float64(max(s.state.Config.Customers[c].Weight, 1))
+	return float64(s.inventory.Held(c)) / float64(max(s.state.Config.Customers[c].Weight, 1))
 }
 
 // tryElsewhere starts the job on borrowed accelerators, makes room for it if it is
@@ -165,8 +165,8 @@
 	case c.Quota > 0 && j.Accelerators > c.Quota:
 		return "the gang is larger than the customer's quota"
 	}
-	for i := range s.floor.Racks {
-		if block.LongestRun(s.fits(&s.floor.Racks[i], j)) < j.Accelerators {
+	for i := range s.inventory.Racks {
+		if block.LongestRun(s.fits(&s.inventory.Racks[i], j)) < j.Accelerators {
 			continue
 		}
 		if j.Once && !s.ownsCell(j.Customer, j.Accelerators) && !s.couldClear(j.Accelerators) {
@@ -180,11 +180,11 @@
 	return "no rack has that many adjacent accelerators with the cores and memory asked for"
 }
 
-// couldClear is floor.CouldClear, remembered for one configuration.
+// couldClear is inventory.CouldClear, remembered for one configuration.
 func (s *Scheduler) couldClear(size int) bool {
 	ok, known := s.firmSizes[size]
 	if !known {
-		ok = floor.CouldClear(s.state.Config, size)
+		ok = inventory.CouldClear(s.state.Config, size)
 		s.firmSizes[size] = ok
 	}
 	return ok
@@ -197,7 +197,7 @@
 
 // fits returns the accelerators of a rack whose workers have the cores and memory
 // that the job asks for with each accelerator, and on which the job has not crashed.
-func (s *Scheduler) fits(r *floor.Rack, j record.Job) uint64 {
+func (s *Scheduler) fits(r *inventory.Rack, j record.Job) uint64 {
 	bad := s.bad[j.ID]
 	if j.Cores == 0 && j.Memory == 0 && len(bad) == 0 {
 		return ^uint64(0)
@@ -212,10 +212,10 @@
 	return m
 }
 
-// refuse ends all jobs of a lane that can never run.
-func (s *Scheduler) refuse(l *line.Lane, reason string) {
+// refuse ends all jobs of a group that can never run.
+func (s *Scheduler) refuse(l *backlog.Group, reason string) {
 	for _, j := range slices.Clone(l.Jobs) {
-		s.queue.Remove(j.ID)
+		s.backlog.Remove(j.ID)
 		s.ends[j.ID] = true
 		s.emit(record.Entry{End: &record.End{
 			Job: j.ID, Epoch: s.epoch, Attempt: s.state.Jobs[j.ID].Attempt, Outcome: record.Refused, Reason: reason,
@@ -230,7 +230,7 @@
 		Job: j.ID, Epoch: s.epoch, Lease: s.lease(), Block: b, Cell: cell, Home: home,
 		Attempt: s.state.Jobs[j.ID].Attempt + 1,
 	}
-	s.queue.Remove(j.ID)
+	s.backlog.Remove(j.ID)
 	s.keep(&run{Gang: gang.New(now, p, j, s.members(b)), began: now})
 }
 
@@ -240,7 +240,7 @@
 // lease returns the name of the latest asking. No other epoch has the same.
 func (s *Scheduler) lease() id.Lease { return id.Lease(uint64(s.epoch)<<leaseBits | s.asked) }
 
-// noteLive tells the floor which workers answer.
+// noteLive tells the inventory which workers answer.
 func (s *Scheduler) noteLive(now unit.Instant) {
 	s.stats.Quarantined = 0
 	live := map[id.Rack]uint64{}
@@ -253,8 +253,8 @@
 			live[at.rack] |= at.span.Mask()
 		}
 	}
-	for i := range s.floor.Racks {
-		k := s.floor.Racks[i].ID
-		s.floor.SetLive(k, live[k])
+	for i := range s.inventory.Racks {
+		k := s.inventory.Racks[i].ID
+		s.inventory.SetLive(k, live[k])
 	}
 }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
+	"curlewsill.org/curlewsill/core/backlog"
 	"curlewsill.org/curlewsill/core/block"
 	"curlewsill.org/curlewsill/core/config"
-	"curlewsill.org/curlewsill/core/floor"
 	"curlewsill.org/curlewsill/core/gang"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/line"
+	"curlewsill.org/curlewsill/core/inventory"
 	"curlewsill.org/curlewsill/core/place"
 	"curlewsill.org/curlewsill/core/record"
 	"curlewsill.org/curlewsill/core/state"
@@ -16,7 +16,7 @@
 	"curlewsill.org/curlewsill/core/worker"
 )
 
-// passEvery is the longest time between two walks of the queue in which every lane is
+// passEvery is the longest time between two walks of the queue in which every group is
 // tried, and between two looks for silent workers.
 const passEvery = time.Second
 
@@ -31,11 +31,11 @@
 // Scheduler holds the owner's knowledge for one epoch. It is not safe for
 // concurrent use.
 type Scheduler struct {
-	epoch  id.Epoch
-	state  *state.State
-	policy place.Policy
-	floor  *floor.Floor
-	queue  *line.Queue
+	epoch     id.Epoch
+	state     *state.State
+	policy    place.Policy
+	inventory *inventory.Inventory
+	backlog   *backlog.Backlog
 
 	gangs map[id.Job]*run
 	// hot lists the gangs that the next step has to look at.
@@ -118,7 +118,7 @@
 // changes it.
 func New(epoch id.Epoch, st *state.State, p place.Policy) *Scheduler {
 	return &Scheduler{
-		epoch: epoch, state: st, policy: p, floor: floor.New(), queue: line.New(),
+		epoch: epoch, state: st, policy: p, inventory: inventory.New(), backlog: backlog.New(),
 		gangs: map[id.Job]*run{}, hot: map[id.Job]*run{},
 		workers: map[id.Worker]*health{}, where: map[id.Worker]spot{},
 		tasks: map[id.Worker]map[id.Job]*run{}, ends: map[id.Job]bool{},
@@ -157,10 +157,10 @@
 func (s *Scheduler) Accepted(now unit.Instant, e record.Entry) {
 	switch {
 	case e.Submit != nil:
-		s.queue.Add(e.Submit.Job, false)
+		s.backlog.Add(e.Submit.Job, false)
 		s.dirty = true
 	case e.Cancel != nil:
-		s.queue.Remove(e.Cancel.Job)
+		s.backlog.Remove(e.Cancel.Job)
 		if r := s.gangs[e.Cancel.Job]; r != nil {
 			s.end(now, r, gang.Cancel, record.Requeued, "cancelled")
 		}
@@ -277,7 +277,7 @@
 		}
 		s.bad[r.Job.ID][w] = true
 	case st == worker.Exited:
-		h.praise()
+		h.clearBlame()
 	}
 }
 
@@ -308,7 +308,7 @@
 		g := s.state.Config.Guarantees[k]
 		s.cells[g.Customer] = append(s.cells[g.Customer], g)
 	}
-	s.floor.Configure(s.state.Config)
+	s.inventory.Configure(s.state.Config)
 }
 
 // members returns the members of a gang on block b.
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -338,7 +338,7 @@
 	return n
 }
 
-// sample looks at the floor.
+// sample notes the state of all racks.
 func (b *bench) sample() {
 	st := b.sched.Stats()
 	used, all := 0, b.all()
