route: requests of a service that is deleted get their answers

Cause: found by reading. Deleting a service dropped its queue; what waited there never got an answer, and what was under way only its timeout. What waits is refused as not run, an attempt under way is relayed.

--- a/core/proof/script_test.go
+++ b/core/proof/script_test.go
@@ -224,7 +224,7 @@
 }
 
 // cmdPlan draws a plan at a host and keeps it: plan NAME HOST [guarantees=...]
-// [customer=NAME weight=N].
+// [customer=NAME weight=N] [delete=SERVICE].
 func cmdPlan(s *script, w words) error {
 	changes, err := siteChanges(0, w.list("guarantees"))
 	if err != nil {
@@ -236,6 +236,9 @@
 			ID: id.Customer(c), Weight: w.number("weight", 1), Quota: w.number("quota", 0),
 		}})
 	}
+	if w.named["delete"] != "" {
+		changes = append(changes, config.Change{DeleteService: id.Service(w.named["delete"])})
+	}
 	m := s.machines[id.Host(w.at(1))]
 	p, err := plan.Draw(m.core.Shared(), changes)
 	s.kept[w.at(0)] = p
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -71,8 +71,9 @@
 // Configure takes over the services of a configuration. Hosts is the number of
 // entry hosts that share them.
 func (r *Router) Configure(c config.Config, hosts int) {
-	for k := range r.pools {
+	for _, k := range config.Sorted(r.pools) {
 		if _, ok := c.Services[k]; !ok {
+			r.flush(r.pools[k], CodeNoService)
 			delete(r.pools, k)
 		}
 	}
@@ -279,7 +280,7 @@
 		b := p.pick(now, r.rng, nil)
 		if b == nil {
 			if p.flying == 0 {
-				r.flush(p)
+				r.flush(p, CodeNoBackend)
 			}
 			return
 		}
@@ -289,14 +290,14 @@
 	}
 }
 
-// flush refuses everything that waits, because no backend server is usable.
-func (r *Router) flush(p *pool) {
+// flush refuses everything that waits.
+func (r *Router) flush(p *pool, code Code) {
 	for {
 		req, ok := p.waiting.Pop()
 		if !ok {
 			return
 		}
-		r.refuse(req, CodeNoBackend, time.Second)
+		r.refuse(req, code, time.Second)
 	}
 }
 
@@ -321,6 +322,7 @@
 func (r *Router) Ended(now unit.Instant, res Result) {
 	p := r.pools[res.Service]
 	if p == nil {
+		r.endOrphan(res)
 		return
 	}
 	p.flying--
@@ -341,6 +343,21 @@
 	r.dispatch(now, p)
 }
 
+// endOrphan answers a request whose service was deleted while it was under way.
+func (r *Router) endOrphan(res Result) {
+	req := r.requests[res.Request]
+	if req == nil || req.flying != res.Number {
+		return
+	}
+	req.flying = 0
+	req.unsure = req.unsure || res.Outcome == Broken
+	if res.Outcome == Whole {
+		r.answer(req, Reply{Relay: res.Number, Ran: RanYes})
+		return
+	}
+	r.refuse(req, CodeNoService, 0)
+}
+
 // resolve decides what follows an attempt.
 func (r *Router) resolve(now unit.Instant, p *pool, req *request, res Result) {
 	if res.Outcome == Whole {
