node: a stopping host takes no request after its delay

Cause: found by reading. A host that was told to stop went on taking requests until none was under way, which never comes to pass while a balancer keeps sending. Script planned-stop-late: the request stayed pending before, and is refused as not run now.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -298,9 +298,16 @@
 }
 
 func (n *Node) arrived(now unit.Instant, q route.Request) {
-	if n.st == Joining || n.st == Isolated || n.halted != nil {
+	var code route.Code
+	switch {
+	case n.st == Joining || n.st == Isolated || n.halted != nil:
+		code = route.CodeNotReady
+	case n.st == Draining && now >= n.stopAt:
+		code = route.CodeStopping
+	}
+	if code != "" {
 		n.out.Replies = append(n.out.Replies, route.Reply{
-			Request: q.ID, Code: route.CodeNotReady, Ran: route.RanNo, RetryAfter: time.Second,
+			Request: q.ID, Code: code, Ran: route.RanNo, RetryAfter: time.Second,
 		})
 		return
 	}
