--- a/core/node/node.go
+++ b/core/node/node.go
@@ -415,7 +415,7 @@
 
 // listed takes over the platform's host list.
 func (n *Node) listed(now unit.Instant, ev Hosts) {
-	n.table.List(ev.Entry)
+	n.table.List(now, ev.Entry)
 	n.hosts = max(len(ev.Entry), 1)
 	n.backends = ev.Backends
 	n.configure(now)
--- a/core/peer/peer.go
+++ b/core/peer/peer.go
@@ -29,6 +29,8 @@
 	// Silence is how long a host counts as up without a frame or a mention in the
 	// platform's host list.
 	Silence = 4 * time.Second
+	// forgetAfter is how long a host is remembered that nothing is heard of.
+	forgetAfter = 10 * time.Minute
 	// nearFor is how long a host counts as near after a frame.
 	nearFor = 1500 * time.Millisecond
 )
@@ -73,8 +75,10 @@
 	return &Table{self: self, peers: map[id.Host]*entry{}}
 }
 
-// List takes over the platform's list of live hosts, which lags.
-func (t *Table) List(hosts []id.Host) {
+// List takes over the platform's list of live hosts, which lags. A host that is
+// neither listed nor was heard of for long is forgotten, so that the table doesn't grow
+// with the hosts that are replaced.
+func (t *Table) List(now unit.Instant, hosts []id.Host) {
 	for _, p := range t.peers {
 		p.listed = false
 	}
@@ -84,7 +88,7 @@
 		}
 	}
 	for h, p := range t.peers {
-		if !p.listed && p.heard == 0 {
+		if !p.listed && now.Sub(p.heard) > forgetAfter {
 			delete(t.peers, h)
 		}
 	}
@@ -163,3 +167,6 @@
 	}
 	return false
 }
+
+// Len returns how many peers are remembered.
+func (t *Table) Len() int { return len(t.peers) }
--- /dev/null
+++ b/core/peer/peer_test.go
@@ -0,0 +1,28 @@
+package peer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/peer"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// TestReplacements replaces hosts under new names and checks that a table keeps to those
+// that are there.
+func TestReplacements(t *testing.T) {
+	const replaced = 400
+	table := peer.New("self")
+	now := unit.Instant(time.Hour)
+	for i := range replaced {
+		h := id.Host(fmt.Sprint("h", i))
+		table.Hear(now, peer.Frame{From: h})
+		table.List(now, []id.Host{"self", h})
+		now = now.Add(time.Minute)
+	}
+	if n := table.Len(); n > 15 {
+		t.Errorf("%d hosts are remembered after %d replacements", n, replaced)
+	}
+}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -179,7 +179,7 @@
 	case e.Place != nil:
 		s.settlePlace(now, *e.Place, verdict)
 	case e.End != nil:
-		s.settleEnd(*e.End)
+		s.settleEnd(*e.End, verdict)
 	}
 }
 
@@ -203,8 +203,11 @@
 	s.wake(r)
 }
 
-func (s *Scheduler) settleEnd(e record.End) {
+func (s *Scheduler) settleEnd(e record.End, verdict error) {
 	delete(s.ends, e.Job)
+	if verdict == nil && e.Outcome != record.Requeued {
+		delete(s.bad, e.Job)
+	}
 	if r, ok := s.gangs[e.Job]; ok && r.Attempt == e.Attempt && r.ended {
 		s.forget(r)
 	}
