--- a/core/node/message.go
+++ b/core/node/message.go
@@ -171,10 +171,14 @@
 type Counts struct {
 	// Damaged counts records that held no batch, Void entries of any host that
 	// were not accepted, Diverged peers whose state had another digest.
-	Damaged, Void, Diverged int
+	Damaged  int `json:"damaged"`
+	Void     int `json:"void"`
+	Diverged int `json:"diverged"`
 	// Faults counts violated invariants.
-	Faults int
+	Faults int `json:"faults"`
 	// Claims counts this host's claims of ownership, Snapshots its snapshots, and
 	// Batches its appends, tried again or not.
-	Claims, Snapshots, Batches int
+	Claims    int `json:"claims"`
+	Snapshots int `json:"snapshots"`
+	Batches   int `json:"batches"`
 }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -104,14 +104,16 @@
 // Stats counts what the scheduler did and shows what it sees.
 type Stats struct {
 	// Pending, Running and Quarantined are current numbers.
-	Pending, Running, Quarantined int
+	Pending     int `json:"pending"`
+	Running     int `json:"running"`
+	Quarantined int `json:"quarantined"`
 	// Preempted counts gangs that were stopped to make room.
-	Preempted int
+	Preempted int `json:"preempted"`
 	// AtRisk is set while some guaranteed block has no place on live workers.
-	AtRisk bool
+	AtRisk bool `json:"at_risk"`
 	// Fragmentation is the share of free accelerators that can't serve the
 	// gang sizes that wait or are guaranteed, from 0 to 1.
-	Fragmentation float64
+	Fragmentation float64 `json:"fragmentation"`
 }
 
 // New returns the scheduler of the owner of the given epoch. It reads st and never
