--- a/core/node/node.go
+++ b/core/node/node.go
@@ -314,68 +314,6 @@
 	n.router.Arrive(now, q, n.state.Config.Customers[q.Customer].Weight, n.logUp(now))
 }
 
-// propose queues an operator's entry.
-func (n *Node) propose(ev Propose) {
-	if n.halted != nil {
-		n.out.Settled = append(n.out.Settled, Settled{Ticket: ev.Ticket, Verdict: ErrHalted})
-		return
-	}
-	if err := n.write(origin{entry: ev.Entry, ticket: ev.Ticket}); err != nil {
-		n.out.Settled = append(n.out.Settled, Settled{Ticket: ev.Ticket, Verdict: err})
-	}
-}
-
-// write queues an own entry.
-func (n *Node) write(o origin) error {
-	t, err := n.journal.Add(o.entry)
-	if err != nil {
-		return err
-	}
-	n.origins[t] = o
-	return nil
-}
-
-// claimKey queues the claim or the release of a request's key.
-func (n *Node) claimKey(now unit.Instant, c route.Claim) {
-	once := &record.Once{Customer: c.Customer, Key: c.Key, Host: n.self, Request: c.Request}
-	o := origin{entry: record.Entry{Once: once}, request: c.Request}
-	if c.Release {
-		o = origin{entry: record.Entry{Release: once}}
-	}
-	if err := n.write(o); err != nil && !c.Release {
-		n.router.Claimed(now, c.Request, err)
-	}
-}
-
-// settle tells the verdict on an own entry to whoever asked for it.
-func (n *Node) settle(now unit.Instant, t journal.Ticket, off id.Offset, verdict error) {
-	o := n.origins[t]
-	delete(n.origins, t)
-	switch {
-	case o.ticket != 0:
-		n.out.Settled = append(n.out.Settled, Settled{o.ticket, off, verdict})
-	case o.request != 0:
-		n.router.Claimed(now, o.request, verdict)
-	case n.sched != nil && (o.entry.Place != nil || o.entry.End != nil):
-		n.sched.Settled(now, o.entry, verdict)
-	}
-}
-
-// claimOwnership claims the ownership of scheduling if that seems worth it.
-func (n *Node) claimOwnership(now unit.Instant) {
-	if n.st != Ready || !n.logUp(now) || n.state.Applied < n.head || n.state.Owner.Host == n.self && n.sched != nil {
-		return
-	}
-	current := n.state.Owner.Epoch
-	if !n.elect.Claim(now, current, n.table.Live(now)) {
-		return
-	}
-	n.counts.Claims++
-	if err := n.write(origin{entry: record.Entry{Claim: &record.Claim{Host: n.self, Replaces: current}}}); err != nil {
-		n.fault(err)
-	}
-}
-
 // schedule lets the scheduler decide, if this host is the owner and not cut off.
 func (n *Node) schedule(now unit.Instant) {
 	if n.sched == nil || n.isolated(now) || n.halted != nil {
@@ -390,29 +328,6 @@
 	}
 }
 
-// snapshot writes a snapshot if this host is the owner and one is due.
-func (n *Node) snapshot(now unit.Instant) {
-	if n.sched == nil || !n.logUp(now) || n.state.Applied == n.snapCovers {
-		return
-	}
-	if n.state.Applied-n.snapCovers < snapshotEvery && now.Sub(n.snapAt) < snapshotAge {
-		return
-	}
-	entries, err := recovery.Split(n.state)
-	if err != nil {
-		n.fault(err)
-		return
-	}
-	n.snapCovers, n.snapAt = n.state.Applied, now
-	n.counts.Snapshots++
-	for _, e := range entries {
-		if err := n.write(origin{entry: e}); err != nil {
-			// An unfinished snapshot is ignored by readers; the next one is due soon.
-			return
-		}
-	}
-}
-
 // listed takes over the platform's host list.
 func (n *Node) listed(now unit.Instant, ev Hosts) {
 	n.table.List(now, ev.Entry)
@@ -430,38 +345,3 @@
 	}
 	n.router.Configure(n.state.Config, n.hosts)
 }
-
-// view returns a copy of what the host believes.
-func (n *Node) view(now unit.Instant, jobs bool) View {
-	v := View{
-		Host: n.self, State: n.st, Applied: n.state.Applied, ConfigAt: n.state.ConfigAt,
-		Config: n.state.Config, Owner: n.state.Owner, Heartbeat: n.elect.Heartbeat(),
-		Peers: n.table.Live(now), Flying: n.router.Flying(), Counts: n.counts, Now: now,
-		LogAge: now.Sub(n.readAt),
-	}
-	if n.sched != nil {
-		v.Sched = n.sched.Stats()
-	}
-	if !jobs {
-		return v
-	}
-	for _, k := range config.Sorted(n.state.Jobs) {
-		v.Jobs = append(v.Jobs, *n.state.Jobs[k])
-	}
-	return v
-}
-
-// Applied returns the last offset that the host has applied.
-func (n *Node) Applied() id.Offset { return n.state.Applied }
-
-// State returns the host's state.
-func (n *Node) State() State { return n.st }
-
-// ConfigAt returns the offset of the configuration in force here.
-func (n *Node) ConfigAt() id.Offset { return n.state.ConfigAt }
-
-// Digest returns the digest of the replayed state.
-func (n *Node) Digest() (uint64, error) { return n.state.Digest() }
-
-// Shared returns the replayed state. The caller must not change it.
-func (n *Node) Shared() *state.State { return n.state }
--- /dev/null
+++ b/core/node/own.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/journal"
+	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/core/recovery"
+	"curlewsill.org/curlewsill/core/route"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// propose queues an operator's entry.
+func (n *Node) propose(ev Propose) {
+	if n.halted != nil {
+		n.out.Settled = append(n.out.Settled, Settled{Ticket: ev.Ticket, Verdict: ErrHalted})
+		return
+	}
+	if err := n.write(origin{entry: ev.Entry, ticket: ev.Ticket}); err != nil {
+		n.out.Settled = append(n.out.Settled, Settled{Ticket: ev.Ticket, Verdict: err})
+	}
+}
+
+// write queues an own entry.
+func (n *Node) write(o origin) error {
+	t, err := n.journal.Add(o.entry)
+	if err != nil {
+		return err
+	}
+	n.origins[t] = o
+	return nil
+}
+
+// claimKey queues the claim or the release of a request's key.
+func (n *Node) claimKey(now unit.Instant, c route.Claim) {
+	once := &record.Once{Customer: c.Customer, Key: c.Key, Host: n.self, Request: c.Request}
+	o := origin{entry: record.Entry{Once: once}, request: c.Request}
+	if c.Release {
+		o = origin{entry: record.Entry{Release: once}}
+	}
+	if err := n.write(o); err != nil && !c.Release {
+		n.router.Claimed(now, c.Request, err)
+	}
+}
+
+// settle tells the verdict on an own entry to whoever asked for it.
+func (n *Node) settle(now unit.Instant, t journal.Ticket, off id.Offset, verdict error) {
+	o := n.origins[t]
+	delete(n.origins, t)
+	switch {
+	case o.ticket != 0:
+		n.out.Settled = append(n.out.Settled, Settled{o.ticket, off, verdict})
+	case o.request != 0:
+		n.router.Claimed(now, o.request, verdict)
+	case n.sched != nil && (o.entry.Place != nil || o.entry.End != nil):
+		n.sched.Settled(now, o.entry, verdict)
+	}
+}
+
+// claimOwnership claims the ownership of scheduling if that seems worth it.
+func (n *Node) claimOwnership(now unit.Instant) {
+	if n.st != Ready || !n.logUp(now) || n.state.Applied < n.head || n.state.Owner.Host == n.self && n.sched != nil {
+		return
+	}
+	current := n.state.Owner.Epoch
+	if !n.elect.Claim(now, current, n.table.Live(now)) {
+		return
+	}
+	n.counts.Claims++
+	if err := n.write(origin{entry: record.Entry{Claim: &record.Claim{Host: n.self, Replaces: current}}}); err != nil {
+		n.fault(err)
+	}
+}
+
+// snapshot writes a snapshot if this host is the owner and one is due.
+func (n *Node) snapshot(now unit.Instant) {
+	if n.sched == nil || !n.logUp(now) || n.state.Applied == n.snapCovers {
+		return
+	}
+	if n.state.Applied-n.snapCovers < snapshotEvery && now.Sub(n.snapAt) < snapshotAge {
+		return
+	}
+	entries, err := recovery.Split(n.state)
+	if err != nil {
+		n.fault(err)
+		return
+	}
+	n.snapCovers, n.snapAt = n.state.Applied, now
+	n.counts.Snapshots++
+	for _, e := range entries {
+		if err := n.write(origin{entry: e}); err != nil {
+			// An unfinished snapshot is ignored by readers; the next one is due soon.
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/node/view.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"curlewsill.org/curlewsill/core/config"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/state"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// view returns a copy of what the host believes.
+func (n *Node) view(now unit.Instant, jobs bool) View {
+	v := View{
+		Host: n.self, State: n.st, Applied: n.state.Applied, ConfigAt: n.state.ConfigAt,
+		Config: n.state.Config, Owner: n.state.Owner, Heartbeat: n.elect.Heartbeat(),
+		Peers: n.table.Live(now), Flying: n.router.Flying(), Counts: n.counts, Now: now,
+		LogAge: now.Sub(n.readAt),
+	}
+	if n.sched != nil {
+		v.Sched = n.sched.Stats()
+	}
+	if !jobs {
+		return v
+	}
+	for _, k := range config.Sorted(n.state.Jobs) {
+		v.Jobs = append(v.Jobs, *n.state.Jobs[k])
+	}
+	return v
+}
+
+// Applied returns the last offset that the host has applied.
+func (n *Node) Applied() id.Offset { return n.state.Applied }
+
+// State returns the host's state.
+func (n *Node) State() State { return n.st }
+
+// ConfigAt returns the offset of the configuration in force here.
+func (n *Node) ConfigAt() id.Offset { return n.state.ConfigAt }
+
+// Digest returns the digest of the replayed state.
+func (n *Node) Digest() (uint64, error) { return n.state.Digest() }
+
+// Shared returns the replayed state. The caller must not change it.
+func (n *Node) Shared() *state.State { return n.state }
--- a/core/route/router.go
+++ b/core/route/router.go
@@ -7,7 +7,6 @@
 
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/rank"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -135,76 +134,6 @@
 // taken to be shared until refusals tell more.
 const hostsGuess = 4
 
-// Departed takes in a peer's evidence that a backend server leaves.
-func (r *Router) Departed(now unit.Instant, d Departure) {
-	p := r.pools[d.Service]
-	if p == nil || d.Age >= trustLeaving {
-		return
-	}
-	if b := p.find(d.Backend); b != nil {
-		// The age goes with the evidence, or hosts would renew it among themselves.
-		b.left = max(b.left, now.Add(-d.Age))
-		b.apply(leave)
-	}
-}
-
-// Departures returns the backend servers known at first hand to be leaving.
-func (r *Router) Departures(now unit.Instant) []Departure {
-	var out []Departure
-	for _, k := range config.Sorted(r.pools) {
-		for _, b := range r.pools[k].backends {
-			if b.state == leaving && b.left != 0 && now.Sub(b.left) < trustLeaving {
-				out = append(out, Departure{k, b.id, now.Sub(b.left)})
-			}
-		}
-	}
-	return out
-}
-
-// Probe asks the backend servers that this host looks after whether they take
-// requests. Hosts are those that this host hears of, itself included; a host that
-// hears of no other looks after all.
-func (r *Router) Probe(now unit.Instant, self id.Host, hosts []id.Host) {
-	for _, k := range config.Sorted(r.pools) {
-		for _, b := range r.pools[k].backends {
-			if b.state == leaving && !b.doubted || now.Sub(b.probed) < probeEvery {
-				continue
-			}
-			b.probed = now
-			if !b.doubted && rank.Of(self, string(b.id), hosts) >= probers {
-				continue
-			}
-			r.out.Probes = append(r.out.Probes, Probe{k, b.id})
-		}
-	}
-}
-
-// Probed takes in the end of a probe.
-func (r *Router) Probed(now unit.Instant, q Probe, o Outcome) {
-	p := r.pools[q.Service]
-	if p == nil {
-		return
-	}
-	b := p.find(q.Backend)
-	if b == nil {
-		return
-	}
-	switch o {
-	case Whole:
-		if b.doubted {
-			b.doubted = false
-			b.apply(comeBack)
-		}
-	case Leaving:
-		b.left, b.doubted = now, false
-		b.apply(leave)
-	case Unreached:
-		if b.state == live {
-			b.failed(now, p.mayEject())
-		}
-	}
-}
-
 // Arrive takes in a request.
 func (r *Router) Arrive(now unit.Instant, q Request, weight int, logUp bool) {
 	p := r.pools[q.Service]
@@ -233,29 +162,6 @@
 	r.out.Claims = append(r.out.Claims, Claim{Request: q.ID, Customer: q.Customer, Key: q.Key})
 }
 
-// Claimed takes in the verdict on a claim.
-func (r *Router) Claimed(now unit.Instant, name id.Request, verdict error) {
-	if c, ok := r.abandoned[name]; ok {
-		delete(r.abandoned, name)
-		if verdict == nil {
-			c.Release = true
-			r.out.Claims = append(r.out.Claims, c)
-		}
-		return
-	}
-	req := r.requests[name]
-	if req == nil || !req.claiming {
-		return
-	}
-	req.claiming = false
-	if verdict != nil {
-		// Another request holds the key and may have run.
-		r.answer(req, Reply{Code: CodeKeyTaken, Ran: RanUnknown})
-		return
-	}
-	r.enqueue(now, r.pools[req.Service], req)
-}
-
 // enqueue lets a request wait for a slot, unless it couldn't be answered in time.
 func (r *Router) enqueue(now unit.Instant, p *pool, req *request) {
 	if p == nil {
@@ -317,80 +223,6 @@
 	})
 }
 
-// Ended takes in the end of an attempt. An attempt of a request that was answered
-// already only frees its slot.
-func (r *Router) Ended(now unit.Instant, res Result) {
-	p := r.pools[res.Service]
-	if p == nil {
-		r.endOrphan(res)
-		return
-	}
-	p.flying--
-	if b := p.find(res.Backend); b != nil {
-		b.ended(now, res, p.mayEject())
-	}
-	switch res.Outcome {
-	case Busy:
-		p.refused(now)
-	case Whole:
-		p.served(res.Took)
-	}
-	req := r.requests[res.Request]
-	if req != nil && req.flying == res.Number {
-		req.flying = 0
-		r.resolve(now, p, req, res)
-	}
-	r.dispatch(now, p)
-}
-
-// endOrphan answers a request whose service was deleted while it was under way.
-func (r *Router) endOrphan(res Result) {
-	req := r.requests[res.Request]
-	if req == nil || req.flying != res.Number {
-		return
-	}
-	req.flying = 0
-	req.unsure = req.unsure || res.Outcome == Broken
-	if res.Outcome == Whole {
-		r.answer(req, Reply{Relay: res.Number, Ran: RanYes})
-		return
-	}
-	r.refuse(req, CodeNoService, 0)
-}
-
-// resolve decides what follows an attempt.
-func (r *Router) resolve(now unit.Instant, p *pool, req *request, res Result) {
-	if res.Outcome == Whole {
-		r.answer(req, Reply{Relay: res.Number, Ran: RanYes})
-		return
-	}
-	if res.Outcome == Broken {
-		req.unsure = true
-		if now >= req.Deadline {
-			r.answer(req, Reply{Code: CodeTimeout, Ran: RanUnknown, RetryAfter: time.Second})
-			return
-		}
-		if req.Once {
-			r.answer(req, Reply{Code: CodeInterrupted, Ran: RanUnknown})
-			return
-		}
-	}
-	wait := res.Outcome == Busy
-	if now < req.Deadline && p.budget.Spend() {
-		if b := p.pick(now, r.rng, req.tried); b != nil {
-			r.send(now, p, req, b)
-			return
-		}
-		wait = !req.unsure
-	}
-	if wait && p.waiting.Push(req.Customer, req.weight, req) == nil {
-		// Nothing ran; the request waits for a slot.
-		req.tried = nil
-		return
-	}
-	r.refuse(req, CodeNoBackend, time.Second)
-}
-
 // Gone takes in that the caller went away. The request gets no answer; an attempt
 // under way still holds its slot until it ends.
 func (r *Router) Gone(name id.Request) {
@@ -433,41 +265,3 @@
 	// leftOver is the time that a request must have left when its key is granted.
 	leftOver = 100 * time.Millisecond
 )
-
-// refuse answers that the request did not run. If it may have, the answer says
-// unknown.
-func (r *Router) refuse(req *request, code Code, after time.Duration) {
-	ran := RanNo
-	if req.unsure || req.flying != 0 {
-		ran = RanUnknown
-	}
-	r.answer(req, Reply{Code: code, Ran: ran, RetryAfter: after})
-}
-
-// answer gives the request its final answer.
-func (r *Router) answer(req *request, rep Reply) {
-	if rep.Ran == RanNo && (req.unsure || req.flying != 0) {
-		r.faults = append(r.faults, ErrRefusedAfterSend)
-		rep.Ran = RanUnknown
-	}
-	if rep.Ran == RanNo {
-		r.abandon(req)
-	}
-	rep.Request = req.ID
-	delete(r.requests, req.ID)
-	r.out.Replies = append(r.out.Replies, rep)
-}
-
-// abandon gives the key of a request back if nothing was sent under it.
-func (r *Router) abandon(req *request) {
-	if req.Key == "" || !req.Once || req.unsure || req.flying != 0 {
-		return
-	}
-	c := Claim{Request: req.ID, Customer: req.Customer, Key: req.Key}
-	if req.claiming {
-		r.abandoned[req.ID] = c
-		return
-	}
-	c.Release = true
-	r.out.Claims = append(r.out.Claims, c)
-}
