--- a/core/proof/script_test.go
+++ b/core/proof/script_test.go
@@ -13,6 +13,7 @@
 
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/node"
 	"curlewsill.org/curlewsill/core/plan"
 	"curlewsill.org/curlewsill/core/record"
 	"curlewsill.org/curlewsill/core/route"
@@ -53,6 +54,7 @@
 	"submit":  cmdSubmit,
 	"cancel":  cmdCancel,
 	"request": cmdRequest,
+	"gone":    cmdGone,
 	"host":    cmdHost,
 	"worker":  cmdWorker,
 	"backend": cmdBackend,
@@ -315,6 +317,17 @@
 	return nil
 }
 
+// cmdGone lets the callers of requests go away: gone NAME.
+func cmdGone(s *script, w words) error {
+	for k, c := range s.calls {
+		if c.name == w.at(0) {
+			c.gone = true
+			s.step(s.machines[k.host], node.Gone{Request: k.req})
+		}
+	}
+	return nil
+}
+
 // cmdHost does something to a host: host H start|kill|pause|resume|stop|cut-log|
 // mend-log|cut-peers|mend-peers|cut-workers|mend-workers. H may be "owner" or "all".
 func cmdHost(s *script, w words) error {
