--- a/cmd/curlewsill/cmd/drain.go
+++ b/cmd/curlewsill/cmd/drain.go
@@ -21,11 +21,7 @@
 
 // Execute implements flags.Commander.
 func (c *drainCmd) Execute([]string) error {
-	cl, err := c.env.client()
-	if err != nil {
-		return err
-	}
-	v, err := cl.Status(c.env.ctx)
+	v, err := c.env.view()
 	if err != nil {
 		return err
 	}
@@ -33,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := cl.Plan(c.env.ctx, changes)
+	p, err := c.env.plan(changes)
 	if err != nil {
 		return err
 	}
--- a/cmd/curlewsill/cmd/jobs.go
+++ b/cmd/curlewsill/cmd/jobs.go
@@ -63,11 +63,7 @@
 
 // Execute implements flags.Commander.
 func (c *jobsListCmd) Execute([]string) error {
-	cl, err := c.env.client()
-	if err != nil {
-		return err
-	}
-	jobs, err := cl.Jobs(c.env.ctx)
+	jobs, err := c.env.jobs()
 	if err != nil {
 		return err
 	}
@@ -98,11 +94,7 @@
 
 // Execute implements flags.Commander.
 func (c *jobsShowCmd) Execute([]string) error {
-	cl, err := c.env.client()
-	if err != nil {
-		return err
-	}
-	jobs, err := cl.Jobs(c.env.ctx)
+	jobs, err := c.env.jobs()
 	if err != nil {
 		return err
 	}
--- a/cmd/curlewsill/cmd/plan.go
+++ b/cmd/curlewsill/cmd/plan.go
@@ -46,11 +46,7 @@
 	if err != nil {
 		return plan.Plan{}, err
 	}
-	cl, err := e.client()
-	if err != nil {
-		return plan.Plan{}, err
-	}
-	return cl.Plan(e.ctx, changes)
+	return e.plan(changes)
 }
 
 // showPlan prints a plan like a diff.
--- a/cmd/curlewsill/cmd/root.go
+++ b/cmd/curlewsill/cmd/root.go
@@ -17,7 +17,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"curlewsill.org/curlewsill/core/config"
+	"curlewsill.org/curlewsill/core/node"
+	"curlewsill.org/curlewsill/core/plan"
 	"curlewsill.org/curlewsill/core/route"
+	"curlewsill.org/curlewsill/core/state"
 	"curlewsill.org/curlewsill/internal/client"
 	"curlewsill.org/curlewsill/internal/inifile"
 )
@@ -114,6 +118,33 @@
 	return client.New(e.URL, strings.TrimSpace(string(data))), nil
 }
 
+// view returns what the entry host believes, without the jobs.
+func (e *env) view() (node.View, error) {
+	cl, err := e.client()
+	if err != nil {
+		return node.View{}, err
+	}
+	return cl.Status(e.ctx)
+}
+
+// jobs returns the jobs that the entry host remembers.
+func (e *env) jobs() ([]state.Job, error) {
+	cl, err := e.client()
+	if err != nil {
+		return nil, err
+	}
+	return cl.Jobs(e.ctx)
+}
+
+// plan returns the entry host's plan for changes.
+func (e *env) plan(changes []config.Change) (plan.Plan, error) {
+	cl, err := e.client()
+	if err != nil {
+		return plan.Plan{}, err
+	}
+	return cl.Plan(e.ctx, changes)
+}
+
 // print writes v as JSON if that was asked for, and as text otherwise.
 func (e *env) print(v any, text func(io.Writer)) error {
 	if !e.JSON {
--- a/cmd/curlewsill/cmd/show.go
+++ b/cmd/curlewsill/cmd/show.go
@@ -20,11 +20,7 @@
 
 // Execute implements flags.Commander.
 func (c *showCmd) Execute([]string) error {
-	cl, err := c.env.client()
-	if err != nil {
-		return err
-	}
-	v, err := cl.Status(c.env.ctx)
+	v, err := c.env.view()
 	if err != nil {
 		return err
 	}
--- a/cmd/curlewsill/cmd/status.go
+++ b/cmd/curlewsill/cmd/status.go
@@ -14,11 +14,7 @@
 
 // Execute implements flags.Commander.
 func (c *statusCmd) Execute([]string) error {
-	cl, err := c.env.client()
-	if err != nil {
-		return err
-	}
-	v, err := cl.Status(c.env.ctx)
+	v, err := c.env.view()
 	if err != nil {
 		return err
 	}
