--- a/cmd/curlewsilld/cmd/root.go
+++ b/cmd/curlewsilld/cmd/root.go
@@ -36,6 +36,9 @@
 
 // Main runs the program and returns its exit code.
 func Main(args []string) int {
+	if len(args) > 0 && args[0] == siteCommand {
+		return site(args[1:])
+	}
 	var o options
 	if _, err := flags.ParseArgs(&o, args); err != nil {
 		var f *flags.Error
--- /dev/null
+++ b/cmd/curlewsilld/cmd/site.go
@@ -0,0 +1,82 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/entry"
+	"curlewsill.org/curlewsill/internal/logging"
+	"curlewsill.org/curlewsill/internal/settings"
+)
+
+// siteCommand is the first argument that runs an entry host on the users' platform.
+const siteCommand = "site"
+
+// siteOptions are the flags of an entry host on the users' platform.
+type siteOptions struct {
+	Config string `long:"config" env:"CURLEWSILL_BOOT" required:"yes" value-name:"FILE" description:"settings file (INI)"`
+	Check  bool   `long:"check" description:"check the settings, print every fault and stop"`
+}
+
+// site runs an entry host on the users' platform and returns the exit code.
+func site(args []string) int {
+	var o siteOptions
+	if _, err := flags.ParseArgs(&o, args); err != nil {
+		var f *flags.Error
+		if errors.As(err, &f) && f.Type == flags.ErrHelp {
+			return exitDone
+		}
+		return exitSettings
+	}
+	s, err := settings.LoadSite(o.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if o.Check {
+		fmt.Println("settings are valid")
+		return exitDone
+	}
+	if err := runSite(o.Config, s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// runSite serves until a planned stop has ended. SIGHUP reads the settings again.
+func runSite(file string, s settings.Site) error {
+	log, err := logging.NewStream(os.Stdout, s.LogLevel)
+	if err != nil {
+		return err
+	}
+	defer log.Flush()
+	h, err := entry.New(s, log.Logger)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		for sig := range signals {
+			if sig != syscall.SIGHUP {
+				h.Stop()
+				continue
+			}
+			again, err := settings.LoadSite(file)
+			if err != nil {
+				log.Error("settings-rejected", zap.Error(err))
+				continue
+			}
+			h.Reload(again)
+		}
+	}()
+	return h.Run(context.Background())
+}
--- /dev/null
+++ b/core/dispatch/answers.go
@@ -0,0 +1,278 @@
+package dispatch
+
+import (
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// answered notes that a worker lives, and its clock.
+func (d *Dispatcher) answered(now unit.Instant, w *worker, c fleet.Clock) {
+	w.answered, w.refused = now, 0
+	if c > 0 && c >= w.Clock {
+		w.Clock, w.clockAt = c, now
+	}
+}
+
+// judge takes in what a verdict says of the worker itself. It reports whether the
+// worker answered under this epoch.
+func (d *Dispatcher) judge(now unit.Instant, w *worker, v fleet.Verdict, c fleet.Clock) bool {
+	switch v {
+	case fleet.Unknown:
+		return false
+	case fleet.Unreachable:
+		w.refused++
+		return false
+	case fleet.Replaced:
+		d.note(Note{Event: "worker-replaced", Worker: w.ID, Why: w.Address})
+		d.loseAll(now, w, "another life at its address")
+		w.listed = false
+		return false
+	case fleet.Fenced:
+		if !d.fenced {
+			d.note(Note{Event: "owner-fenced", Worker: w.ID, Why: "the worker has seen a later epoch"})
+		}
+		d.fenced = true
+		return false
+	default:
+		d.answered(now, w, c)
+		return true
+	}
+}
+
+// Started takes in what became of an order to start.
+func (d *Dispatcher) Started(now unit.Instant, res StartResult) {
+	w := d.workers[res.Start.Worker]
+	if w == nil || res.Start.Epoch != d.epoch {
+		return
+	}
+	d.judge(now, w, res.Verdict, res.Clock)
+	r := w.runs[res.Start.Task]
+	if r == nil || r.number != res.Start.Run {
+		return
+	}
+	r.inFlight = false
+	switch res.Verdict {
+	case fleet.Carried:
+		if r.apply(evStarted) && r.started == 0 {
+			r.started = now
+		}
+	case fleet.Unknown, fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.Expired:
+		// The order is repeated by resend, or the worker was given up above.
+	case fleet.NoRoom, fleet.Busy, fleet.Stale, fleet.NoTicket, fleet.Invalid:
+		d.rejected(now, r, res.Verdict)
+	}
+}
+
+// rejected takes back a run that its worker did not start.
+func (d *Dispatcher) rejected(now unit.Instant, r *run, v fleet.Verdict) {
+	if r.state == runRunning {
+		return // an older answer that was overtaken
+	}
+	w := r.worker
+	w.pausedUntil = now.Add(busyPause)
+	w.nextHold = min(w.nextHold, now)
+	d.note(Note{Event: "start-rejected", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: v.String(), Age: now.Sub(r.since)})
+	if r.apply(evRejected) {
+		d.lose(now, r, v.String())
+	}
+}
+
+// Stopped takes in what became of an order to stop. The room is free only when the
+// worker lists the end, or no longer lists the run.
+func (d *Dispatcher) Stopped(now unit.Instant, res StopResult) {
+	w := d.workers[res.Stop.Worker]
+	if w == nil || res.Stop.Epoch != d.epoch {
+		return
+	}
+	ok := d.judge(now, w, res.Verdict, res.Clock)
+	r := w.runs[res.Stop.Task]
+	if r == nil || r.number != res.Stop.Run {
+		return
+	}
+	r.inFlight = false
+	if ok && r.stopDone == 0 {
+		r.stopDone = now
+		// One look that doesn't wait tells whether the run was ever there.
+		w.nextHold = min(w.nextHold, now.Add(d.config.StopTime))
+	}
+}
+
+// Renewed takes in a worker's answer to a renewal.
+func (d *Dispatcher) Renewed(now unit.Instant, res RenewResult) {
+	w := d.workers[res.Renew.Worker]
+	if w == nil || res.Renew.Epoch != d.epoch {
+		return
+	}
+	w.holding = false
+	w.nextHold = now.Add(renewPause)
+	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
+		return
+	}
+	w.told = max(w.told, res.Renew.Told)
+	ended := map[job.Task]bool{}
+	for _, e := range res.Report.Ended {
+		ended[e.Task] = true
+		if e.Seq > w.seen {
+			w.seen, d.acks = e.Seq, true
+			d.end(now, w, e)
+		}
+	}
+	d.compare(now, w, res, ended)
+	w.synced = res.Sent
+	if w.seen == w.durable {
+		w.nextHold = now
+	}
+}
+
+// end takes in that a run has ended.
+func (d *Dispatcher) end(now unit.Instant, w *worker, e fleet.End) {
+	r := w.runs[e.Task]
+	known := r != nil && r.number == e.Run
+	n := Note{Event: "task-ended", Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
+	if !known {
+		n.Event = "unknown-end"
+		d.note(n)
+		return
+	}
+	n.Age = now.Sub(r.since)
+	d.note(n)
+	if e.Checkpoint != "" {
+		r.checkpoint = e.Checkpoint
+	}
+	r.apply(evEnded)
+	s := r.step
+	if s == nil || s.job.progress.Outcome != job.Open {
+		d.release(r)
+		return
+	}
+	d.blame(now, w, e)
+	switch e.How {
+	case fleet.EndDone:
+		d.done(now, r)
+	case fleet.EndFailed:
+		d.failed(now, r)
+	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
+		d.lose(now, r, e.How.String())
+	}
+}
+
+// done takes in a success. One member's success stands for its whole gang.
+func (d *Dispatcher) done(now unit.Instant, r *run) {
+	s := r.step
+	js := s.job
+	if s.step.LongRunning {
+		d.lose(now, r, "ended")
+		return
+	}
+	first, last := r.task.Index, r.task.Index+1
+	if s.step.Gang {
+		first, last = 0, s.step.Count
+	}
+	for i := first; i < last; i++ {
+		t := &js.progress.Tasks[s.base+i]
+		if t.Phase != job.Done {
+			t.Phase, t.Worker, t.Checkpoint = job.Done, "", ""
+			s.done++
+		}
+	}
+	d.mark(js)
+	if s.done == s.step.Count && !s.counted {
+		s.counted = true
+		js.open--
+		d.dropClaim(s)
+	}
+	d.release(r)
+	if js.open == 0 {
+		d.finish(now, js, job.Completed, "all tasks are done")
+	}
+}
+
+// failed takes in a failure, which uses up one attempt of the task or its gang.
+func (d *Dispatcher) failed(now unit.Instant, r *run) {
+	s := r.step
+	js := s.job
+	first, last := r.task.Index, r.task.Index+1
+	if s.step.Gang {
+		first, last = 0, s.step.Count
+		if s.failedRun >= r.number {
+			d.lose(now, r, "failed")
+			return
+		}
+		s.failedRun = r.number
+	}
+	worst := 0
+	for i := first; i < last; i++ {
+		t := &js.progress.Tasks[s.base+i]
+		t.Failed++
+		worst = max(worst, t.Failed)
+	}
+	d.mark(js)
+	d.lose(now, r, "failed")
+	if worst >= js.spec.MaxAttempts && !s.step.LongRunning {
+		d.finish(now, js, job.Failed, "out of attempts")
+	}
+}
+
+// blame keeps score of workers on which run after run fails.
+func (d *Dispatcher) blame(now unit.Instant, w *worker, e fleet.End) {
+	switch e.How {
+	case fleet.EndDone:
+		w.streak, w.lastBlame = 0, ""
+	case fleet.EndFailed:
+		if w.lastBlame != e.Task.Job {
+			w.streak++
+			w.lastBlame = e.Task.Job
+		}
+		if w.streak >= failStreak {
+			w.pausedUntil = now.Add(failPause)
+			d.note(Note{Event: "worker-suspended", Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
+		}
+	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
+	}
+}
+
+// compare takes in what a worker says that it runs.
+func (d *Dispatcher) compare(now unit.Instant, w *worker, res RenewResult, ended map[job.Task]bool) {
+	listed := map[job.Task]bool{}
+	for _, x := range res.Report.Running {
+		listed[x.Task] = true
+		r := w.runs[x.Task]
+		if r == nil && !ended[x.Task] {
+			r = d.discover(now, w, x)
+		}
+		if r == nil || r.number != x.Run {
+			continue
+		}
+		r.checkpoint, r.percent = x.Checkpoint, x.Percent
+		if r.apply(evStarted) && r.started == 0 {
+			r.started = now
+		}
+	}
+	for _, r := range w.sorted() {
+		if listed[r.task] || ended[r.task] {
+			continue
+		}
+		vanished := r.state == runRunning && res.Sent > r.started
+		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
+		if vanished || neverThere {
+			d.note(Note{Event: "task-vanished", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: string(r.state), Age: now.Sub(res.Sent)})
+			r.apply(evLost)
+			d.lose(now, r, "not listed by its worker")
+		}
+	}
+}
+
+// discover takes in a run that no record tells of, and stops it.
+func (d *Dispatcher) discover(now unit.Instant, w *worker, x fleet.Running) *run {
+	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now}
+	if js := d.jobs[x.Task.Job]; js != nil {
+		if _, ok := js.spec.Index(x.Task); ok {
+			r.need = js.spec.Steps[x.Task.Step].Reserved()
+		}
+	}
+	w.runs[r.task] = r
+	w.used = w.used.Add(r.need)
+	d.stop(now, r, "no placement is known for it")
+	return r
+}
--- /dev/null
+++ b/core/dispatch/config.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import "time"
+
+// Config holds the bounds that the platform sets and the product's own figures.
+type Config struct {
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// StopTime is how long a worker may take to stop a task.
+	StopTime time.Duration
+	// SaveEvery is how much work passes between two checkpoints.
+	SaveEvery time.Duration
+	// FarFactor is how many times slower a task runs away from its data or gang.
+	FarFactor float64
+	// KeepEnded is how long the state of an ended job must be known.
+	KeepEnded time.Duration
+}
+
+const (
+	// clockDrift is how much faster than a worker's clock ours may run: theirs
+	// may be 2 % slow by the platform's word.
+	clockDrift = 1.0 / 0.98
+	// lapseSlack is added to each lease's end for the way of an order and for
+	// late timers.
+	lapseSlack = 200 * time.Millisecond
+	// renewWait is how long a renewal may wait at the worker for news; the
+	// platform allows 2 s.
+	renewWait = 2 * time.Second
+	// renewPause is the pause before another renewal when the last one brought
+	// nothing that could be waited for.
+	renewPause = 500 * time.Millisecond
+	// silentAfter is how long after its last answer a worker gets no new tasks.
+	// It is one renewal that waited in full, and one lost.
+	silentAfter = 3500 * time.Millisecond
+	// busyPause is how long a worker that refused a start is left alone.
+	busyPause = 500 * time.Millisecond
+	// nearWait is how long a unit waits for room near its data or in one rack
+	// before it takes room elsewhere. The platform counts a job as lost that
+	// waits 3 s with room to spare.
+	nearWait = 1200 * time.Millisecond
+	// claimTime is how long room is kept for a unit that others were stopped for.
+	claimTime = 2 * time.Second
+	// failStreak is how many runs of different jobs fail in a row before a worker
+	// is suspected, and failPause how long it then gets no tasks. A sound worker
+	// fails one run in twenty on the users' sites.
+	failStreak = 3
+	failPause  = 5 * time.Second
+	// resendAfter is when an order without an answer is repeated. Workers answer
+	// within a few milliseconds.
+	resendAfter = 300 * time.Millisecond
+	// goneAfter is how long a worker that the list has dropped must be silent.
+	goneAfter = time.Second
+	// evacuateSlack is the time that a stop needs on its way and to be noted.
+	evacuateSlack = 500 * time.Millisecond
+	// trustPercent is the least progress from which a run's rest is foretold.
+	trustPercent = 10
+	// lateFactor times the time allowed is when a job stops earning anything.
+	lateFactor = 3
+	// acceleratorWeight makes free accelerators count more than free processors
+	// or memory when the fullest worker is sought: they are what runs short.
+	acceleratorWeight = 2
+	// stopCost is added for each run that is stopped, in core-seconds, so that
+	// few are stopped when little work is lost either way.
+	stopCost = 1
+	// forgetRecords bounds how many ended jobs are dropped in one batch.
+	forgetRecords = 20
+)
--- /dev/null
+++ b/core/dispatch/dispatcher.go
@@ -0,0 +1,351 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// Dispatcher is the owner's state. The zero value is not ready; call New.
+type Dispatcher struct {
+	config Config
+	epoch  id.Epoch
+	table  *jobtable.Table
+
+	jobs    map[id.Job]*jobState
+	workers map[id.Worker]*worker
+	// order holds the workers by id, so that walks are the same on every host.
+	order []*worker
+	// guaranteed is how many accelerators each customer can always have.
+	guaranteed map[id.Customer]int
+
+	orders Orders
+	notes  []Note
+	// starts are placed runs whose orders wait for the next batch.
+	starts []*run
+	// changed lists the jobs whose record is older than their state.
+	changed []*jobState
+	forget  []id.Job
+	// acks is set if some worker's ends were noted since the last batch.
+	acks   bool
+	fenced bool
+}
+
+// New returns the dispatcher of an owner with the given epoch. The table only encodes
+// records; it is not changed.
+func New(c Config, epoch id.Epoch, table *jobtable.Table) *Dispatcher {
+	return &Dispatcher{
+		config: c, epoch: epoch, table: table,
+		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
+	}
+}
+
+// Epoch returns the epoch of this owner.
+func (d *Dispatcher) Epoch() id.Epoch { return d.epoch }
+
+// Fenced reports whether a worker has seen a later owner.
+func (d *Dispatcher) Fenced() bool { return d.fenced }
+
+// Take returns the orders that may leave at once.
+func (d *Dispatcher) Take() Orders {
+	o := d.orders
+	d.orders = Orders{}
+	return o
+}
+
+// Notes returns what was decided since the last call.
+func (d *Dispatcher) Notes() []Note {
+	n := d.notes
+	d.notes = nil
+	return n
+}
+
+// Guarantee sets how many accelerators a customer can always have.
+func (d *Dispatcher) Guarantee(c id.Customer, accelerators int) { d.guaranteed[c] = accelerators }
+
+// List takes in a worker's entry in the platform's list.
+func (d *Dispatcher) List(now unit.Instant, l fleet.Listing) {
+	w := d.worker(now, l.ID)
+	if !w.listed {
+		d.note(Note{Event: "worker-listed", Worker: l.ID, Why: l.Address})
+	}
+	if l.Draining && !w.Draining {
+		d.note(Note{Event: "worker-draining", Worker: l.ID, Age: l.Remaining})
+	}
+	keepClock, at := w.Clock, w.clockAt
+	w.Listing, w.listed = l, true
+	if l.Draining {
+		w.leaves = now.Add(l.Remaining)
+	}
+	if l.Clock > keepClock {
+		at = now
+	} else {
+		w.Clock = keepClock
+	}
+	w.clockAt = at
+	for _, o := range d.order {
+		if o != w && o.Address == l.Address {
+			d.loseAll(now, o, "another life at its address")
+			o.listed = false
+		}
+	}
+}
+
+// Unlist notes that the platform's list has dropped a worker. It may live on, cut off
+// from the platform's store.
+func (d *Dispatcher) Unlist(_ unit.Instant, name id.Worker) {
+	w := d.workers[name]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	d.note(Note{Event: "worker-unlisted", Worker: name})
+}
+
+func (d *Dispatcher) worker(now unit.Instant, name id.Worker) *worker {
+	w := d.workers[name]
+	if w != nil {
+		return w
+	}
+	w = &worker{Listing: fleet.Listing{ID: name}, runs: map[job.Task]*run{}, clockAt: now}
+	// An earlier owner may have renewed its leases until this moment.
+	w.lapse = d.lapseOf(now)
+	d.workers[name] = w
+	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
+	d.order = slices.Insert(d.order, at, w)
+	return w
+}
+
+// lapseOf returns when a lease that is granted at most now has surely run out.
+func (d *Dispatcher) lapseOf(now unit.Instant) unit.Instant {
+	return now.Add(scale(d.config.MaxLease, clockDrift)).Add(lapseSlack)
+}
+
+// AddJob takes in a job with the progress that the store has.
+func (d *Dispatcher) AddJob(now unit.Instant, name id.Job, s *job.Spec, p job.Progress, cancelled bool) {
+	if d.jobs[name] != nil {
+		return
+	}
+	p.Tasks = slices.Clone(p.Tasks)
+	js := &jobState{id: name, spec: s, progress: p, seen: now}
+	d.jobs[name] = js
+	base := 0
+	for r := range s.RoundCount() {
+		for i := range s.Steps {
+			js.steps = append(js.steps, &stepState{job: js, round: r, index: i, step: &s.Steps[i], base: base, runs: map[int]*run{}})
+			base += s.Steps[i].Count
+		}
+	}
+	js.open = len(js.steps)
+	if len(p.Tasks) == base {
+		d.resume(now, js)
+	}
+	if p.Outcome != job.Open {
+		d.stopAll(now, js, "job ended")
+		return
+	}
+	if cancelled {
+		d.CancelJob(now, name)
+	}
+}
+
+// resume takes over what an earlier owner has placed.
+func (d *Dispatcher) resume(now unit.Instant, js *jobState) {
+	for _, s := range js.steps {
+		for i := range s.step.Count {
+			t := &js.progress.Tasks[s.base+i]
+			switch t.Phase {
+			case job.Done:
+				s.done++
+			case job.Placed:
+				w := d.worker(now, t.Worker)
+				r := &run{task: s.task(i), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s, since: now, asked: now}
+				d.occupy(r)
+			case job.Waiting:
+			}
+		}
+		if s.done == s.step.Count {
+			s.counted = true
+			js.open--
+		}
+	}
+}
+
+func (s *stepState) task(i int) job.Task {
+	return job.Task{Job: s.job.id, Round: s.round, Step: s.index, Index: i}
+}
+
+// occupy makes a run take room on its worker.
+func (d *Dispatcher) occupy(r *run) {
+	r.worker.runs[r.task] = r
+	r.worker.used = r.worker.used.Add(r.need)
+	if r.step != nil {
+		r.step.runs[r.task.Index] = r
+	}
+}
+
+// release gives the room of a run that is gone back.
+func (d *Dispatcher) release(r *run) {
+	if r.worker.runs[r.task] != r {
+		return
+	}
+	delete(r.worker.runs, r.task)
+	r.worker.used = r.worker.used.Sub(r.need)
+	if r.step == nil {
+		return
+	}
+	if r.step.runs[r.task.Index] == r {
+		delete(r.step.runs, r.task.Index)
+	}
+	js := r.step.job
+	if js.progress.Outcome != job.Open && !js.busy() {
+		js.progress.Tasks = nil
+		d.mark(js)
+	}
+}
+
+// busy reports whether some run of the job still takes room.
+func (js *jobState) busy() bool {
+	for _, s := range js.steps {
+		if len(s.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// mark notes that the job's record must be written again.
+func (d *Dispatcher) mark(js *jobState) {
+	if !js.changed {
+		js.changed = true
+		d.changed = append(d.changed, js)
+	}
+}
+
+// CancelJob ends a job for good. What runs of it is stopped.
+func (d *Dispatcher) CancelJob(now unit.Instant, name id.Job) {
+	js := d.jobs[name]
+	if js == nil || js.cancelled || js.progress.Outcome != job.Open {
+		return
+	}
+	js.cancelled = true
+	d.finish(now, js, job.Cancelled, "cancelled")
+}
+
+// finish sets the outcome of an open job and stops what still runs.
+func (d *Dispatcher) finish(now unit.Instant, js *jobState, o job.Outcome, why string) {
+	if js.progress.Outcome != job.Open {
+		return
+	}
+	js.progress.Outcome, js.progress.Ended = o, now
+	for _, s := range js.steps {
+		d.dropClaim(s)
+	}
+	d.stopAll(now, js, why)
+	if !js.busy() {
+		js.progress.Tasks = nil
+	}
+	d.mark(js)
+	d.note(Note{Event: "job-ended", Job: js.id, Why: why, Age: now.Sub(js.spec.Accepted)})
+}
+
+func (d *Dispatcher) stopAll(now unit.Instant, js *jobState, why string) {
+	for _, s := range js.steps {
+		d.stopStep(now, s, why)
+	}
+}
+
+func (d *Dispatcher) stopStep(now unit.Instant, s *stepState, why string) {
+	for i := range s.step.Count {
+		if r := s.runs[i]; r != nil {
+			d.stop(now, r, why)
+		}
+	}
+}
+
+// stop takes a run back: at once if its order has not left, else by an order.
+func (d *Dispatcher) stop(now unit.Instant, r *run, why string) {
+	if r.state == runStopping || r.state == runGone {
+		return
+	}
+	r.why = why
+	ordered := r.state == runOrdered
+	if !r.apply(evStop) {
+		return
+	}
+	if ordered {
+		d.back(r)
+		d.release(r)
+		return
+	}
+	d.note(Note{Event: "task-stop", Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Why: why, Age: now.Sub(r.since)})
+	d.orderStop(now, r)
+}
+
+// back makes the task of a run wait again, unless it is done or was placed anew.
+func (d *Dispatcher) back(r *run) {
+	if r.step == nil {
+		return
+	}
+	js := r.step.job
+	if len(js.progress.Tasks) == 0 {
+		return
+	}
+	t := &js.progress.Tasks[r.step.base+r.task.Index]
+	if t.Phase == job.Placed && t.Run == r.number {
+		t.Phase, t.Worker = job.Waiting, ""
+		if r.checkpoint != "" {
+			d.keepCheckpoint(r.step, r.task.Index, r.checkpoint)
+		}
+		d.mark(js)
+	}
+}
+
+// keepCheckpoint notes a checkpoint for a task, or for all members of a gang: they
+// have to be started with the same one.
+func (d *Dispatcher) keepCheckpoint(s *stepState, index int, checkpoint string) {
+	tasks := s.job.progress.Tasks[s.base : s.base+s.step.Count]
+	if !s.step.Gang {
+		tasks[index].Checkpoint = checkpoint
+		return
+	}
+	for i := range tasks {
+		tasks[i].Checkpoint = checkpoint
+	}
+}
+
+// loseAll gives up every run on a worker of which it is certain that they have ended.
+func (d *Dispatcher) loseAll(now unit.Instant, w *worker, why string) {
+	for _, r := range w.sorted() {
+		d.note(Note{Event: "task-lost", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: why, Age: now.Sub(w.answered)})
+		r.apply(evLost)
+		d.lose(now, r, why)
+	}
+}
+
+// lose gives up one run, and with it its gang.
+func (d *Dispatcher) lose(now unit.Instant, r *run, why string) {
+	d.back(r)
+	d.release(r)
+	if r.step != nil && r.step.step.Gang && r.step.done < r.step.step.Count {
+		d.stopStep(now, r.step, "gang member lost: "+why)
+	}
+}
+
+// sorted returns the worker's runs in the order of their tasks.
+func (w *worker) sorted() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Round, b.task.Round),
+			cmp.Compare(a.task.Step, b.task.Step), cmp.Compare(a.task.Index, b.task.Index))
+	})
+	return out
+}
--- /dev/null
+++ b/core/dispatch/flush.go
@@ -0,0 +1,94 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// Flush returns what has to be in the store before more can be done, or false if
+// there is nothing. The caller hands the batch to Committed once it is there.
+func (d *Dispatcher) Flush() (Batch, bool, error) {
+	var b Batch
+	for _, js := range d.changed {
+		js.changed = false
+		r, err := d.table.ProgressRecord(js.id, js.progress)
+		if err != nil {
+			return Batch{}, false, fmt.Errorf("dispatch: job %s: %w", js.id, err)
+		}
+		b.Records = append(b.Records, r)
+	}
+	for _, name := range d.forget {
+		b.Records = append(b.Records, d.table.ForgetRecords(name)...)
+	}
+	d.changed, d.forget = nil, nil
+	b.starts, d.starts = d.starts, nil
+	if d.acks {
+		for _, w := range d.order {
+			if w.seen > w.durable {
+				b.acks = append(b.acks, ack{worker: w, seen: w.seen})
+			}
+		}
+		d.acks = false
+	}
+	return b, len(b.Records)+len(b.starts)+len(b.acks) > 0, nil
+}
+
+// Committed takes in that a batch is in the store: its orders may leave.
+func (d *Dispatcher) Committed(now unit.Instant, b Batch) {
+	for _, r := range b.starts {
+		if r.state == runOrdered && r.apply(evCommitted) {
+			d.orderStart(now, r)
+		}
+	}
+	for _, a := range b.acks {
+		a.worker.durable = max(a.worker.durable, a.seen)
+		if !a.worker.holding {
+			a.worker.nextHold = now
+		}
+	}
+}
+
+func (d *Dispatcher) target(w *worker) Target {
+	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch}
+}
+
+// lease returns the end of a lease granted now, and notes that it may be granted.
+func (d *Dispatcher) lease(now unit.Instant, w *worker) fleet.Clock {
+	w.lapse = max(w.lapse, d.lapseOf(now))
+	return w.clock(now) + fleet.Clock(d.config.MaxLease)
+}
+
+func (d *Dispatcher) orderStart(now unit.Instant, r *run) {
+	if r.since == 0 {
+		r.since = now
+	}
+	r.asked, r.inFlight = now, true
+	s := r.step
+	d.orders.Starts = append(d.orders.Starts, Start{
+		Target: d.target(r.worker), Task: r.task, Run: r.number, Text: s.job.spec.Text,
+		Checkpoint: s.job.progress.Tasks[s.base+r.task.Index].Checkpoint, Until: d.lease(now, r.worker),
+	})
+}
+
+func (d *Dispatcher) orderStop(now unit.Instant, r *run) {
+	r.stopAsked, r.inFlight = now, true
+	d.orders.Stops = append(d.orders.Stops, Stop{Target: d.target(r.worker), Task: r.task, Run: r.number})
+}
+
+// place decides that a task runs on a worker. The order leaves after the next batch.
+func (d *Dispatcher) place(s *stepState, index int, w *worker, number job.Run) {
+	js := s.job
+	if len(js.progress.Tasks) == 0 {
+		js.progress.Tasks = make([]job.TaskState, js.spec.RoundCount()*js.spec.Width())
+	}
+	t := &js.progress.Tasks[s.base+index]
+	t.Phase, t.Run, t.Worker = job.Placed, number, w.ID
+	r := &run{task: s.task(index), number: number, state: runOrdered, worker: w, need: s.step.Reserved(), step: s}
+	d.occupy(r)
+	d.starts = append(d.starts, r)
+	d.mark(js)
+	d.note(Note{Event: "task-placed", Job: js.id, Task: r.task, Worker: w.ID, Run: number, Why: string(w.Rack)})
+}
--- /dev/null
+++ b/core/dispatch/message.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// Target is the life of a worker that an order is meant for.
+type Target struct {
+	Worker  id.Worker
+	Address string
+	Epoch   id.Epoch
+}
+
+// Start orders a worker to run a task.
+type Start struct {
+	Target
+	Task       job.Task
+	Run        job.Run
+	Text       string
+	Checkpoint string
+	// Until is when the lease of all that runs on the worker ends, by its clock.
+	Until fleet.Clock
+}
+
+// Stop orders a worker to end a run.
+type Stop struct {
+	Target
+	Task job.Task
+	Run  job.Run
+}
+
+// Renew renews the lease of all that runs on a worker and asks what runs there.
+type Renew struct {
+	Target
+	// Until is 0 if the lease is to be left as it is.
+	Until fleet.Clock
+	// Told is the last end that the worker may forget.
+	Told uint64
+	// Wait is how long the worker may wait with its answer for an end.
+	Wait time.Duration
+}
+
+// Orders are orders to workers.
+type Orders struct {
+	Starts []Start
+	Stops  []Stop
+	Renews []Renew
+}
+
+// StartResult is what became of a Start.
+type StartResult struct {
+	Start   Start
+	Verdict fleet.Verdict
+	Clock   fleet.Clock
+}
+
+// StopResult is what became of a Stop.
+type StopResult struct {
+	Stop    Stop
+	Verdict fleet.Verdict
+	Clock   fleet.Clock
+}
+
+// RenewResult is what became of a Renew.
+type RenewResult struct {
+	Renew Renew
+	// Sent is when the order left.
+	Sent    unit.Instant
+	Verdict fleet.Verdict
+	Report  fleet.Report
+}
+
+// Batch is a set of records for the store, and what waits for them.
+type Batch struct {
+	Records []jobtable.Record
+	starts  []*run
+	acks    []ack
+}
+
+// ack is an end that a worker may forget once the batch is in the store.
+type ack struct {
+	worker *worker
+	seen   uint64
+}
+
+// Note is one decision, for the log.
+type Note struct {
+	Event  string
+	Job    id.Job
+	Task   job.Task
+	Worker id.Worker
+	Run    job.Run
+	Why    string
+	// Age is how old the state was that the decision rests on.
+	Age time.Duration
+}
+
+// note keeps a decision for the log.
+func (d *Dispatcher) note(n Note) { d.notes = append(d.notes, n) }
+
+func scale(t time.Duration, by float64) time.Duration { return time.Duration(float64(t) * by) }
--- /dev/null
+++ b/core/dispatch/pass.go
@@ -0,0 +1,283 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// Pass does what is due: it gives up lapsed leases, repeats orders, renews leases and
+// places tasks.
+func (d *Dispatcher) Pass(now unit.Instant) {
+	for _, w := range d.order {
+		d.giveUp(now, w)
+		d.resend(now, w)
+		d.evacuate(now, w)
+	}
+	for _, name := range d.names() {
+		d.expire(now, d.jobs[name])
+	}
+	d.placeAll(now)
+	for _, w := range d.order {
+		d.renew(now, w)
+	}
+}
+
+func (d *Dispatcher) names() []id.Job {
+	out := make([]id.Job, 0, len(d.jobs))
+	for j := range d.jobs {
+		out = append(out, j)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// giveUp loses the runs of a worker that has surely stopped running them.
+func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
+	if len(w.runs) == 0 {
+		return
+	}
+	silent := now.Sub(w.answered)
+	switch {
+	case now > w.lapse:
+		d.loseAll(now, w, "its lease has lapsed")
+	case !w.listed && w.refused > 0 && silent > goneAfter:
+		d.loseAll(now, w, "unlisted and refusing connections")
+	case !w.listed && w.Draining && now > w.leaves && silent > goneAfter:
+		d.loseAll(now, w, "it has left")
+	}
+}
+
+// resend repeats orders that got no answer.
+func (d *Dispatcher) resend(now unit.Instant, w *worker) {
+	if w.Address == "" {
+		return
+	}
+	for _, r := range w.sorted() {
+		if r.inFlight {
+			continue
+		}
+		switch {
+		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced > r.since:
+			d.orderStart(now, r)
+		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
+			d.orderStop(now, r)
+		}
+	}
+}
+
+// evacuate moves tasks off a worker that leaves, if they can't end there in time.
+func (d *Dispatcher) evacuate(now unit.Instant, w *worker) {
+	if !w.Draining || len(w.runs) == 0 {
+		return
+	}
+	left := w.leaves.Sub(now)
+	for _, r := range w.sorted() {
+		if r.step == nil || r.state != runRunning && r.state != runStarting {
+			continue
+		}
+		margin := d.config.StopTime + evacuateSlack
+		needed := d.remaining(now, r)
+		if needed+margin <= left {
+			continue
+		}
+		if !r.step.step.Checkpointing || left <= margin+renewWait/2 {
+			d.stopRun(now, r, "its worker leaves")
+		}
+	}
+}
+
+// stopRun stops a run, and with it its gang.
+func (d *Dispatcher) stopRun(now unit.Instant, r *run, why string) {
+	if r.step != nil && r.step.step.Gang {
+		d.stopStep(now, r.step, why)
+		return
+	}
+	d.stop(now, r, why)
+}
+
+// remaining guesses how long a run still takes.
+func (d *Dispatcher) remaining(now unit.Instant, r *run) time.Duration {
+	if r.step.step.LongRunning {
+		return d.config.MaxLease
+	}
+	ran := now.Sub(r.started)
+	if r.started == 0 {
+		ran = 0
+	}
+	if r.percent >= trustPercent && ran > 0 {
+		return scale(ran, float64(100-r.percent)/float64(r.percent))
+	}
+	return max(0, r.step.step.Estimate-ran)
+}
+
+// expire forgets a job whose end nobody needs to know any more.
+func (d *Dispatcher) expire(now unit.Instant, js *jobState) {
+	if js.progress.Outcome == job.Open || js.busy() || js.changed || len(d.forget) >= forgetRecords {
+		return
+	}
+	if now.Sub(js.progress.Ended) > d.config.KeepEnded {
+		d.forget = append(d.forget, js.id)
+		delete(d.jobs, js.id)
+	}
+}
+
+// renew renews a worker's lease when that is due.
+func (d *Dispatcher) renew(now unit.Instant, w *worker) {
+	needed := len(w.runs) > 0 || w.durable > w.told || w.synced == 0 && w.listed
+	if w.holding || !needed || w.Address == "" || now < w.nextHold {
+		return
+	}
+	o := Renew{Target: d.target(w), Told: w.durable}
+	if len(w.runs) > 0 && (w.answered == 0 || now.Sub(w.answered) < silentAfter) {
+		o.Until = d.lease(now, w)
+	}
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.hurry(now) {
+		o.Wait = renewWait
+	}
+	w.holding = true
+	d.orders.Renews = append(d.orders.Renews, o)
+}
+
+// hurry reports whether an answer is wanted at once.
+func (w *worker) hurry(now unit.Instant) bool {
+	if now < w.pausedUntil {
+		return true
+	}
+	for _, r := range w.runs {
+		if r.state == runStopping && r.stopDone != 0 && w.synced < r.stopDone {
+			return true
+		}
+	}
+	return false
+}
+
+// candidate is one step of which tasks may start now.
+type candidate struct {
+	step *stepState
+	// waiting holds the indexes of the tasks that wait.
+	waiting []int
+	// covered is set for urgent work within its customer's guarantee.
+	covered bool
+	// late is set when the job can't earn anything any more.
+	late bool
+	// deadline is when the job should be completed.
+	deadline unit.Instant
+}
+
+// candidates returns the steps that have tasks to start, most urgent first.
+func (d *Dispatcher) candidates(now unit.Instant) []candidate {
+	var out []candidate
+	used := d.urgentUse()
+	for _, name := range d.names() {
+		js := d.jobs[name]
+		if js.progress.Outcome != job.Open {
+			continue
+		}
+		for _, s := range js.steps {
+			if c, ok := d.candidate(now, s); ok {
+				c.covered = js.spec.Priority == 0 && used[js.spec.Customer] <= d.guaranteed[js.spec.Customer]
+				out = append(out, c)
+			}
+		}
+	}
+	slices.SortStableFunc(out, compareCandidates)
+	return out
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.step.job.spec.Priority, b.step.job.spec.Priority),
+		-compareBools(a.covered, b.covered),
+		compareBools(a.late, b.late),
+		cmp.Compare(a.deadline, b.deadline),
+	)
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// urgentUse returns how many accelerators each customer's open jobs of priority 0
+// ask for.
+func (d *Dispatcher) urgentUse() map[id.Customer]int {
+	out := map[id.Customer]int{}
+	for _, js := range d.jobs {
+		if js.progress.Outcome != job.Open || js.spec.Priority != 0 {
+			continue
+		}
+		for i := range js.spec.Steps {
+			out[js.spec.Customer] += js.spec.Steps[i].Count * js.spec.Steps[i].Need.Accelerators
+		}
+	}
+	return out
+}
+
+// candidate returns the tasks of a step that may start.
+func (d *Dispatcher) candidate(now unit.Instant, s *stepState) (candidate, bool) {
+	js := s.job
+	due := js.spec.Due(s.round)
+	if s.done == s.step.Count || now < due || !js.ready(s) {
+		return candidate{}, false
+	}
+	if s.step.Gang && len(s.runs) > 0 {
+		return candidate{}, false
+	}
+	c := candidate{step: s}
+	for i := range s.step.Count {
+		if s.runs[i] == nil && (len(js.progress.Tasks) == 0 || js.progress.Tasks[s.base+i].Phase == job.Waiting) {
+			c.waiting = append(c.waiting, i)
+		}
+	}
+	if len(c.waiting) == 0 {
+		return candidate{}, false
+	}
+	allowed := scale(js.spec.LongestChain(), js.spec.Stretch) + js.spec.Target
+	c.deadline = due.Add(allowed)
+	c.late = now > due.Add(lateFactor*allowed)
+	return c, true
+}
+
+// ready reports whether all steps that s depends on are done in its round.
+func (js *jobState) ready(s *stepState) bool {
+	first := s.round * len(js.spec.Steps)
+	for _, dep := range s.step.DependsOn {
+		if dep >= 0 && dep < len(js.spec.Steps) {
+			before := js.steps[first+dep]
+			if before.done < before.step.Count {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// usable reports whether new tasks may go to a worker.
+func (w *worker) usable(now unit.Instant) bool {
+	return w.listed && !w.Draining && w.synced != 0 && now >= w.pausedUntil && w.healthy(now)
+}
+
+// healthy reports whether a worker that is at work answers.
+func (w *worker) healthy(now unit.Instant) bool {
+	return len(w.runs) == 0 || now.Sub(w.answered) < silentAfter
+}
+
+// suits reports whether a worker may run tasks of a step at all.
+func (s *stepState) suits(w *worker) bool {
+	return w.Service == s.job.spec.Service && (s.step.Label == "" || slices.Contains(w.Labels, s.step.Label))
+}
+
+// near reports whether a worker is where the step's data is.
+func (s *stepState) near(w *worker) bool {
+	return s.step.DataRack == "" || slices.Contains(w.Labels, s.step.DataRack)
+}
--- /dev/null
+++ b/core/dispatch/preempt.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// preempt stops work of lower priority for urgent work that finds no room, and keeps
+// the room for it until the stopped runs have ended.
+func (d *Dispatcher) preempt(now unit.Instant, c candidate, fits []*worker) {
+	s := c.step
+	if s.job.spec.Priority != 0 || s.claim != nil {
+		return
+	}
+	chosen := d.chooseGang(now, c, fits, d.preemptible)
+	if chosen.workers == nil {
+		return
+	}
+	for _, v := range chosen.victims {
+		d.stopRun(now, v, "makes room for job "+string(s.job.id))
+	}
+	need := s.step.Reserved()
+	for _, w := range chosen.workers {
+		w.reserved = w.reserved.Add(need)
+	}
+	s.claim = &claim{workers: chosen.workers, until: now.Add(claimTime)}
+	d.note(Note{Event: "room-claimed", Job: s.job.id, Why: "work of lower priority is stopped", Age: now.Sub(s.job.spec.Accepted)})
+}
+
+// preemptible is the room that is free or could be freed for urgent work. Runs that
+// are being stopped count as free: their room comes without another stop.
+func (d *Dispatcher) preemptible(now unit.Instant, c candidate, w *worker, need job.Resources) (job.Resources, []*run, float64) {
+	free := w.free()
+	var others []*run
+	for _, r := range w.sorted() {
+		switch {
+		case r.state == runStopping:
+			free = free.Add(r.need)
+		case r.step != nil && r.step.job.spec.Priority > c.step.job.spec.Priority && !r.step.step.LongRunning:
+			others = append(others, r)
+		}
+	}
+	if need.Fits(free) {
+		return free, nil, 0
+	}
+	costs := make(map[*run]float64, len(others))
+	for _, r := range others {
+		costs[r] = d.lossOf(now, r)
+	}
+	slices.SortStableFunc(others, func(a, b *run) int { return cmp.Compare(costs[a], costs[b]) })
+	victims, cost := pick(others, costs, free, need)
+	for _, v := range victims {
+		free = free.Add(v.need)
+	}
+	return free, victims, cost
+}
+
+// pick returns victims whose room, with what is free, is enough; those that turn out
+// to be needless are left out again, the dearest first.
+func pick(others []*run, costs map[*run]float64, free, need job.Resources) ([]*run, float64) {
+	var victims []*run
+	for _, r := range others {
+		if need.Fits(free) {
+			break
+		}
+		free = free.Add(r.need)
+		victims = append(victims, r)
+	}
+	if !need.Fits(free) {
+		return nil, 0
+	}
+	for i := len(victims) - 1; i >= 0; i-- {
+		if need.Fits(free.Sub(victims[i].need)) {
+			free = free.Sub(victims[i].need)
+			victims = slices.Delete(victims, i, i+1)
+		}
+	}
+	cost := 0.0
+	for _, v := range victims {
+		cost += costs[v] + stopCost
+	}
+	return victims, cost
+}
+
+// lossOf returns the core-seconds that are lost when a run, and so its gang, stops.
+func (d *Dispatcher) lossOf(now unit.Instant, r *run) float64 {
+	if !r.step.step.Gang {
+		return r.unsaved(now, d.config.SaveEvery)
+	}
+	sum := 0.0
+	for _, m := range r.step.runs {
+		sum += m.unsaved(now, d.config.SaveEvery)
+	}
+	return sum
+}
+
+// useClaim places a candidate on the room that is kept for it once that is free. It
+// reports whether the candidate is taken care of.
+func (d *Dispatcher) useClaim(now unit.Instant, c candidate) bool {
+	s := c.step
+	if s.claim == nil {
+		return false
+	}
+	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now) {
+		d.dropClaim(s)
+		return false
+	}
+	need := s.step.Reserved()
+	want := map[id.Worker]job.Resources{}
+	for _, w := range s.claim.workers {
+		want[w.ID] = want[w.ID].Add(need)
+	}
+	for _, w := range s.claim.workers {
+		// The claim's own room is part of what is reserved.
+		if !want[w.ID].Fits(w.free().Add(want[w.ID])) {
+			return true
+		}
+	}
+	workers := s.claim.workers
+	d.dropClaim(s)
+	if s.step.Gang {
+		d.startGang(c, workers)
+		return true
+	}
+	for at, i := range c.waiting {
+		d.place(s, i, workers[at], s.nextRun(i))
+	}
+	s.waitingSince = 0
+	return true
+}
+
+// sound reports whether all workers of a claim still take tasks.
+func (c *claim) sound(now unit.Instant) bool {
+	for _, w := range c.workers {
+		if !w.usable(now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Dispatcher) dropClaim(s *stepState) {
+	if s.claim == nil {
+		return
+	}
+	need := s.step.Reserved()
+	for _, w := range s.claim.workers {
+		w.reserved = w.reserved.Sub(need)
+	}
+	s.claim = nil
+}
--- /dev/null
+++ b/core/dispatch/state.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/chart"
+	"curlewsill.org/curlewsill/core/charts"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// runState is how far a run is; the chart run.chart has the transitions.
+type runState string
+
+// runEvent is what happens to a run.
+type runEvent string
+
+const (
+	runOrdered  runState = "ordered"
+	runStarting runState = "starting"
+	runRunning  runState = "running"
+	runStopping runState = "stopping"
+	runGone     runState = "gone"
+
+	evCommitted runEvent = "committed"
+	evStarted   runEvent = "started"
+	evRejected  runEvent = "rejected"
+	evStop      runEvent = "stop"
+	evEnded     runEvent = "ended"
+	evLost      runEvent = "lost"
+)
+
+var runChart = chart.MustParse[runState, runEvent]("run.chart", charts.Read("run"))
+
+// jobState is one open job.
+type jobState struct {
+	id        id.Job
+	spec      *job.Spec
+	progress  job.Progress
+	cancelled bool
+	// steps are ordered by round and step.
+	steps []*stepState
+	// changed is set while the store's record is older than progress.
+	changed bool
+	// open counts the steps that are not done.
+	open int
+	// seen is when this owner learned of the job.
+	seen unit.Instant
+}
+
+// stepState is one step of one round of a job.
+type stepState struct {
+	job   *jobState
+	round int
+	index int
+	step  *job.Step
+	// base is the position of the step's first task in the job's progress.
+	base int
+	// done counts the step's tasks that are done; counted is set once the job's
+	// open steps were lowered for it.
+	done    int
+	counted bool
+	// failedRun is the last run of the gang that was counted as failed.
+	failedRun job.Run
+	// runs holds the runs of the step's tasks that take room, by task index.
+	runs map[int]*run
+	// waitingSince is when the step's tasks first found no room; 0 if they have
+	// found it or were not tried.
+	waitingSince unit.Instant
+	// claim is the room that is kept for the step's gang.
+	claim *claim
+}
+
+// claim is room that tasks were stopped for.
+type claim struct {
+	// workers has one worker for each member.
+	workers []*worker
+	until   unit.Instant
+}
+
+// run is one run of a task that takes a worker's room.
+type run struct {
+	task   job.Task
+	number job.Run
+	state  runState
+	worker *worker
+	need   job.Resources
+	// step is nil if the job is not known any more; such a run is stopped.
+	step *stepState
+	// since is when the order was first sent, or when the run was first seen.
+	since unit.Instant
+	// started is when the worker confirmed it, 0 before.
+	started    unit.Instant
+	checkpoint string
+	percent    int
+	// stopAsked is when the last order to stop was sent, stopDone whether it was
+	// answered.
+	stopAsked unit.Instant
+	stopDone  unit.Instant
+	// asked is when the last order to start was sent.
+	asked unit.Instant
+	// inFlight is set while an order for the run has no verdict.
+	inFlight bool
+	// why says for logs what the run is stopped for.
+	why string
+}
+
+// apply moves the run along its chart. An event that its state doesn't allow changes
+// nothing and is reported as false.
+func (r *run) apply(ev runEvent) bool {
+	to, err := runChart.Next(r.state, ev)
+	if err != nil {
+		return false
+	}
+	r.state = to
+	return true
+}
+
+// cores returns the run's weight for wasted work: accelerators count as
+// acceleratorCores each.
+func (r *run) cores() float64 {
+	return float64(r.need.CPU)/1000 + acceleratorCores*float64(r.need.Accelerators)
+}
+
+// acceleratorCores is how many cores an accelerator counts for, by the platform's
+// prices.
+const acceleratorCores = 8
+
+// unsaved returns the core-seconds that stopping the run now would throw away.
+func (r *run) unsaved(now unit.Instant, saveEvery time.Duration) float64 {
+	if r.started == 0 {
+		return 0
+	}
+	age := now.Sub(r.started)
+	if r.step != nil && r.step.step.Checkpointing {
+		age = min(age, saveEvery)
+	}
+	return age.Seconds() * r.cores()
+}
+
+// worker is one life of a worker.
+type worker struct {
+	fleet.Listing
+	// listed is set while the platform's list has the worker.
+	listed bool
+	// leaves is when a draining worker may be gone.
+	leaves unit.Instant
+	// used is what runs take of the capacity, reserved what claims do.
+	used, reserved job.Resources
+	runs           map[job.Task]*run
+	// clockAt is when the worker's clock showed Clock at the earliest.
+	clockAt unit.Instant
+	// lapse is when every lease on the worker has surely run out.
+	lapse unit.Instant
+	// answered is when its last answer came, 0 for never.
+	answered unit.Instant
+	// seen is the last end that was noted, durable the last one whose note is in
+	// the store, told the last one that the worker may forget.
+	seen, durable, told uint64
+	// synced is when a renewal was sent that the worker answered, under the
+	// present epoch; 0 before the first.
+	synced unit.Instant
+	// holding is set while a renewal is on its way; nextHold is when the next
+	// one is due.
+	holding  bool
+	nextHold unit.Instant
+	// pausedUntil keeps new tasks away.
+	pausedUntil unit.Instant
+	// refused counts connections refused since the last answer.
+	refused int
+	// streak counts failed ends of different jobs since the last success.
+	streak    int
+	lastBlame id.Job
+}
+
+func (w *worker) free() job.Resources { return w.Capacity.Sub(w.used).Sub(w.reserved) }
+
+// clock returns a reading that the worker's clock has surely reached.
+func (w *worker) clock(now unit.Instant) fleet.Clock {
+	passed := float64(now.Sub(w.clockAt)) / clockDrift
+	return w.Clock + fleet.Clock(passed)
+}
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -24,6 +24,8 @@
 	Rack string
 	// Domain names a failure domain.
 	Domain string
+	// Queue names a queue of jobs of one kind.
+	Queue string
 	// Service names a service that backend servers offer.
 	Service string
 	// Backend names a backend server (an executor of a service) by its address.
--- /dev/null
+++ b/core/jobtable/jobtable.go
@@ -0,0 +1,260 @@
+// Package jobtable holds the state of all jobs as the platform's store has it.
+//
+// The store keeps the newest record of each key. A job has up to three keys, and each
+// has one kind of writer: the spec (the entry host that accepted the job), the
+// cancellation (the entry host that took it) and the progress (the owner). The keys
+// are apart, so that a submission repeated late can't undo a cancellation or an end.
+// One more key names the owner. Every host applies the same records in the order of
+// their offsets and so holds the same table.
+package jobtable
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"curlewsill.org/curlewsill/core/codec"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// ErrKey reports a record whose key no rule explains.
+var ErrKey = errors.New("jobtable: unknown key")
+
+// The prefixes of the keys, and the key of the owner.
+const (
+	specPrefix     = "spec/"
+	cancelPrefix   = "cancel/"
+	progressPrefix = "progress/"
+	ownerKey       = "owner"
+)
+
+// Record is one keyed record of the store. An empty value drops the key.
+type Record struct {
+	Key   string
+	Value []byte
+}
+
+// Owner is the claim of the host that schedules.
+type Owner struct {
+	_    struct{} `cbor:",toarray"`
+	Host id.Host
+	// Epoch only grows.
+	Epoch id.Epoch
+}
+
+// Entry is what the table knows of one job.
+type Entry struct {
+	// Spec is nil if only other records of the job are known.
+	Spec      *job.Spec
+	Cancelled bool
+	Progress  job.Progress
+}
+
+// Table is the state of all jobs. The zero value is not ready; call New.
+type Table struct {
+	jobs map[id.Job]*Entry
+	// next is the offset of the first record that was not applied.
+	next  id.Offset
+	owner Owner
+
+	specs    codec.Codec[job.Spec]
+	progress codec.Codec[job.Progress]
+	owners   codec.Codec[Owner]
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		jobs:     map[id.Job]*Entry{},
+		specs:    codec.New[job.Spec](),
+		progress: codec.New[job.Progress](),
+		owners:   codec.New[Owner](),
+	}
+}
+
+// Next returns the offset up to which records were applied.
+func (t *Table) Next() id.Offset { return t.next }
+
+// Advance notes that all records before an offset were applied. It never goes back.
+func (t *Table) Advance(next id.Offset) { t.next = max(t.next, next) }
+
+// Owner returns the newest claim.
+func (t *Table) Owner() Owner { return t.owner }
+
+// Get returns a job, or nil.
+func (t *Table) Get(j id.Job) *Entry { return t.jobs[j] }
+
+// Jobs returns the names of all jobs in order.
+func (t *Table) Jobs() []id.Job {
+	out := make([]id.Job, 0, len(t.jobs))
+	for j := range t.jobs {
+		out = append(out, j)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Waiting returns how many accepted jobs of a queue have begun no task.
+func (t *Table) Waiting(q id.Queue) int {
+	n := 0
+	for _, e := range t.jobs {
+		if e.Spec != nil && e.Spec.Queue == q && !e.Cancelled && !e.Progress.Began() {
+			n++
+		}
+	}
+	return n
+}
+
+// Apply applies one record and returns the job that it is about, if any.
+func (t *Table) Apply(r Record) (id.Job, error) {
+	if r.Key == ownerKey {
+		return "", t.applyOwner(r.Value)
+	}
+	prefix, name, ok := strings.Cut(r.Key, "/")
+	j := id.Job(name)
+	if !ok {
+		return "", fmt.Errorf("%w: %q", ErrKey, r.Key)
+	}
+	switch prefix + "/" {
+	case specPrefix:
+		return j, t.applySpec(j, r.Value)
+	case cancelPrefix:
+		t.applyCancel(j, r.Value)
+		return j, nil
+	case progressPrefix:
+		return j, t.applyProgress(j, r.Value)
+	}
+	return "", fmt.Errorf("%w: %q", ErrKey, r.Key)
+}
+
+func (t *Table) applyOwner(value []byte) error {
+	o, err := t.owners.Decode(value)
+	if err != nil {
+		return fmt.Errorf("jobtable: owner: %w", err)
+	}
+	if o.Epoch > t.owner.Epoch {
+		t.owner = o
+	}
+	return nil
+}
+
+func (t *Table) entry(j id.Job) *Entry {
+	e := t.jobs[j]
+	if e == nil {
+		e = &Entry{}
+		t.jobs[j] = e
+	}
+	return e
+}
+
+// prune drops an entry of which nothing is left.
+func (t *Table) prune(j id.Job) {
+	e := t.jobs[j]
+	if e != nil && e.Spec == nil && !e.Cancelled && !e.Progress.Began() {
+		delete(t.jobs, j)
+	}
+}
+
+func (t *Table) applySpec(j id.Job, value []byte) error {
+	if len(value) == 0 {
+		t.entry(j).Spec = nil
+		t.prune(j)
+		return nil
+	}
+	if e := t.jobs[j]; e != nil && e.Spec != nil {
+		return nil // the same submission came twice; the first one stands
+	}
+	s, err := t.specs.Decode(value)
+	if err != nil {
+		return fmt.Errorf("jobtable: job %s: %w", j, err)
+	}
+	t.entry(j).Spec = &s
+	return nil
+}
+
+func (t *Table) applyCancel(j id.Job, value []byte) {
+	t.entry(j).Cancelled = len(value) > 0
+	t.prune(j)
+}
+
+func (t *Table) applyProgress(j id.Job, value []byte) error {
+	if len(value) == 0 {
+		t.entry(j).Progress = job.Progress{}
+		t.prune(j)
+		return nil
+	}
+	p, err := t.progress.Decode(value)
+	if err != nil {
+		return fmt.Errorf("jobtable: progress of %s: %w", j, err)
+	}
+	t.entry(j).Progress = p
+	return nil
+}
+
+// SpecRecord returns the record that makes a job known.
+func (t *Table) SpecRecord(j id.Job, s job.Spec) (Record, error) {
+	b, err := t.specs.Encode(s)
+	return Record{Key: specPrefix + string(j), Value: b}, err
+}
+
+// CancelRecord returns the record that cancels a job for good.
+func (t *Table) CancelRecord(j id.Job) Record {
+	return Record{Key: cancelPrefix + string(j), Value: []byte{1}}
+}
+
+// ProgressRecord returns the record of a job's progress.
+func (t *Table) ProgressRecord(j id.Job, p job.Progress) (Record, error) {
+	b, err := t.progress.Encode(p)
+	return Record{Key: progressPrefix + string(j), Value: b}, err
+}
+
+// OwnerRecord returns the record of a claim.
+func (t *Table) OwnerRecord(o Owner) (Record, error) {
+	b, err := t.owners.Encode(o)
+	return Record{Key: ownerKey, Value: b}, err
+}
+
+// ForgetRecords returns the records that drop an ended job. The spec goes last, so
+// that no prefix of them makes an ended job look new.
+func (t *Table) ForgetRecords(j id.Job) []Record {
+	return []Record{
+		{Key: cancelPrefix + string(j)},
+		{Key: specPrefix + string(j)},
+		{Key: progressPrefix + string(j)},
+	}
+}
+
+// Shown is a job's state as callers see it.
+type Shown string
+
+// The states that are shown.
+const (
+	ShownQueued    Shown = "queued"
+	ShownRunning   Shown = "running"
+	ShownCompleted Shown = "completed"
+	ShownFailed    Shown = "failed"
+	ShownCancelled Shown = "cancelled"
+)
+
+// Show returns the state of an accepted job.
+func (e *Entry) Show() Shown {
+	switch {
+	case e.Progress.Outcome == job.Completed:
+		return ShownCompleted
+	case e.Progress.Outcome == job.Failed:
+		return ShownFailed
+	case e.Cancelled || e.Progress.Outcome == job.Cancelled:
+		return ShownCancelled
+	case e.Progress.Began():
+		return ShownRunning
+	}
+	return ShownQueued
+}
+
+// Ended reports whether the job has ended and for how long it has been so.
+func (e *Entry) Ended(now unit.Instant) (since unit.Instant, ended bool) {
+	return e.Progress.Ended, e.Progress.Outcome != job.Open && e.Progress.Ended <= now
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,199 @@
+// Package entry runs one entry host on the users' platform.
+//
+// One goroutine decides: it owns the table of jobs, the configuration, the election
+// and, on the owner, the dispatcher. The others read and write the store, order
+// workers and answer clients; they hand their news to the deciding goroutine through
+// one bounded ring, which pushes back when it is full.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/catalog"
+	"curlewsill.org/curlewsill/core/election"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/ring"
+	"curlewsill.org/curlewsill/internal/settings"
+	"curlewsill.org/curlewsill/platform"
+)
+
+const (
+	// events is how many events may wait for the deciding goroutine.
+	events = 4096
+	// passEvery is the least time between two passes over the owner's state;
+	// what happens meanwhile is decided together.
+	passEvery = 15 * time.Millisecond
+	// idleEvery is the time between two passes when nothing happens.
+	idleEvery = 200 * time.Millisecond
+	// memoryShare is the part of the allowed memory that the runtime aims at.
+	memoryShare = 0.6
+	// storeConns and workerConns bound the connections to the store and to each
+	// worker.
+	storeConns  = 8
+	workerConns = 8
+)
+
+// event is news for the deciding goroutine, which calls it.
+type event func(now unit.Instant)
+
+// Host is one entry host.
+type Host struct {
+	settings settings.Site
+	log      *zap.Logger
+	metrics  *metrics
+	store    *platform.Store
+	workers  *platform.Workers
+	// self is unique for this life of the process.
+	self   id.Host
+	events *ring.Ring[event]
+	writer *writer
+
+	listeners []net.Listener
+	servers   []*http.Server
+
+	// catalog is the configuration in force; nil before the first.
+	catalog atomic.Pointer[catalog.Catalog]
+	// ready is what the balancer is told.
+	ready    atomic.Bool
+	stopping atomic.Bool
+	stopOnce sync.Once
+	stopped  chan struct{}
+
+	// What follows belongs to the deciding goroutine.
+	table    *jobtable.Table
+	loaded   bool
+	election *election.Election
+	owner    *owner
+	claiming bool
+	// released is the epoch whose owner gave it back.
+	released id.Epoch
+	start    time.Time
+}
+
+// New returns a host whose listeners are open.
+func New(s settings.Site, log *zap.Logger) (*Host, error) {
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	var draw [4]byte
+	if _, err := rand.Read(draw[:]); err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	self := id.Host(fmt.Sprintf("%s#%08x", s.Host, binary.BigEndian.Uint32(draw[:])))
+	h := &Host{
+		settings: s, log: log, metrics: newMetrics(), self: self,
+		store:   platform.NewStore(s.Store, platform.NewHTTPClient(storeConns)),
+		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns)),
+		events:  ring.New[event](events), stopped: make(chan struct{}),
+		table: jobtable.New(), election: election.New(self), start: time.Now(),
+	}
+	h.writer = newWriter(h.store, string(self), log, h.metrics)
+	if err := h.listen(); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) listen() error {
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{h.settings.Callers, newFront(h)},
+		{h.settings.Readiness, http.HandlerFunc(h.serveReadiness)},
+		{h.settings.Metrics, h.metrics.handler()},
+	} {
+		lis, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("entry: %w", err)
+		}
+		h.listeners = append(h.listeners, lis)
+		h.servers = append(h.servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	}
+	return nil
+}
+
+// now is the time by a clock that never jumps.
+func (h *Host) now() unit.Instant { return unit.At(h.start).Add(time.Since(h.start)) }
+
+// post hands news to the deciding goroutine.
+func (h *Host) post(ctx context.Context, e event) bool { return h.events.Push(ctx, e) }
+
+// Run serves until ctx is done or Stop has finished.
+func (h *Host) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	h.log.Info("started", zap.String("host", string(h.self)), zap.String("callers", h.settings.Callers), zap.String("store", h.settings.Store))
+	for i, s := range h.servers {
+		go func() {
+			if err := s.Serve(h.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				h.log.Error("listener-failed", zap.Error(err))
+				cancel()
+			}
+		}()
+	}
+	go h.writer.run(ctx)
+	go h.readJobs(ctx)
+	go h.readOperator(ctx)
+	go h.keepMembership(ctx)
+	go h.decide(ctx)
+	select {
+	case <-ctx.Done():
+	case <-h.stopped:
+	}
+	h.log.Info("stopped", zap.String("host", string(h.self)))
+	return nil
+}
+
+// decide applies events and passes over the state until ctx is done.
+func (h *Host) decide(ctx context.Context) {
+	timer := time.NewTimer(idleEvery)
+	defer timer.Stop()
+	last := h.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-h.events.C():
+			e(h.now())
+			if wait := passEvery - h.now().Sub(last); wait > 0 {
+				timer.Reset(wait)
+				continue
+			}
+		case <-timer.C:
+		}
+		last = h.now()
+		h.pass(ctx, last)
+		timer.Reset(idleEvery)
+	}
+}
+
+// pass does what is due.
+func (h *Host) pass(ctx context.Context, now unit.Instant) {
+	h.ready.Store(h.loaded && h.catalog.Load() != nil && !h.stopping.Load())
+	if h.owner != nil {
+		h.owner.pass(ctx, now)
+		return
+	}
+	if h.loaded && !h.claiming && !h.stopping.Load() && h.election.Claim(now) {
+		h.claim(ctx)
+	}
+}
+
+// Reload takes in that the settings may have changed. Addresses and names stay for
+// the life of the process.
+func (h *Host) Reload(s settings.Site) {
+	h.log.Info("settings-reloaded", zap.String("host", string(s.Host)), zap.Bool("store_moved", s.Store != h.settings.Store))
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+const (
+	// group is the group of live hosts in the store.
+	group = "curlewsill-hosts"
+	// joinEvery is how often a host says that it lives, a third of the shortest
+	// time after which the store may drop it.
+	joinEvery = 330 * time.Millisecond
+	// lookEvery is how often the group is looked at, and lookSoon while the owner
+	// is missing.
+	lookEvery = 500 * time.Millisecond
+	lookSoon  = 120 * time.Millisecond
+	// mostMembers is how many hosts the group must have room for: each member
+	// shows only if it holds a partition.
+	mostMembers = 64
+)
+
+// memberTopics returns topics with partitions for mostMembers hosts.
+func memberTopics(partitions int) []string {
+	var out []string
+	for n := 0; n < mostMembers; n += partitions {
+		out = append(out, fmt.Sprintf("hosts.%d", len(out)))
+	}
+	return out
+}
+
+// keepMembership keeps the host in the group and looks at who else is.
+func (h *Host) keepMembership(ctx context.Context) {
+	go h.lookAtMembers(ctx)
+	topics := memberTopics(h.settings.Partitions)
+	ttl := max(time.Second, h.settings.LeastTTL)
+	dep := dependency{log: h.log, name: "store group"}
+	generation := uint64(0)
+	for ctx.Err() == nil && !h.stopping.Load() {
+		g, err := h.store.Join(ctx, group, string(h.self), topics, ttl, generation)
+		if ctx.Err() != nil {
+			return
+		}
+		dep.note(err)
+		if err == nil {
+			generation = g
+		}
+		pause(ctx, joinEvery)
+	}
+}
+
+func (h *Host) lookAtMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := lookEvery
+		names, err := h.store.Members(ctx, group)
+		if err == nil {
+			members := make([]id.Host, 0, len(names))
+			for _, n := range names {
+				members = append(members, id.Host(n))
+			}
+			suspects := make(chan bool, 1)
+			h.post(ctx, func(now unit.Instant) {
+				h.election.Look(now, members, h.table.Owner().Host)
+				suspects <- h.election.Suspects()
+			})
+			select {
+			case s := <-suspects:
+				if s {
+					wait = lookSoon
+				}
+			case <-ctx.Done():
+			}
+		}
+		pause(ctx, wait)
+	}
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// buckets are those of all latency histograms, in seconds.
+var buckets = []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
+// metrics are the host's counters and latencies.
+type metrics struct {
+	registry *prometheus.Registry
+	// owning is set while this host is the owner.
+	owning    atomic.Bool
+	takeovers prometheus.Counter
+	decisions *prometheus.CounterVec
+	requests  *prometheus.HistogramVec
+	store     *prometheus.HistogramVec
+	orders    *prometheus.HistogramVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	m.takeovers = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_takeovers_total", Help: "Times that this host became the owner.",
+	})
+	m.decisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "curlewsill_decisions_total", Help: "Decisions of the owner by event.",
+	}, []string{"event"})
+	m.requests = histogram("curlewsill_request_seconds", "Clients' calls by method and status.", "method", "status")
+	m.store = histogram("curlewsill_store_seconds", "Calls to the store by kind and outcome.", "call", "outcome")
+	m.orders = histogram("curlewsill_order_seconds", "Orders to workers by kind and verdict.", "order", "verdict")
+	owning := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "curlewsill_owner", Help: "1 if this host is the owner.",
+	}, func() float64 {
+		if m.owning.Load() {
+			return 1
+		}
+		return 0
+	})
+	m.registry.MustRegister(m.takeovers, m.decisions, m.requests, m.store, m.orders, owning)
+	return m
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, labels)
+}
+
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *metrics) storeCall(call string, began time.Time, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.store.WithLabelValues(call, outcome).Observe(time.Since(began).Seconds())
+}
+
+func (m *metrics) order(kind string, began time.Time, verdict string) {
+	m.orders.WithLabelValues(kind, verdict).Observe(time.Since(began).Seconds())
+}
--- /dev/null
+++ b/internal/entry/reader.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/platform"
+)
+
+const (
+	// jobsWait is how long a read of the jobs waits for news.
+	jobsWait = 1500 * time.Millisecond
+	// jobsPause is the pause between two reads that brought news; each costs.
+	jobsPause = 100 * time.Millisecond
+	// ownerPause is the pause on the owner, where a job waits for it.
+	ownerPause = 30 * time.Millisecond
+	// operatorWait is how long a read of the configuration waits. A change must
+	// be in force within 2 s although the store may have lost this read.
+	operatorWait = 700 * time.Millisecond
+	// serversPause is the pause between two reads of the list of workers. A
+	// worker that leaves must get nothing new after 2 s.
+	serversPause = 300 * time.Millisecond
+	// retryLeast and retryMost bound the pause after a failed call.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
+
+// backoff is a growing pause with jitter.
+type backoff struct{ last time.Duration }
+
+// wait pauses after a failure. It reports whether ctx is still open.
+func (b *backoff) wait(ctx context.Context) bool {
+	b.last = min(retryMost, max(retryLeast, 2*b.last))
+	return pause(ctx, b.last/2+rand.N(b.last/2))
+}
+
+func (b *backoff) reset() { b.last = 0 }
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// tail follows one topic: the newest record of each key first, then what is added.
+type tail struct {
+	host  *Host
+	topic platform.Topic
+	wait  time.Duration
+	pause func() time.Duration
+	// whole is called with the newest records of all keys, and more with those
+	// that follow from an offset on.
+	whole func(recs []jobtable.Record, end id.Offset)
+	more  func(recs []jobtable.Record, from id.Offset)
+}
+
+// run follows the topic until ctx is done.
+func (t *tail) run(ctx context.Context) {
+	var b backoff
+	dep := dependency{log: t.host.log, name: "store " + string(t.topic)}
+	next, loaded := id.Offset(0), false
+	for ctx.Err() == nil {
+		var err error
+		if loaded {
+			next, err = t.read(ctx, next)
+		} else {
+			next, err = t.load(ctx)
+			loaded = err == nil
+		}
+		if errors.Is(err, platform.ErrForgotten) {
+			loaded = false
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		dep.note(err)
+		if err != nil {
+			b.wait(ctx)
+			continue
+		}
+		b.reset()
+	}
+}
+
+func (t *tail) load(ctx context.Context) (id.Offset, error) {
+	first, err := t.host.store.Newest(ctx, t.topic, "")
+	if err != nil {
+		return 0, err
+	}
+	recs, page := first.Records, first
+	for page.More && len(page.Records) > 0 {
+		if page, err = t.host.store.Newest(ctx, t.topic, page.Records[len(page.Records)-1].Key); err != nil {
+			return 0, err
+		}
+		recs = append(recs, page.Records...)
+	}
+	t.whole(recs, first.End)
+	return first.End, nil
+}
+
+func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
+	p, err := t.host.store.Read(ctx, t.topic, from, t.wait)
+	if err != nil {
+		return from, err
+	}
+	if len(p.Records) > 0 {
+		t.more(p.Records, from)
+	}
+	if len(p.Records) > 0 || t.wait == 0 {
+		pause(ctx, t.pause())
+	}
+	return p.Next, nil
+}
+
+// dependency logs once when something is lost and once when it is back.
+type dependency struct {
+	log  *zap.Logger
+	name string
+	lost time.Time
+}
+
+func (d *dependency) note(err error) {
+	switch {
+	case err != nil && d.lost.IsZero():
+		d.lost = time.Now()
+		d.log.Warn("dependency-lost", zap.String("dependency", d.name), zap.Error(err))
+	case err == nil && !d.lost.IsZero():
+		d.log.Info("dependency-regained", zap.String("dependency", d.name), zap.Duration("away", time.Since(d.lost)))
+		d.lost = time.Time{}
+	}
+}
+
+// readJobs follows the state of all jobs.
+func (h *Host) readJobs(ctx context.Context) {
+	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, pause: func() time.Duration {
+		if h.metrics.owning.Load() {
+			return ownerPause
+		}
+		return jobsPause
+	}}
+	t.whole = func(recs []jobtable.Record, end id.Offset) {
+		h.post(ctx, func(now unit.Instant) { h.loadJobs(now, recs, end) })
+	}
+	t.more = func(recs []jobtable.Record, from id.Offset) {
+		h.post(ctx, func(now unit.Instant) { h.applyJobs(now, recs, from) })
+	}
+	t.run(ctx)
+}
+
+// loadJobs replaces the table by what the store has.
+func (h *Host) loadJobs(now unit.Instant, recs []jobtable.Record, end id.Offset) {
+	if h.loaded && end < h.table.Next() {
+		return // an answer that was overtaken
+	}
+	table := jobtable.New()
+	for _, r := range recs {
+		if _, err := table.Apply(r); err != nil {
+			h.log.Error("record-rejected", zap.Error(err))
+		}
+	}
+	table.Advance(end)
+	h.table, h.loaded = table, true
+	h.log.Info("jobs-loaded", zap.Int("records", len(recs)), zap.Uint64("end", uint64(end)))
+	h.ownership(now)
+}
+
+// applyJobs applies the records that the table doesn't have yet.
+func (h *Host) applyJobs(now unit.Instant, recs []jobtable.Record, from id.Offset) {
+	if !h.loaded || from > h.table.Next() {
+		return // a gap: the read that fills it is on its way
+	}
+	for i, r := range recs {
+		offset := from + id.Offset(i)
+		if offset < h.table.Next() {
+			continue
+		}
+		j, err := h.table.Apply(r)
+		h.table.Advance(offset + 1)
+		if err != nil {
+			h.log.Error("record-rejected", zap.Uint64("offset", uint64(offset)), zap.Error(err))
+			continue
+		}
+		if h.owner != nil && j != "" {
+			h.owner.learn(now, j)
+		}
+	}
+	h.ownership(now)
+}
+
+// readOperator follows the configuration.
+func (h *Host) readOperator(ctx context.Context) {
+	t := &tail{host: h, topic: platform.TopicOperator, wait: operatorWait, pause: func() time.Duration { return 0 }}
+	take := func(recs []jobtable.Record) {
+		for _, r := range recs {
+			if r.Key == platform.KeyConfig && len(r.Value) > 0 {
+				h.takeConfig(ctx, r.Value)
+			}
+		}
+	}
+	t.whole = func(recs []jobtable.Record, _ id.Offset) { take(recs) }
+	t.more = func(recs []jobtable.Record, _ id.Offset) { take(recs) }
+	t.run(ctx)
+}
+
+// takeConfig puts a configuration in force, unless a later one is.
+func (h *Host) takeConfig(ctx context.Context, value []byte) {
+	c, err := platform.DecodeCatalog(value)
+	if err != nil {
+		h.log.Error("config-rejected", zap.Error(err))
+		return
+	}
+	h.post(ctx, func(unit.Instant) {
+		old := h.catalog.Load()
+		if old != nil && old.Version >= c.Version {
+			return
+		}
+		h.catalog.Store(c)
+		from := int64(0)
+		if old != nil {
+			from = int64(old.Version)
+		}
+		h.log.Info("config-in-force", zap.Int64("from", from), zap.Int64("version", int64(c.Version)),
+			zap.Int("queues", len(c.Queues)), zap.Int("customers", len(c.Customers)))
+		if h.owner != nil {
+			h.owner.configure(c)
+		}
+	})
+}
+
+// readServers follows the list of workers while the host is the owner.
+func (h *Host) readServers(ctx context.Context, o *owner) {
+	t := &tail{host: h, topic: platform.TopicServers, pause: func() time.Duration { return serversPause }}
+	t.whole = func(recs []jobtable.Record, _ id.Offset) {
+		h.post(ctx, func(now unit.Instant) { o.listAll(now, recs) })
+	}
+	t.more = func(recs []jobtable.Record, _ id.Offset) {
+		recs = newestOfEach(recs)
+		h.post(ctx, func(now unit.Instant) { o.list(now, recs) })
+	}
+	t.run(ctx)
+}
+
+// newestOfEach drops records that a later one of the same key has overtaken.
+func newestOfEach(recs []jobtable.Record) []jobtable.Record {
+	last := map[string]int{}
+	for i, r := range recs {
+		last[r.Key] = i
+	}
+	out := recs[:0]
+	for i, r := range recs {
+		if last[r.Key] == i {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/writer.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/internal/ring"
+	"curlewsill.org/curlewsill/platform"
+)
+
+const (
+	// pendingWrites bounds the records that wait to be written.
+	pendingWrites = 1024
+	// batchBytes bounds one append; the store takes 2 MB.
+	batchBytes = 512 << 10
+	// refusedTries is how often an append that the store refused is repeated
+	// before the records are given up as not written.
+	refusedTries = 3
+	// refusedPause is the pause between such tries.
+	refusedPause = 80 * time.Millisecond
+)
+
+// errNotWritten reports a record that is surely not in the store.
+var errNotWritten = errors.New("entry: the record was not written")
+
+// The states of a pending record.
+const (
+	writeQueued int32 = iota
+	writeSent
+	writeWithdrawn
+)
+
+// pending is a record on its way to the store.
+type pending struct {
+	record jobtable.Record
+	state  atomic.Int32
+	// done receives nil once the record is in the store, errNotWritten if it
+	// surely isn't.
+	done chan error
+}
+
+// withdraw takes a record back that has not left. It reports whether that was so.
+func (p *pending) withdraw() bool { return p.state.CompareAndSwap(writeQueued, writeWithdrawn) }
+
+// writer appends records of jobs, as many at once as wait.
+type writer struct {
+	store   *platform.Store
+	log     *zap.Logger
+	metrics *metrics
+	queue   *ring.Ring[*pending]
+	id      platform.Writer
+}
+
+func newWriter(s *platform.Store, name string, log *zap.Logger, m *metrics) *writer {
+	return &writer{store: s, log: log, metrics: m, queue: ring.New[*pending](pendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
+}
+
+// add queues a record, or returns nil if too many wait.
+func (w *writer) add(r jobtable.Record) *pending {
+	p := &pending{record: r, done: make(chan error, 1)}
+	if !w.queue.Offer(p) {
+		return nil
+	}
+	return p
+}
+
+// run appends until ctx is done. One append is under way at a time, so that one whose
+// answer is lost can be repeated under its number.
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-w.queue.C():
+			w.append(ctx, w.collect(p))
+		}
+	}
+}
+
+// collect takes what waits in one batch.
+func (w *writer) collect(first *pending) []*pending {
+	var batch []*pending
+	size := 0
+	take := func(p *pending) {
+		if p.state.CompareAndSwap(writeQueued, writeSent) {
+			batch = append(batch, p)
+			size += len(p.record.Key) + len(p.record.Value)
+		}
+	}
+	take(first)
+	for size < batchBytes {
+		select {
+		case p := <-w.queue.C():
+			take(p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (w *writer) append(ctx context.Context, batch []*pending) {
+	if len(batch) == 0 {
+		return
+	}
+	recs := make([]jobtable.Record, 0, len(batch))
+	for _, p := range batch {
+		recs = append(recs, p.record)
+	}
+	w.id.Seq++
+	err := w.persist(ctx, recs)
+	for _, p := range batch {
+		p.done <- err
+	}
+}
+
+// persist appends until the outcome is known. It returns errNotWritten only if every
+// try was surely without effect.
+func (w *writer) persist(ctx context.Context, recs []jobtable.Record) error {
+	var b backoff
+	unknown := false
+	for tries := 1; ctx.Err() == nil; tries++ {
+		began := time.Now()
+		_, err := w.store.Append(ctx, platform.TopicJobs, recs, w.id, nil)
+		w.metrics.storeCall("append", began, err)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrNotDone) && !unknown:
+			if tries >= refusedTries {
+				w.id.Seq--
+				w.log.Warn("write-refused", zap.Int("records", len(recs)), zap.Error(err))
+				return errNotWritten
+			}
+			pause(ctx, refusedPause)
+		case errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrInvalid):
+			w.log.Error("write-failed", zap.Int("records", len(recs)), zap.Error(err))
+			return err
+		default:
+			unknown = true
+			b.wait(ctx)
+		}
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/logging/stream.go
@@ -0,0 +1,81 @@
+package logging
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"curlewsill.org/curlewsill/internal/ring"
+)
+
+const (
+	// streamLines is how many lines may wait for a slow reader: a few seconds of
+	// the busiest host.
+	streamLines = 4096
+	// sampleEvery, sampleFirst and sampleThen bound repeats: of lines with the
+	// same message in one period, the first are kept and then one in so many.
+	sampleEvery = time.Second
+	sampleFirst = 400
+	sampleThen  = 50
+	// flushWait is how long a process that ends waits for its last lines.
+	flushWait = 200 * time.Millisecond
+)
+
+// Stream is a logger whose lines are written by a goroutine of their own. A reader
+// that doesn't read costs lines, never time; the next line that gets through tells
+// how many were lost.
+type Stream struct {
+	*zap.Logger
+	lines *ring.Ring[[]byte]
+	// written and taken count lines, so that Flush knows what is under way.
+	taken, written atomic.Uint64
+}
+
+// NewStream returns a logger of JSON lines to out.
+func NewStream(out io.Writer, level string) (*Stream, error) {
+	l, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fmt.Errorf("logging: %w", err)
+	}
+	s := &Stream{lines: ring.New[[]byte](streamLines)}
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), s, l)
+	s.Logger = zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen))
+	go s.copy(out)
+	return s, nil
+}
+
+// Write queues one line. It implements zapcore.WriteSyncer.
+func (s *Stream) Write(p []byte) (int, error) {
+	if s.lines.Offer(append([]byte(nil), p...)) {
+		s.taken.Add(1)
+	}
+	return len(p), nil
+}
+
+// Sync does nothing: lines are written as fast as their reader takes them.
+func (s *Stream) Sync() error { return nil }
+
+// Flush waits a short while until the lines that wait are written.
+func (s *Stream) Flush() {
+	for end := time.Now().Add(flushWait); s.written.Load() < s.taken.Load() && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *Stream) copy(out io.Writer) {
+	var told uint64
+	for line := range s.lines.C() {
+		if lost := s.lines.Dropped(); lost > told {
+			_, _ = fmt.Fprintf(out, "{\"level\":\"warn\",\"msg\":\"log-lines-lost\",\"count\":%d}\n", lost-told)
+			told = lost
+		}
+		_, _ = out.Write(line)
+		s.written.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/settings/site.go
@@ -0,0 +1,79 @@
+package settings
+
+import (
+	"strconv"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/inifile"
+)
+
+// Site is the settings of an entry host on the users' platform.
+type Site struct {
+	// Host and Domain say who and where this process is.
+	Host   id.Host
+	Domain id.Domain
+	// Callers, Readiness, Peers and Metrics are the addresses to listen on.
+	Callers, Readiness, Peers, Metrics string
+	// Store is the address of the platform's metadata store.
+	Store string
+	// Partitions is how many partitions a topic of the store has.
+	Partitions int
+	// LeastTTL is the shortest time after which the store drops a silent member.
+	LeastTTL time.Duration
+	// Memory is what the process may use before the platform ends it.
+	Memory unit.Bytes
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// Workers holds the bounds that workers keep to.
+	Workers  dispatch.Config
+	LogLevel string
+}
+
+// Bounds of a site's settings.
+const (
+	maxPartitions = 4096
+	maxPeriod     = 24 * time.Hour
+)
+
+// LoadSite reads and checks the file. The error lists every fault.
+func LoadSite(name string) (Site, error) {
+	f, err := inifile.Read(name)
+	if err != nil {
+		return Site{}, err
+	}
+	s := readSite(f)
+	return s, f.Err()
+}
+
+func readSite(f *inifile.File) Site {
+	host, store, limits, workers := f.Section("host"), f.Section("store"), f.Section("limits"), f.Section("workers")
+	s := Site{
+		Host:       id.Host(host.Need("id")),
+		Domain:     id.Domain(host.Need("domain")),
+		Callers:    host.Address("callers", "127.0.0.1:8080"),
+		Readiness:  host.Address("readiness", "127.0.0.1:8081"),
+		Peers:      host.Address("peers", "127.0.0.1:8082"),
+		Metrics:    host.Address("metrics", "127.0.0.1:8083"),
+		Store:      store.Address("address", ""),
+		Partitions: store.Int("partitions", 12, 1, maxPartitions),
+		LeastTTL:   store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
+		Memory:     limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
+		Grace:      limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
+		Workers: dispatch.Config{
+			MaxLease:  workers.Duration("max_lease", 10*time.Second, time.Second, maxPeriod),
+			StopTime:  workers.Duration("stop", time.Second, time.Millisecond, time.Minute),
+			SaveEvery: workers.Duration("save", time.Second, time.Millisecond, maxPeriod),
+			KeepEnded: workers.Duration("keep_ended", 2*time.Minute, time.Second, maxPeriod),
+		},
+		LogLevel: f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
+	}
+	factor, err := strconv.ParseFloat(workers.Text("far_factor", "1"), 64)
+	if err != nil || factor < 1 {
+		workers.Fault("far_factor", "a number of at least 1")
+	}
+	s.Workers.FarFactor = factor
+	return s
+}
