entry, dispatch: claims with epochs of their own, leases of idle workers

Cause 1: two hosts that claimed at the same offset had the same epoch, and the store answers a second append of the same writer, epoch and number as the first. Epochs now have 20 drawn bits below the offset. An owner that was fenced without a successor claims again instead of taking office under its old epoch.

Leases now count for sent orders only, and a lost run can't be sent.

Ruled out: answers that pass each other; the stale seq answers were from the second owner.

--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -38,7 +38,7 @@
 
 // giveUp loses the runs of a worker that has surely stopped running them.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
-	if len(w.runs) == 0 {
+	if !w.leased() {
 		return
 	}
 	silent := now.Sub(w.answered)
@@ -52,6 +52,17 @@
 	}
 }
 
+// leased reports whether an order to start may have reached the worker. Runs whose
+// orders have not left are not bound to the worker's last lease.
+func (w *worker) leased() bool {
+	for _, r := range w.runs {
+		if r.state != runOrdered {
+			return true
+		}
+	}
+	return false
+}
+
 // resend repeats orders that got no answer.
 func (d *Dispatcher) resend(now unit.Instant, w *worker) {
 	if w.Address == "" {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -79,6 +79,8 @@
 	election *election.Election
 	owner    *owner
 	claiming bool
+	// lost is the last epoch under which this host gave up scheduling.
+	lost id.Epoch
 	// released is the epoch whose owner gave it back.
 	released id.Epoch
 	start    time.Time
@@ -187,7 +189,10 @@
 		h.owner.pass(ctx, now)
 		return
 	}
-	if h.loaded && !h.claiming && !h.stopping.Load() && h.election.Claim(now) {
+	// An owner that was fenced without a successor has to claim again itself: the
+	// others see that it lives.
+	vacant := h.lost != 0 && h.table.Owner().Epoch == h.lost
+	if h.loaded && !h.claiming && !h.stopping.Load() && (vacant || h.election.Claim(now)) {
 		h.claim(ctx)
 	}
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,11 +36,22 @@
 	since  unit.Instant
 }
 
+// epochAt draws the epoch of a claim at an offset. The store takes two appends of one
+// writer, epoch and number for the same one, so two hosts that claim at the same offset
+// must not have the same epoch.
+func epochAt(at id.Offset) id.Epoch {
+	return id.Epoch(at+1)<<epochDrawBits | id.Epoch(rand.Uint64N(1<<epochDrawBits))
+}
+
+// epochDrawBits is how many bits of an epoch are drawn. With the offset they stay
+// below 2^53, which every JSON number keeps.
+const epochDrawBits = 20
+
 // claim asks the store to make this host the owner.
 func (h *Host) claim(ctx context.Context) {
 	h.claiming = true
 	at := h.table.Next()
-	epoch := id.Epoch(at) + 1
+	epoch := epochAt(at)
 	rec, err := h.table.OwnerRecord(jobtable.Owner{Host: h.self, Epoch: epoch})
 	if err != nil {
 		h.log.Error("claim-failed", zap.Error(err))
@@ -49,12 +61,12 @@
 	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
 	go func() {
 		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1}, &at)
-		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, at, end, err) })
+		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, rec, at, end, err) })
 	}()
 }
 
 // claimed takes in what became of a claim.
-func (h *Host) claimed(ctx context.Context, now unit.Instant, at, end id.Offset, err error) {
+func (h *Host) claimed(ctx context.Context, now unit.Instant, rec jobtable.Record, at, end id.Offset, err error) {
 	h.claiming = false
 	if err != nil {
 		h.log.Info("claim-refused", zap.Uint64("at", uint64(at)), zap.Uint64("end", uint64(end)), zap.Error(err))
@@ -65,7 +77,6 @@
 		go h.catchUp(ctx)
 		return // the reader overtook the answer; ownership settles it
 	}
-	rec, _ := h.table.OwnerRecord(jobtable.Owner{Host: h.self, Epoch: id.Epoch(at) + 1})
 	h.applyJobs(now, []jobtable.Record{rec}, at)
 }
 
@@ -75,7 +86,7 @@
 	if h.owner != nil && (o.Host != h.self || o.Epoch != h.owner.epoch) {
 		h.stepDown("a later claim is in the store")
 	}
-	if h.owner == nil && o.Host == h.self && !h.stopping.Load() {
+	if h.owner == nil && o.Host == h.self && o.Epoch != h.lost && !h.stopping.Load() {
 		h.takeOver(now, o.Epoch)
 	}
 	if o.Host == "" && o.Epoch > 0 && h.released != o.Epoch {
@@ -111,6 +122,7 @@
 	}
 	h.log.Warn("owner-ended", zap.Uint64("epoch", uint64(h.owner.epoch)), zap.String("why", why))
 	h.owner.cancel()
+	h.lost = h.owner.epoch
 	h.owner = nil
 	h.metrics.owning.Store(false)
 }
