entry: state answers wait for an end that is on its way

Cause: clients ask for a job's state in the moment in which its last task ends, and again every 250 ms.

Change: the answer on a running job waits up to 120 ms for its end, and the next read of the jobs comes at once.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -32,6 +32,9 @@
 	// queueWait is how long a record may wait behind an append that hangs before
 	// the call is refused.
 	queueWait = 400 * time.Millisecond
+	// endWait is how long the answer on a running job's state waits for its end: an
+	// end's way through the owner and the store takes about 30 ms.
+	endWait = 120 * time.Millisecond
 	// comeBack is when a refused client is told to come back, in whole seconds
 	// as the header wants it.
 	comeBack = 1
@@ -80,7 +83,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), began.Add(allowed(r)-answerMargin))
 	defer cancel()
-	rep, j := f.answer(ctx, w, r)
+	rep, j, queue := f.answer(ctx, w, r)
 	f.write(w, rep)
 	took := time.Since(began)
 	f.host.metrics.requests.WithLabelValues(r.Method, strconv.Itoa(rep.status)).Observe(took.Seconds())
@@ -88,7 +91,7 @@
 	if c := f.host.catalog.Load(); c != nil {
 		version = int64(c.Version)
 	}
-	f.host.log.Info("call", zap.String("method", r.Method), zap.String("job", string(j)), zap.Int("status", rep.status),
+	f.host.log.Info("call", zap.String("method", r.Method), zap.String("job", string(j)), zap.String("queue", string(queue)), zap.Int("status", rep.status),
 		zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version))
 }
 
@@ -132,10 +135,10 @@
 }
 
 // answer decides on a call.
-func (f *front) answer(ctx context.Context, w http.ResponseWriter, r *http.Request) (reply, id.Job) {
+func (f *front) answer(ctx context.Context, w http.ResponseWriter, r *http.Request) (reply, id.Job, id.Queue) {
 	c := f.host.catalog.Load()
 	if c == nil {
-		return refused("no configuration yet"), ""
+		return refused("no configuration yet"), "", ""
 	}
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -143,24 +146,29 @@
 	}
 	q := c.Find(host, r.URL.Path)
 	if q == nil {
-		return reply{status: http.StatusNotFound, why: "no such queue"}, ""
+		return reply{status: http.StatusNotFound, why: "no such queue"}, "", ""
 	}
 	j := id.Job(strings.Trim(strings.TrimPrefix(r.URL.Path, q.Prefix), "/"))
 	customer, ok := holder(c, q, r)
 	if !ok {
-		return reply{status: http.StatusUnauthorized, why: "unknown key"}, j
+		return reply{status: http.StatusUnauthorized, why: "unknown key"}, j, q.Name
 	}
+	return f.handle(ctx, w, r, c, q, customer, j), j, q.Name
+}
+
+// handle answers a call that is allowed.
+func (f *front) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job) reply {
 	switch {
 	case r.Method == http.MethodGet && j == "":
-		return f.pending(ctx, q), j
+		return f.pending(ctx, q)
 	case r.Method == http.MethodGet:
-		return f.state(ctx, j), j
+		return f.state(ctx, j)
 	case r.Method == http.MethodDelete && j != "":
-		return f.cancel(ctx, j), j
+		return f.cancel(ctx, j)
 	case r.Method == http.MethodPost && j != "":
-		return f.submit(ctx, w, r, c, q, customer, j), j
+		return f.submit(ctx, w, r, c, q, customer, j)
 	}
-	return reply{status: http.StatusMethodNotAllowed, why: "no such call"}, j
+	return reply{status: http.StatusMethodNotAllowed, why: "no such call"}
 }
 
 // holder returns the customer whose key a call carries.
@@ -239,9 +247,37 @@
 	case !l.known:
 		return reply{status: http.StatusGone, why: "no such job"}
 	}
+	if l.state == jobtable.ShownRunning {
+		l = f.awaitEnd(ctx, j, l)
+	}
 	return reply{status: http.StatusOK, body: stateBody{State: l.state}, why: string(l.state)}
 }
 
+// awaitEnd waits a short while for a running job's end. Clients ask at the moment in
+// which the last task ends, before its record can be read back, and otherwise would
+// have to ask again.
+func (f *front) awaitEnd(ctx context.Context, j id.Job, l look) look {
+	ended := make(chan struct{})
+	if !f.host.post(ctx, func(unit.Instant) { f.host.watch(j, ended) }) {
+		return l
+	}
+	f.host.hurry()
+	timer := time.NewTimer(endWait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		f.host.post(ctx, func(unit.Instant) { f.host.unwatch(j, ended) })
+	case <-ctx.Done():
+		f.host.post(context.WithoutCancel(ctx), func(unit.Instant) { f.host.unwatch(j, ended) })
+		return l
+	}
+	if newer, ok := f.inTable(ctx, j); ok && newer.known {
+		return newer
+	}
+	return l
+}
+
 func (f *front) cancel(ctx context.Context, j id.Job) reply {
 	l, ok := f.find(ctx, j)
 	switch {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,7 @@
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/ring"
@@ -81,6 +83,10 @@
 	claiming bool
 	// lost is the last epoch under which this host gave up scheduling.
 	lost id.Epoch
+	// watchers are told when a job ends, or when they have waited too long.
+	watchers map[id.Job][]chan struct{}
+	// wake cuts the pause between two reads of the jobs short.
+	wake chan struct{}
 	// released is the epoch whose owner gave it back.
 	released id.Epoch
 	start    time.Time
@@ -100,6 +106,7 @@
 		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns)),
 		events:  ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
+		watchers: map[id.Job][]chan struct{}{}, wake: make(chan struct{}, 1),
 	}
 	h.writer = newWriter(h.store, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
@@ -202,3 +209,45 @@
 func (h *Host) Reload(s settings.Site) {
 	h.log.Info("settings-reloaded", zap.String("host", string(s.Host)), zap.Bool("store_moved", s.Store != h.settings.Store))
 }
+
+// watch closes c when a job has ended.
+func (h *Host) watch(j id.Job, c chan struct{}) {
+	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
+		close(c)
+		return
+	}
+	h.watchers[j] = append(h.watchers[j], c)
+}
+
+// unwatch forgets a watcher that waits no longer.
+func (h *Host) unwatch(j id.Job, c chan struct{}) {
+	rest := slices.DeleteFunc(h.watchers[j], func(x chan struct{}) bool { return x == c })
+	if len(rest) == 0 {
+		delete(h.watchers, j)
+		return
+	}
+	h.watchers[j] = rest
+}
+
+// tellWatchers closes the channels of those that wait for a job that has ended.
+func (h *Host) tellWatchers(j id.Job) {
+	waiting := h.watchers[j]
+	if len(waiting) == 0 {
+		return
+	}
+	if e := h.table.Get(j); e != nil && e.Progress.Outcome == job.Open && !e.Cancelled {
+		return
+	}
+	for _, c := range waiting {
+		close(c)
+	}
+	delete(h.watchers, j)
+}
+
+// hurry makes the next read of the jobs come at once.
+func (h *Host) hurry() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -58,6 +58,8 @@
 	topic platform.Topic
 	wait  time.Duration
 	pause func() time.Duration
+	// wake cuts a pause short; nil if nobody does.
+	wake <-chan struct{}
 	// whole is called with the newest records of all keys, and more with those
 	// that follow from an offset on.
 	whole func(recs []jobtable.Record, end id.Offset)
@@ -118,11 +120,20 @@
 		t.more(p.Records, from)
 	}
 	if len(p.Records) > 0 || t.wait == 0 {
-		pause(ctx, t.pause())
+		t.rest(ctx)
 	}
 	return p.Next, nil
 }
 
+// rest pauses before the next read, unless somebody waits for it.
+func (t *tail) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-t.wake:
+	case <-time.After(t.pause()):
+	}
+}
+
 // dependency logs once when something is lost and once when it is back.
 type dependency struct {
 	log  *zap.Logger
@@ -143,7 +154,7 @@
 
 // readJobs follows the state of all jobs.
 func (h *Host) readJobs(ctx context.Context) {
-	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, pause: func() time.Duration {
+	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, wake: h.wake, pause: func() time.Duration {
 		if h.metrics.owning.Load() {
 			return ownerPause
 		}
@@ -191,7 +202,11 @@
 			h.log.Error("record-rejected", zap.Uint64("offset", uint64(offset)), zap.Error(err))
 			continue
 		}
-		if h.owner != nil && j != "" {
+		if j == "" {
+			continue
+		}
+		h.tellWatchers(j)
+		if h.owner != nil {
 			h.owner.learn(now, j)
 		}
 	}
