relay: hosts that the store turns away go through a peer

Change: calls to the store have two ways, the direct one and one through a peer (WebSocket with CBOR). The second is taken when the first fails, refuses or takes 0.5 s longer than it may; all of our calls may be made twice. Members of the group carry the address for peers.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -28,6 +28,7 @@
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/relay"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/internal/settings"
 	"curlewsill.org/curlewsill/platform"
@@ -57,6 +58,7 @@
 	settings settings.Site
 	log      *zap.Logger
 	metrics  *metrics
+	path     *relay.Path
 	store    *platform.Store
 	workers  *platform.Workers
 	// self is unique for this life of the process.
@@ -100,9 +102,11 @@
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	self := id.Host(fmt.Sprintf("%s#%08x", s.Host, binary.BigEndian.Uint32(draw[:])))
+	path := relay.New("http://"+s.Store, platform.NewHTTPClient(storeConns), log)
 	h := &Host{
 		settings: s, log: log, metrics: newMetrics(), self: self,
-		store:   platform.NewStore(s.Store, platform.NewHTTPClient(storeConns)),
+		path:    path,
+		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
 		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns)),
 		events:  ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
@@ -123,6 +127,7 @@
 		{h.settings.Callers, newFront(h)},
 		{h.settings.Readiness, http.HandlerFunc(h.serveReadiness)},
 		{h.settings.Metrics, h.metrics.handler()},
+		{h.settings.Peers, h.peerHandler()},
 	} {
 		lis, err := net.Listen("tcp", l.address)
 		if err != nil {
@@ -134,6 +139,13 @@
 	return nil
 }
 
+// peerHandler takes the calls of other entry hosts.
+func (h *Host) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.PeerPath, h.path.Handler())
+	return mux
+}
+
 // now is the time by a clock that never jumps.
 func (h *Host) now() unit.Instant { return unit.At(h.start).Add(time.Since(h.start)) }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/relay"
 )
 
 const (
@@ -41,7 +43,7 @@
 	dep := dependency{log: h.log, name: "store group"}
 	generation := uint64(0)
 	for ctx.Err() == nil && !h.stopping.Load() {
-		g, err := h.store.Join(ctx, group, string(h.self), topics, ttl, generation)
+		g, err := h.store.Join(ctx, group, h.member(), topics, ttl, generation)
 		if ctx.Err() != nil {
 			return
 		}
@@ -58,10 +60,8 @@
 		wait := lookEvery
 		names, err := h.store.Members(ctx, group)
 		if err == nil {
-			members := make([]id.Host, 0, len(names))
-			for _, n := range names {
-				members = append(members, id.Host(n))
-			}
+			members, peers := h.readMembers(names)
+			h.path.SetPeers(peers)
 			suspects := make(chan bool, 1)
 			h.post(ctx, func(now unit.Instant) {
 				h.election.Look(now, members, h.table.Owner().Host)
@@ -78,3 +78,20 @@
 		pause(ctx, wait)
 	}
 }
+
+// member is the host's name in the group: its own and where it listens for peers.
+func (h *Host) member() string { return string(h.self) + "@" + h.settings.Peers }
+
+// readMembers returns the hosts of the group, and the others as peers.
+func (h *Host) readMembers(names []string) ([]id.Host, []relay.Peer) {
+	members := make([]id.Host, 0, len(names))
+	var peers []relay.Peer
+	for _, n := range names {
+		host, address, _ := strings.Cut(n, "@")
+		members = append(members, id.Host(host))
+		if id.Host(host) != h.self && address != "" {
+			peers = append(peers, relay.Peer{Address: address})
+		}
+	}
+	return members, peers
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -80,7 +80,7 @@
 	case <-done:
 	case <-ctx.Done():
 	}
-	if err := h.store.Leave(ctx, group, string(h.self)); err != nil {
+	if err := h.store.Leave(ctx, group, h.member()); err != nil {
 		h.log.Info("leave-failed", zap.Error(err))
 	}
 }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,330 @@
+// Package relay makes HTTP calls through another entry host when the own path fails.
+//
+// The platform's store may turn some hosts away while it serves the others. A Path
+// tries the direct way; when that fails or is slow, it sends the same call to a peer
+// over WebSocket with CBOR, and the peer makes it on its own direct path. Every call
+// that goes this way may be made twice without harm: appends carry a number, and all
+// others are reads or say the same again. A peer never passes a call on.
+package relay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/codec"
+)
+
+const (
+	// hedgeAfter is how long the direct way may take, beyond the time that a
+	// call may wait at the store, before a peer is asked as well. A slow store
+	// answers within 300 ms.
+	hedgeAfter = 500 * time.Millisecond
+	// suspectFor is how long a way that failed is not the first choice.
+	suspectFor = time.Second
+	// maxBody bounds a call and an answer in bytes.
+	maxBody = 4 << 20
+)
+
+// ErrNoPeer reports that no peer is known or reachable.
+var ErrNoPeer = errors.New("relay: no peer")
+
+// Peer is another entry host.
+type Peer struct {
+	// Address is where it listens for its peers.
+	Address string
+}
+
+// call is one call on its way through a peer. Path includes the query.
+type call struct {
+	ID     uint64 `cbor:"1,keyasint"`
+	Method string `cbor:"2,keyasint"`
+	Path   string `cbor:"3,keyasint"`
+	Kind   string `cbor:"4,keyasint"`
+	Body   []byte `cbor:"5,keyasint"`
+	// Limit is how long the peer may take.
+	Limit time.Duration `cbor:"6,keyasint"`
+}
+
+// result answers a call. Status is 0 if the peer got no answer; the call may have had
+// its effect then.
+type result struct {
+	ID     uint64 `cbor:"1,keyasint"`
+	Status int    `cbor:"2,keyasint"`
+	Body   []byte `cbor:"3,keyasint"`
+}
+
+var (
+	calls   = codec.New[call]()
+	results = codec.New[result]()
+)
+
+// Path is an http.RoundTripper to one address over the direct way and over peers. It
+// is safe for concurrent use.
+type Path struct {
+	base   string
+	direct *http.Client
+	log    *zap.Logger
+
+	mu    sync.Mutex
+	peers []Peer
+	links map[string]*link
+	// suspect and peersSuspect are until when a way is not the first choice.
+	suspect, peersSuspect time.Time
+}
+
+// New returns a path to the address base (with its scheme) whose direct calls are made
+// by the given client.
+func New(base string, direct *http.Client, log *zap.Logger) *Path {
+	return &Path{base: base, direct: direct, log: log, links: map[string]*link{}}
+}
+
+// SetPeers takes over which peers there are.
+func (p *Path) SetPeers(peers []Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers = peers
+	for a, l := range p.links {
+		if !contains(peers, a) {
+			l.close()
+			delete(p.links, a)
+		}
+	}
+}
+
+func contains(peers []Peer, address string) bool {
+	for _, x := range peers {
+		if x.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// outcome is what became of one way of a call.
+type outcome struct {
+	resp   *http.Response
+	err    error
+	direct bool
+}
+
+// failed reports whether another way may do better.
+func (o outcome) failed() bool {
+	return o.err != nil || o.resp.StatusCode == http.StatusServiceUnavailable || o.resp.StatusCode == http.StatusTooManyRequests
+}
+
+// RoundTrip makes a call. It returns the first answer that isn't a refusal.
+func (p *Path) RoundTrip(req *http.Request) (*http.Response, error) {
+	wait := waitOf(req)
+	directFirst, usePeers := p.ways()
+	out := make(chan outcome, 2)
+	under := 0
+	begin := func(direct bool) {
+		under++
+		go func() { out <- p.try(req, direct, wait) }()
+	}
+	begin(directFirst || !usePeers)
+	second := usePeers
+	timer := time.NewTimer(wait + hedgeAfter)
+	defer timer.Stop()
+	var last outcome
+	for {
+		select {
+		case <-timer.C:
+			if second {
+				second = false
+				begin(!directFirst)
+			}
+		case o := <-out:
+			under--
+			p.learn(o)
+			if !o.failed() {
+				return o.resp, nil
+			}
+			last = worse(last, o)
+			if second {
+				second = false
+				begin(!directFirst)
+			}
+			if under == 0 {
+				return last.resp, last.err
+			}
+		case <-req.Context().Done():
+			return nil, req.Context().Err()
+		}
+	}
+}
+
+// worse returns the outcome that promises less: no answer is less than a refusal,
+// because the call may have had its effect.
+func worse(a, b outcome) outcome {
+	if a.err == nil && a.resp == nil {
+		return b
+	}
+	if errors.Is(b.err, ErrNoPeer) {
+		return a
+	}
+	if b.err != nil {
+		return b
+	}
+	return a
+}
+
+// ways tells which way comes first and whether peers can be asked.
+func (p *Path) ways() (directFirst, usePeers bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	usePeers = len(p.peers) > 0 && now.After(p.peersSuspect)
+	return !usePeers || now.After(p.suspect), usePeers
+}
+
+// learn notes which ways work.
+func (p *Path) learn(o outcome) {
+	if errors.Is(o.err, context.Canceled) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	until := &p.peersSuspect
+	if o.direct {
+		until = &p.suspect
+	}
+	was := time.Now().Before(*until)
+	switch {
+	case o.failed():
+		*until = time.Now().Add(suspectFor)
+	default:
+		*until = time.Time{}
+	}
+	if o.direct && was != o.failed() {
+		p.log.Info("direct-path", zap.String("to", p.base), zap.Bool("works", !o.failed()))
+	}
+}
+
+func (p *Path) try(req *http.Request, direct bool, wait time.Duration) outcome {
+	if direct {
+		resp, err := p.tryDirect(req)
+		return outcome{resp: resp, err: err, direct: true}
+	}
+	resp, err := p.tryPeer(req, wait)
+	return outcome{resp: resp, err: err}
+}
+
+func (p *Path) tryDirect(req *http.Request) (*http.Response, error) {
+	body, err := bodyOf(req)
+	if err != nil {
+		return nil, err
+	}
+	status, data, err := p.Make(req.Context(), req.Method, req.URL.RequestURI(), req.Header.Get("Content-Type"), body)
+	if err != nil {
+		return nil, err
+	}
+	return response(req, status, data), nil
+}
+
+// Make makes a call on the direct path and reads its answer whole.
+func (p *Path) Make(ctx context.Context, method, path, kind string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, p.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if kind != "" {
+		req.Header.Set("Content-Type", kind)
+	}
+	resp, err := p.direct.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	return resp.StatusCode, data, err
+}
+
+func (p *Path) tryPeer(req *http.Request, wait time.Duration) (*http.Response, error) {
+	body, err := bodyOf(req)
+	if err != nil {
+		return nil, err
+	}
+	l, err := p.pick(req.Context())
+	if err != nil {
+		return nil, err
+	}
+	res, err := l.do(req.Context(), call{
+		Method: req.Method, Path: req.URL.RequestURI(), Kind: req.Header.Get("Content-Type"), Body: body, Limit: wait + 2*hedgeAfter,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if res.Status == 0 {
+		return nil, fmt.Errorf("relay: peer %s got no answer", l.address)
+	}
+	return response(req, res.Status, res.Body), nil
+}
+
+// pick returns a link to a peer: one that is open, or else to one drawn at random.
+func (p *Path) pick(ctx context.Context) (*link, error) {
+	p.mu.Lock()
+	for _, l := range p.links {
+		if l.works() {
+			p.mu.Unlock()
+			return l, nil
+		}
+	}
+	if len(p.peers) == 0 {
+		p.mu.Unlock()
+		return nil, ErrNoPeer
+	}
+	a := p.peers[rand.IntN(len(p.peers))].Address
+	p.mu.Unlock()
+	l, err := dial(ctx, a)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.links[a]; old != nil {
+		old.close()
+	}
+	p.links[a] = l
+	return l, nil
+}
+
+func bodyOf(req *http.Request) ([]byte, error) {
+	if req.GetBody == nil {
+		return nil, nil
+	}
+	r, err := req.GetBody()
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(r)
+}
+
+func response(req *http.Request, status int, body []byte) *http.Response {
+	return &http.Response{
+		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
+		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: req,
+	}
+}
+
+// waitKey carries how long a call may wait at its other end.
+type waitKey struct{}
+
+// WithWait notes in ctx how long a call may wait at its other end.
+func WithWait(ctx context.Context, wait time.Duration) context.Context {
+	return context.WithValue(ctx, waitKey{}, wait)
+}
+
+func waitOf(req *http.Request) time.Duration {
+	wait, _ := req.Context().Value(waitKey{}).(time.Duration)
+	return wait
+}
