relay, entry: a call is refused only if that is sure on every way

A call that a peer had read and then a direct one that was never sent came out as never sent; the writer took its number back and gave it to the next records, which the store then answered as the first.

Ruled out: pages of the newest records (345 keys, under one page), forgetting (nothing is forgotten for 120 s), the reducer.

--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -133,7 +133,9 @@
 			return nil
 		case errors.Is(err, platform.ErrNotDone) && !unknown:
 			if tries >= refusedTries {
-				w.id.Seq--
+				// Under a new epoch the store refuses these records for good, and
+				// the numbers begin anew.
+				w.id.Epoch, w.id.Seq = w.id.Epoch+1, 0
 				w.log.Warn("write-refused", zap.Int("records", len(recs)), zap.Error(err))
 				return errNotWritten
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -163,16 +164,27 @@
 	}
 }
 
-// worse returns the outcome that promises less: no answer is less than a refusal,
-// because the call may have had its effect.
-func worse(a, b outcome) outcome {
-	if a.err == nil && a.resp == nil {
-		return b
-	}
-	if errors.Is(b.err, ErrNoPeer) {
-		return a
+// doubt orders failed outcomes by how likely the call had its effect: surely not when
+// nothing was sent or the other end refused, perhaps when there was no answer.
+func (o outcome) doubt() int {
+	var op *net.OpError
+	switch {
+	case o.err == nil && o.resp == nil:
+		return 0
+	case errors.Is(o.err, ErrNoPeer):
+		return 1
+	case errors.As(o.err, &op) && op.Op == "dial":
+		return 2
+	case o.err == nil:
+		return 3
 	}
-	if b.err != nil {
+	return 4
+}
+
+// worse returns the outcome that leaves more doubt: a call is surely without effect
+// only if that is so on every way that was tried.
+func worse(a, b outcome) outcome {
+	if b.doubt() > a.doubt() {
 		return b
 	}
 	return a
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,125 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/coder/websocket"
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/relay"
+)
+
+// TestScripts makes calls over paths that work or fail. A script has one line a call:
+//
+//	DIRECT PEER -> OUTCOME
+//
+// DIRECT and PEER say what becomes of the call on that way: ok, busy (503), lost (the
+// call was read and its connection closed), down (no connection) or none. OUTCOME is
+// ok, busy, unsent (surely no effect) or unknown. The lines of a script share one path,
+// which learns which way works.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			run(t, string(data))
+		})
+	}
+}
+
+// way is one way of a call, scripted.
+type way struct{ mode string }
+
+func run(t *testing.T, text string) {
+	direct, peer := &way{}, &way{}
+	store := httptest.NewServer(http.HandlerFunc(direct.store))
+	t.Cleanup(store.Close)
+	other := httptest.NewServer(http.HandlerFunc(peer.peer))
+	t.Cleanup(other.Close)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: direct.dial}}
+	path := relay.New(store.URL, client, zap.NewNop())
+	for i, line := range strings.Split(text, "\n") {
+		f := strings.Fields(line)
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		direct.mode, peer.mode = f[0], f[1]
+		path.SetPeers(nil)
+		if peer.mode != "none" {
+			path.SetPeers([]relay.Peer{{Address: strings.TrimPrefix(other.URL, "http://")}})
+		}
+		if got := call(t, path, store.URL); got != f[3] {
+			t.Errorf("line %d: %s: got %s", i+1, line, got)
+		}
+	}
+}
+
+func call(t *testing.T, path *relay.Path, url string) string {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := path.RoundTrip(req)
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return "unsent"
+	case err != nil:
+		return "unknown"
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		return "busy"
+	}
+	return "ok"
+}
+
+func (w *way) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if w.mode == "down" {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: errors.New("refused")}
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+func (w *way) store(rw http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	switch w.mode {
+	case "busy":
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	case "lost":
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// peer is a peer's side: it answers by handing calls to a path of its own.
+func (w *way) peer(rw http.ResponseWriter, r *http.Request) {
+	if w.mode == "down" {
+		rw.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if w.mode == "lost" {
+		conn, err := websocket.Accept(rw, r, nil)
+		if err != nil {
+			return
+		}
+		_, _, _ = conn.Read(r.Context())
+		_ = conn.CloseNow()
+		return
+	}
+	store := httptest.NewServer(http.HandlerFunc(w.store))
+	defer store.Close()
+	relay.New(store.URL, store.Client(), zap.NewNop()).Handler().ServeHTTP(rw, r)
+}
