entry: a hanging store is told to clients early

Change: while an append hangs for over 0.4 s, calls are refused at once with when to come back; one whose record was sent is told after 1 s that its outcome is unknown.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -30,8 +30,11 @@
 	// answerMargin is kept of a deadline for the answer's way back.
 	answerMargin = 30 * time.Millisecond
 	// queueWait is how long a record may wait behind an append that hangs before
-	// the call is refused.
+	// the call is refused. A slow store answers within 300 ms.
 	queueWait = 400 * time.Millisecond
+	// unknownWait is how long a call waits for an append that was sent before its
+	// outcome is reported as unknown, so that the client can ask another host.
+	unknownWait = time.Second
 	// endWait is how long the answer on a running job's state waits for its end: an
 	// end's way through the owner and the store takes about 30 ms.
 	endWait = 120 * time.Millisecond
@@ -335,24 +338,21 @@
 func (f *front) store(ctx context.Context, rec jobtable.Record, why string) reply {
 	p := f.host.writer.add(rec)
 	if p == nil {
-		return refused("too many calls wait for the store")
+		return refused("other calls wait for the store")
 	}
-	timer := time.NewTimer(queueWait)
-	defer timer.Stop()
+	queued, sent := time.NewTimer(queueWait), time.NewTimer(unknownWait)
+	defer queued.Stop()
+	defer sent.Stop()
 	for {
 		select {
 		case err := <-p.done:
-			switch {
-			case err == nil:
-				return reply{status: http.StatusOK, why: why}
-			case errors.Is(err, errNotWritten):
-				return refused("the store takes no records")
-			}
-			return unknown("the store's answer is unknown: " + err.Error())
-		case <-timer.C:
+			return written(err, why)
+		case <-queued.C:
 			if p.withdraw() {
 				return refused("the store doesn't answer")
 			}
+		case <-sent.C:
+			return unknown("the store has not answered in time")
 		case <-ctx.Done():
 			if p.withdraw() {
 				return refused("the store doesn't answer")
@@ -362,6 +362,17 @@
 	}
 }
 
+// written is the answer when the outcome of a write is known.
+func written(err error, why string) reply {
+	switch {
+	case err == nil:
+		return reply{status: http.StatusOK, why: why}
+	case errors.Is(err, errNotWritten):
+		return refused("the store takes no records")
+	}
+	return unknown("the store's answer is unknown: " + err.Error())
+}
+
 // serveReadiness tells the balancer whether to send clients here.
 func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if !h.ready.Load() {
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -54,14 +54,20 @@
 	metrics *metrics
 	queue   *ring.Ring[*pending]
 	id      platform.Writer
+	// busySince is when the append that is under way began, in nanoseconds; 0 for
+	// none.
+	busySince atomic.Int64
 }
 
 func newWriter(s *platform.Store, name string, log *zap.Logger, m *metrics) *writer {
 	return &writer{store: s, log: log, metrics: m, queue: ring.New[*pending](pendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
 }
 
-// add queues a record, or returns nil if too many wait.
+// add queues a record, or returns nil if too many wait or if the store hangs.
 func (w *writer) add(r jobtable.Record) *pending {
+	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > queueWait {
+		return nil
+	}
 	p := &pending{record: r, done: make(chan error, 1)}
 	if !w.queue.Offer(p) {
 		return nil
@@ -113,6 +119,8 @@
 		recs = append(recs, p.record)
 	}
 	w.id.Seq++
+	w.busySince.Store(time.Now().UnixNano())
+	defer w.busySince.Store(0)
 	err := w.persist(ctx, recs)
 	for _, p := range batch {
 		p.done <- err
