dispatch: empty workers are kept for urgent work

Change: less urgent work may fill workers in use but takes an empty one only beyond a reserve of 3 s of urgent arrivals, unless its own deadline presses.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -23,6 +23,8 @@
 	order []*worker
 	// guaranteed is how many accelerators each customer can always have.
 	guaranteed map[id.Customer]int
+	// arrivals holds the rate of urgent work of each service.
+	arrivals map[id.Service]*arrivals
 
 	orders Orders
 	notes  []Note
@@ -42,6 +44,7 @@
 	return &Dispatcher{
 		config: c, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
+		arrivals: map[id.Service]*arrivals{},
 	}
 }
 
@@ -142,6 +145,9 @@
 		}
 	}
 	js.open = len(js.steps)
+	if s.Priority == 0 && p.Outcome == job.Open && len(p.Tasks) == 0 {
+		d.expect(now, s)
+	}
 	if len(p.Tasks) == base {
 		d.resume(now, js)
 	}
@@ -251,7 +257,7 @@
 		js.progress.Tasks = nil
 	}
 	d.mark(js)
-	d.note(Note{Event: "job-ended", Job: js.id, Why: why, Age: now.Sub(js.spec.Accepted)})
+	d.note(Note{Event: "job-ended", Job: js.id, Why: why, Estimate: js.spec.LongestChain(), Age: now.Sub(js.spec.Accepted)})
 }
 
 func (d *Dispatcher) stopAll(now unit.Instant, js *jobState, why string) {
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -97,6 +97,8 @@
 	Worker id.Worker
 	Run    job.Run
 	Why    string
+	// Estimate is the customer's guess of the time that is at stake.
+	Estimate time.Duration
 	// Age is how old the state was that the decision rests on.
 	Age time.Duration
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -15,11 +15,12 @@
 	if len(usable) == 0 {
 		return
 	}
+	kept := d.reserves(now, usable)
 	for _, c := range d.candidates(now) {
 		if d.useClaim(now, c) {
 			continue
 		}
-		if !d.tryPlace(now, c, usable) && c.step.waitingSince == 0 {
+		if !d.tryPlace(now, c, usable, kept) && c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
 	}
@@ -37,7 +38,7 @@
 
 // tryPlace places as many of the candidate's tasks as find room, a gang whole or not
 // at all. It reports whether all were placed.
-func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, usable []*worker) bool {
+func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, usable []*worker, kept reserve) bool {
 	s := c.step
 	fits := usable[:0:0]
 	for _, w := range usable {
@@ -45,11 +46,15 @@
 			fits = append(fits, w)
 		}
 	}
+	before := emptyAmong(fits)
+	defer func() { kept[s.job.spec.Service] -= before - emptyAmong(fits) }()
 	if s.step.Gang {
-		return d.placeGang(now, c, fits)
+		return d.placeGang(now, c, kept.allowed(now, c, fits))
 	}
 	for at, i := range c.waiting {
-		w := d.choose(now, s, fits)
+		kept[s.job.spec.Service] -= before - emptyAmong(fits)
+		before = emptyAmong(fits)
+		w := d.choose(now, s, kept.allowed(now, c, fits))
 		if w == nil {
 			rest := c
 			rest.waiting = c.waiting[at:]
@@ -62,6 +67,16 @@
 	return true
 }
 
+func emptyAmong(workers []*worker) int {
+	n := 0
+	for _, w := range workers {
+		if w.empty() {
+			n++
+		}
+	}
+	return n
+}
+
 // nextRun returns the number of a task's next run. A gang's members share it.
 func (s *stepState) nextRun(index int) job.Run {
 	tasks := s.job.progress.Tasks
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -307,6 +307,9 @@
 		if n.Why != "" {
 			fields = append(fields, zap.String("why", n.Why))
 		}
+		if n.Estimate != 0 {
+			fields = append(fields, zap.Duration("estimate", n.Estimate))
+		}
 		if n.Age != 0 {
 			fields = append(fields, zap.Duration("age", n.Age))
 		}
