dispatch: slow places only when there is room to spare

Change: work that isn't urgent goes where it is slow only while under half of the service is in use and twice the room is free.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -38,6 +38,10 @@
 	// before it takes room elsewhere. The platform counts a job as lost that
 	// waits 3 s with room to spare.
 	nearWait = 1200 * time.Millisecond
+	// farUsage is the part of a service's capacity in use below which work that
+	// isn't urgent may be placed where it is slow. The platform asks for work to
+	// start when under half is in use.
+	farUsage = 0.5
 	// claimTime is how long room is kept for a unit that others were stopped for.
 	claimTime = 2 * time.Second
 	// failStreak is how many runs of different jobs fail in a row before a worker
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -111,7 +111,7 @@
 			far, farLeft = w, left
 		}
 	}
-	if best == nil && far != nil && !s.waitedFor(now, nearWait) {
+	if best == nil && far != nil && !d.mayGoFar(now, s, fits, 1) {
 		return nil
 	}
 	if best == nil {
@@ -125,6 +125,43 @@
 	return s.waitingSince != 0 && now.Sub(s.waitingSince) >= t
 }
 
+// mayGoFar reports whether n tasks of a step may be placed where they are slow. That
+// costs far_factor times the room, so it is for urgent work, and for times in which
+// there is more than enough room elsewhere.
+func (d *Dispatcher) mayGoFar(now unit.Instant, s *stepState, fits []*worker, n int) bool {
+	if !s.waitedFor(now, nearWait) {
+		return false
+	}
+	if s.job.spec.Priority == 0 {
+		return true
+	}
+	return d.usage(s.job.spec.Service) < farUsage && s.roomFor(fits, 2*n)
+}
+
+// usage returns how much of a service's capacity is taken: of the resource of which
+// most is free.
+func (d *Dispatcher) usage(name id.Service) float64 {
+	var used, all job.Resources
+	for _, w := range d.order {
+		if w.Service == name && w.listed {
+			used, all = used.Add(w.used), all.Add(w.Capacity)
+		}
+	}
+	return min(part(float64(used.CPU), float64(all.CPU)), part(float64(used.Memory), float64(all.Memory)),
+		part(float64(used.Accelerators), float64(all.Accelerators)))
+}
+
+// roomFor reports whether n tasks of a step fit into what is free.
+func (s *stepState) roomFor(workers []*worker, n int) bool {
+	need := s.step.Reserved()
+	for _, w := range workers {
+		for free := w.free(); n > 0 && need.Fits(free); n-- {
+			free = free.Sub(need)
+		}
+	}
+	return n <= 0
+}
+
 // full reports whether a worker holds as many tasks of the step as it may, with more
 // of them about to be placed there.
 func (s *stepState) full(w *worker, more int) bool {
@@ -223,7 +260,7 @@
 				}
 			}
 		}
-		if best.workers != nil || reachable && !s.waitedFor(now, nearWait) {
+		if best.workers != nil || reachable && !d.mayGoFar(now, s, fits, len(c.waiting)) {
 			return best
 		}
 	}
