dispatch, entry: room is kept for pressing gangs; a starting host loads first

Cause: a gang of several whole workers can wait while smaller work takes each worker as it becomes free.

Change: for at most two gangs whose time presses, room is kept where it will be free soonest. Submissions wait up to 0.4 s for the state of a new host.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -66,6 +66,12 @@
 	// stopCost is added for each run that is stopped, in core-seconds, so that
 	// few are stopped when little work is lost either way.
 	stopCost = 1
+	// shortestWait and longestWait bound how far ahead room is kept for a gang that
+	// nobody is stopped for; mostWaitingClaims bounds how many gangs that is done
+	// for at a time, because kept room lies idle.
+	shortestWait      = time.Second
+	longestWait       = 8 * time.Second
+	mostWaitingClaims = 2
 	// forgetRecords bounds how many ended jobs are dropped in one batch.
 	forgetRecords = 20
 )
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -26,6 +26,9 @@
 	// arrivals holds the rate of urgent work of each service.
 	arrivals map[id.Service]*arrivals
 
+	// claims counts the gangs that room is kept for without stopping anybody.
+	claims int
+
 	orders Orders
 	notes  []Note
 	// starts are placed runs whose orders wait for the next batch.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -16,6 +16,7 @@
 		return
 	}
 	kept := d.reserves(now, usable)
+	d.claims = d.waitingClaims()
 	for _, c := range d.candidates(now) {
 		if d.useClaim(now, c) {
 			continue
@@ -26,6 +27,19 @@
 	}
 }
 
+// waitingClaims counts the steps of work that isn't urgent for which room is kept.
+func (d *Dispatcher) waitingClaims() int {
+	n := 0
+	for _, js := range d.jobs {
+		for _, s := range js.steps {
+			if s.claim != nil && js.spec.Priority > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (d *Dispatcher) usableWorkers(now unit.Instant) []*worker {
 	var out []*worker
 	for _, w := range d.order {
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -3,32 +3,70 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// preempt stops work of lower priority for urgent work that finds no room, and keeps
-// the room for it until the stopped runs have ended.
+// preempt stops work of lower priority for work that finds no room and can't wait, and
+// keeps the room for it until the stopped runs have ended. If that isn't enough, room
+// is kept where most of it will be free soonest.
 func (d *Dispatcher) preempt(now unit.Instant, c candidate, fits []*worker) {
 	s := c.step
-	if s.job.spec.Priority != 0 || s.claim != nil {
+	urgent := s.job.spec.Priority == 0
+	if s.claim != nil || !urgent && (c.late || !c.pressing(now)) {
+		return
+	}
+	if !urgent {
+		d.wait(now, c, fits)
 		return
 	}
 	chosen := d.chooseGang(now, c, fits, d.preemptible)
-	if chosen.workers == nil {
+	if chosen.workers != nil {
+		for _, v := range chosen.victims {
+			d.stopRun(now, v, "makes room for job "+string(s.job.id))
+		}
+		d.keep(now, c, chosen.workers, claimTime, "work of lower priority is stopped")
 		return
 	}
-	for _, v := range chosen.victims {
-		d.stopRun(now, v, "makes room for job "+string(s.job.id))
+}
+
+// wait keeps room for a gang where enough of it will be free soonest, so that smaller
+// work doesn't take it bit by bit.
+func (d *Dispatcher) wait(now unit.Instant, c candidate, fits []*worker) {
+	for horizon := shortestWait; d.claims < mostWaitingClaims && horizon <= longestWait; horizon *= 2 {
+		chosen := d.chooseGang(now, c, fits, d.roomWithin(horizon))
+		if chosen.workers != nil {
+			d.claims++
+			d.keep(now, c, chosen.workers, horizon+claimTime, "waits for work that ends soon")
+			return
+		}
 	}
-	need := s.step.Reserved()
-	for _, w := range chosen.workers {
+}
+
+// roomWithin is the room that is free or is expected to be so within a time.
+func (d *Dispatcher) roomWithin(horizon time.Duration) room {
+	return func(now unit.Instant, _ candidate, w *worker, _ job.Resources) (job.Resources, []*run, float64) {
+		free := w.free()
+		for _, r := range w.runs {
+			if r.state == runStopping || r.step != nil && !r.step.step.LongRunning && d.remaining(now, r) <= horizon {
+				free = free.Add(r.need)
+			}
+		}
+		return free, nil, 0
+	}
+}
+
+// keep reserves room for the waiting tasks of a step.
+func (d *Dispatcher) keep(now unit.Instant, c candidate, workers []*worker, until time.Duration, why string) {
+	need := c.step.step.Reserved()
+	for _, w := range workers {
 		w.reserved = w.reserved.Add(need)
 	}
-	s.claim = &claim{workers: chosen.workers, until: now.Add(claimTime)}
-	d.note(Note{Event: "room-claimed", Job: s.job.id, Why: "work of lower priority is stopped", Age: now.Sub(s.job.spec.Accepted)})
+	c.step.claim = &claim{workers: workers, until: now.Add(until)}
+	d.note(Note{Event: "room-claimed", Job: c.step.job.id, Why: why, Estimate: until, Age: now.Sub(c.step.job.spec.Accepted)})
 }
 
 // preemptible is the room that is free or could be freed for urgent work. Runs that
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -32,6 +32,8 @@
 	// queueWait is how long a record may wait behind an append that hangs before
 	// the call is refused. A slow store answers within 300 ms.
 	queueWait = 400 * time.Millisecond
+	// loadLook is the pause between two looks whether the state is loaded.
+	loadLook = 10 * time.Millisecond
 	// unknownWait is how long a call waits for an append that was sent before its
 	// outcome is reported as unknown, so that the client can ask another host.
 	unknownWait = time.Second
@@ -203,6 +205,20 @@
 	}
 }
 
+// whenLoaded asks for a job and gives a host that has just started a moment to load
+// its state, which takes about 30 ms.
+func (f *front) whenLoaded(ctx context.Context, j id.Job) (look, bool) {
+	for end := time.Now().Add(queueWait); ; {
+		l, ok := f.inTable(ctx, j)
+		if !ok || l.loaded || time.Now().After(end) {
+			return l, ok
+		}
+		if !pause(ctx, loadLook) {
+			return look{}, false
+		}
+	}
+}
+
 func (h *Host) lookUp(j id.Job) look {
 	l := look{loaded: h.loaded}
 	if e := h.table.Get(j); e != nil && e.Spec != nil {
@@ -311,7 +327,7 @@
 	if err != nil {
 		return reply{status: http.StatusBadRequest, why: err.Error()}
 	}
-	l, ok := f.inTable(ctx, j)
+	l, ok := f.whenLoaded(ctx, j)
 	if !ok || !l.loaded {
 		return refused("the jobs are not known yet")
 	}
