entry, platform/standin: the whole path over stand-ins; reloaded jobs reach the owner

Cause: when the store had dropped its history, a host loaded the newest records and replaced its table, but the owner was not told of jobs that had come in the gap: they stayed queued for good.

Ruled out: the writer (the job was shown as queued, so its record was there).

Change: a reload hands every job to the owner and to those who wait. The stand-ins of the store and the workers speak the platform's protocol, behind the same adapter, with lost answers, refusals, silence and a dropped history.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -156,6 +156,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer h.close()
 	h.log.Info("started", zap.String("host", string(h.self)), zap.String("callers", h.settings.Callers), zap.String("store", h.settings.Store))
 	for i, s := range h.servers {
 		go func() {
@@ -178,6 +179,19 @@
 	return nil
 }
 
+// close closes the listeners and what is open on them.
+func (h *Host) close() {
+	for _, s := range h.servers {
+		_ = s.Close()
+	}
+}
+
+// Callers returns the address on which clients are answered.
+func (h *Host) Callers() string { return h.listeners[0].Addr().String() }
+
+// Metrics returns the address on which counters are served.
+func (h *Host) Metrics() string { return h.listeners[2].Addr().String() }
+
 // decide applies events and passes over the state until ctx is done.
 func (h *Host) decide(ctx context.Context) {
 	timer := time.NewTimer(idleEvery)
--- /dev/null
+++ b/internal/entry/path_test.go
@@ -0,0 +1,319 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/entry"
+	"curlewsill.org/curlewsill/internal/settings"
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// deadline is when a script that makes no progress is given up. No script asserts how
+// long something takes.
+const deadline = 40 * time.Second
+
+// TestPath plays scripts over the whole path: entry hosts with their listeners, and
+// stand-ins of the store and the workers behind the same adapter as on the platform.
+//
+//	hosts N | workers N              starts so many
+//	submit HOST JOB TASKS PAYLOAD STATUS [key=K] [attempts...]
+//	again HOST JOB STATUS            submits the same job once more
+//	cancel HOST JOB STATUS
+//	state HOST JOB STATUS [STATE]
+//	await HOST JOB STATE             asks until the job is in the state
+//	awaitstatus HOST JOB STATUS      asks until the answer has the status
+//	pending HOST N
+//	store FAULT | worker N FAULT     none, busy, lost or silent
+//	forget                           the store drops its history
+//	kill HOST | start HOST
+//	starts JOB N                     all workers together have started N runs of it
+//	metric HOST NAME                 the counter is served and not zero
+func TestPath(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			t.Parallel()
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			newSite(t).run(string(data))
+		})
+	}
+}
+
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	address string
+	workers []*standin.Worker
+	hosts   []*entry.Host
+	stops   []context.CancelFunc
+	bodies  map[string]string
+	line    int
+}
+
+// work is what the payloads of the scripts do.
+var work = map[string]standin.Work{
+	"short": {Time: 20 * time.Millisecond}, "long": {Time: 700 * time.Millisecond}, "fails": {Fails: true}, "endless": {Time: time.Hour},
+}
+
+const configuration = `{"Version":1,"Routes":[{"Name":"q","Hostname":"jobs.example","PathPrefix":"/q/","Priority":1,"Backend":"svc","MaxAttempts":2,"Extension":3,"TargetLatencyMs":1000}],
+"Backends":[{"Name":"svc","RejectsOverload":true}],"Tenants":[{"Name":"c","ApiKeys":["key"],"Guaranteed":{"Gpus":8}}]}`
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.CloseClientConnections)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	s.store.Put("keyed.op", "config", []byte(configuration))
+	t.Cleanup(func() {
+		for _, stop := range s.stops {
+			stop()
+		}
+	})
+	return s
+}
+
+func (s *site) run(text string) {
+	for i, l := range strings.Split(text, "\n") {
+		f := strings.Fields(l)
+		if len(f) == 0 || strings.HasPrefix(f[0], "#") {
+			continue
+		}
+		s.line = i + 1
+		s.do(f)
+		if s.t.Failed() {
+			return
+		}
+	}
+}
+
+func (s *site) failf(format string, args ...any) {
+	s.t.Helper()
+	s.t.Errorf("line %d: %s", s.line, fmt.Sprintf(format, args...))
+}
+
+func (s *site) number(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		s.t.Fatalf("line %d: %v", s.line, err)
+	}
+	return n
+}
+
+func (s *site) do(f []string) {
+	switch f[0] {
+	case "hosts":
+		for range s.number(f[1]) {
+			s.hosts, s.stops = append(s.hosts, nil), append(s.stops, nil)
+			s.startHost(len(s.hosts) - 1)
+		}
+	case "start":
+		s.startHost(s.number(f[1]))
+	case "kill":
+		s.stops[s.number(f[1])]()
+	case "workers":
+		for range s.number(f[1]) {
+			s.startWorker()
+		}
+	case "store":
+		s.store.SetFault(fault(f[1]))
+	case "worker":
+		s.workers[s.number(f[1])].SetFault(fault(f[2]))
+	case "forget":
+		s.store.Forget()
+	default:
+		s.ask(f)
+	}
+}
+
+func fault(name string) standin.Fault {
+	if name == "none" {
+		return standin.FaultNone
+	}
+	return standin.Fault(name)
+}
+
+func (s *site) ask(f []string) {
+	host := 0
+	if f[0] != "starts" {
+		host = s.number(f[1])
+	}
+	switch f[0] {
+	case "submit":
+		s.bodies[f[2]] = fmt.Sprintf(`{"TaskSpec":%q,"Steps":[{"Count":%s,"Cpu":1000,"MemMb":100,"Gpus":1,"EstimateMs":100}]}`, f[4], f[3])
+		s.want(f[5], s.until(f[5], host, http.MethodPost, f[2]))
+	case "again":
+		s.want(f[3], s.until(f[3], host, http.MethodPost, f[2]))
+	case "cancel":
+		s.want(f[3], s.until(f[3], host, http.MethodDelete, f[2]))
+	case "state":
+		status, state := s.call(host, http.MethodGet, f[2])
+		s.want(f[3], status)
+		if len(f) > 4 && state != f[4] {
+			s.failf("job %s is %s", f[2], state)
+		}
+	case "await":
+		for end := time.Now().Add(deadline); ; time.Sleep(20 * time.Millisecond) {
+			status, state := s.call(host, http.MethodGet, f[2])
+			if state == f[3] {
+				return
+			}
+			if time.Now().After(end) {
+				s.failf("job %s is %s (%d)", f[2], state, status)
+				return
+			}
+		}
+	case "awaitstatus":
+		s.want(f[3], s.until(f[3], host, http.MethodGet, f[2]))
+	case "pending":
+		s.pending(host, f[2])
+	case "starts":
+		s.starts(f[1], s.number(f[2]))
+	case "metric":
+		s.metric(host, f[2])
+	default:
+		s.t.Fatalf("line %d: unknown command %s", s.line, f[0])
+	}
+}
+
+func (s *site) want(status string, got int) {
+	s.t.Helper()
+	if strconv.Itoa(got) != status {
+		s.failf("status %d, want %s", got, status)
+	}
+}
+
+// until repeats a call that is refused until it has the status, as clients do.
+func (s *site) until(status string, host int, method, job string) int {
+	for end := time.Now().Add(deadline); ; time.Sleep(50 * time.Millisecond) {
+		got, _ := s.call(host, method, job)
+		refused := got == 0 || got >= http.StatusInternalServerError
+		if strconv.Itoa(got) == status || !refused && method != http.MethodGet || time.Now().After(end) {
+			return got
+		}
+	}
+}
+
+func (s *site) call(host int, method, job string) (int, string) {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = bytes.NewReader([]byte(s.bodies[job]))
+	}
+	req, err := http.NewRequest(method, "http://"+s.hosts[host].Callers()+"/q/"+job, body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("Authorization", "Bearer key")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out struct {
+		State   string `json:"State"`
+		Pending int    `json:"Pending"`
+	}
+	data, _ := io.ReadAll(resp.Body)
+	_ = json.Unmarshal(data, &out)
+	if job == "" {
+		return resp.StatusCode, strconv.Itoa(out.Pending)
+	}
+	return resp.StatusCode, out.State
+}
+
+func (s *site) pending(host int, want string) {
+	for end := time.Now().Add(deadline); ; time.Sleep(20 * time.Millisecond) {
+		_, got := s.call(host, http.MethodGet, "")
+		if got == want {
+			return
+		}
+		if time.Now().After(end) {
+			s.failf("pending %s, want %s", got, want)
+			return
+		}
+	}
+}
+
+func (s *site) starts(job string, want int) {
+	got := 0
+	for _, w := range s.workers {
+		for task, n := range w.Starts() {
+			if strings.HasPrefix(task, job+".") {
+				got += n
+			}
+		}
+	}
+	if got != want {
+		s.failf("%d runs of %s were started, want %d", got, job, want)
+	}
+}
+
+func (s *site) metric(host int, name string) {
+	resp, err := http.Get("http://" + s.hosts[host].Metrics() + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	for _, l := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(l, name) && !strings.HasSuffix(l, " 0") {
+			return
+		}
+	}
+	s.failf("%s is not served", name)
+}
+
+func (s *site) startHost(n int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	peers := listener.Addr().String()
+	_ = listener.Close()
+	h, err := entry.New(settings.Site{
+		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: peers, Metrics: "127.0.0.1:0",
+		Store: s.address, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
+		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, FarFactor: 3, KeepEnded: time.Minute},
+	}, zap.NewNop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.hosts[n], s.stops[n] = h, cancel
+	go func() { _ = h.Run(ctx) }()
+}
+
+func (s *site) startWorker() {
+	name := fmt.Sprintf("w-%d", len(s.workers))
+	w := standin.NewWorker(name, work)
+	server := httptest.NewServer(w)
+	s.t.Cleanup(server.CloseClientConnections)
+	s.workers = append(s.workers, w)
+	s.store.Put("keyed.servers", name, fmt.Appendf(nil,
+		`{"Backend":"svc","Address":%q,"Zone":"d","State":"ready","Capacity":{"Cpu":8000,"MemMb":8000,"Gpus":8},"Labels":["a","r1"],"ClockMs":1,"Seq":1}`,
+		strings.TrimPrefix(server.URL, "http://")))
+}
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -184,6 +184,9 @@
 	h.table, h.loaded = table, true
 	h.log.Info("jobs-loaded", zap.Int("records", len(recs)), zap.Uint64("end", uint64(end)))
 	h.ownership(now)
+	for _, j := range table.Jobs() {
+		h.changed(now, j)
+	}
 }
 
 // applyJobs applies the records that the table doesn't have yet.
@@ -202,17 +205,21 @@
 			h.log.Error("record-rejected", zap.Uint64("offset", uint64(offset)), zap.Error(err))
 			continue
 		}
-		if j == "" {
-			continue
-		}
-		h.tellWatchers(j)
-		if h.owner != nil {
-			h.owner.learn(now, j)
+		if j != "" {
+			h.changed(now, j)
 		}
 	}
 	h.ownership(now)
 }
 
+// changed hands news of a job to those who wait for it.
+func (h *Host) changed(now unit.Instant, j id.Job) {
+	h.tellWatchers(j)
+	if h.owner != nil {
+		h.owner.learn(now, j)
+	}
+}
+
 // readOperator follows the configuration.
 func (h *Host) readOperator(ctx context.Context) {
 	t := &tail{host: h, topic: platform.TopicOperator, wait: operatorWait, pause: func() time.Duration { return 0 }}
