dispatch: scripts of the owner's decisions, and what they found

Cause 1: an order to start without an answer was repeated only after a renewal that left after it, up to 2 s later (unknown_start.txt failed). Cause 2: if the task had run and ended meanwhile, the repeated order was rejected as old and the task was placed again, although its end, perhaps a success, was still to be listed (ended_unseen.txt). Such a run now waits for the next renewal. Cause 3: the room kept for urgent work was rounded up, so a service of one worker kept all of it (preempt.txt failed); it is rounded down, and gives way while under half of a service is in use. Cause 4: when a gang was done, its other members got needless stops (gang_done.txt failed).

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -59,11 +59,24 @@
 		}
 	case fleet.Unknown, fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.Expired:
 		// The order is repeated by resend, or the worker was given up above.
-	case fleet.NoRoom, fleet.Busy, fleet.Stale, fleet.NoTicket, fleet.Invalid:
+	case fleet.Stale:
+		d.overtaken(now, r)
+	case fleet.NoRoom, fleet.Busy, fleet.NoTicket, fleet.Invalid:
 		d.rejected(now, r, res.Verdict)
 	}
 }
 
+// overtaken takes in that a worker has seen this run or a later one end. An earlier
+// copy of the order was carried out, so the run has ended, perhaps with success: the
+// next renewal lists its end, or else it is lost.
+func (d *Dispatcher) overtaken(now unit.Instant, r *run) {
+	d.note(Note{Event: "start-overtaken", Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Age: now.Sub(r.since)})
+	if r.apply(evStarted) {
+		r.started = now
+	}
+	r.worker.nextHold = min(r.worker.nextHold, now)
+}
+
 // rejected takes back a run that its worker did not start.
 func (d *Dispatcher) rejected(now unit.Instant, r *run, v fleet.Verdict) {
 	if r.state == runRunning {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -255,7 +255,11 @@
 	for _, s := range js.steps {
 		d.dropClaim(s)
 	}
-	d.stopAll(now, js, why)
+	if o != job.Completed {
+		// What still runs of a completed job is a gang that has ended as a whole;
+		// its workers list the other members' ends by themselves.
+		d.stopAll(now, js, why)
+	}
 	if !js.busy() {
 		js.progress.Tasks = nil
 	}
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -63,7 +63,8 @@
 	return false
 }
 
-// resend repeats orders that got no answer.
+// resend repeats orders that got no answer. A run that an earlier owner placed is
+// started again only after the worker has told this owner what runs and what has ended.
 func (d *Dispatcher) resend(now unit.Instant, w *worker) {
 	if w.Address == "" {
 		return
@@ -73,7 +74,7 @@
 			continue
 		}
 		switch {
-		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced > r.since:
+		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0:
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
 			d.orderStop(now, r)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -63,12 +63,12 @@
 	before := emptyAmong(fits)
 	defer func() { kept[s.job.spec.Service] -= before - emptyAmong(fits) }()
 	if s.step.Gang {
-		return d.placeGang(now, c, kept.allowed(now, c, fits))
+		return d.placeGang(now, c, d.allowed(now, c, fits, kept))
 	}
 	for at, i := range c.waiting {
 		kept[s.job.spec.Service] -= before - emptyAmong(fits)
 		before = emptyAmong(fits)
-		w := d.choose(now, s, kept.allowed(now, c, fits))
+		w := d.choose(now, s, d.allowed(now, c, fits, kept))
 		if w == nil {
 			rest := c
 			rest.waiting = c.waiting[at:]
@@ -139,9 +139,9 @@
 	return s.waitingSince != 0 && now.Sub(s.waitingSince) >= t
 }
 
-// mayGoFar reports whether n tasks of a step may be placed where they are slow. That
-// costs far_factor times the room, so it is for urgent work, and for times in which
-// there is more than enough room elsewhere.
+// mayGoFar reports whether n tasks of a step may be placed where they are slow, or on
+// workers that are kept for urgent work. That costs far_factor times the room, so it is
+// for urgent work, and for times in which there is more than enough room.
 func (d *Dispatcher) mayGoFar(now unit.Instant, s *stepState, fits []*worker, n int) bool {
 	if !s.waitedFor(now, nearWait) {
 		return false
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		kept := a.now(now) * reserveTime.Seconds() / float64(most[s])
-		empty[s] -= int(math.Ceil(min(kept, reserveMost*float64(all[s]))))
+		empty[s] -= int(min(math.Ceil(kept), reserveMost*float64(all[s])))
 	}
 	return empty
 }
@@ -90,8 +90,9 @@
 func (w *worker) empty() bool { return len(w.runs) == 0 && w.reserved == (job.Resources{}) }
 
 // allowed leaves out empty workers if less urgent work may take none.
-func (r reserve) allowed(now unit.Instant, c candidate, workers []*worker) []*worker {
-	if c.step.job.spec.Priority == 0 || c.pressing(now) || r[c.step.job.spec.Service] > 0 {
+func (d *Dispatcher) allowed(now unit.Instant, c candidate, workers []*worker, kept reserve) []*worker {
+	s := c.step
+	if s.job.spec.Priority == 0 || c.pressing(now) || kept[s.job.spec.Service] > 0 || d.mayGoFar(now, s, workers, len(c.waiting)) {
 		return workers
 	}
 	out := workers[:0:0]
