--- a/cmd/curlewsill/cmd/commands.go
+++ b/cmd/curlewsill/cmd/commands.go
@@ -61,6 +61,11 @@
 			"Runs stand-ins, three entry hosts and a shipped site in this process, with an outage of the log, and reports.",
 			&demoCmd{env: e},
 		},
+		{
+			"explain", "Show one job's history from the hosts' logs",
+			"Reads logs of entry hosts and prints the lines that have the job, oldest first.",
+			&explainCmd{env: e},
+		},
 		{"completion", "Print a completion script", "Prints a script for bash.", &completionCmd{env: e}},
 		{
 			"version", "Show the version",
--- /dev/null
+++ b/cmd/curlewsill/cmd/explain.go
@@ -0,0 +1,102 @@
+package cmd
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+)
+
+// maxLine bounds one line of a log in bytes.
+const maxLine = 1 << 20
+
+// errNoLines reports logs that don't have the job.
+var errNoLines = errors.New("no line of these logs has the job")
+
+// explainCmd is the subcommand explain.
+type explainCmd struct {
+	env  *env
+	Args struct {
+		Job  string   `positional-arg-name:"JOB" required:"yes"`
+		Logs []string `positional-arg-name:"LOG" required:"1" description:"logs of the hosts; the file's name tells the host"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// logLine is one line of a host's log.
+type logLine struct {
+	File string `json:"file"`
+	When string `json:"when"`
+	// Event is the line's message; Fields are the others in the order of the log.
+	Event  string `json:"event"`
+	Fields string `json:"fields"`
+}
+
+// Execute implements flags.Commander. It prints the lines of all logs that have the
+// job, oldest first.
+func (c *explainCmd) Execute([]string) error {
+	var lines []logLine
+	for _, name := range c.Args.Logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		found, err := linesOf(f, name, c.Args.Job)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, found...)
+	}
+	if len(lines) == 0 {
+		return fmt.Errorf("%w: %s", errNoLines, c.Args.Job)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.When, b.When) })
+	return c.env.print(lines, func(w io.Writer) {
+		for _, l := range lines {
+			fmt.Fprintf(w, "%s  %-12s  %-16s %s\n", l.When, l.File, l.Event, l.Fields)
+		}
+	})
+}
+
+// linesOf returns the lines of one log that have the job.
+func linesOf(r io.Reader, name, job string) ([]logLine, error) {
+	var out []logLine
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		text := sc.Text()
+		if !strings.Contains(text, job) {
+			continue
+		}
+		l, ok := parseLine(text)
+		if !ok {
+			continue // a line of another program between ours
+		}
+		l.File = name
+		out = append(out, l)
+	}
+	return out, sc.Err()
+}
+
+// parseLine reads one line; it may have a prefix before its JSON.
+func parseLine(text string) (logLine, bool) {
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return logLine{}, false
+	}
+	var head struct {
+		When  string `json:"ts"`
+		Event string `json:"msg"`
+	}
+	if json.Unmarshal([]byte(text[at:]), &head) != nil {
+		return logLine{}, false
+	}
+	_, rest, _ := strings.Cut(text[at:], `"msg":"`+head.Event+`",`)
+	rest = strings.TrimSuffix(strings.ReplaceAll(rest, `"`, ""), "}")
+	return logLine{When: head.When, Event: head.Event, Fields: strings.ReplaceAll(rest, ",", " ")}, true
+}
