dispatch: assertions at each order, and none to a leaving worker

Change: an order leaves only if the worker stays, and after assertions: one run of a task, the record says the same, the job is open, attempts are left, the steps before have ended, the gang is whole under one number. A violated one is logged and counted, and the order doesn't leave. An urgent job within its customer's guarantee for which no room can be freed is noted once.

--- /dev/null
+++ b/core/dispatch/check.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// EventViolated is the event of a note that an invariant did not hold. The decision
+// concerned was not carried out.
+const EventViolated = "invariant-violated"
+
+// violated notes that an invariant did not hold for a run.
+func (d *Dispatcher) violated(now unit.Instant, r *run, what string) {
+	d.note(Note{Event: EventViolated, Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Why: what, Age: now.Sub(r.since)})
+}
+
+// checkStart asserts what must hold when an order to start leaves. It returns what
+// doesn't hold, or an empty text.
+func (d *Dispatcher) checkStart(r *run) string {
+	s := r.step
+	if s == nil || s.runs[r.task.Index] != r {
+		return "another run of the task is under way"
+	}
+	js := s.job
+	if js.progress.Outcome != job.Open || js.cancelled {
+		return "the job has ended"
+	}
+	t := &js.progress.Tasks[s.base+r.task.Index]
+	if t.Phase != job.Placed || t.Run != r.number || t.Worker != r.worker.ID {
+		return "the record of the task has another placement"
+	}
+	if t.Failed >= js.spec.MaxAttempts && !s.step.LongRunning {
+		return "the task has no attempts left"
+	}
+	if !js.ready(s) {
+		return "a step before has not ended"
+	}
+	return checkGang(s, r)
+}
+
+// checkGang asserts that a gang starts whole and under one number.
+func checkGang(s *stepState, r *run) string {
+	if !s.step.Gang {
+		return ""
+	}
+	if len(s.runs) != s.step.Count {
+		return "the gang is not placed whole"
+	}
+	for _, m := range s.runs {
+		if m.number != r.number {
+			return "the gang's runs have different numbers"
+		}
+	}
+	return ""
+}
+
+// reclaimable notes once for a job that urgent work within its customer's guarantee
+// waits although all that may be stopped for it was considered.
+func (d *Dispatcher) reclaimable(now unit.Instant, c candidate) {
+	js := c.step.job
+	if !c.covered || js.atRisk || now.Sub(js.seen) < d.config.StopTime {
+		return
+	}
+	js.atRisk = true
+	d.note(Note{Event: "guarantee-at-risk", Job: js.id, Why: "no room can be freed for urgent work", Age: now.Sub(js.spec.Accepted)})
+}
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -39,8 +39,8 @@
 // Committed takes in that a batch is in the store: its orders may leave.
 func (d *Dispatcher) Committed(now unit.Instant, b Batch) {
 	for _, r := range b.starts {
-		if r.state == runOrdered && r.apply(evCommitted) {
-			d.orderStart(now, r)
+		if r.state == runOrdered {
+			d.firstOrder(now, r)
 		}
 	}
 	for _, a := range b.acks {
@@ -61,6 +61,36 @@
 	return w.clock(now) + fleet.Clock(d.config.MaxLease)
 }
 
+// firstOrder sends the order of a run whose placement is in the store, unless that has
+// become wrong meanwhile.
+func (d *Dispatcher) firstOrder(now unit.Instant, r *run) {
+	if r.leaving() {
+		d.stopRun(now, r, "its worker began to leave")
+		return
+	}
+	if what := d.checkStart(r); what != "" {
+		d.violated(now, r, what)
+		d.stopRun(now, r, what)
+		return
+	}
+	if r.apply(evCommitted) {
+		d.orderStart(now, r)
+	}
+}
+
+// leaving reports whether the worker of a run, or of a member of its gang, leaves.
+func (r *run) leaving() bool {
+	if r.step == nil || !r.step.step.Gang {
+		return r.worker.Draining
+	}
+	for _, m := range r.step.runs {
+		if m.worker.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Dispatcher) orderStart(now unit.Instant, r *run) {
 	if r.since == 0 {
 		r.since = now
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -74,6 +74,8 @@
 			continue
 		}
 		switch {
+		case r.state == runStarting && w.Draining && r.started == 0 && w.synced != 0:
+			d.stopRun(now, r, "its worker leaves before it has started")
 		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0:
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -24,13 +24,14 @@
 		return
 	}
 	chosen := d.chooseGang(now, c, fits, d.preemptible)
-	if chosen.workers != nil {
-		for _, v := range chosen.victims {
-			d.stopRun(now, v, "makes room for job "+string(s.job.id))
-		}
-		d.keep(now, c, chosen.workers, claimTime, "work of lower priority is stopped")
+	if chosen.workers == nil {
+		d.reclaimable(now, c)
 		return
 	}
+	for _, v := range chosen.victims {
+		d.stopRun(now, v, "makes room for job "+string(s.job.id))
+	}
+	d.keep(now, c, chosen.workers, claimTime, "work of lower priority is stopped")
 }
 
 // wait keeps room for a gang where enough of it will be free soonest, so that smaller
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -48,6 +48,8 @@
 	open int
 	// seen is when this owner learned of the job.
 	seen unit.Instant
+	// atRisk is set once it was noted that the customer's guarantee doesn't hold.
+	atRisk bool
 }
 
 // stepState is one step of one round of a job.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -19,6 +19,7 @@
 	owning    atomic.Bool
 	takeovers prometheus.Counter
 	decisions *prometheus.CounterVec
+	faults    prometheus.Counter
 	requests  *prometheus.HistogramVec
 	store     *prometheus.HistogramVec
 	orders    *prometheus.HistogramVec
@@ -32,6 +33,9 @@
 	m.decisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "curlewsill_decisions_total", Help: "Decisions of the owner by event.",
 	}, []string{"event"})
+	m.faults = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_faults_total", Help: "Invariants found violated.",
+	})
 	m.requests = histogram("curlewsill_request_seconds", "Clients' calls by method and status.", "method", "status")
 	m.store = histogram("curlewsill_store_seconds", "Calls to the store by kind and outcome.", "call", "outcome")
 	m.orders = histogram("curlewsill_order_seconds", "Orders to workers by kind and verdict.", "order", "verdict")
@@ -43,7 +47,7 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.takeovers, m.decisions, m.requests, m.store, m.orders, owning)
+	m.registry.MustRegister(m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
 	return m
 }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -313,6 +313,9 @@
 		if n.Age != 0 {
 			fields = append(fields, zap.Duration("age", n.Age))
 		}
+		if n.Event == dispatch.EventViolated {
+			o.host.metrics.faults.Inc()
+		}
 		o.host.metrics.decisions.WithLabelValues(n.Event).Inc()
 		o.host.log.Info(n.Event, append(fields, zap.Uint64("epoch", uint64(o.epoch)))...)
 	}
