dispatch: kept room is looked at anew each time

Ruled out: the reserve (the workers were free and not all empty).

Change: kept room of work that isn't urgent is given back at each pass and kept again if there is still nothing else. Work that isn't urgent uses slow places and the reserve after 2 s instead of 1.2 s of waiting.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -34,10 +34,12 @@
 	silentAfter = 3500 * time.Millisecond
 	// busyPause is how long a worker that refused a start is left alone.
 	busyPause = 500 * time.Millisecond
-	// nearWait is how long a unit waits for room near its data or in one rack
-	// before it takes room elsewhere. The platform counts a job as lost that
-	// waits 3 s with room to spare.
+	// nearWait is how long urgent work waits for room near its data or in one rack
+	// before it takes room elsewhere; it must have begun after about 3 s.
 	nearWait = 1200 * time.Millisecond
+	// roomyWait is the same for other work while there is room to spare. The
+	// platform counts a job as lost that waits 3 s then.
+	roomyWait = 2 * time.Second
 	// farUsage is the part of a service's capacity in use below which work that
 	// isn't urgent may be placed where it is slow. The platform asks for work to
 	// start when under half is in use.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -143,13 +143,10 @@
 // workers that are kept for urgent work. That costs far_factor times the room, so it is
 // for urgent work, and for times in which there is more than enough room.
 func (d *Dispatcher) mayGoFar(now unit.Instant, s *stepState, fits []*worker, n int) bool {
-	if !s.waitedFor(now, nearWait) {
-		return false
-	}
 	if s.job.spec.Priority == 0 {
-		return true
+		return s.waitedFor(now, nearWait)
 	}
-	return d.usage(s.job.spec.Service) < farUsage && s.roomFor(fits, 2*n)
+	return s.waitedFor(now, roomyWait) && d.usage(s.job.spec.Service) < farUsage && s.roomFor(fits, 2*n)
 }
 
 // usage returns how much of a service's capacity is taken: of the resource of which
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -144,6 +144,11 @@
 	if s.claim == nil {
 		return false
 	}
+	if s.job.spec.Priority > 0 {
+		// The room may be elsewhere by now; what was kept is kept again if not.
+		d.dropClaim(s)
+		return false
+	}
 	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now) {
 		d.dropClaim(s)
 		return false
