dispatch: jobs of a host whose clock is ahead are placed at once

Cause: a job was due at the time of day at which its host had accepted it. A host that started during a jump kept the error for its life, because its steady clock was set once.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -26,6 +26,8 @@
 	// arrivals holds the rate of urgent work of each service.
 	arrivals map[id.Service]*arrivals
 
+	// wall is the time of day at the last pass.
+	wall unit.Instant
 	// claims counts the gangs that room is kept for without stopping anybody.
 	claims int
 
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -11,8 +11,10 @@
 )
 
 // Pass does what is due: it gives up lapsed leases, repeats orders, renews leases and
-// places tasks.
-func (d *Dispatcher) Pass(now unit.Instant) {
+// places tasks. Now is a steady clock; wall is the time of day, by which the rounds of
+// timed jobs fall due, and may jump.
+func (d *Dispatcher) Pass(now, wall unit.Instant) {
+	d.wall = wall
 	for _, w := range d.order {
 		d.giveUp(now, w)
 		d.resend(now, w)
@@ -240,8 +242,8 @@
 // candidate returns the tasks of a step that may start.
 func (d *Dispatcher) candidate(now unit.Instant, s *stepState) (candidate, bool) {
 	js := s.job
-	due := js.spec.Due(s.round)
-	if s.done == s.step.Count || now < due || !js.ready(s) {
+	due, ok := d.due(now, s)
+	if !ok || s.done == s.step.Count || !js.ready(s) {
 		return candidate{}, false
 	}
 	if s.step.Gang && len(s.runs) > 0 {
@@ -262,6 +264,18 @@
 	return c, true
 }
 
+// due returns when a step's round has fallen due, by the steady clock, and whether that
+// was so. A job without times is due at once: the clock of the host that accepted it
+// may be ahead of ours.
+func (d *Dispatcher) due(now unit.Instant, s *stepState) (unit.Instant, bool) {
+	spec := s.job.spec
+	if spec.Rounds == 0 {
+		return min(spec.Accepted, s.job.seen), true
+	}
+	ago := d.wall.Sub(spec.Due(s.round))
+	return now.Add(-ago), ago >= 0
+}
+
 // ready reports whether all steps that s depends on are done in its round.
 func (js *jobState) ready(s *stepState) bool {
 	first := s.round * len(js.spec.Steps)
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -24,7 +24,9 @@
 //	worker NAME rack=R [gpus=8] [service=S] [draining=DURATION]   an entry of the list
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
-//	    [label=L] [data=RACK] [apart=N] [estimate=D] [twosteps]
+//	    [label=L] [data=RACK] [apart=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
+//	    [rounds=N first=D interval=D]
+//	clock DURATION           how far the time of day is ahead of the steady clock from now on
 //	cancel NAME
 //	pass [DURATION]          time passes, then what is due is done
 //	write                    what was flushed gets into the store
@@ -54,6 +56,7 @@
 	d       *dispatch.Dispatcher
 	table   *jobtable.Table
 	now     unit.Instant
+	ahead   time.Duration
 	epoch   id.Epoch
 	workers map[string]fleet.Listing
 	starts  map[string]dispatch.Start
@@ -175,7 +178,13 @@
 			}
 			s.now = s.now.Add(d)
 		}
-		s.d.Pass(s.now)
+		s.d.Pass(s.now, s.now.Add(s.ahead))
+	case "clock":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.ahead = d
 	case "write":
 		b, _, err := s.d.Flush()
 		if err != nil {
@@ -219,6 +228,10 @@
 		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1), MaxAttempts: o.number("attempts", 2),
 		Stretch: 3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
 	}
+	spec.Accepted = spec.Accepted.Add(o.duration("ahead"))
+	if r := o.number("rounds", 0); r > 0 {
+		spec.Rounds, spec.First, spec.Interval = r, s.now.Add(o.duration("first")), o.duration("interval")
+	}
 	if o.has("twosteps") {
 		second := step
 		second.DependsOn = []int{0}
