--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -225,7 +225,8 @@
 		LongRunning: o.has("lasts"), Label: o.text("label", ""), DataRack: o.text("data", ""), MaxPerWorker: o.number("apart", 0),
 	}
 	spec := job.Spec{
-		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1), MaxAttempts: o.number("attempts", 2),
+		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1),
+		MaxAttempts: o.number("attempts", 2),
 		Stretch: 3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
 	}
 	spec.Accepted = spec.Accepted.Add(o.duration("ahead"))
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -162,7 +162,9 @@
 }
 
 // handle answers a call that is allowed.
-func (f *front) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job) reply {
+func (f *front) handle(
+	ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job,
+) reply {
 	switch {
 	case r.Method == http.MethodGet && j == "":
 		return f.pending(ctx, q)
@@ -310,7 +312,9 @@
 	return f.store(ctx, f.records.CancelRecord(j), "cancelled")
 }
 
-func (f *front) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job) reply {
+func (f *front) submit(
+	ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job,
+) reply {
 	limit := c.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxBody
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -197,12 +197,12 @@
 	if o.writing {
 		return
 	}
-	b, any, err := o.core.Flush()
+	b, some, err := o.core.Flush()
 	if err != nil {
 		o.host.log.Error("flush-failed", zap.Error(err))
 		return
 	}
-	if !any {
+	if !some {
 		return
 	}
 	if len(b.Records) == 0 {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -79,7 +79,8 @@
 	"short": {Time: 20 * time.Millisecond}, "long": {Time: 700 * time.Millisecond}, "fails": {Fails: true}, "endless": {Time: time.Hour},
 }
 
-const configuration = `{"Version":1,"Routes":[{"Name":"q","Hostname":"jobs.example","PathPrefix":"/q/","Priority":1,"Backend":"svc","MaxAttempts":2,"Extension":3,"TargetLatencyMs":1000}],
+const configuration = `{"Version":1,
+"Routes":[{"Name":"q","Hostname":"jobs.example","PathPrefix":"/q/","Priority":1,"Backend":"svc","MaxAttempts":2,"Extension":3,"TargetLatencyMs":1000}],
 "Backends":[{"Name":"svc","RejectsOverload":true}],"Tenants":[{"Name":"c","ApiKeys":["key"],"Guaranteed":{"Gpus":8}}]}`
 
 func newSite(t *testing.T) *site {
