--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -227,7 +227,7 @@
 	spec := job.Spec{
 		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1),
 		MaxAttempts: o.number("attempts", 2),
-		Stretch: 3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
+		Stretch:     3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
 	}
 	spec.Accepted = spec.Accepted.Add(o.duration("ahead"))
 	if r := o.number("rounds", 0); r > 0 {
