--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -226,9 +226,9 @@
 	}
 	spec := job.Spec{
 		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1),
-		MaxAttempts: o.number("attempts", 2),
-		Stretch:     3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
+		Stretch: 3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
 	}
+	spec.MaxAttempts = o.number("attempts", 2)
 	spec.Accepted = spec.Accepted.Add(o.duration("ahead"))
 	if r := o.number("rounds", 0); r > 0 {
 		spec.Rounds, spec.First, spec.Interval = r, s.now.Add(o.duration("first")), o.duration("interval")
@@ -252,7 +252,8 @@
 	for i := 3; i < len(f); {
 		switch f[i] {
 		case "run":
-			res.Report.Running = append(res.Report.Running, fleet.Running{Task: task(s.t, f[i+1]), Run: job.Run(number(s.t, f[i+2])), Percent: number(s.t, f[i+3])})
+			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.Run(number(s.t, f[i+2])), Percent: number(s.t, f[i+3])}
+			res.Report.Running = append(res.Report.Running, x)
 			i += 4
 		case "end":
 			e := fleet.End{Seq: uint64(number(s.t, f[i+1])), Task: task(s.t, f[i+2]), Run: job.Run(number(s.t, f[i+3]))}
