dispatch: kept room stays where it is until there is room elsewhere

Change: the same room stays kept, and the gang is tried elsewhere at each pass without it. claim_and_room.txt still passes.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -18,10 +18,11 @@
 	kept := d.reserves(now, usable)
 	d.claims = d.waitingClaims()
 	for _, c := range d.candidates(now) {
-		if d.useClaim(now, c) {
+		fits := c.step.among(usable)
+		if d.useClaim(now, c, fits) {
 			continue
 		}
-		if !d.tryPlace(now, c, usable, kept) && c.step.waitingSince == 0 {
+		if !d.tryPlace(now, c, fits, kept) && c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
 	}
@@ -52,14 +53,8 @@
 
 // tryPlace places as many of the candidate's tasks as find room, a gang whole or not
 // at all. It reports whether all were placed.
-func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, usable []*worker, kept reserve) bool {
+func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, fits []*worker, kept reserve) bool {
 	s := c.step
-	fits := usable[:0:0]
-	for _, w := range usable {
-		if s.suits(w) {
-			fits = append(fits, w)
-		}
-	}
 	before := emptyAmong(fits)
 	defer func() { kept[s.job.spec.Service] -= before - emptyAmong(fits) }()
 	if s.step.Gang {
@@ -81,6 +76,17 @@
 	return true
 }
 
+// among returns the workers that may run tasks of the step.
+func (s *stepState) among(workers []*worker) []*worker {
+	var out []*worker
+	for _, w := range workers {
+		if s.suits(w) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 func emptyAmong(workers []*worker) int {
 	n := 0
 	for _, w := range workers {
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -139,17 +139,16 @@
 
 // useClaim places a candidate on the room that is kept for it once that is free. It
 // reports whether the candidate is taken care of.
-func (d *Dispatcher) useClaim(now unit.Instant, c candidate) bool {
+func (d *Dispatcher) useClaim(now unit.Instant, c candidate, fits []*worker) bool {
 	s := c.step
 	if s.claim == nil {
 		return false
 	}
-	if s.job.spec.Priority > 0 {
-		// The room may be elsewhere by now; what was kept is kept again if not.
+	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now) {
 		d.dropClaim(s)
 		return false
 	}
-	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now) {
+	if s.job.spec.Priority > 0 && d.roomElsewhere(now, c, fits) {
 		d.dropClaim(s)
 		return false
 	}
@@ -177,6 +176,20 @@
 	return true
 }
 
+// roomElsewhere reports whether a gang for which room is kept could be placed now if it
+// were not.
+func (d *Dispatcher) roomElsewhere(now unit.Instant, c candidate, fits []*worker) bool {
+	kept := c.step.claim
+	d.dropClaim(c.step)
+	found := d.chooseGang(now, c, fits, d.plainRoom).workers != nil
+	need := c.step.step.Reserved()
+	for _, w := range kept.workers {
+		w.reserved = w.reserved.Add(need)
+	}
+	c.step.claim = kept
+	return found
+}
+
 // sound reports whether all workers of a claim still take tasks.
 func (c *claim) sound(now unit.Instant) bool {
 	for _, w := range c.workers {
