entry: a writer that is out of step with the store begins a new epoch

Cause, by reading: after an answer that a number is out of sequence every later write of the host would have failed the same way.

Change: such a writer goes on under a new epoch. No test: the stand-in can't be brought out of step by the writer.

--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -149,6 +149,8 @@
 			}
 			pause(ctx, refusedPause)
 		case errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrInvalid):
+			// Whatever the store counts, a new epoch begins its count anew.
+			w.id.Epoch, w.id.Seq = w.id.Epoch+1, 0
 			w.log.Error("write-failed", zap.Int("records", len(recs)), zap.Error(err))
 			return err
 		default:
