--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -44,6 +44,9 @@
 //	store FAULT | worker N FAULT     none, busy, lost or silent
 //	forget                           the store drops its history
 //	kill HOST | start HOST
+//	stop HOST | gone HOST            a planned stop begins | has ended
+//	config VERSION KEY               the operator writes a configuration with another key
+//	key KEY                          clients show this key from now on
 //	starts JOB N                     all workers together have started N runs of it
 //	metric HOST NAME                 the counter is served and not zero
 func TestPath(t *testing.T) {
@@ -70,7 +73,9 @@
 	workers []*standin.Worker
 	hosts   []*entry.Host
 	stops   []context.CancelFunc
+	ended   []chan struct{}
 	bodies  map[string]string
+	key     string
 	line    int
 }
 
@@ -84,7 +89,7 @@
 "Backends":[{"Name":"svc","RejectsOverload":true}],"Tenants":[{"Name":"c","ApiKeys":["key"],"Guaranteed":{"Gpus":8}}]}`
 
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}}
+	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key"}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.CloseClientConnections)
 	s.address = strings.TrimPrefix(server.URL, "http://")
@@ -128,13 +133,26 @@
 	switch f[0] {
 	case "hosts":
 		for range s.number(f[1]) {
-			s.hosts, s.stops = append(s.hosts, nil), append(s.stops, nil)
+			s.hosts, s.stops, s.ended = append(s.hosts, nil), append(s.stops, nil), append(s.ended, nil)
 			s.startHost(len(s.hosts) - 1)
 		}
 	case "start":
 		s.startHost(s.number(f[1]))
 	case "kill":
 		s.stops[s.number(f[1])]()
+	case "stop":
+		s.hosts[s.number(f[1])].Stop()
+	case "gone":
+		select {
+		case <-s.ended[s.number(f[1])]:
+		case <-time.After(deadline):
+			s.failf("host %s has not stopped", f[1])
+		}
+	case "config":
+		c := strings.Replace(configuration, `"Version":1`, `"Version":`+f[1], 1)
+		s.store.Put("keyed.op", "config", []byte(strings.Replace(c, `["key"]`, `["`+f[2]+`"]`, 1)))
+	case "key":
+		s.key = f[1]
 	case "workers":
 		for range s.number(f[1]) {
 			s.startWorker()
@@ -228,7 +246,7 @@
 		s.t.Fatal(err)
 	}
 	req.Host = "jobs.example"
-	req.Header.Set("Authorization", "Bearer key")
+	req.Header.Set("Authorization", "Bearer "+s.key)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
@@ -304,8 +322,12 @@
 		s.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s.hosts[n], s.stops[n] = h, cancel
-	go func() { _ = h.Run(ctx) }()
+	ended := make(chan struct{})
+	s.hosts[n], s.stops[n], s.ended[n] = h, cancel, ended
+	go func() {
+		defer close(ended)
+		_ = h.Run(ctx)
+	}()
 }
 
 func (s *site) startWorker() {
