--- /dev/null
+++ b/core/dispatch/candidate.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// candidate is one step of which tasks may start now.
+type candidate struct {
+	step *stepState
+	// waiting holds the indexes of the tasks that wait.
+	waiting []int
+	// covered is set for urgent work within its customer's guarantee.
+	covered bool
+	// late is set when the job can't earn anything any more.
+	late bool
+	// deadline is when the job should be completed.
+	deadline unit.Instant
+}
+
+// candidates returns the steps that have tasks to start, most urgent first.
+func (d *Dispatcher) candidates(now unit.Instant) []candidate {
+	var out []candidate
+	used := d.urgentUse()
+	for _, name := range d.names() {
+		js := d.jobs[name]
+		if js.progress.Outcome != job.Open {
+			continue
+		}
+		for _, s := range js.steps {
+			if c, ok := d.candidate(now, s); ok {
+				c.covered = js.spec.Priority == 0 && used[js.spec.Customer] <= d.guaranteed[js.spec.Customer]
+				out = append(out, c)
+			}
+		}
+	}
+	slices.SortStableFunc(out, compareCandidates)
+	return out
+}
+
+func compareCandidates(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.step.job.spec.Priority, b.step.job.spec.Priority),
+		-compareBools(a.covered, b.covered),
+		compareBools(a.late, b.late),
+		cmp.Compare(a.deadline, b.deadline),
+	)
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
+// urgentUse returns how many accelerators each customer's open jobs of priority 0
+// ask for.
+func (d *Dispatcher) urgentUse() map[id.Customer]int {
+	out := map[id.Customer]int{}
+	for _, js := range d.jobs {
+		if js.progress.Outcome != job.Open || js.spec.Priority != 0 {
+			continue
+		}
+		for i := range js.spec.Steps {
+			out[js.spec.Customer] += js.spec.Steps[i].Count * js.spec.Steps[i].Need.Accelerators
+		}
+	}
+	return out
+}
+
+// candidate returns the tasks of a step that may start.
+func (d *Dispatcher) candidate(now unit.Instant, s *stepState) (candidate, bool) {
+	js := s.job
+	due, ok := d.due(now, s)
+	if !ok || s.done == s.step.Count || !js.ready(s) {
+		return candidate{}, false
+	}
+	if s.step.Gang && len(s.runs) > 0 {
+		return candidate{}, false
+	}
+	c := candidate{step: s}
+	for i := range s.step.Count {
+		if s.runs[i] == nil && (len(js.progress.Tasks) == 0 || js.progress.Tasks[s.base+i].Phase == job.Waiting) {
+			c.waiting = append(c.waiting, i)
+		}
+	}
+	if len(c.waiting) == 0 {
+		return candidate{}, false
+	}
+	allowed := scale(js.spec.LongestChain(), js.spec.Stretch) + js.spec.Target
+	c.deadline = due.Add(allowed)
+	c.late = now > due.Add(lateFactor*allowed)
+	return c, true
+}
+
+// due returns when a step's round has fallen due, by the steady clock, and whether that
+// was so. A job without times is due at once: the clock of the host that accepted it
+// may be ahead of ours.
+func (d *Dispatcher) due(now unit.Instant, s *stepState) (unit.Instant, bool) {
+	spec := s.job.spec
+	if spec.Rounds == 0 {
+		return min(spec.Accepted, s.job.seen), true
+	}
+	ago := d.wall.Sub(spec.Due(s.round))
+	return now.Add(-ago), ago >= 0
+}
+
+// ready reports whether all steps that s depends on are done in its round.
+func (js *jobState) ready(s *stepState) bool {
+	first := s.round * len(js.spec.Steps)
+	for _, dep := range s.step.DependsOn {
+		if dep >= 0 && dep < len(js.spec.Steps) {
+			before := js.steps[first+dep]
+			if before.done < before.step.Count {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/dispatch/gang.go
@@ -0,0 +1,166 @@
+package dispatch
+
+import (
+	"slices"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// placeGang places all members or none.
+func (d *Dispatcher) placeGang(now unit.Instant, c candidate, fits []*worker) bool {
+	chosen := d.chooseGang(now, c, fits, d.plainRoom)
+	if chosen.workers == nil {
+		d.preempt(now, c, fits)
+		return false
+	}
+	d.startGang(c, chosen.workers)
+	return true
+}
+
+func (d *Dispatcher) startGang(c candidate, workers []*worker) {
+	s := c.step
+	number := s.nextRun(0)
+	for at, i := range c.waiting {
+		d.place(s, i, workers[at], number)
+	}
+	s.waitingSince = 0
+}
+
+// assignment is room for the members of a gang.
+type assignment struct {
+	// workers has one worker for each member; nil if there is no room.
+	workers []*worker
+	victims []*run
+	// cost is the work that stopping the victims throws away, in core-seconds;
+	// among equal ones the least leftover wins.
+	cost, left float64
+}
+
+// better reports whether a is to be preferred to b.
+func (a assignment) better(b assignment) bool {
+	if b.workers == nil {
+		return a.workers != nil
+	}
+	if a.workers == nil {
+		return false
+	}
+	if a.cost != b.cost {
+		return a.cost < b.cost
+	}
+	return a.left < b.left
+}
+
+// room says how much of a worker a unit can have, and by stopping which runs.
+type room func(now unit.Instant, c candidate, w *worker, need job.Resources) (free job.Resources, victims []*run, cost float64)
+
+// plainRoom is what is free.
+func (d *Dispatcher) plainRoom(_ unit.Instant, _ candidate, w *worker, _ job.Resources) (job.Resources, []*run, float64) {
+	return w.free(), nil, 0
+}
+
+// chooseGang finds room for all waiting members: in one rack and near the data if
+// that is asked for and possible, elsewhere only after some waiting.
+func (d *Dispatcher) chooseGang(now unit.Instant, c candidate, fits []*worker, by room) assignment {
+	s := c.step
+	var best assignment
+	if s.step.SameRack || s.step.DataRack != "" {
+		reachable := false
+		for _, group := range racks(fits) {
+			near := s.near(group[0])
+			if near && s.holds(group, len(c.waiting)) {
+				reachable = true
+				if a := d.assign(now, c, group, by); a.better(best) {
+					best = a
+				}
+			}
+		}
+		if best.workers != nil || reachable && !d.mayGoFar(now, s, fits, len(c.waiting)) {
+			return best
+		}
+	}
+	return d.assign(now, c, fits, by)
+}
+
+// racks groups workers by rack, in order.
+func racks(workers []*worker) [][]*worker {
+	groups := map[id.Rack][]*worker{}
+	var names []id.Rack
+	for _, w := range workers {
+		if groups[w.Rack] == nil {
+			names = append(names, w.Rack)
+		}
+		groups[w.Rack] = append(groups[w.Rack], w)
+	}
+	slices.Sort(names)
+	out := make([][]*worker, 0, len(names))
+	for _, n := range names {
+		out = append(out, groups[n])
+	}
+	return out
+}
+
+// tally is how an assignment has filled one worker so far.
+type tally struct {
+	worker  *worker
+	members int
+	victims []*run
+	cost    float64
+	left    float64
+}
+
+// assign puts the members on workers one by one, each where it costs least.
+func (d *Dispatcher) assign(now unit.Instant, c candidate, workers []*worker, by room) assignment {
+	s := c.step
+	need := s.step.Reserved()
+	tallies := make([]tally, len(workers))
+	for i, w := range workers {
+		tallies[i].worker = w
+	}
+	var out assignment
+	for range c.waiting {
+		best, bestTally := -1, tally{}
+		for i := range tallies {
+			t, ok := d.oneMore(now, c, tallies[i], need, by)
+			if !ok {
+				continue
+			}
+			if best < 0 || t.cost-tallies[i].cost < bestTally.cost-tallies[best].cost ||
+				t.cost-tallies[i].cost == bestTally.cost-tallies[best].cost && t.left < bestTally.left {
+				best, bestTally = i, t
+			}
+		}
+		if best < 0 {
+			return assignment{}
+		}
+		tallies[best] = bestTally
+		out.workers = append(out.workers, workers[best])
+	}
+	for _, t := range tallies {
+		out.victims = append(out.victims, t.victims...)
+		out.cost += t.cost
+		if t.members > 0 {
+			out.left += t.left
+		}
+	}
+	return out
+}
+
+// oneMore returns the tally with one more member, or false if there is no room.
+func (d *Dispatcher) oneMore(now unit.Instant, c candidate, t tally, need job.Resources, by room) (tally, bool) {
+	if c.step.full(t.worker, t.members) {
+		return t, false
+	}
+	t.members++
+	all := job.Resources{
+		CPU: need.CPU * job.MilliCPU(t.members), Memory: need.Memory * unit.Bytes(t.members), Accelerators: need.Accelerators * t.members,
+	}
+	free, victims, cost := by(now, c, t.worker, all)
+	if !all.Fits(free) {
+		return t, false
+	}
+	t.victims, t.cost = victims, cost
+	t.left = leftover(free.Sub(all), t.worker.Capacity)
+	return t, true
+}
--- /dev/null
+++ b/core/dispatch/room.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+)
+
+// occupy makes a run take room on its worker.
+func (d *Dispatcher) occupy(r *run) {
+	r.worker.runs[r.task] = r
+	r.worker.used = r.worker.used.Add(r.need)
+	if r.step != nil {
+		r.step.runs[r.task.Index] = r
+	}
+}
+
+// release gives the room of a run that is gone back.
+func (d *Dispatcher) release(r *run) {
+	if r.worker.runs[r.task] != r {
+		return
+	}
+	delete(r.worker.runs, r.task)
+	r.worker.used = r.worker.used.Sub(r.need)
+	if r.step == nil {
+		return
+	}
+	if r.step.runs[r.task.Index] == r {
+		delete(r.step.runs, r.task.Index)
+	}
+	js := r.step.job
+	if js.progress.Outcome != job.Open && !js.busy() {
+		js.progress.Tasks = nil
+		d.mark(js)
+	}
+}
+
+// usage returns how much of a service's capacity is taken: of the resource of which
+// most is free.
+func (d *Dispatcher) usage(name id.Service) float64 {
+	var used, all job.Resources
+	for _, w := range d.order {
+		if w.Service == name && w.listed {
+			used, all = used.Add(w.used), all.Add(w.Capacity)
+		}
+	}
+	return min(part(float64(used.CPU), float64(all.CPU)), part(float64(used.Memory), float64(all.Memory)),
+		part(float64(used.Accelerators), float64(all.Accelerators)))
+}
+
+// roomFor reports whether n tasks of a step fit into what is free.
+func (s *stepState) roomFor(workers []*worker, n int) bool {
+	need := s.step.Reserved()
+	for _, w := range workers {
+		for free := w.free(); n > 0 && need.Fits(free); n-- {
+			free = free.Sub(need)
+		}
+	}
+	return n <= 0
+}
+
+// full reports whether a worker holds as many tasks of the step as it may, with more
+// of them about to be placed there.
+func (s *stepState) full(w *worker, more int) bool {
+	if s.step.MaxPerWorker == 0 {
+		return false
+	}
+	n := more
+	for _, r := range s.runs {
+		if r.worker == w {
+			n++
+		}
+	}
+	return n >= s.step.MaxPerWorker
+}
+
+// leftover is how much of a worker stays free, as the sum of the parts of each
+// resource. The least leftover keeps whole workers free for large tasks.
+func leftover(free, capacity job.Resources) float64 {
+	return part(float64(free.CPU), float64(capacity.CPU)) +
+		part(float64(free.Memory), float64(capacity.Memory)) +
+		acceleratorWeight*part(float64(free.Accelerators), float64(capacity.Accelerators))
+}
+
+func part(of, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return of / whole
+}
+
+// holds reports whether the workers, if they were empty, could hold n tasks.
+func (s *stepState) holds(workers []*worker, n int) bool {
+	need := s.step.Reserved()
+	for _, w := range workers {
+		room, here := w.Capacity, 0
+		for need.Fits(room) && n > 0 && (s.step.MaxPerWorker == 0 || here < s.step.MaxPerWorker) {
+			room = room.Sub(need)
+			here++
+			n--
+		}
+	}
+	return n <= 0
+}
+
+func (w *worker) free() job.Resources { return w.Capacity.Sub(w.used).Sub(w.reserved) }
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"curlewsill.org/curlewsill/core/chart"
@@ -75,13 +77,6 @@
 	claim *claim
 }
 
-// claim is room that tasks were stopped for.
-type claim struct {
-	// workers has one worker for each member.
-	workers []*worker
-	until   unit.Instant
-}
-
 // run is one run of a task that takes a worker's room.
 type run struct {
 	task   job.Task
@@ -177,10 +172,35 @@
 	lastBlame id.Job
 }
 
-func (w *worker) free() job.Resources { return w.Capacity.Sub(w.used).Sub(w.reserved) }
-
 // clock returns a reading that the worker's clock has surely reached.
 func (w *worker) clock(now unit.Instant) fleet.Clock {
 	passed := float64(now.Sub(w.clockAt)) / clockDrift
 	return w.Clock + fleet.Clock(passed)
 }
+
+// sorted returns the worker's runs in the order of their tasks.
+func (w *worker) sorted() []*run {
+	out := make([]*run, 0, len(w.runs))
+	for _, r := range w.runs {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Round, b.task.Round),
+			cmp.Compare(a.task.Step, b.task.Step), cmp.Compare(a.task.Index, b.task.Index))
+	})
+	return out
+}
+
+// busy reports whether some run of the job still takes room.
+func (js *jobState) busy() bool {
+	for _, s := range js.steps {
+		if len(s.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *stepState) task(i int) job.Task {
+	return job.Task{Job: s.job.id, Round: s.round, Step: s.index, Index: i}
+}
