internal/entry: files by what they do

Change: declarations are moved, none is edited: calls.go (the four calls of clients), lookup.go (what is asked of the table), listen.go (listeners), claim.go (gaining and losing the ownership) and orders.go (orders to workers and the log of decisions).

--- /dev/null
+++ b/internal/entry/calls.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"curlewsill.org/curlewsill/core/catalog"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/platform"
+)
+
+func (f *front) pending(ctx context.Context, q *catalog.Queue) reply {
+	out := make(chan int, 1)
+	f.host.post(ctx, func(unit.Instant) {
+		if f.host.loaded {
+			out <- f.host.table.Waiting(q.Name)
+		} else {
+			out <- -1
+		}
+	})
+	select {
+	case n := <-out:
+		if n >= 0 {
+			return reply{status: http.StatusOK, body: pendingBody{Pending: n}}
+		}
+	case <-ctx.Done():
+	}
+	return refused("the jobs are not known yet")
+}
+
+func (f *front) state(ctx context.Context, j id.Job) reply {
+	l, ok := f.find(ctx, j)
+	switch {
+	case !ok:
+		return refused("the newest state can't be read")
+	case !l.known:
+		return reply{status: http.StatusGone, why: "no such job"}
+	}
+	if l.state == jobtable.ShownRunning {
+		l = f.awaitEnd(ctx, j, l)
+	}
+	return reply{status: http.StatusOK, body: stateBody{State: l.state}, why: string(l.state)}
+}
+
+func (f *front) cancel(ctx context.Context, j id.Job) reply {
+	l, ok := f.find(ctx, j)
+	switch {
+	case !ok:
+		return refused("the newest state can't be read")
+	case !l.known || l.state == jobtable.ShownCompleted || l.state == jobtable.ShownFailed:
+		return reply{status: http.StatusGone, why: "no such open job"}
+	case l.state == jobtable.ShownCancelled:
+		return reply{status: http.StatusOK, why: "cancelled before"}
+	}
+	return f.store(ctx, f.records.CancelRecord(j), "cancelled")
+}
+
+func (f *front) submit(
+	ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job,
+) reply {
+	limit := c.Limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return reply{status: http.StatusRequestEntityTooLarge, why: "the job is too large"}
+	}
+	if err != nil {
+		return reply{status: http.StatusBadRequest, why: "the job was not received whole"}
+	}
+	spec, err := platform.DecodeJob(data)
+	if err != nil {
+		return reply{status: http.StatusBadRequest, why: err.Error()}
+	}
+	l, ok := f.whenLoaded(ctx, j)
+	if !ok || !l.loaded {
+		return refused("the jobs are not known yet")
+	}
+	if l.known {
+		return reply{status: http.StatusOK, why: "accepted before"}
+	}
+	fill(&spec, q, customer)
+	spec.Accepted = unit.At(time.Now())
+	rec, err := f.records.SpecRecord(j, spec)
+	if err != nil {
+		return reply{status: http.StatusBadRequest, why: err.Error()}
+	}
+	return f.store(ctx, rec, "accepted")
+}
+
+// fill adds what the queue's configuration says of its jobs.
+func fill(s *job.Spec, q *catalog.Queue, customer id.Customer) {
+	s.Customer, s.Queue, s.Service = customer, q.Name, q.Service
+	s.Priority, s.MaxAttempts = q.Priority, q.MaxAttempts
+	s.Stretch, s.Target, s.Advice = q.Stretch, q.Target, q.Advice
+}
+
+// store writes a record and answers truly: refused only if it was surely not written.
+func (f *front) store(ctx context.Context, rec jobtable.Record, why string) reply {
+	p := f.host.writer.add(rec)
+	if p == nil {
+		return refused("other calls wait for the store")
+	}
+	queued, sent := time.NewTimer(queueWait), time.NewTimer(unknownWait)
+	defer queued.Stop()
+	defer sent.Stop()
+	for {
+		select {
+		case err := <-p.done:
+			return written(err, why)
+		case <-queued.C:
+			if p.withdraw() {
+				return refused("the store doesn't answer")
+			}
+		case <-sent.C:
+			return unknown("the store has not answered in time")
+		case <-ctx.Done():
+			if p.withdraw() {
+				return refused("the store doesn't answer")
+			}
+			return unknown("the store has not answered in time")
+		}
+	}
+}
+
+// written is the answer when the outcome of a write is known.
+func written(err error, why string) reply {
+	switch {
+	case err == nil:
+		return reply{status: http.StatusOK, why: why}
+	case errors.Is(err, errNotWritten):
+		return refused("the store takes no records")
+	}
+	return unknown("the store's answer is unknown: " + err.Error())
+}
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/platform"
+)
+
+// epochAt draws the epoch of a claim at an offset. The store takes two appends of one
+// writer, epoch and number for the same one, so two hosts that claim at the same offset
+// must not have the same epoch.
+func epochAt(at id.Offset) id.Epoch {
+	return id.Epoch(at+1)<<epochDrawBits | id.Epoch(rand.Uint64N(1<<epochDrawBits))
+}
+
+// epochDrawBits is how many bits of an epoch are drawn. With the offset they stay
+// below 2^53, which every JSON number keeps.
+const epochDrawBits = 20
+
+// claim asks the store to make this host the owner.
+func (h *Host) claim(ctx context.Context) {
+	h.claiming = true
+	at := h.table.Next()
+	epoch := epochAt(at)
+	rec, err := h.table.OwnerRecord(jobtable.Owner{Host: h.self, Epoch: epoch})
+	if err != nil {
+		h.log.Error("claim-failed", zap.Error(err))
+		h.claiming = false
+		return
+	}
+	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
+	go func() {
+		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1}, &at)
+		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, rec, at, end, err) })
+	}()
+}
+
+// claimed takes in what became of a claim.
+func (h *Host) claimed(ctx context.Context, now unit.Instant, rec jobtable.Record, at, end id.Offset, err error) {
+	h.claiming = false
+	if err != nil {
+		h.log.Info("claim-refused", zap.Uint64("at", uint64(at)), zap.Uint64("end", uint64(end)), zap.Error(err))
+		go h.catchUp(ctx)
+		return
+	}
+	if h.table.Next() != at || h.stopping.Load() {
+		go h.catchUp(ctx)
+		return // the reader overtook the answer; ownership settles it
+	}
+	h.applyJobs(now, []jobtable.Record{rec}, at)
+}
+
+// ownership makes the host the owner, or ends that, by what the table says.
+func (h *Host) ownership(now unit.Instant) {
+	o := h.table.Owner()
+	if h.owner != nil && (o.Host != h.self || o.Epoch != h.owner.epoch) {
+		h.stepDown("a later claim is in the store")
+	}
+	if h.owner == nil && o.Host == h.self && o.Epoch != h.lost && !h.stopping.Load() {
+		h.takeOver(now, o.Epoch)
+	}
+	if o.Host == "" && o.Epoch > 0 && h.released != o.Epoch {
+		h.released = o.Epoch
+		h.election.Released(now)
+	}
+}
+
+// takeOver begins to schedule, from the state in the table.
+func (h *Host) takeOver(now unit.Instant, epoch id.Epoch) {
+	ctx, cancel := context.WithCancel(context.Background())
+	o := &owner{
+		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, epoch, h.table), cancel: cancel,
+		seq: 1, listed: map[id.Worker]bool{}, since: now,
+	}
+	h.owner = o
+	h.metrics.owning.Store(true)
+	h.metrics.takeovers.Inc()
+	h.log.Info("owner", zap.Uint64("epoch", uint64(epoch)), zap.Int("jobs", len(h.table.Jobs())), zap.Uint64("applied", uint64(h.table.Next())))
+	if c := h.catalog.Load(); c != nil {
+		o.configure(c)
+	}
+	for _, j := range h.table.Jobs() {
+		o.learn(now, j)
+	}
+	go h.readServers(ctx, o)
+}
+
+// stepDown ends scheduling at once.
+func (h *Host) stepDown(why string) {
+	if h.owner == nil {
+		return
+	}
+	h.log.Warn("owner-ended", zap.Uint64("epoch", uint64(h.owner.epoch)), zap.String("why", why))
+	h.owner.cancel()
+	h.lost = h.owner.epoch
+	h.owner = nil
+	h.metrics.owning.Store(false)
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,6 @@
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/relay"
@@ -119,33 +117,6 @@
 	return h, nil
 }
 
-func (h *Host) listen() error {
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{h.settings.Callers, newFront(h)},
-		{h.settings.Readiness, http.HandlerFunc(h.serveReadiness)},
-		{h.settings.Metrics, h.metrics.handler()},
-		{h.settings.Peers, h.peerHandler()},
-	} {
-		lis, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return fmt.Errorf("entry: %w", err)
-		}
-		h.listeners = append(h.listeners, lis)
-		h.servers = append(h.servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
-	}
-	return nil
-}
-
-// peerHandler takes the calls of other entry hosts.
-func (h *Host) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(relay.PeerPath, h.path.Handler())
-	return mux
-}
-
 // now is the time by a clock that never jumps.
 func (h *Host) now() unit.Instant { return unit.At(h.start).Add(time.Since(h.start)) }
 
@@ -179,16 +150,6 @@
 	return nil
 }
 
-// close closes the listeners and what is open on them.
-func (h *Host) close() {
-	for _, s := range h.servers {
-		_ = s.Close()
-	}
-}
-
-// Callers returns the address on which clients are answered.
-func (h *Host) Callers() string { return h.listeners[0].Addr().String() }
-
 // Metrics returns the address on which counters are served.
 func (h *Host) Metrics() string { return h.listeners[2].Addr().String() }
 
@@ -235,45 +196,3 @@
 func (h *Host) Reload(s settings.Site) {
 	h.log.Info("settings-reloaded", zap.String("host", string(s.Host)), zap.Bool("store_moved", s.Store != h.settings.Store))
 }
-
-// watch closes c when a job has ended.
-func (h *Host) watch(j id.Job, c chan struct{}) {
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
-		close(c)
-		return
-	}
-	h.watchers[j] = append(h.watchers[j], c)
-}
-
-// unwatch forgets a watcher that waits no longer.
-func (h *Host) unwatch(j id.Job, c chan struct{}) {
-	rest := slices.DeleteFunc(h.watchers[j], func(x chan struct{}) bool { return x == c })
-	if len(rest) == 0 {
-		delete(h.watchers, j)
-		return
-	}
-	h.watchers[j] = rest
-}
-
-// tellWatchers closes the channels of those that wait for a job that has ended.
-func (h *Host) tellWatchers(j id.Job) {
-	waiting := h.watchers[j]
-	if len(waiting) == 0 {
-		return
-	}
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome == job.Open && !e.Cancelled {
-		return
-	}
-	for _, c := range waiting {
-		close(c)
-	}
-	delete(h.watchers, j)
-}
-
-// hurry makes the next read of the jobs come at once.
-func (h *Host) hurry() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
--- /dev/null
+++ b/internal/entry/listen.go
@@ -0,0 +1,53 @@
+package entry
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"curlewsill.org/curlewsill/internal/relay"
+)
+
+func (h *Host) listen() error {
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{h.settings.Callers, newFront(h)},
+		{h.settings.Readiness, http.HandlerFunc(h.serveReadiness)},
+		{h.settings.Metrics, h.metrics.handler()},
+		{h.settings.Peers, h.peerHandler()},
+	} {
+		lis, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("entry: %w", err)
+		}
+		h.listeners = append(h.listeners, lis)
+		h.servers = append(h.servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+	}
+	return nil
+}
+
+// peerHandler takes the calls of other entry hosts.
+func (h *Host) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.PeerPath, h.path.Handler())
+	return mux
+}
+
+// close closes the listeners and what is open on them.
+func (h *Host) close() {
+	for _, s := range h.servers {
+		_ = s.Close()
+	}
+}
+
+// Callers returns the address on which clients are answered.
+func (h *Host) Callers() string { return h.listeners[0].Addr().String() }
+
+// serveReadiness tells the balancer whether to send clients here.
+func (h *Host) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !h.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/entry/lookup.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/platform"
+)
+
+// look is what the table says of a job.
+type look struct {
+	loaded, known bool
+	state         jobtable.Shown
+}
+
+// inTable asks the deciding goroutine for a job.
+func (f *front) inTable(ctx context.Context, j id.Job) (look, bool) {
+	out := make(chan look, 1)
+	if !f.host.post(ctx, func(unit.Instant) { out <- f.host.lookUp(j) }) {
+		return look{}, false
+	}
+	select {
+	case l := <-out:
+		return l, true
+	case <-ctx.Done():
+		return look{}, false
+	}
+}
+
+// whenLoaded asks for a job and gives a host that has just started a moment to load
+// its state, which takes about 30 ms.
+func (f *front) whenLoaded(ctx context.Context, j id.Job) (look, bool) {
+	for end := time.Now().Add(queueWait); ; {
+		l, ok := f.inTable(ctx, j)
+		if !ok || l.loaded || time.Now().After(end) {
+			return l, ok
+		}
+		if !pause(ctx, loadLook) {
+			return look{}, false
+		}
+	}
+}
+
+func (h *Host) lookUp(j id.Job) look {
+	l := look{loaded: h.loaded}
+	if e := h.table.Get(j); e != nil && e.Spec != nil {
+		l.known, l.state = true, e.Show()
+	}
+	return l
+}
+
+// find looks a job up, and reads to the log's end before it says that there is none.
+func (f *front) find(ctx context.Context, j id.Job) (look, bool) {
+	l, ok := f.inTable(ctx, j)
+	if !ok || l.known {
+		return l, ok && l.loaded
+	}
+	if !l.loaded || !f.host.catchUp(ctx) {
+		return l, false
+	}
+	return f.inTable(ctx, j)
+}
+
+// awaitEnd waits a short while for a running job's end. Clients ask at the moment in
+// which the last task ends, before its record can be read back, and otherwise would
+// have to ask again.
+func (f *front) awaitEnd(ctx context.Context, j id.Job, l look) look {
+	ended := make(chan struct{})
+	if !f.host.post(ctx, func(unit.Instant) { f.host.watch(j, ended) }) {
+		return l
+	}
+	f.host.hurry()
+	timer := time.NewTimer(endWait)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-timer.C:
+		f.host.post(ctx, func(unit.Instant) { f.host.unwatch(j, ended) })
+	case <-ctx.Done():
+		f.host.post(context.WithoutCancel(ctx), func(unit.Instant) { f.host.unwatch(j, ended) })
+		return l
+	}
+	if newer, ok := f.inTable(ctx, j); ok && newer.known {
+		return newer
+	}
+	return l
+}
+
+// catchUp reads what the table lacks, at once.
+func (h *Host) catchUp(ctx context.Context) bool {
+	from := make(chan id.Offset, 1)
+	if !h.post(ctx, func(unit.Instant) { from <- h.table.Next() }) {
+		return false
+	}
+	var at id.Offset
+	select {
+	case at = <-from:
+	case <-ctx.Done():
+		return false
+	}
+	p, err := h.store.Read(ctx, platform.TopicJobs, at, 0)
+	if err != nil {
+		return false
+	}
+	done := make(chan bool, 1)
+	if !h.post(ctx, func(now unit.Instant) {
+		h.applyJobs(now, p.Records, at)
+		done <- h.loaded && h.table.Next() >= p.End
+	}) {
+		return false
+	}
+	select {
+	case ok := <-done:
+		return ok
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watch closes c when a job has ended.
+func (h *Host) watch(j id.Job, c chan struct{}) {
+	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
+		close(c)
+		return
+	}
+	h.watchers[j] = append(h.watchers[j], c)
+}
+
+// unwatch forgets a watcher that waits no longer.
+func (h *Host) unwatch(j id.Job, c chan struct{}) {
+	rest := slices.DeleteFunc(h.watchers[j], func(x chan struct{}) bool { return x == c })
+	if len(rest) == 0 {
+		delete(h.watchers, j)
+		return
+	}
+	h.watchers[j] = rest
+}
+
+// tellWatchers closes the channels of those that wait for a job that has ended.
+func (h *Host) tellWatchers(j id.Job) {
+	waiting := h.watchers[j]
+	if len(waiting) == 0 {
+		return
+	}
+	if e := h.table.Get(j); e != nil && e.Progress.Outcome == job.Open && !e.Cancelled {
+		return
+	}
+	for _, c := range waiting {
+		close(c)
+	}
+	delete(h.watchers, j)
+}
+
+// hurry makes the next read of the jobs come at once.
+func (h *Host) hurry() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/entry/orders.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// handOut sends orders, each in a goroutine of its own: a worker has at most one
+// renewal and one order for each of its runs under way.
+func (o *owner) handOut(ctx context.Context) {
+	orders := o.core.Take()
+	for _, s := range orders.Starts {
+		go func() {
+			began := time.Now()
+			res := o.host.workers.Start(ctx, s)
+			o.host.metrics.order("start", began, res.Verdict.String())
+			o.answered(ctx, func(now unit.Instant) { o.core.Started(now, res) })
+		}()
+	}
+	for _, s := range orders.Stops {
+		go func() {
+			began := time.Now()
+			res := o.host.workers.Stop(ctx, s)
+			o.host.metrics.order("stop", began, res.Verdict.String())
+			o.answered(ctx, func(now unit.Instant) { o.core.Stopped(now, res) })
+		}()
+	}
+	for _, r := range orders.Renews {
+		go func() {
+			began, sent := time.Now(), o.host.now()
+			v, report := o.host.workers.Renew(ctx, r)
+			o.host.metrics.order("renew", began, v.String())
+			o.answered(ctx, func(now unit.Instant) {
+				o.core.Renewed(now, dispatch.RenewResult{Renew: r, Sent: sent, Verdict: v, Report: report})
+			})
+		}()
+	}
+}
+
+// answered hands the result of an order to the dispatcher, if it is still in office.
+func (o *owner) answered(ctx context.Context, take event) {
+	o.host.post(ctx, func(now unit.Instant) {
+		if o.host.owner == o {
+			take(now)
+		}
+	})
+}
+
+// tell logs what was decided.
+func (o *owner) tell() {
+	for _, n := range o.core.Notes() {
+		fields := make([]zap.Field, 0, 7)
+		if n.Job != "" {
+			fields = append(fields, zap.String("job", string(n.Job)))
+		}
+		if n.Task != (job.Task{}) {
+			fields = append(fields, zap.Stringer("task", n.Task), zap.Int("run", int(n.Run)))
+		}
+		if n.Worker != "" {
+			fields = append(fields, zap.String("worker", string(n.Worker)))
+		}
+		if n.Why != "" {
+			fields = append(fields, zap.String("why", n.Why))
+		}
+		if n.Estimate != 0 {
+			fields = append(fields, zap.Duration("estimate", n.Estimate))
+		}
+		if n.Age != 0 {
+			fields = append(fields, zap.Duration("age", n.Age))
+		}
+		if n.Event == dispatch.EventViolated {
+			o.host.metrics.faults.Inc()
+		}
+		o.host.metrics.decisions.WithLabelValues(n.Event).Inc()
+		o.host.log.Info(n.Event, append(fields, zap.Uint64("epoch", uint64(o.epoch)))...)
+	}
+}
