platform, entry: what clients see on the wire is in platform

Cause: the bodies of answers to clients and the header with the time allowed are words of the platform, and stood in internal/entry.

Change: they move to platform/clients.go; each constant of front.go moves to the file that uses it.

Behaviour is the same: the same header is read and the same JSON is written.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -15,6 +15,17 @@
 	"curlewsill.org/curlewsill/platform"
 )
 
+const (
+	// queueWait is how long a record may wait behind an append that hangs before
+	// the call is refused. A slow store answers within 300 ms.
+	queueWait = 400 * time.Millisecond
+	// unknownWait is how long a call waits for an append that was sent before its
+	// outcome is reported as unknown, so that the client can ask another host.
+	unknownWait = time.Second
+	// maxBody bounds a job if the configuration names no bound.
+	maxBody = 256 << 10
+)
+
 func (f *front) pending(ctx context.Context, q *catalog.Queue) reply {
 	out := make(chan int, 1)
 	f.host.post(ctx, func(unit.Instant) {
@@ -27,7 +38,7 @@
 	select {
 	case n := <-out:
 		if n >= 0 {
-			return reply{status: http.StatusOK, body: pendingBody{Pending: n}}
+			return reply{status: http.StatusOK, body: platform.PendingBody{Pending: n}}
 		}
 	case <-ctx.Done():
 	}
@@ -45,7 +56,7 @@
 	if l.state == jobtable.ShownRunning {
 		l = f.awaitEnd(ctx, j, l)
 	}
-	return reply{status: http.StatusOK, body: stateBody{State: l.state}, why: string(l.state)}
+	return reply{status: http.StatusOK, body: platform.StateBody{State: l.state}, why: string(l.state)}
 }
 
 func (f *front) cancel(ctx context.Context, j id.Job) reply {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -14,32 +14,17 @@
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/platform"
 )
 
 const (
-	// headerTimeout and idleTimeout bound slow and silent clients.
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 30 * time.Second
 	// patience is how long a client's call may take if it names no deadline.
 	patience = 3 * time.Second
 	// answerMargin is kept of a deadline for the answer's way back.
 	answerMargin = 30 * time.Millisecond
-	// queueWait is how long a record may wait behind an append that hangs before
-	// the call is refused. A slow store answers within 300 ms.
-	queueWait = 400 * time.Millisecond
-	// loadLook is the pause between two looks whether the state is loaded.
-	loadLook = 10 * time.Millisecond
-	// unknownWait is how long a call waits for an append that was sent before its
-	// outcome is reported as unknown, so that the client can ask another host.
-	unknownWait = time.Second
-	// endWait is how long the answer on a running job's state waits for its end: an
-	// end's way through the owner and the store takes about 30 ms.
-	endWait = 120 * time.Millisecond
 	// comeBack is when a refused client is told to come back, in whole seconds
 	// as the header wants it.
 	comeBack = 1
-	// maxBody bounds a job if the configuration names no bound.
-	maxBody = 256 << 10
 )
 
 // front answers clients.
@@ -59,19 +44,6 @@
 	why string
 }
 
-// stateBody shows a job, pendingBody a queue.
-type stateBody struct {
-	State jobtable.Shown `json:"State"`
-}
-
-type pendingBody struct {
-	Pending int `json:"Pending"`
-}
-
-type errorBody struct {
-	Error string `json:"Error"`
-}
-
 // refused is the answer to a call that surely had no effect.
 func refused(why string) reply { return reply{status: http.StatusServiceUnavailable, why: why} }
 
@@ -97,11 +69,10 @@
 
 // allowed returns how long a call may take.
 func allowed(r *http.Request) time.Duration {
-	ms, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
-	if err != nil || ms <= 0 {
-		return patience
+	if t, ok := platform.TimeAllowed(r.Header); ok {
+		return t
 	}
-	return time.Duration(ms * float64(time.Millisecond))
+	return patience
 }
 
 func (f *front) write(w http.ResponseWriter, rep reply) {
@@ -114,7 +85,7 @@
 	}
 	body := rep.body
 	if body == nil && rep.status >= http.StatusBadRequest {
-		body = errorBody{Error: rep.why}
+		body = platform.ErrorBody{Error: rep.why}
 	}
 	if body == nil {
 		w.WriteHeader(rep.status)
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -4,10 +4,17 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"curlewsill.org/curlewsill/internal/relay"
 )
 
+const (
+	// headerTimeout and idleTimeout bound slow and silent clients.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
 func (h *Host) listen() error {
 	for _, l := range []struct {
 		address string
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -12,6 +12,14 @@
 	"curlewsill.org/curlewsill/platform"
 )
 
+const (
+	// loadLook is the pause between two looks whether the state is loaded.
+	loadLook = 10 * time.Millisecond
+	// endWait is how long the answer on a running job's state waits for its end: an
+	// end's way through the owner and the store takes about 30 ms.
+	endWait = 120 * time.Millisecond
+)
+
 // look is what the table says of a job.
 type look struct {
 	loaded, known bool
