entry: one way to ask the deciding goroutine; a call is one value

Cause: five places posted an event and waited for its answer with the same ten lines, and a call went through its functions as up to seven arguments. Two failed reads, of the group's members and of newer jobs, left no line in the log.

Change: ask does the posting and the waiting; call holds what a client's call is about; the two failures are logged; the wait for a starting host's state has a constant of its own.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -26,25 +26,24 @@
 	maxBody = 256 << 10
 )
 
+// notLoaded stands for the number of waiting jobs while the table is not loaded.
+const notLoaded = -1
+
+// pending answers how many jobs of a queue wait.
 func (f *front) pending(ctx context.Context, q *catalog.Queue) reply {
-	out := make(chan int, 1)
-	f.host.post(ctx, func(unit.Instant) {
-		if f.host.loaded {
-			out <- f.host.table.Waiting(q.Name)
-		} else {
-			out <- -1
+	n, ok := ask(ctx, f.host, func(unit.Instant) int {
+		if !f.host.loaded {
+			return notLoaded
 		}
+		return f.host.table.Waiting(q.Name)
 	})
-	select {
-	case n := <-out:
-		if n >= 0 {
-			return reply{status: http.StatusOK, body: platform.PendingBody{Pending: n}}
-		}
-	case <-ctx.Done():
+	if !ok || n == notLoaded {
+		return refused("the jobs are not known yet")
 	}
-	return refused("the jobs are not known yet")
+	return reply{status: http.StatusOK, body: platform.PendingBody{Pending: n}}
 }
 
+// state answers how far a job is.
 func (f *front) state(ctx context.Context, j id.Job) reply {
 	l, ok := f.find(ctx, j)
 	switch {
@@ -59,6 +58,7 @@
 	return reply{status: http.StatusOK, body: platform.StateBody{State: l.state}, why: string(l.state)}
 }
 
+// cancel ends a job for good. The answer is sent when its record is in the store.
 func (f *front) cancel(ctx context.Context, j id.Job) reply {
 	l, ok := f.find(ctx, j)
 	switch {
@@ -72,14 +72,15 @@
 	return f.store(ctx, f.records.CancelRecord(j), "cancelled")
 }
 
-func (f *front) submit(
-	ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job,
-) reply {
-	limit := c.Limits.BodyBytes
+// submit takes a job in. The answer is sent when its record is in the store. A job that
+// is known already is answered like one that is taken, so that clients may repeat the
+// call.
+func (f *front) submit(ctx context.Context, c *call) reply {
+	limit := c.catalog.Limits.BodyBytes
 	if limit <= 0 {
 		limit = maxBody
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return reply{status: http.StatusRequestEntityTooLarge, why: "the job is too large"}
@@ -91,16 +92,16 @@
 	if err != nil {
 		return reply{status: http.StatusBadRequest, why: err.Error()}
 	}
-	l, ok := f.whenLoaded(ctx, j)
+	l, ok := f.whenLoaded(ctx, c.job)
 	if !ok || !l.loaded {
 		return refused("the jobs are not known yet")
 	}
 	if l.known {
 		return reply{status: http.StatusOK, why: "accepted before"}
 	}
-	fill(&spec, q, customer)
+	fill(&spec, c.queue, c.customer)
 	spec.Accepted = unit.At(time.Now())
-	rec, err := f.records.SpecRecord(j, spec)
+	rec, err := f.records.SpecRecord(c.job, spec)
 	if err != nil {
 		return reply{status: http.StatusBadRequest, why: err.Error()}
 	}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -36,6 +36,27 @@
 
 func newFront(h *Host) *front { return &front{host: h, records: jobtable.New()} }
 
+// call is one call of a client and what it is about, as far as that is known.
+type call struct {
+	w http.ResponseWriter
+	r *http.Request
+	// catalog is the configuration by which the whole call is decided; it and
+	// queue are nil if no queue was found.
+	catalog *catalog.Catalog
+	queue   *catalog.Queue
+	// customer holds the call's key; empty if the queue asks for none.
+	customer id.Customer
+	// job is empty if the call is about the queue.
+	job id.Job
+}
+
+func (c *call) queueName() id.Queue {
+	if c.queue == nil {
+		return ""
+	}
+	return c.queue.Name
+}
+
 // reply is the whole answer to a call.
 type reply struct {
 	status int
@@ -55,16 +76,17 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), began.Add(allowed(r)-answerMargin))
 	defer cancel()
-	rep, j, queue := f.answer(ctx, w, r)
+	c := &call{w: w, r: r}
+	rep := f.answer(ctx, c)
 	f.write(w, rep)
 	took := time.Since(began)
 	f.host.metrics.requests.WithLabelValues(r.Method, strconv.Itoa(rep.status)).Observe(took.Seconds())
 	var version int64
-	if c := f.host.catalog.Load(); c != nil {
-		version = int64(c.Version)
+	if inForce := f.host.catalog.Load(); inForce != nil {
+		version = int64(inForce.Version)
 	}
-	f.host.log.Info("call", zap.String("method", r.Method), zap.String("job", string(j)), zap.String("queue", string(queue)), zap.Int("status", rep.status),
-		zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version))
+	f.host.log.Info("call", zap.String("method", r.Method), zap.String("job", string(c.job)), zap.String("queue", string(c.queueName())),
+		zap.Int("status", rep.status), zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version))
 }
 
 // allowed returns how long a call may take.
@@ -75,6 +97,7 @@
 	return patience
 }
 
+// write sends the reply. An answer that fails is logged: its client asks again.
 func (f *front) write(w http.ResponseWriter, rep reply) {
 	h := w.Header()
 	if f.host.stopping.Load() {
@@ -105,41 +128,41 @@
 	}
 }
 
-// answer decides on a call.
-func (f *front) answer(ctx context.Context, w http.ResponseWriter, r *http.Request) (reply, id.Job, id.Queue) {
-	c := f.host.catalog.Load()
-	if c == nil {
-		return refused("no configuration yet"), "", ""
+// answer decides on a call, and notes in it what it is about.
+func (f *front) answer(ctx context.Context, c *call) reply {
+	inForce := f.host.catalog.Load()
+	if inForce == nil {
+		return refused("no configuration yet")
 	}
-	host := r.Host
+	host := c.r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
-	q := c.Find(host, r.URL.Path)
+	q := inForce.Find(host, c.r.URL.Path)
 	if q == nil {
-		return reply{status: http.StatusNotFound, why: "no such queue"}, "", ""
+		return reply{status: http.StatusNotFound, why: "no such queue"}
 	}
-	j := id.Job(strings.Trim(strings.TrimPrefix(r.URL.Path, q.Prefix), "/"))
-	customer, ok := holder(c, q, r)
+	c.catalog, c.queue = inForce, q
+	c.job = id.Job(strings.Trim(strings.TrimPrefix(c.r.URL.Path, q.Prefix), "/"))
+	customer, ok := holder(inForce, q, c.r)
 	if !ok {
-		return reply{status: http.StatusUnauthorized, why: "unknown key"}, j, q.Name
+		return reply{status: http.StatusUnauthorized, why: "unknown key"}
 	}
-	return f.handle(ctx, w, r, c, q, customer, j), j, q.Name
+	c.customer = customer
+	return f.handle(ctx, c)
 }
 
 // handle answers a call that is allowed.
-func (f *front) handle(
-	ctx context.Context, w http.ResponseWriter, r *http.Request, c *catalog.Catalog, q *catalog.Queue, customer id.Customer, j id.Job,
-) reply {
+func (f *front) handle(ctx context.Context, c *call) reply {
 	switch {
-	case r.Method == http.MethodGet && j == "":
-		return f.pending(ctx, q)
-	case r.Method == http.MethodGet:
-		return f.state(ctx, j)
-	case r.Method == http.MethodDelete && j != "":
-		return f.cancel(ctx, j)
-	case r.Method == http.MethodPost && j != "":
-		return f.submit(ctx, w, r, c, q, customer, j)
+	case c.r.Method == http.MethodGet && c.job == "":
+		return f.pending(ctx, c.queue)
+	case c.r.Method == http.MethodGet:
+		return f.state(ctx, c.job)
+	case c.r.Method == http.MethodDelete && c.job != "":
+		return f.cancel(ctx, c.job)
+	case c.r.Method == http.MethodPost && c.job != "":
+		return f.submit(ctx, c)
 	}
 	return reply{status: http.StatusMethodNotAllowed, why: "no such call"}
 }
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
@@ -13,6 +15,9 @@
 )
 
 const (
+	// loadWait is how long a call waits on a host that has just started and loads its
+	// state, which takes about 30 ms; a slow store needs some 300 ms.
+	loadWait = 400 * time.Millisecond
 	// loadLook is the pause between two looks whether the state is loaded.
 	loadLook = 10 * time.Millisecond
 	// endWait is how long the answer on a running job's state waits for its end: an
@@ -26,24 +31,31 @@
 	state         jobtable.Shown
 }
 
-// inTable asks the deciding goroutine for a job.
-func (f *front) inTable(ctx context.Context, j id.Job) (look, bool) {
-	out := make(chan look, 1)
-	if !f.host.post(ctx, func(unit.Instant) { out <- f.host.lookUp(j) }) {
-		return look{}, false
+// ask lets the deciding goroutine look something up. It reports false if ctx ended
+// before the answer came.
+func ask[T any](ctx context.Context, h *Host, find func(now unit.Instant) T) (T, bool) {
+	var none T
+	out := make(chan T, 1)
+	if !h.post(ctx, func(now unit.Instant) { out <- find(now) }) {
+		return none, false
 	}
 	select {
-	case l := <-out:
-		return l, true
+	case v := <-out:
+		return v, true
 	case <-ctx.Done():
-		return look{}, false
+		return none, false
 	}
 }
 
+// inTable asks the deciding goroutine for a job.
+func (f *front) inTable(ctx context.Context, j id.Job) (look, bool) {
+	return ask(ctx, f.host, func(unit.Instant) look { return f.host.lookUp(j) })
+}
+
 // whenLoaded asks for a job and gives a host that has just started a moment to load
-// its state, which takes about 30 ms.
+// its state.
 func (f *front) whenLoaded(ctx context.Context, j id.Job) (look, bool) {
-	for end := time.Now().Add(queueWait); ; {
+	for end := time.Now().Add(loadWait); ; {
 		l, ok := f.inTable(ctx, j)
 		if !ok || l.loaded || time.Now().After(end) {
 			return l, ok
@@ -99,35 +111,23 @@
 	return l
 }
 
-// catchUp reads what the table lacks, at once.
+// catchUp reads what the table lacks, at once. It reports whether the table then holds
+// all that was in the store when the read was answered.
 func (h *Host) catchUp(ctx context.Context) bool {
-	from := make(chan id.Offset, 1)
-	if !h.post(ctx, func(unit.Instant) { from <- h.table.Next() }) {
-		return false
-	}
-	var at id.Offset
-	select {
-	case at = <-from:
-	case <-ctx.Done():
+	at, ok := ask(ctx, h, func(unit.Instant) id.Offset { return h.table.Next() })
+	if !ok {
 		return false
 	}
 	p, err := h.store.Read(ctx, platform.TopicJobs, at, 0)
 	if err != nil {
+		h.log.Info("catch-up-failed", zap.Uint64("from", uint64(at)), zap.Error(err))
 		return false
 	}
-	done := make(chan bool, 1)
-	if !h.post(ctx, func(now unit.Instant) {
+	whole, ok := ask(ctx, h, func(now unit.Instant) bool {
 		h.applyJobs(now, p.Records, at)
-		done <- h.loaded && h.table.Next() >= p.End
-	}) {
-		return false
-	}
-	select {
-	case ok := <-done:
-		return ok
-	case <-ctx.Done():
-		return false
-	}
+		return h.loaded && h.table.Next() >= p.End
+	})
+	return ok && whole
 }
 
 // watch closes c when a job has ended.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -55,24 +55,25 @@
 	}
 }
 
+// lookAtMembers tells the election who lives and the relay which peers there are.
 func (h *Host) lookAtMembers(ctx context.Context) {
+	dep := dependency{log: h.log, name: "store members"}
 	for ctx.Err() == nil {
 		wait := lookEvery
 		names, err := h.store.Members(ctx, group)
+		if ctx.Err() != nil {
+			return
+		}
+		dep.note(err)
 		if err == nil {
 			members, peers := h.readMembers(names)
 			h.path.SetPeers(peers)
-			suspects := make(chan bool, 1)
-			h.post(ctx, func(now unit.Instant) {
+			suspects, _ := ask(ctx, h, func(now unit.Instant) bool {
 				h.election.Look(now, members, h.table.Owner().Host)
-				suspects <- h.election.Suspects()
+				return h.election.Suspects()
 			})
-			select {
-			case s := <-suspects:
-				if s {
-					wait = lookSoon
-				}
-			case <-ctx.Done():
+			if suspects {
+				wait = lookSoon
 			}
 		}
 		pause(ctx, wait)
