entry: those who wait for a job have a type; fields and functions say what holds

The owner's field since was never read.

Change: watchers is a type with its operations; noteFields builds a log line; the comments are added; the field is gone.

Behaviour is the same: the log lines and the answers have the same content.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -77,7 +77,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
 		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, epoch, h.table), cancel: cancel,
-		seq: 1, listed: map[id.Worker]bool{}, since: now,
+		seq: 1, listed: map[id.Worker]bool{},
 	}
 	h.owner = o
 	h.metrics.owning.Store(true)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -75,21 +75,26 @@
 	stopOnce sync.Once
 	stopped  chan struct{}
 
-	// What follows belongs to the deciding goroutine.
+	// start is when the process began, the zero of its steady clock.
+	start time.Time
+	// wake cuts the pause between two reads of the jobs short.
+	wake chan struct{}
+
+	// What follows belongs to the deciding goroutine; others reach it by ask and post.
+	// loaded is set once table holds the store's state.
 	table    *jobtable.Table
 	loaded   bool
 	election *election.Election
+	// owner is nil unless this host schedules; claiming is set while an append that
+	// is to make it the owner is under way.
 	owner    *owner
 	claiming bool
 	// lost is the last epoch under which this host gave up scheduling.
 	lost id.Epoch
-	// watchers are told when a job ends, or when they have waited too long.
-	watchers map[id.Job][]chan struct{}
-	// wake cuts the pause between two reads of the jobs short.
-	wake chan struct{}
+	// watchers are told when a job ends.
+	watchers watchers
 	// released is the epoch whose owner gave it back.
 	released id.Epoch
-	start    time.Time
 }
 
 // New returns a host whose listeners are open.
@@ -108,7 +113,7 @@
 		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns)),
 		events:  ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
-		watchers: map[id.Job][]chan struct{}{}, wake: make(chan struct{}, 1),
+		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.writer = newWriter(h.store, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -15,6 +15,7 @@
 	idleTimeout   = 30 * time.Second
 )
 
+// listen opens the four listeners and prepares their servers; Run serves on them.
 func (h *Host) listen() error {
 	for _, l := range []struct {
 		address string
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -100,9 +100,9 @@
 	select {
 	case <-ended:
 	case <-timer.C:
-		f.host.post(ctx, func(unit.Instant) { f.host.unwatch(j, ended) })
+		f.host.post(ctx, func(unit.Instant) { f.host.watchers.drop(j, ended) })
 	case <-ctx.Done():
-		f.host.post(context.WithoutCancel(ctx), func(unit.Instant) { f.host.unwatch(j, ended) })
+		f.host.post(context.WithoutCancel(ctx), func(unit.Instant) { f.host.watchers.drop(j, ended) })
 		return l
 	}
 	if newer, ok := f.inTable(ctx, j); ok && newer.known {
@@ -130,38 +130,45 @@
 	return ok && whole
 }
 
-// watch closes c when a job has ended.
-func (h *Host) watch(j id.Job, c chan struct{}) {
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
-		close(c)
+// watchers holds, for each job that is waited for, the channels to close when it ends.
+type watchers map[id.Job][]chan struct{}
+
+// add makes c wait for a job.
+func (w watchers) add(j id.Job, c chan struct{}) { w[j] = append(w[j], c) }
+
+// drop forgets a channel whose reader waits no longer.
+func (w watchers) drop(j id.Job, c chan struct{}) {
+	rest := slices.DeleteFunc(w[j], func(x chan struct{}) bool { return x == c })
+	if len(rest) == 0 {
+		delete(w, j)
 		return
 	}
-	h.watchers[j] = append(h.watchers[j], c)
+	w[j] = rest
 }
 
-// unwatch forgets a watcher that waits no longer.
-func (h *Host) unwatch(j id.Job, c chan struct{}) {
-	rest := slices.DeleteFunc(h.watchers[j], func(x chan struct{}) bool { return x == c })
-	if len(rest) == 0 {
-		delete(h.watchers, j)
-		return
+// tell closes the channels of all that wait for a job.
+func (w watchers) tell(j id.Job) {
+	for _, c := range w[j] {
+		close(c)
 	}
-	h.watchers[j] = rest
+	delete(w, j)
 }
 
-// tellWatchers closes the channels of those that wait for a job that has ended.
-func (h *Host) tellWatchers(j id.Job) {
-	waiting := h.watchers[j]
-	if len(waiting) == 0 {
+// watch closes c when a job has ended.
+func (h *Host) watch(j id.Job, c chan struct{}) {
+	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
+		close(c)
 		return
 	}
+	h.watchers.add(j, c)
+}
+
+// tellWatchers tells those that wait for a job, unless it is still open.
+func (h *Host) tellWatchers(j id.Job) {
 	if e := h.table.Get(j); e != nil && e.Progress.Outcome == job.Open && !e.Cancelled {
 		return
 	}
-	for _, c := range waiting {
-		close(c)
-	}
-	delete(h.watchers, j)
+	h.watchers.tell(j)
 }
 
 // hurry makes the next read of the jobs come at once.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -59,6 +59,7 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// storeCall counts a call to the store and how long it took.
 func (m *metrics) storeCall(call string, began time.Time, err error) {
 	outcome := "done"
 	if err != nil {
@@ -67,6 +68,7 @@
 	m.store.WithLabelValues(call, outcome).Observe(time.Since(began).Seconds())
 }
 
+// order counts an order to a worker and how long it took.
 func (m *metrics) order(kind string, began time.Time, verdict string) {
 	m.orders.WithLabelValues(kind, verdict).Observe(time.Since(began).Seconds())
 }
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -52,32 +52,37 @@
 	})
 }
 
-// tell logs what was decided.
+// tell logs and counts what was decided.
 func (o *owner) tell() {
 	for _, n := range o.core.Notes() {
-		fields := make([]zap.Field, 0, 7)
-		if n.Job != "" {
-			fields = append(fields, zap.String("job", string(n.Job)))
-		}
-		if n.Task != (job.Task{}) {
-			fields = append(fields, zap.Stringer("task", n.Task), zap.Int("run", int(n.Run)))
-		}
-		if n.Worker != "" {
-			fields = append(fields, zap.String("worker", string(n.Worker)))
-		}
-		if n.Why != "" {
-			fields = append(fields, zap.String("why", n.Why))
-		}
-		if n.Estimate != 0 {
-			fields = append(fields, zap.Duration("estimate", n.Estimate))
-		}
-		if n.Age != 0 {
-			fields = append(fields, zap.Duration("age", n.Age))
-		}
 		if n.Event == dispatch.EventViolated {
 			o.host.metrics.faults.Inc()
 		}
 		o.host.metrics.decisions.WithLabelValues(n.Event).Inc()
-		o.host.log.Info(n.Event, append(fields, zap.Uint64("epoch", uint64(o.epoch)))...)
+		o.host.log.Info(n.Event, append(noteFields(n), zap.Uint64("epoch", uint64(o.epoch)))...)
+	}
+}
+
+// noteFields returns the fields of a decision that are set.
+func noteFields(n dispatch.Note) []zap.Field {
+	var fields []zap.Field
+	if n.Job != "" {
+		fields = append(fields, zap.String("job", string(n.Job)))
+	}
+	if n.Task != (job.Task{}) {
+		fields = append(fields, zap.Stringer("task", n.Task), zap.Int("run", int(n.Run)))
+	}
+	if n.Worker != "" {
+		fields = append(fields, zap.String("worker", string(n.Worker)))
+	}
+	if n.Why != "" {
+		fields = append(fields, zap.String("why", n.Why))
+	}
+	if n.Estimate != 0 {
+		fields = append(fields, zap.Duration("estimate", n.Estimate))
+	}
+	if n.Age != 0 {
+		fields = append(fields, zap.Duration("age", n.Age))
 	}
+	return fields
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -31,7 +31,6 @@
 	writing bool
 	// listed holds the workers in the platform's list.
 	listed map[id.Worker]bool
-	since  unit.Instant
 }
 
 // learn takes in what the table says of a job.
@@ -46,6 +45,7 @@
 	}
 }
 
+// configure takes in the guarantees of a configuration.
 func (o *owner) configure(c *catalog.Catalog) {
 	for _, cust := range c.Customers {
 		o.core.Guarantee(cust.Name, cust.Guaranteed)
@@ -83,6 +83,7 @@
 	}
 }
 
+// unlist takes in that the list has dropped a worker.
 func (o *owner) unlist(now unit.Instant, w id.Worker) {
 	delete(o.listed, w)
 	o.core.Unlist(now, w)
@@ -143,6 +144,8 @@
 	return ctx.Err()
 }
 
+// flushed takes in what became of an append of flush. One that can't be repeated ends the
+// ownership: the records may lack what the next decisions rest on.
 func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, err error) {
 	o.writing = false
 	if o.host.owner != o {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -43,6 +43,7 @@
 
 func (b *backoff) reset() { b.last = 0 }
 
+// pause waits, and reports whether ctx is still open.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -95,6 +96,8 @@
 	}
 }
 
+// load hands over the newest record of each key, and returns the offset from which to
+// read on: the end at the first page, since later pages may be newer.
 func (t *tail) load(ctx context.Context) (id.Offset, error) {
 	first, err := t.host.store.Newest(ctx, t.topic, "")
 	if err != nil {
@@ -111,6 +114,7 @@
 	return first.End, nil
 }
 
+// read hands over what was added from an offset on, and returns the next offset.
 func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
 	p, err := t.host.store.Read(ctx, t.topic, from, t.wait)
 	if err != nil {
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -110,6 +110,7 @@
 	return batch
 }
 
+// append writes a batch and tells those who wait for its records what became of it.
 func (w *writer) append(ctx context.Context, batch []*pending) {
 	if len(batch) == 0 {
 		return
