relay: the two ways of a call, and a link's steps, are functions of their own

Change: race holds a call on its two ways; expect, send and receive are steps of a link; a lost link is logged; limits say where their figures come from.

Behaviour is the same but for the log line: the ways are tried in the same order and at the same times, and the same answer is returned.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -16,11 +16,14 @@
 const PeerPath = "/v1/relay"
 
 const (
-	// dialTimeout bounds the opening of a link.
+	// dialTimeout bounds the opening of a link: the longest way on the users' sites is a
+	// few milliseconds, and a peer behind a cut never answers.
 	dialTimeout = 400 * time.Millisecond
-	// writeTimeout bounds the writing of one message.
+	// writeTimeout bounds the writing of one message; it is as long as a way may take
+	// before the other one is tried.
 	writeTimeout = 500 * time.Millisecond
-	// servedAtOnce bounds the calls that are made for one peer at a time.
+	// servedAtOnce bounds the calls that are made for one peer at a time: twice the
+	// connections of a host to the store.
 	servedAtOnce = 16
 )
 
@@ -31,14 +34,18 @@
 type link struct {
 	address string
 	conn    *websocket.Conn
+	log     *zap.Logger
 	next    atomic.Uint64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// waiting leads from a call's ID to where its result is waited for; nil once the
+	// link has closed.
 	waiting map[uint64]chan result
 	closed  bool
 }
 
-func dial(ctx context.Context, address string) (*link, error) {
+// dial opens a link to a peer and begins to read it.
+func dial(ctx context.Context, address string, log *zap.Logger) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, _, err := websocket.Dial(ctx, "ws://"+address+PeerPath, nil)
@@ -46,17 +53,19 @@
 		return nil, err
 	}
 	conn.SetReadLimit(maxBody)
-	l := &link{address: address, conn: conn, waiting: map[uint64]chan result{}}
+	l := &link{address: address, conn: conn, log: log, waiting: map[uint64]chan result{}}
 	go l.read()
 	return l, nil
 }
 
+// works reports whether calls can be made on the link.
 func (l *link) works() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return !l.closed
 }
 
+// close ends the link and the calls under way on it. It may be called again.
 func (l *link) close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -75,12 +84,11 @@
 func (l *link) read() {
 	defer l.close()
 	for {
-		_, raw, err := l.conn.Read(context.Background())
-		if err != nil {
-			return
-		}
-		res, err := results.Decode(raw)
+		res, err := l.receive()
 		if err != nil {
+			if l.works() {
+				l.log.Info("peer-link-lost", zap.String("peer", l.address), zap.Error(err))
+			}
 			return
 		}
 		l.mu.Lock()
@@ -93,6 +101,39 @@
 	}
 }
 
+// receive reads one result.
+func (l *link) receive() (result, error) {
+	_, raw, err := l.conn.Read(context.Background())
+	if err != nil {
+		return result{}, err
+	}
+	return results.Decode(raw)
+}
+
+// expect notes that a call's result is waited for. It reports false if the link has
+// closed. The channel is closed without a result when the link closes.
+func (l *link) expect(id uint64) (<-chan result, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil, false
+	}
+	answer := make(chan result, 1)
+	l.waiting[id] = answer
+	return answer, true
+}
+
+// send writes a call. A link that can't be written to is closed.
+func (l *link) send(ctx context.Context, raw []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	err := l.conn.Write(ctx, websocket.MessageBinary, raw)
+	if err != nil {
+		l.close()
+	}
+	return err
+}
+
 // do makes a call. A link on which an answer is overdue is closed.
 func (l *link) do(ctx context.Context, c call) (result, error) {
 	c.ID = l.next.Add(1)
@@ -100,18 +141,11 @@
 	if err != nil {
 		return result{}, err
 	}
-	answer := make(chan result, 1)
-	l.mu.Lock()
-	if l.closed {
-		l.mu.Unlock()
+	answer, ok := l.expect(c.ID)
+	if !ok {
 		return result{}, errClosed
 	}
-	l.waiting[c.ID] = answer
-	l.mu.Unlock()
-	write, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
-	if err := l.conn.Write(write, websocket.MessageBinary, raw); err != nil {
-		l.close()
+	if err := l.send(ctx, raw); err != nil {
 		return result{}, err
 	}
 	overdue := time.NewTimer(c.Limit + hedgeAfter)
@@ -147,6 +181,7 @@
 	})
 }
 
+// serve makes the calls that come on a peer's connection until it closes.
 func (p *Path) serve(ctx context.Context, conn *websocket.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -169,6 +204,7 @@
 	}
 }
 
+// serveCall makes one call for a peer. A call without an answer is answered with status 0.
 func (p *Path) serveCall(ctx context.Context, conn *websocket.Conn, c call) {
 	limited, cancel := context.WithTimeout(ctx, c.Limit)
 	defer cancel()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +30,11 @@
 	// call may wait at the store, before a peer is asked as well. A slow store
 	// answers within 300 ms.
 	hedgeAfter = 500 * time.Millisecond
-	// suspectFor is how long a way that failed is not the first choice.
+	// suspectFor is how long a way that failed is not the first choice. One second costs
+	// a host that is turned away for long one failed call a second.
 	suspectFor = time.Second
-	// maxBody bounds a call and an answer in bytes.
+	// maxBody bounds a call and an answer in bytes. The store takes 2 MB in an append and
+	// is asked for 1 MB in a read.
 	maxBody = 4 << 20
 )
 
@@ -94,22 +97,13 @@
 	defer p.mu.Unlock()
 	p.peers = peers
 	for a, l := range p.links {
-		if !contains(peers, a) {
+		if !slices.Contains(peers, Peer{Address: a}) {
 			l.close()
 			delete(p.links, a)
 		}
 	}
 }
 
-func contains(peers []Peer, address string) bool {
-	for _, x := range peers {
-		if x.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
 // outcome is what became of one way of a call.
 type outcome struct {
 	resp   *http.Response
@@ -122,40 +116,56 @@
 	return o.err != nil || o.resp.StatusCode == http.StatusServiceUnavailable || o.resp.StatusCode == http.StatusTooManyRequests
 }
 
-// RoundTrip makes a call. It returns the first answer that isn't a refusal.
+// race is one call on its way over at most two ways.
+type race struct {
+	path *Path
+	req  *http.Request
+	// wait is how long the call may wait at its other end.
+	wait time.Duration
+	out  chan outcome
+	// under counts the ways that are under way.
+	under int
+	// spare is set while the second way is not tried; spareDirect says which it is.
+	spare, spareDirect bool
+}
+
+// begin tries one way.
+func (r *race) begin(direct bool) {
+	r.under++
+	go func() { r.out <- r.path.try(r.req, direct, r.wait) }()
+}
+
+// beginSpare tries the second way, unless it was tried or there is none.
+func (r *race) beginSpare() {
+	if r.spare {
+		r.spare = false
+		r.begin(r.spareDirect)
+	}
+}
+
+// RoundTrip makes a call. It returns the first answer that isn't a refusal. The second
+// way is tried when the first one fails or is slow. If all fail, the answer that leaves
+// the most doubt is returned.
 func (p *Path) RoundTrip(req *http.Request) (*http.Response, error) {
-	wait := waitOf(req)
 	directFirst, usePeers := p.ways()
-	out := make(chan outcome, 2)
-	under := 0
-	begin := func(direct bool) {
-		under++
-		go func() { out <- p.try(req, direct, wait) }()
-	}
-	begin(directFirst || !usePeers)
-	second := usePeers
-	timer := time.NewTimer(wait + hedgeAfter)
+	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: usePeers, spareDirect: !directFirst}
+	r.begin(directFirst)
+	timer := time.NewTimer(r.wait + hedgeAfter)
 	defer timer.Stop()
 	var last outcome
 	for {
 		select {
 		case <-timer.C:
-			if second {
-				second = false
-				begin(!directFirst)
-			}
-		case o := <-out:
-			under--
+			r.beginSpare()
+		case o := <-r.out:
+			r.under--
 			p.learn(o)
 			if !o.failed() {
 				return o.resp, nil
 			}
 			last = worse(last, o)
-			if second {
-				second = false
-				begin(!directFirst)
-			}
-			if under == 0 {
+			r.beginSpare()
+			if r.under == 0 {
 				return last.resp, last.err
 			}
 		case <-req.Context().Done():
@@ -190,7 +200,8 @@
 	return a
 }
 
-// ways tells which way comes first and whether peers can be asked.
+// ways tells which way comes first and whether peers can be asked. The direct way comes
+// first if they can't.
 func (p *Path) ways() (directFirst, usePeers bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,6 +233,7 @@
 	}
 }
 
+// try makes the call on one way.
 func (p *Path) try(req *http.Request, direct bool, wait time.Duration) outcome {
 	if direct {
 		resp, err := p.tryDirect(req)
@@ -297,7 +309,7 @@
 	}
 	a := p.peers[rand.IntN(len(p.peers))].Address
 	p.mu.Unlock()
-	l, err := dial(ctx, a)
+	l, err := dial(ctx, a, p.log)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
 	}
@@ -310,6 +322,7 @@
 	return l, nil
 }
 
+// bodyOf reads a copy of the body, so that both ways can send it.
 func bodyOf(req *http.Request) ([]byte, error) {
 	if req.GetBody == nil {
 		return nil, nil
@@ -336,6 +349,7 @@
 	return context.WithValue(ctx, waitKey{}, wait)
 }
 
+// waitOf returns the wait noted by WithWait, or 0.
 func waitOf(req *http.Request) time.Duration {
 	wait, _ := req.Context().Value(waitKey{}).(time.Duration)
 	return wait
