dispatch: what ends together, and kept room, are each written once

Cause: success, failure and checkpoints each worked out for themselves which tasks share a gang's fate, kept room was added to its workers in two places, and tasks were placed on given workers in two places.

Change: together, hold and placeOn do these; claimFree is the part of useClaim that looks whether the room is free; claim says what its fields hold.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -178,12 +178,9 @@
 		d.lose(now, r, "ended")
 		return
 	}
-	first, last := r.task.Index, r.task.Index+1
-	if s.step.Gang {
-		first, last = 0, s.step.Count
-	}
-	for i := first; i < last; i++ {
-		t := &js.progress.Tasks[s.base+i]
+	tasks := s.together(r.task.Index)
+	for i := range tasks {
+		t := &tasks[i]
 		if t.Phase != job.Done {
 			t.Phase, t.Worker, t.Checkpoint = job.Done, "", ""
 			s.done++
@@ -193,7 +190,7 @@
 	if s.done == s.step.Count && !s.counted {
 		s.counted = true
 		js.open--
-		d.dropClaim(s)
+		s.dropClaim()
 	}
 	d.release(r)
 	if js.open == 0 {
@@ -205,9 +202,7 @@
 func (d *Dispatcher) failed(now unit.Instant, r *run) {
 	s := r.step
 	js := s.job
-	first, last := r.task.Index, r.task.Index+1
 	if s.step.Gang {
-		first, last = 0, s.step.Count
 		if s.failedRun >= r.number {
 			d.lose(now, r, "failed")
 			return
@@ -215,10 +210,10 @@
 		s.failedRun = r.number
 	}
 	worst := 0
-	for i := first; i < last; i++ {
-		t := &js.progress.Tasks[s.base+i]
-		t.Failed++
-		worst = max(worst, t.Failed)
+	tasks := s.together(r.task.Index)
+	for i := range tasks {
+		tasks[i].Failed++
+		worst = max(worst, tasks[i].Failed)
 	}
 	d.mark(js)
 	d.lose(now, r, "failed")
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -8,21 +8,21 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// claim is room that tasks were stopped for.
+// claim is room that is kept for the waiting tasks of a step: others were stopped for it,
+// or are expected to end soon. It counts as reserved on its workers until it is used,
+// dropped, or over.
 type claim struct {
-	// workers has one worker for each member.
+	// workers has one worker for each waiting task; a worker that is to take several
+	// is listed as often.
 	workers []*worker
-	until   unit.Instant
+	// until is when the room is given up if it has not become free.
+	until unit.Instant
 }
 
-// keep reserves room for the waiting tasks of a step.
-func (d *Dispatcher) keep(now unit.Instant, c candidate, workers []*worker, until time.Duration, why string) {
-	need := c.step.step.Reserved()
-	for _, w := range workers {
-		w.reserved = w.reserved.Add(need)
-	}
-	c.step.claim = &claim{workers: workers, until: now.Add(until)}
-	d.note(Note{Event: "room-claimed", Job: c.step.job.id, Why: why, Estimate: until, Age: now.Sub(c.step.job.spec.Accepted)})
+// keep reserves room for the waiting tasks of a step, for a time.
+func (d *Dispatcher) keep(now unit.Instant, c candidate, workers []*worker, lasts time.Duration, why string) {
+	c.step.hold(&claim{workers: workers, until: now.Add(lasts)})
+	d.note(Note{Event: "room-claimed", Job: c.step.job.id, Why: why, Estimate: lasts, Age: now.Sub(c.step.job.spec.Accepted)})
 }
 
 // useClaim places a candidate on the room that is kept for it once that is free. It
@@ -33,13 +33,24 @@
 		return false
 	}
 	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now) {
-		d.dropClaim(s)
+		s.dropClaim()
 		return false
 	}
 	if s.job.spec.Priority > 0 && d.roomElsewhere(now, c, fits) {
-		d.dropClaim(s)
+		s.dropClaim()
 		return false
 	}
+	if !s.claimFree() {
+		return true
+	}
+	workers := s.claim.workers
+	s.dropClaim()
+	d.placeOn(c, workers)
+	return true
+}
+
+// claimFree reports whether the runs that had the kept room have all ended.
+func (s *stepState) claimFree() bool {
 	need := s.step.Reserved()
 	want := map[id.Worker]job.Resources{}
 	for _, w := range s.claim.workers {
@@ -48,19 +59,9 @@
 	for _, w := range s.claim.workers {
 		// The claim's own room is part of what is reserved.
 		if !want[w.ID].Fits(w.free().Add(want[w.ID])) {
-			return true
+			return false
 		}
 	}
-	workers := s.claim.workers
-	d.dropClaim(s)
-	if s.step.Gang {
-		d.startGang(c, workers)
-		return true
-	}
-	for at, i := range c.waiting {
-		d.place(s, i, workers[at], s.nextRun(i))
-	}
-	s.waitingSince = 0
 	return true
 }
 
@@ -68,13 +69,9 @@
 // were not.
 func (d *Dispatcher) roomElsewhere(now unit.Instant, c candidate, fits []*worker) bool {
 	kept := c.step.claim
-	d.dropClaim(c.step)
+	c.step.dropClaim()
 	found := d.chooseGang(now, c, fits, d.plainRoom).workers != nil
-	need := c.step.step.Reserved()
-	for _, w := range kept.workers {
-		w.reserved = w.reserved.Add(need)
-	}
-	c.step.claim = kept
+	c.step.hold(kept)
 	return found
 }
 
@@ -88,7 +85,17 @@
 	return true
 }
 
-func (d *Dispatcher) dropClaim(s *stepState) {
+// hold makes a claim keep its room. The step has none at that time.
+func (s *stepState) hold(c *claim) {
+	need := s.step.Reserved()
+	for _, w := range c.workers {
+		w.reserved = w.reserved.Add(need)
+	}
+	s.claim = c
+}
+
+// dropClaim gives the room that is kept for a step back, if there is any.
+func (s *stepState) dropClaim() {
 	if s.claim == nil {
 		return
 	}
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -15,14 +15,18 @@
 		d.preempt(now, c, fits)
 		return false
 	}
-	d.startGang(c, chosen.workers)
+	d.placeOn(c, chosen.workers)
 	return true
 }
 
-func (d *Dispatcher) startGang(c candidate, workers []*worker) {
+// placeOn places each waiting task on its worker. The members of a gang share a number.
+func (d *Dispatcher) placeOn(c candidate, workers []*worker) {
 	s := c.step
 	number := s.nextRun(0)
 	for at, i := range c.waiting {
+		if !s.step.Gang {
+			number = s.nextRun(i)
+		}
 		d.place(s, i, workers[at], number)
 	}
 	s.waitingSince = 0
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -191,6 +191,16 @@
 	return out
 }
 
+// together returns the states of the tasks that start and end with the one at index: its
+// whole gang, or itself alone. The job must have progress.
+func (s *stepState) together(index int) []job.TaskState {
+	tasks := s.job.progress.Tasks[s.base : s.base+s.step.Count]
+	if s.step.Gang {
+		return tasks
+	}
+	return tasks[index : index+1]
+}
+
 // busy reports whether some run of the job still takes room.
 func (js *jobState) busy() bool {
 	for _, s := range js.steps {
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -23,7 +23,7 @@
 	}
 	js.progress.Outcome, js.progress.Ended = o, now
 	for _, s := range js.steps {
-		d.dropClaim(s)
+		s.dropClaim()
 	}
 	if o != job.Completed {
 		// What still runs of a completed job is a gang that has ended as a whole;
@@ -92,11 +92,7 @@
 // keepCheckpoint notes a checkpoint for a task, or for all members of a gang: they
 // have to be started with the same one.
 func (d *Dispatcher) keepCheckpoint(s *stepState, index int, checkpoint string) {
-	tasks := s.job.progress.Tasks[s.base : s.base+s.step.Count]
-	if !s.step.Gang {
-		tasks[index].Checkpoint = checkpoint
-		return
-	}
+	tasks := s.together(index)
 	for i := range tasks {
 		tasks[i].Checkpoint = checkpoint
 	}
