dispatch, jobtable, catalog: the events of decisions are listed; unused code is gone

Change: Event is a type with its constants and what each means; noteRun and noteJob build the notes. Dispatcher.Epoch, Entry.Ended and Catalog.Customer, which nothing used, are removed.

Behaviour is the same: each event has the same text and the same fields.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -94,13 +94,3 @@
 	name, ok := c.keys[key]
 	return name, ok
 }
-
-// Customer returns a customer by name, or nil.
-func (c *Catalog) Customer(name id.Customer) *Customer {
-	for i := range c.Customers {
-		if c.Customers[i].Name == name {
-			return &c.Customers[i]
-		}
-	}
-	return nil
-}
--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -24,13 +24,13 @@
 		w.refused++
 		return false
 	case fleet.Replaced:
-		d.note(Note{Event: "worker-replaced", Worker: w.ID, Why: w.Address})
+		d.note(Note{Event: EventWorkerReplaced, Worker: w.ID, Why: w.Address})
 		d.loseAll(now, w, "another life at its address")
 		w.listed = false
 		return false
 	case fleet.Fenced:
 		if !d.fenced {
-			d.note(Note{Event: "owner-fenced", Worker: w.ID, Why: "the worker has seen a later epoch"})
+			d.note(Note{Event: EventOwnerFenced, Worker: w.ID, Why: "the worker has seen a later epoch"})
 		}
 		d.fenced = true
 		return false
@@ -70,7 +70,7 @@
 // copy of the order was carried out, so the run has ended, perhaps with success: the
 // next renewal lists its end, or else it is lost.
 func (d *Dispatcher) overtaken(now unit.Instant, r *run) {
-	d.note(Note{Event: "start-overtaken", Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Age: now.Sub(r.since)})
+	d.noteRun(EventStartOvertaken, r, "", now.Sub(r.since))
 	if r.apply(evStarted) {
 		r.started = now
 	}
@@ -85,7 +85,7 @@
 	w := r.worker
 	w.pausedUntil = now.Add(busyPause)
 	w.nextHold = min(w.nextHold, now)
-	d.note(Note{Event: "start-rejected", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: v.String(), Age: now.Sub(r.since)})
+	d.noteRun(EventStartRejected, r, v.String(), now.Sub(r.since))
 	if r.apply(evRejected) {
 		d.lose(now, r, v.String())
 	}
@@ -142,9 +142,9 @@
 func (d *Dispatcher) end(now unit.Instant, w *worker, e fleet.End) {
 	r := w.runs[e.Task]
 	known := r != nil && r.number == e.Run
-	n := Note{Event: "task-ended", Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
+	n := Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
 	if !known {
-		n.Event = "unknown-end"
+		n.Event = EventUnknownEnd
 		d.note(n)
 		return
 	}
@@ -234,7 +234,7 @@
 		}
 		if w.streak >= failStreak {
 			w.pausedUntil = now.Add(failPause)
-			d.note(Note{Event: "worker-suspended", Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
+			d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
 		}
 	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
 	}
@@ -264,7 +264,7 @@
 		vanished := r.state == runRunning && res.Sent > r.started
 		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
 		if vanished || neverThere {
-			d.note(Note{Event: "task-vanished", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: string(r.state), Age: now.Sub(res.Sent)})
+			d.noteRun(EventTaskVanished, r, string(r.state), now.Sub(res.Sent))
 			r.apply(evLost)
 			d.lose(now, r, "not listed by its worker")
 		}
--- a/core/dispatch/check.go
+++ b/core/dispatch/check.go
@@ -5,13 +5,9 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// EventViolated is the event of a note that an invariant did not hold. The decision
-// concerned was not carried out.
-const EventViolated = "invariant-violated"
-
 // violated notes that an invariant did not hold for a run.
 func (d *Dispatcher) violated(now unit.Instant, r *run, what string) {
-	d.note(Note{Event: EventViolated, Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Why: what, Age: now.Sub(r.since)})
+	d.noteRun(EventViolated, r, what, now.Sub(r.since))
 }
 
 // checkStart asserts what must hold when an order to start leaves. It returns what
@@ -62,5 +58,5 @@
 		return
 	}
 	js.atRisk = true
-	d.note(Note{Event: "guarantee-at-risk", Job: js.id, Why: "no room can be freed for urgent work", Age: now.Sub(js.spec.Accepted)})
+	d.noteJob(EventGuaranteeAtRisk, now, js, "no room can be freed for urgent work", 0)
 }
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -22,7 +22,7 @@
 // keep reserves room for the waiting tasks of a step, for a time.
 func (d *Dispatcher) keep(now unit.Instant, c candidate, workers []*worker, lasts time.Duration, why string) {
 	c.step.hold(&claim{workers: workers, until: now.Add(lasts)})
-	d.note(Note{Event: "room-claimed", Job: c.step.job.id, Why: why, Estimate: lasts, Age: now.Sub(c.step.job.spec.Accepted)})
+	d.noteJob(EventRoomClaimed, now, c.step.job, why, lasts)
 }
 
 // useClaim places a candidate on the room that is kept for it once that is free. It
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -53,9 +53,6 @@
 	}
 }
 
-// Epoch returns the epoch of this owner.
-func (d *Dispatcher) Epoch() id.Epoch { return d.epoch }
-
 // Fenced reports whether a worker has seen a later owner.
 func (d *Dispatcher) Fenced() bool { return d.fenced }
 
@@ -80,10 +77,10 @@
 func (d *Dispatcher) List(now unit.Instant, l fleet.Listing) {
 	w := d.worker(now, l.ID)
 	if !w.listed {
-		d.note(Note{Event: "worker-listed", Worker: l.ID, Why: l.Address})
+		d.note(Note{Event: EventWorkerListed, Worker: l.ID, Why: l.Address})
 	}
 	if l.Draining && !w.Draining {
-		d.note(Note{Event: "worker-draining", Worker: l.ID, Age: l.Remaining})
+		d.note(Note{Event: EventWorkerDraining, Worker: l.ID, Age: l.Remaining})
 	}
 	keepClock, at := w.Clock, w.clockAt
 	w.Listing, w.listed = l, true
@@ -112,7 +109,7 @@
 		return
 	}
 	w.listed = false
-	d.note(Note{Event: "worker-unlisted", Worker: name})
+	d.note(Note{Event: EventWorkerUnlisted, Worker: name})
 }
 
 func (d *Dispatcher) worker(now unit.Instant, name id.Worker) *worker {
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -120,5 +120,5 @@
 	d.occupy(r)
 	d.starts = append(d.starts, r)
 	d.mark(js)
-	d.note(Note{Event: "task-placed", Job: js.id, Task: r.task, Worker: w.ID, Run: number, Why: string(w.Rack)})
+	d.noteRun(EventTaskPlaced, r, string(w.Rack), 0)
 }
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -89,21 +89,5 @@
 	seen   uint64
 }
 
-// Note is one decision, for the log.
-type Note struct {
-	Event  string
-	Job    id.Job
-	Task   job.Task
-	Worker id.Worker
-	Run    job.Run
-	Why    string
-	// Estimate is the customer's guess of the time that is at stake.
-	Estimate time.Duration
-	// Age is how old the state was that the decision rests on.
-	Age time.Duration
-}
-
-// note keeps a decision for the log.
-func (d *Dispatcher) note(n Note) { d.notes = append(d.notes, n) }
-
+// scale returns by times t.
 func scale(t time.Duration, by float64) time.Duration { return time.Duration(float64(t) * by) }
--- /dev/null
+++ b/core/dispatch/note.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// Event is what a note tells of. It is the message of the log line and a label of a
+// metric, so the texts stay as they are.
+type Event string
+
+// The events.
+const (
+	// EventWorkerListed: the platform's list has a worker that it had not.
+	EventWorkerListed Event = "worker-listed"
+	// EventWorkerUnlisted: the list has dropped a worker.
+	EventWorkerUnlisted Event = "worker-unlisted"
+	// EventWorkerDraining: a worker is to leave; the age is how long it stays.
+	EventWorkerDraining Event = "worker-draining"
+	// EventWorkerReplaced: another life answers at a worker's address.
+	EventWorkerReplaced Event = "worker-replaced"
+	// EventWorkerSuspended: a worker gets no tasks for a while, as long as the age.
+	EventWorkerSuspended Event = "worker-suspended"
+	// EventOwnerFenced: a worker has seen a later owner.
+	EventOwnerFenced Event = "owner-fenced"
+	// EventTaskPlaced: a task is to run on a worker; why is its rack.
+	EventTaskPlaced Event = "task-placed"
+	// EventStartRejected: a worker did not carry out an order to start.
+	EventStartRejected Event = "start-rejected"
+	// EventStartOvertaken: a worker has seen the ordered run, or a later one, end.
+	EventStartOvertaken Event = "start-overtaken"
+	// EventTaskStop: a run is ordered to stop.
+	EventTaskStop Event = "task-stop"
+	// EventTaskEnded: a worker says that a run has ended.
+	EventTaskEnded Event = "task-ended"
+	// EventUnknownEnd: a worker lists the end of a run that isn't known there.
+	EventUnknownEnd Event = "unknown-end"
+	// EventTaskLost: a run has surely ended, and nobody says how.
+	EventTaskLost Event = "task-lost"
+	// EventTaskVanished: a worker doesn't list a run any more; the age is the answer's.
+	EventTaskVanished Event = "task-vanished"
+	// EventRoomClaimed: room is kept for a step, for as long as the estimate.
+	EventRoomClaimed Event = "room-claimed"
+	// EventGuaranteeAtRisk: urgent work within a guarantee finds no room, even by stops.
+	EventGuaranteeAtRisk Event = "guarantee-at-risk"
+	// EventJobEnded: a job has its outcome.
+	EventJobEnded Event = "job-ended"
+	// EventViolated: an invariant did not hold. The decision was not carried out.
+	EventViolated Event = "invariant-violated"
+)
+
+// Note is one decision, for the log. Fields that don't apply are empty.
+type Note struct {
+	Event  Event
+	Job    id.Job
+	Task   job.Task
+	Worker id.Worker
+	Run    job.Run
+	Why    string
+	// Estimate is the customer's guess of the time that is at stake.
+	Estimate time.Duration
+	// Age is how old the state was that the decision rests on, if the event says
+	// nothing else.
+	Age time.Duration
+}
+
+// note keeps a decision for the log.
+func (d *Dispatcher) note(n Note) { d.notes = append(d.notes, n) }
+
+// noteRun keeps a decision on a run.
+func (d *Dispatcher) noteRun(ev Event, r *run, why string, age time.Duration) {
+	d.note(Note{Event: ev, Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Why: why, Age: age})
+}
+
+// noteJob keeps a decision on a job; its age is that of the job.
+func (d *Dispatcher) noteJob(ev Event, now unit.Instant, js *jobState, why string, estimate time.Duration) {
+	d.note(Note{Event: ev, Job: js.id, Why: why, Estimate: estimate, Age: now.Sub(js.spec.Accepted)})
+}
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -34,7 +34,7 @@
 		js.progress.Tasks = nil
 	}
 	d.mark(js)
-	d.note(Note{Event: "job-ended", Job: js.id, Why: why, Estimate: js.spec.LongestChain(), Age: now.Sub(js.spec.Accepted)})
+	d.noteJob(EventJobEnded, now, js, why, js.spec.LongestChain())
 }
 
 func (d *Dispatcher) stopAll(now unit.Instant, js *jobState, why string) {
@@ -66,7 +66,7 @@
 		d.release(r)
 		return
 	}
-	d.note(Note{Event: "task-stop", Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Why: why, Age: now.Sub(r.since)})
+	d.noteRun(EventTaskStop, r, why, now.Sub(r.since))
 	d.orderStop(now, r)
 }
 
@@ -101,7 +101,7 @@
 // loseAll gives up every run on a worker of which it is certain that they have ended.
 func (d *Dispatcher) loseAll(now unit.Instant, w *worker, why string) {
 	for _, r := range w.sorted() {
-		d.note(Note{Event: "task-lost", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: why, Age: now.Sub(w.answered)})
+		d.noteRun(EventTaskLost, r, why, now.Sub(w.answered))
 		r.apply(evLost)
 		d.lose(now, r, why)
 	}
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -17,7 +17,6 @@
 	"curlewsill.org/curlewsill/core/codec"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
-	"curlewsill.org/curlewsill/core/unit"
 )
 
 // ErrKey reports a record whose key no rule explains.
@@ -253,8 +252,3 @@
 	}
 	return ShownQueued
 }
-
-// Ended reports whether the job has ended and for how long it has been so.
-func (e *Entry) Ended(now unit.Instant) (since unit.Instant, ended bool) {
-	return e.Progress.Ended, e.Progress.Outcome != job.Open && e.Progress.Ended <= now
-}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -58,8 +58,8 @@
 		if n.Event == dispatch.EventViolated {
 			o.host.metrics.faults.Inc()
 		}
-		o.host.metrics.decisions.WithLabelValues(n.Event).Inc()
-		o.host.log.Info(n.Event, append(noteFields(n), zap.Uint64("epoch", uint64(o.epoch)))...)
+		o.host.metrics.decisions.WithLabelValues(string(n.Event)).Inc()
+		o.host.log.Info(string(n.Event), append(noteFields(n), zap.Uint64("epoch", uint64(o.epoch)))...)
 	}
 }
 
