dispatch, jobtable: comments say what holds and where figures come from

Cause: a newcomer found functions without a comment, limits without a source, and one comment that was wrong: when a job is forgotten, its progress goes last and not its spec. The code is right, since an ended job without its progress would look new.

Change: comments; blame is called countFailures and forgetRecords, which counts jobs, forgetJobs.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -159,7 +159,7 @@
 		d.release(r)
 		return
 	}
-	d.blame(now, w, e)
+	d.countFailures(now, w, e)
 	switch e.How {
 	case fleet.EndDone:
 		d.done(now, r)
@@ -222,15 +222,16 @@
 	}
 }
 
-// blame keeps score of workers on which run after run fails.
-func (d *Dispatcher) blame(now unit.Instant, w *worker, e fleet.End) {
+// countFailures counts the failed runs of different jobs in a row on a worker, and suspends
+// it when there are too many.
+func (d *Dispatcher) countFailures(now unit.Instant, w *worker, e fleet.End) {
 	switch e.How {
 	case fleet.EndDone:
-		w.streak, w.lastBlame = 0, ""
+		w.streak, w.lastFailed = 0, ""
 	case fleet.EndFailed:
-		if w.lastBlame != e.Task.Job {
+		if w.lastFailed != e.Task.Job {
 			w.streak++
-			w.lastBlame = e.Task.Job
+			w.lastFailed = e.Task.Job
 		}
 		if w.streak >= failStreak {
 			w.pausedUntil = now.Add(failPause)
--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -42,6 +42,8 @@
 	return out
 }
 
+// compareCandidates puts the more urgent priority first, then work within a guarantee, then
+// work that can still earn something, then the earlier deadline.
 func compareCandidates(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.step.job.spec.Priority, b.step.job.spec.Priority),
@@ -51,6 +53,7 @@
 	)
 }
 
+// compareBools puts false before true.
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -2,26 +2,29 @@
 
 import "time"
 
-// Config holds the bounds that the platform sets and the product's own figures.
+// Config holds the bounds that the platform sets and how long ended jobs are kept.
 type Config struct {
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
 	// StopTime is how long a worker may take to stop a task.
 	StopTime time.Duration
-	// SaveEvery is how much work passes between two checkpoints.
+	// SaveEvery is how much of a task's run time passes between two checkpoints.
 	SaveEvery time.Duration
-	// FarFactor is how many times slower a task runs away from its data or gang.
+	// FarFactor is how many times slower a task runs away from its data or gang. No
+	// decision reads it yet: slow places are taken by farUsage alone.
 	FarFactor float64
 	// KeepEnded is how long the state of an ended job must be known.
 	KeepEnded time.Duration
 }
 
+// Figures of the owner. Where no source is named, a figure is a choice; those that were
+// measured are in docs/design/07-worth.md.
 const (
 	// clockDrift is how much faster than a worker's clock ours may run: theirs
 	// may be 2 % slow by the platform's word.
 	clockDrift = 1.0 / 0.98
-	// lapseSlack is added to each lease's end for the way of an order and for
-	// late timers.
+	// lapseSlack is added to each lease's end for the way of an order, a few
+	// milliseconds, and for late timers.
 	lapseSlack = 200 * time.Millisecond
 	// renewWait is how long a renewal may wait at the worker for news; the
 	// platform allows 2 s.
@@ -32,7 +35,8 @@
 	// silentAfter is how long after its last answer a worker gets no new tasks.
 	// It is one renewal that waited in full, and one lost.
 	silentAfter = 3500 * time.Millisecond
-	// busyPause is how long a worker that refused a start is left alone.
+	// busyPause is how long a worker that refused a start is left alone; a
+	// renewal that is sent at once tells meanwhile what it holds.
 	busyPause = 500 * time.Millisecond
 	// nearWait is how long urgent work waits for room near its data or in one rack
 	// before it takes room elsewhere; it must have begun after about 3 s.
@@ -44,7 +48,8 @@
 	// isn't urgent may be placed where it is slow. The platform asks for work to
 	// start when under half is in use.
 	farUsage = 0.5
-	// claimTime is how long room is kept for a unit that others were stopped for.
+	// claimTime is how long room is kept for a step that others were stopped for: twice
+	// the time that a stop may take by default.
 	claimTime = 2 * time.Second
 	// failStreak is how many runs of different jobs fail in a row before a worker
 	// is suspected, and failPause how long it then gets no tasks. A sound worker
@@ -52,13 +57,15 @@
 	failStreak = 3
 	failPause  = 5 * time.Second
 	// resendAfter is when an order without an answer is repeated. Workers answer
-	// within a few milliseconds.
+	// within a few milliseconds. Measured.
 	resendAfter = 300 * time.Millisecond
-	// goneAfter is how long a worker that the list has dropped must be silent.
+	// goneAfter is how long a worker that the list has dropped must be silent before its
+	// refused connections, or its announced end, count: two renewals after renewPause.
 	goneAfter = time.Second
 	// evacuateSlack is the time that a stop needs on its way and to be noted.
 	evacuateSlack = 500 * time.Millisecond
-	// trustPercent is the least progress from which a run's rest is foretold.
+	// trustPercent is the least progress, in percent, from which a run's remaining time
+	// is estimated; below, the customer's estimate counts.
 	trustPercent = 10
 	// lateFactor times the time allowed is when a job stops earning anything.
 	lateFactor = 3
@@ -69,11 +76,12 @@
 	// few are stopped when little work is lost either way.
 	stopCost = 1
 	// shortestWait and longestWait bound how far ahead room is kept for a gang that
-	// nobody is stopped for; mostWaitingClaims bounds how many gangs that is done
-	// for at a time, because kept room lies idle.
+	// nobody is stopped for; the time doubles in between. mostWaitingClaims bounds how
+	// many gangs that is done for at a time, because kept room lies idle.
 	shortestWait      = time.Second
 	longestWait       = 8 * time.Second
 	mostWaitingClaims = 2
-	// forgetRecords bounds how many ended jobs are dropped in one batch.
-	forgetRecords = 20
+	// forgetJobs bounds how many ended jobs are dropped in one batch; each is
+	// three records.
+	forgetJobs = 20
 )
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -112,13 +112,14 @@
 	d.note(Note{Event: EventWorkerUnlisted, Worker: name})
 }
 
+// worker returns a worker by name. One that isn't known yet is taken to hold leases that
+// an earlier owner granted up to now.
 func (d *Dispatcher) worker(now unit.Instant, name id.Worker) *worker {
 	w := d.workers[name]
 	if w != nil {
 		return w
 	}
 	w = &worker{Listing: fleet.Listing{ID: name}, runs: map[job.Task]*run{}, clockAt: now}
-	// An earlier owner may have renewed its leases until this moment.
 	w.lapse = d.lapseOf(now)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -51,6 +51,7 @@
 	}
 }
 
+// target returns where an order to a worker goes, under this owner's epoch.
 func (d *Dispatcher) target(w *worker) Target {
 	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch}
 }
@@ -91,6 +92,7 @@
 	return false
 }
 
+// orderStart sends an order to start, for the first time or again.
 func (d *Dispatcher) orderStart(now unit.Instant, r *run) {
 	if r.since == 0 {
 		r.since = now
@@ -103,6 +105,7 @@
 	})
 }
 
+// orderStop sends an order to stop, for the first time or again.
 func (d *Dispatcher) orderStop(now unit.Instant, r *run) {
 	r.stopAsked, r.inFlight = now, true
 	d.orders.Stops = append(d.orders.Stops, Stop{Target: d.target(r.worker), Task: r.task, Run: r.number})
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -28,6 +28,7 @@
 	}
 }
 
+// names returns the ids of all jobs in order, so that walks are the same on every host.
 func (d *Dispatcher) names() []id.Job {
 	out := make([]id.Job, 0, len(d.jobs))
 	for j := range d.jobs {
@@ -123,7 +124,7 @@
 
 // expire forgets a job whose end nobody needs to know any more.
 func (d *Dispatcher) expire(now unit.Instant, js *jobState) {
-	if js.progress.Outcome == job.Open || js.busy() || js.changed || len(d.forget) >= forgetRecords {
+	if js.progress.Outcome == job.Open || js.busy() || js.changed || len(d.forget) >= forgetJobs {
 		return
 	}
 	if now.Sub(js.progress.Ended) > d.config.KeepEnded {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -39,6 +39,7 @@
 	return n
 }
 
+// usableWorkers returns the workers that new tasks may go to, by id.
 func (d *Dispatcher) usableWorkers(now unit.Instant) []*worker {
 	var out []*worker
 	for _, w := range d.order {
@@ -85,6 +86,7 @@
 	return out
 }
 
+// emptyAmong counts the workers on which nothing runs and nothing is about to.
 func emptyAmong(workers []*worker) int {
 	n := 0
 	for _, w := range workers {
@@ -144,7 +146,7 @@
 }
 
 // mayGoFar reports whether n tasks of a step may be placed where they are slow, or on
-// workers that are kept for urgent work. That costs far_factor times the room, so it is
+// workers that are kept for urgent work. Slow tasks hold their room for longer, so that is
 // for urgent work, and for times in which there is more than enough room.
 func (d *Dispatcher) mayGoFar(now unit.Instant, s *stepState, fits []*worker, n int) bool {
 	if s.job.spec.Priority == 0 {
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -81,6 +81,7 @@
 		acceleratorWeight*part(float64(free.Accelerators), float64(capacity.Accelerators))
 }
 
+// part returns of / whole, or 0 for a resource that there is none of.
 func part(of, whole float64) float64 {
 	if whole == 0 {
 		return 0
@@ -102,4 +103,6 @@
 	return n <= 0
 }
 
+// free returns what neither runs nor claims take. It is negative if a run that was
+// discovered, or a smaller capacity in the list, leaves less than is taken.
 func (w *worker) free() job.Resources { return w.Capacity.Sub(w.used).Sub(w.reserved) }
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -167,9 +167,10 @@
 	pausedUntil unit.Instant
 	// refused counts connections refused since the last answer.
 	refused int
-	// streak counts failed ends of different jobs since the last success.
-	streak    int
-	lastBlame id.Job
+	// streak counts failed ends of different jobs since the last success; lastFailed
+	// is the job of the newest one.
+	streak     int
+	lastFailed id.Job
 }
 
 // clock returns a reading that the worker's clock has surely reached.
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -37,12 +37,14 @@
 	d.noteJob(EventJobEnded, now, js, why, js.spec.LongestChain())
 }
 
+// stopAll stops all runs of a job.
 func (d *Dispatcher) stopAll(now unit.Instant, js *jobState, why string) {
 	for _, s := range js.steps {
 		d.stopStep(now, s, why)
 	}
 }
 
+// stopStep stops all runs of a step.
 func (d *Dispatcher) stopStep(now unit.Instant, s *stepState, why string) {
 	for i := range s.step.Count {
 		if r := s.runs[i]; r != nil {
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -36,11 +36,12 @@
 	Value []byte
 }
 
-// Owner is the claim of the host that schedules.
+// Owner is the claim of the host that schedules. An empty host means that the owner has
+// given the ownership back.
 type Owner struct {
 	_    struct{} `cbor:",toarray"`
 	Host id.Host
-	// Epoch only grows.
+	// Epoch only grows: a claim with a lower one than the newest has no effect.
 	Epoch id.Epoch
 }
 
@@ -140,6 +141,7 @@
 	return nil
 }
 
+// entry returns the entry of a job, which is added if there is none.
 func (t *Table) entry(j id.Job) *Entry {
 	e := t.jobs[j]
 	if e == nil {
@@ -216,8 +218,8 @@
 	return Record{Key: ownerKey, Value: b}, err
 }
 
-// ForgetRecords returns the records that drop an ended job. The spec goes last, so
-// that no prefix of them makes an ended job look new.
+// ForgetRecords returns the records that drop an ended job. The progress goes
+// last, so that no prefix of them makes an ended job look new.
 func (t *Table) ForgetRecords(j id.Job) []Record {
 	return []Record{
 		{Key: cancelPrefix + string(j)},
