--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -36,7 +36,7 @@
 	// events is how many events may wait for the deciding goroutine.
 	events = 4096
 	// passEvery is the least time between two passes over the owner's state;
-	// what happens meanwhile is decided together.
+	// what happens meanwhile is decided together. Measured: docs/design/07-worth.md.
 	passEvery = 5 * time.Millisecond
 	// idleEvery is the time between two passes when nothing happens.
 	idleEvery = 200 * time.Millisecond
@@ -75,7 +75,7 @@
 	stopOnce sync.Once
 	stopped  chan struct{}
 
-	// start is when the process began, the zero of its steady clock.
+	// start is when the process began; its steady clock counts on from there.
 	start time.Time
 	// wake cuts the pause between two reads of the jobs short.
 	wake chan struct{}
@@ -110,7 +110,7 @@
 		settings: s, log: log, metrics: newMetrics(), self: self,
 		path:    path,
 		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
-		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns)),
+		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
 		events:  ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -19,7 +19,8 @@
 	jobsWait = 1500 * time.Millisecond
 	// jobsPause is the pause between two reads that brought news; each costs.
 	jobsPause = 100 * time.Millisecond
-	// ownerPause is the pause on the owner, where a job waits for it.
+	// ownerPause is the pause on the owner, where a job waits for it. Measured:
+	// docs/design/07-worth.md.
 	ownerPause = 8 * time.Millisecond
 	// operatorWait is how long a read of the configuration waits. A change must
 	// be in force within 2 s although the store may have lost this read.
--- a/internal/logging/stream.go
+++ b/internal/logging/stream.go
@@ -23,6 +23,8 @@
 	sampleThen  = 50
 	// flushWait is how long a process that ends waits for its last lines.
 	flushWait = 200 * time.Millisecond
+	// flushLook is the pause between two looks whether they are written.
+	flushLook = 5 * time.Millisecond
 )
 
 // Stream is a logger whose lines are written by a goroutine of their own. A reader
@@ -64,10 +66,11 @@
 // Flush waits a short while until the lines that wait are written.
 func (s *Stream) Flush() {
 	for end := time.Now().Add(flushWait); s.written.Load() < s.taken.Load() && time.Now().Before(end); {
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(flushLook)
 	}
 }
 
+// copy writes the queued lines to out, and tells how many were lost before a line.
 func (s *Stream) copy(out io.Writer) {
 	var told uint64
 	for line := range s.lines.C() {
