--- a/cmd/curlewsilld/cmd/root.go
+++ b/cmd/curlewsilld/cmd/root.go
@@ -40,12 +40,8 @@
 		return site(args[1:])
 	}
 	var o options
-	if _, err := flags.ParseArgs(&o, args); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return exitDone
-		}
-		return exitSettings
+	if code, ok := parseFlags(&o, args); !ok {
+		return code
 	}
 	s, err := settings.Load(o.Config)
 	if err != nil {
@@ -64,6 +60,20 @@
 	return exitDone
 }
 
+// parseFlags reads the flags. If the program is to end with that, it returns its exit code
+// and false.
+func parseFlags(to any, args []string) (code int, ok bool) {
+	_, err := flags.ParseArgs(to, args)
+	if err == nil {
+		return exitDone, true
+	}
+	var f *flags.Error
+	if errors.As(err, &f) && f.Type == flags.ErrHelp {
+		return exitDone, false
+	}
+	return exitSettings, false
+}
+
 // override lets flags go before the settings file.
 func (o options) override(s *settings.Settings) {
 	for _, f := range []struct {
--- a/cmd/curlewsilld/cmd/site.go
+++ b/cmd/curlewsilld/cmd/site.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/internal/entry"
@@ -28,12 +26,8 @@
 // site runs an entry host on the users' platform and returns the exit code.
 func site(args []string) int {
 	var o siteOptions
-	if _, err := flags.ParseArgs(&o, args); err != nil {
-		var f *flags.Error
-		if errors.As(err, &f) && f.Type == flags.ErrHelp {
-			return exitDone
-		}
-		return exitSettings
+	if code, ok := parseFlags(&o, args); !ok {
+		return code
 	}
 	s, err := settings.LoadSite(o.Config)
 	if err != nil {
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -29,14 +30,7 @@
 }
 
 // names returns the ids of all jobs in order, so that walks are the same on every host.
-func (d *Dispatcher) names() []id.Job {
-	out := make([]id.Job, 0, len(d.jobs))
-	for j := range d.jobs {
-		out = append(out, j)
-	}
-	slices.Sort(out)
-	return out
-}
+func (d *Dispatcher) names() []id.Job { return slices.Sorted(maps.Keys(d.jobs)) }
 
 // giveUp loses the runs of a worker that has surely stopped running them.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -88,14 +89,7 @@
 func (t *Table) Get(j id.Job) *Entry { return t.jobs[j] }
 
 // Jobs returns the names of all jobs in order.
-func (t *Table) Jobs() []id.Job {
-	out := make([]id.Job, 0, len(t.jobs))
-	for j := range t.jobs {
-		out = append(out, j)
-	}
-	slices.Sort(out)
-	return out
-}
+func (t *Table) Jobs() []id.Job { return slices.Sorted(maps.Keys(t.jobs)) }
 
 // Waiting returns how many accepted jobs of a queue have begun no task.
 func (t *Table) Waiting(q id.Queue) int {
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -16,33 +17,36 @@
 func (o *owner) handOut(ctx context.Context) {
 	orders := o.core.Take()
 	for _, s := range orders.Starts {
-		go func() {
-			began := time.Now()
+		go o.send(ctx, "start", func() (fleet.Verdict, event) {
 			res := o.host.workers.Start(ctx, s)
-			o.host.metrics.order("start", began, res.Verdict.String())
-			o.answered(ctx, func(now unit.Instant) { o.core.Started(now, res) })
-		}()
+			return res.Verdict, func(now unit.Instant) { o.core.Started(now, res) }
+		})
 	}
 	for _, s := range orders.Stops {
-		go func() {
-			began := time.Now()
+		go o.send(ctx, "stop", func() (fleet.Verdict, event) {
 			res := o.host.workers.Stop(ctx, s)
-			o.host.metrics.order("stop", began, res.Verdict.String())
-			o.answered(ctx, func(now unit.Instant) { o.core.Stopped(now, res) })
-		}()
+			return res.Verdict, func(now unit.Instant) { o.core.Stopped(now, res) }
+		})
 	}
 	for _, r := range orders.Renews {
-		go func() {
-			began, sent := time.Now(), o.host.now()
+		go o.send(ctx, "renew", func() (fleet.Verdict, event) {
+			sent := o.host.now()
 			v, report := o.host.workers.Renew(ctx, r)
-			o.host.metrics.order("renew", began, v.String())
-			o.answered(ctx, func(now unit.Instant) {
-				o.core.Renewed(now, dispatch.RenewResult{Renew: r, Sent: sent, Verdict: v, Report: report})
-			})
-		}()
+			res := dispatch.RenewResult{Renew: r, Sent: sent, Verdict: v, Report: report}
+			return v, func(now unit.Instant) { o.core.Renewed(now, res) }
+		})
 	}
 }
 
+// send makes one call to a worker, counts it by its verdict, and hands its result to the
+// dispatcher.
+func (o *owner) send(ctx context.Context, kind string, order func() (fleet.Verdict, event)) {
+	began := time.Now()
+	verdict, take := order()
+	o.host.metrics.order(kind, began, verdict.String())
+	o.answered(ctx, take)
+}
+
 // answered hands the result of an order to the dispatcher, if it is still in office.
 func (o *owner) answered(ctx context.Context, take event) {
 	o.host.post(ctx, func(now unit.Instant) {
