--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -53,25 +53,33 @@
 // tryPlace places as many of the candidate's tasks as find room, a gang whole or not
 // at all. It reports whether all were placed.
 func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, fits []*worker, kept reserve) bool {
-	s := c.step
-	before := emptyAmong(fits)
-	defer func() { kept[s.job.spec.Service] -= before - emptyAmong(fits) }()
-	if s.step.Gang {
-		return d.placeGang(now, c, d.allowed(now, c, fits, kept))
-	}
-	for at, i := range c.waiting {
-		kept[s.job.spec.Service] -= before - emptyAmong(fits)
-		before = emptyAmong(fits)
-		w := d.choose(now, s, d.allowed(now, c, fits, kept))
-		if w == nil {
-			rest := c
-			rest.waiting = c.waiting[at:]
-			d.preempt(now, rest, fits)
+	service, placed := c.step.job.spec.Service, false
+	if c.step.step.Gang {
+		kept.charge(service, fits, func() { placed = d.placeGang(now, c, d.allowed(now, c, fits, kept)) })
+		return placed
+	}
+	for at := range c.waiting {
+		rest := c
+		rest.waiting = c.waiting[at:]
+		kept.charge(service, fits, func() { placed = d.placeFirst(now, rest, fits, d.allowed(now, c, fits, kept)) })
+		if !placed {
 			return false
 		}
-		d.place(s, i, w, s.nextRun(i))
 	}
-	s.waitingSince = 0
+	c.step.waitingSince = 0
+	return true
+}
+
+// placeFirst places the first waiting task on one of the allowed workers. If none has
+// room, it frees room for all that wait where they fit.
+func (d *Dispatcher) placeFirst(now unit.Instant, c candidate, fits, allowed []*worker) bool {
+	s, index := c.step, c.waiting[0]
+	w := d.choose(now, s, allowed)
+	if w == nil {
+		d.preempt(now, c, fits)
+		return false
+	}
+	d.place(s, index, w, s.nextRun(index))
 	return true
 }
 
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -86,6 +86,14 @@
 	return empty
 }
 
+// charge does a placement and takes the workers off the reserve that are not empty any more
+// by it.
+func (r reserve) charge(name id.Service, fits []*worker, place func()) {
+	before := emptyAmong(fits)
+	place()
+	r[name] -= before - emptyAmong(fits)
+}
+
 // empty reports whether nothing runs on a worker and nothing is about to.
 func (w *worker) empty() bool { return len(w.runs) == 0 && w.reserved == (job.Resources{}) }
 
--- a/core/election/election.go
+++ b/core/election/election.go
@@ -23,7 +23,8 @@
 	// stagger is the head start of each rank over the next: a claim and a look
 	// take about 50 ms.
 	stagger = 250 * time.Millisecond
-	// fresh is how old the newest look may be for a claim.
+	// fresh is how old the newest look may be for a claim: hosts look every 500 ms, so
+	// two looks may be lost.
 	fresh = 1500 * time.Millisecond
 )
 
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -14,14 +14,16 @@
 )
 
 const (
-	// pendingWrites bounds the records that wait to be written.
+	// pendingWrites bounds the records that wait to be written; further calls are
+	// refused.
 	pendingWrites = 1024
 	// batchBytes bounds one append; the store takes 2 MB.
 	batchBytes = 512 << 10
 	// refusedTries is how often an append that the store refused is repeated
 	// before the records are given up as not written.
 	refusedTries = 3
-	// refusedPause is the pause between such tries.
+	// refusedPause is the pause between such tries. All of them and their pauses fit
+	// into queueWait unless the store is slow.
 	refusedPause = 80 * time.Millisecond
 )
 
