--- /dev/null
+++ b/internal/relay/race.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+// race is one call on its way over at most two ways.
+type race struct {
+	path *Path
+	req  *http.Request
+	// wait is how long the call may wait at its other end.
+	wait time.Duration
+	out  chan outcome
+	// under counts the ways that are under way.
+	under int
+	// spare is set while the second way is not tried; spareDirect says which it is.
+	spare, spareDirect bool
+}
+
+// begin tries one way.
+func (r *race) begin(direct bool) {
+	r.under++
+	go func() { r.out <- r.path.try(r.req, direct, r.wait) }()
+}
+
+// beginSpare tries the second way, unless it was tried or there is none.
+func (r *race) beginSpare() {
+	if r.spare {
+		r.spare = false
+		r.begin(r.spareDirect)
+	}
+}
+
+// RoundTrip makes a call. It returns the first answer that isn't a refusal. The second
+// way is tried when the first one fails or is slow. If all fail, the answer that leaves
+// the most doubt is returned.
+func (p *Path) RoundTrip(req *http.Request) (*http.Response, error) {
+	directFirst, usePeers := p.ways()
+	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: usePeers, spareDirect: !directFirst}
+	r.begin(directFirst)
+	timer := time.NewTimer(r.wait + hedgeAfter)
+	defer timer.Stop()
+	var last outcome
+	for {
+		select {
+		case <-timer.C:
+			r.beginSpare()
+		case o := <-r.out:
+			r.under--
+			p.learn(o)
+			if !o.failed() {
+				return o.resp, nil
+			}
+			last = worse(last, o)
+			r.beginSpare()
+			if r.under == 0 {
+				return last.resp, last.err
+			}
+		case <-req.Context().Done():
+			return nil, req.Context().Err()
+		}
+	}
+}
+
+// outcome is what became of one way of a call.
+type outcome struct {
+	resp   *http.Response
+	err    error
+	direct bool
+}
+
+// failed reports whether another way may do better.
+func (o outcome) failed() bool {
+	return o.err != nil || o.resp.StatusCode == http.StatusServiceUnavailable || o.resp.StatusCode == http.StatusTooManyRequests
+}
+
+// doubt orders failed outcomes by how likely the call had its effect: surely not when
+// nothing was sent or the other end refused, perhaps when there was no answer.
+func (o outcome) doubt() int {
+	var op *net.OpError
+	switch {
+	case o.err == nil && o.resp == nil:
+		return 0
+	case errors.Is(o.err, ErrNoPeer):
+		return 1
+	case errors.As(o.err, &op) && op.Op == "dial":
+		return 2
+	case o.err == nil:
+		return 3
+	}
+	return 4
+}
+
+// worse returns the outcome that leaves more doubt: a call is surely without effect
+// only if that is so on every way that was tried.
+func worse(a, b outcome) outcome {
+	if b.doubt() > a.doubt() {
+		return b
+	}
+	return a
+}
