--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -24,13 +24,13 @@
 		w.refused++
 		return false
 	case fleet.Replaced:
-		d.note(Note{Event: "worker-replaced", Worker: w.ID, Why: w.Address})
+		d.note(Note{Event: EventWorkerReplaced, Worker: w.ID, Why: w.Address})
 		d.loseAll(now, w, "another life at its address")
 		w.listed = false
 		return false
 	case fleet.Fenced:
 		if !d.fenced {
-			d.note(Note{Event: "owner-fenced", Worker: w.ID, Why: "the worker has seen a later epoch"})
+			d.note(Note{Event: EventOwnerFenced, Worker: w.ID, Why: "the worker has seen a later epoch"})
 		}
 		d.fenced = true
 		return false
@@ -70,7 +70,7 @@
 // copy of the order was carried out, so the run has ended, perhaps with success: the
 // next renewal lists its end, or else it is lost.
 func (d *Dispatcher) overtaken(now unit.Instant, r *run) {
-	d.note(Note{Event: "start-overtaken", Job: r.task.Job, Task: r.task, Worker: r.worker.ID, Run: r.number, Age: now.Sub(r.since)})
+	d.noteRun(EventStartOvertaken, r, "", now.Sub(r.since))
 	if r.apply(evStarted) {
 		r.started = now
 	}
@@ -85,7 +85,7 @@
 	w := r.worker
 	w.pausedUntil = now.Add(busyPause)
 	w.nextHold = min(w.nextHold, now)
-	d.note(Note{Event: "start-rejected", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: v.String(), Age: now.Sub(r.since)})
+	d.noteRun(EventStartRejected, r, v.String(), now.Sub(r.since))
 	if r.apply(evRejected) {
 		d.lose(now, r, v.String())
 	}
@@ -142,9 +142,9 @@
 func (d *Dispatcher) end(now unit.Instant, w *worker, e fleet.End) {
 	r := w.runs[e.Task]
 	known := r != nil && r.number == e.Run
-	n := Note{Event: "task-ended", Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
+	n := Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
 	if !known {
-		n.Event = "unknown-end"
+		n.Event = EventUnknownEnd
 		d.note(n)
 		return
 	}
@@ -159,7 +159,7 @@
 		d.release(r)
 		return
 	}
-	d.blame(now, w, e)
+	d.countFailures(now, w, e)
 	switch e.How {
 	case fleet.EndDone:
 		d.done(now, r)
@@ -178,12 +178,9 @@
 		d.lose(now, r, "ended")
 		return
 	}
-	first, last := r.task.Index, r.task.Index+1
-	if s.step.Gang {
-		first, last = 0, s.step.Count
-	}
-	for i := first; i < last; i++ {
-		t := &js.progress.Tasks[s.base+i]
+	tasks := s.together(r.task.Index)
+	for i := range tasks {
+		t := &tasks[i]
 		if t.Phase != job.Done {
 			t.Phase, t.Worker, t.Checkpoint = job.Done, "", ""
 			s.done++
@@ -193,7 +190,7 @@
 	if s.done == s.step.Count && !s.counted {
 		s.counted = true
 		js.open--
-		d.dropClaim(s)
+		s.dropClaim()
 	}
 	d.release(r)
 	if js.open == 0 {
@@ -205,9 +202,7 @@
 func (d *Dispatcher) failed(now unit.Instant, r *run) {
 	s := r.step
 	js := s.job
-	first, last := r.task.Index, r.task.Index+1
 	if s.step.Gang {
-		first, last = 0, s.step.Count
 		if s.failedRun >= r.number {
 			d.lose(now, r, "failed")
 			return
@@ -215,10 +210,10 @@
 		s.failedRun = r.number
 	}
 	worst := 0
-	for i := first; i < last; i++ {
-		t := &js.progress.Tasks[s.base+i]
-		t.Failed++
-		worst = max(worst, t.Failed)
+	tasks := s.together(r.task.Index)
+	for i := range tasks {
+		tasks[i].Failed++
+		worst = max(worst, tasks[i].Failed)
 	}
 	d.mark(js)
 	d.lose(now, r, "failed")
@@ -227,19 +222,20 @@
 	}
 }
 
-// blame keeps score of workers on which run after run fails.
-func (d *Dispatcher) blame(now unit.Instant, w *worker, e fleet.End) {
+// countFailures counts the failed runs of different jobs in a row on a worker, and suspends
+// it when there are too many.
+func (d *Dispatcher) countFailures(now unit.Instant, w *worker, e fleet.End) {
 	switch e.How {
 	case fleet.EndDone:
-		w.streak, w.lastBlame = 0, ""
+		w.streak, w.lastFailed = 0, ""
 	case fleet.EndFailed:
-		if w.lastBlame != e.Task.Job {
+		if w.lastFailed != e.Task.Job {
 			w.streak++
-			w.lastBlame = e.Task.Job
+			w.lastFailed = e.Task.Job
 		}
 		if w.streak >= failStreak {
 			w.pausedUntil = now.Add(failPause)
-			d.note(Note{Event: "worker-suspended", Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
+			d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
 		}
 	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
 	}
@@ -269,7 +265,7 @@
 		vanished := r.state == runRunning && res.Sent > r.started
 		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
 		if vanished || neverThere {
-			d.note(Note{Event: "task-vanished", Job: r.task.Job, Task: r.task, Worker: w.ID, Run: r.number, Why: string(r.state), Age: now.Sub(res.Sent)})
+			d.noteRun(EventTaskVanished, r, string(r.state), now.Sub(res.Sent))
 			r.apply(evLost)
 			d.lose(now, r, "not listed by its worker")
 		}
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -11,13 +11,13 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
 	"curlewsill.org/curlewsill/core/codec"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
-	"curlewsill.org/curlewsill/core/unit"
 )
 
 // ErrKey reports a record whose key no rule explains.
@@ -37,11 +37,12 @@
 	Value []byte
 }
 
-// Owner is the claim of the host that schedules.
+// Owner is the claim of the host that schedules. An empty host means that the owner has
+// given the ownership back.
 type Owner struct {
 	_    struct{} `cbor:",toarray"`
 	Host id.Host
-	// Epoch only grows.
+	// Epoch only grows: a claim with a lower one than the newest has no effect.
 	Epoch id.Epoch
 }
 
@@ -88,14 +89,7 @@
 func (t *Table) Get(j id.Job) *Entry { return t.jobs[j] }
 
 // Jobs returns the names of all jobs in order.
-func (t *Table) Jobs() []id.Job {
-	out := make([]id.Job, 0, len(t.jobs))
-	for j := range t.jobs {
-		out = append(out, j)
-	}
-	slices.Sort(out)
-	return out
-}
+func (t *Table) Jobs() []id.Job { return slices.Sorted(maps.Keys(t.jobs)) }
 
 // Waiting returns how many accepted jobs of a queue have begun no task.
 func (t *Table) Waiting(q id.Queue) int {
@@ -141,6 +135,7 @@
 	return nil
 }
 
+// entry returns the entry of a job, which is added if there is none.
 func (t *Table) entry(j id.Job) *Entry {
 	e := t.jobs[j]
 	if e == nil {
@@ -217,8 +212,8 @@
 	return Record{Key: ownerKey, Value: b}, err
 }
 
-// ForgetRecords returns the records that drop an ended job. The spec goes last, so
-// that no prefix of them makes an ended job look new.
+// ForgetRecords returns the records that drop an ended job. The progress goes
+// last, so that no prefix of them makes an ended job look new.
 func (t *Table) ForgetRecords(j id.Job) []Record {
 	return []Record{
 		{Key: cancelPrefix + string(j)},
@@ -253,8 +248,3 @@
 	}
 	return ShownQueued
 }
-
-// Ended reports whether the job has ended and for how long it has been so.
-func (e *Entry) Ended(now unit.Instant) (since unit.Instant, ended bool) {
-	return e.Progress.Ended, e.Progress.Outcome != job.Open && e.Progress.Ended <= now
-}
--- /dev/null
+++ b/internal/entry/calls.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"curlewsill.org/curlewsill/core/catalog"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/platform"
+)
+
+const (
+	// queueWait is how long a record may wait behind an append that hangs before
+	// the call is refused. A slow store answers within 300 ms.
+	queueWait = 400 * time.Millisecond
+	// unknownWait is how long a call waits for an append that was sent before its
+	// outcome is reported as unknown, so that the client can ask another host.
+	unknownWait = time.Second
+	// maxBody bounds a job if the configuration names no bound.
+	maxBody = 256 << 10
+)
+
+// notLoaded stands for the number of waiting jobs while the table is not loaded.
+const notLoaded = -1
+
+// pending answers how many jobs of a queue wait.
+func (f *front) pending(ctx context.Context, q *catalog.Queue) reply {
+	n, ok := ask(ctx, f.host, func(unit.Instant) int {
+		if !f.host.loaded {
+			return notLoaded
+		}
+		return f.host.table.Waiting(q.Name)
+	})
+	if !ok || n == notLoaded {
+		return refused("the jobs are not known yet")
+	}
+	return reply{status: http.StatusOK, body: platform.PendingBody{Pending: n}}
+}
+
+// state answers how far a job is.
+func (f *front) state(ctx context.Context, j id.Job) reply {
+	l, ok := f.find(ctx, j)
+	switch {
+	case !ok:
+		return refused("the newest state can't be read")
+	case !l.known:
+		return reply{status: http.StatusGone, why: "no such job"}
+	}
+	if l.state == jobtable.ShownRunning {
+		l = f.awaitEnd(ctx, j, l)
+	}
+	return reply{status: http.StatusOK, body: platform.StateBody{State: l.state}, why: string(l.state)}
+}
+
+// cancel ends a job for good. The answer is sent when its record is in the store.
+func (f *front) cancel(ctx context.Context, j id.Job) reply {
+	l, ok := f.find(ctx, j)
+	switch {
+	case !ok:
+		return refused("the newest state can't be read")
+	case !l.known || l.state == jobtable.ShownCompleted || l.state == jobtable.ShownFailed:
+		return reply{status: http.StatusGone, why: "no such open job"}
+	case l.state == jobtable.ShownCancelled:
+		return reply{status: http.StatusOK, why: "cancelled before"}
+	}
+	return f.store(ctx, f.records.CancelRecord(j), "cancelled")
+}
+
+// submit takes a job in. The answer is sent when its record is in the store. A job that
+// is known already is answered like one that is taken, so that clients may repeat the
+// call.
+func (f *front) submit(ctx context.Context, c *call) reply {
+	limit := c.catalog.Limits.BodyBytes
+	if limit <= 0 {
+		limit = maxBody
+	}
+	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return reply{status: http.StatusRequestEntityTooLarge, why: "the job is too large"}
+	}
+	if err != nil {
+		return reply{status: http.StatusBadRequest, why: "the job was not received whole"}
+	}
+	spec, err := platform.DecodeJob(data)
+	if err != nil {
+		return reply{status: http.StatusBadRequest, why: err.Error()}
+	}
+	l, ok := f.whenLoaded(ctx, c.job)
+	if !ok || !l.loaded {
+		return refused("the jobs are not known yet")
+	}
+	if l.known {
+		return reply{status: http.StatusOK, why: "accepted before"}
+	}
+	fill(&spec, c.queue, c.customer)
+	spec.Accepted = unit.At(time.Now())
+	rec, err := f.records.SpecRecord(c.job, spec)
+	if err != nil {
+		return reply{status: http.StatusBadRequest, why: err.Error()}
+	}
+	return f.store(ctx, rec, "accepted")
+}
+
+// fill adds what the queue's configuration says of its jobs.
+func fill(s *job.Spec, q *catalog.Queue, customer id.Customer) {
+	s.Customer, s.Queue, s.Service = customer, q.Name, q.Service
+	s.Priority, s.MaxAttempts = q.Priority, q.MaxAttempts
+	s.Stretch, s.Target, s.Advice = q.Stretch, q.Target, q.Advice
+}
+
+// store writes a record and answers truly: refused only if it was surely not written.
+func (f *front) store(ctx context.Context, rec jobtable.Record, why string) reply {
+	p := f.host.writer.add(rec)
+	if p == nil {
+		return refused("other calls wait for the store")
+	}
+	queued, sent := time.NewTimer(queueWait), time.NewTimer(unknownWait)
+	defer queued.Stop()
+	defer sent.Stop()
+	for {
+		select {
+		case err := <-p.done:
+			return written(err, why)
+		case <-queued.C:
+			if p.withdraw() {
+				return refused("the store doesn't answer")
+			}
+		case <-sent.C:
+			return unknown("the store has not answered in time")
+		case <-ctx.Done():
+			if p.withdraw() {
+				return refused("the store doesn't answer")
+			}
+			return unknown("the store has not answered in time")
+		}
+	}
+}
+
+// written is the answer when the outcome of a write is known.
+func written(err error, why string) reply {
+	switch {
+	case err == nil:
+		return reply{status: http.StatusOK, why: why}
+	case errors.Is(err, errNotWritten):
+		return refused("the store takes no records")
+	}
+	return unknown("the store's answer is unknown: " + err.Error())
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,6 @@
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/relay"
@@ -38,7 +36,7 @@
 	// events is how many events may wait for the deciding goroutine.
 	events = 4096
 	// passEvery is the least time between two passes over the owner's state;
-	// what happens meanwhile is decided together.
+	// what happens meanwhile is decided together. Measured: docs/design/07-worth.md.
 	passEvery = 5 * time.Millisecond
 	// idleEvery is the time between two passes when nothing happens.
 	idleEvery = 200 * time.Millisecond
@@ -77,21 +75,26 @@
 	stopOnce sync.Once
 	stopped  chan struct{}
 
-	// What follows belongs to the deciding goroutine.
+	// start is when the process began; its steady clock counts on from there.
+	start time.Time
+	// wake cuts the pause between two reads of the jobs short.
+	wake chan struct{}
+
+	// What follows belongs to the deciding goroutine; others reach it by ask and post.
+	// loaded is set once table holds the store's state.
 	table    *jobtable.Table
 	loaded   bool
 	election *election.Election
+	// owner is nil unless this host schedules; claiming is set while an append that
+	// is to make it the owner is under way.
 	owner    *owner
 	claiming bool
 	// lost is the last epoch under which this host gave up scheduling.
 	lost id.Epoch
-	// watchers are told when a job ends, or when they have waited too long.
-	watchers map[id.Job][]chan struct{}
-	// wake cuts the pause between two reads of the jobs short.
-	wake chan struct{}
+	// watchers are told when a job ends.
+	watchers watchers
 	// released is the epoch whose owner gave it back.
 	released id.Epoch
-	start    time.Time
 }
 
 // New returns a host whose listeners are open.
@@ -107,10 +110,10 @@
 		settings: s, log: log, metrics: newMetrics(), self: self,
 		path:    path,
 		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
-		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns)),
+		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
 		events:  ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
-		watchers: map[id.Job][]chan struct{}{}, wake: make(chan struct{}, 1),
+		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.writer = newWriter(h.store, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
@@ -119,33 +122,6 @@
 	return h, nil
 }
 
-func (h *Host) listen() error {
-	for _, l := range []struct {
-		address string
-		handler http.Handler
-	}{
-		{h.settings.Callers, newFront(h)},
-		{h.settings.Readiness, http.HandlerFunc(h.serveReadiness)},
-		{h.settings.Metrics, h.metrics.handler()},
-		{h.settings.Peers, h.peerHandler()},
-	} {
-		lis, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return fmt.Errorf("entry: %w", err)
-		}
-		h.listeners = append(h.listeners, lis)
-		h.servers = append(h.servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
-	}
-	return nil
-}
-
-// peerHandler takes the calls of other entry hosts.
-func (h *Host) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(relay.PeerPath, h.path.Handler())
-	return mux
-}
-
 // now is the time by a clock that never jumps.
 func (h *Host) now() unit.Instant { return unit.At(h.start).Add(time.Since(h.start)) }
 
@@ -179,16 +155,6 @@
 	return nil
 }
 
-// close closes the listeners and what is open on them.
-func (h *Host) close() {
-	for _, s := range h.servers {
-		_ = s.Close()
-	}
-}
-
-// Callers returns the address on which clients are answered.
-func (h *Host) Callers() string { return h.listeners[0].Addr().String() }
-
 // Metrics returns the address on which counters are served.
 func (h *Host) Metrics() string { return h.listeners[2].Addr().String() }
 
@@ -235,45 +201,3 @@
 func (h *Host) Reload(s settings.Site) {
 	h.log.Info("settings-reloaded", zap.String("host", string(s.Host)), zap.Bool("store_moved", s.Store != h.settings.Store))
 }
-
-// watch closes c when a job has ended.
-func (h *Host) watch(j id.Job, c chan struct{}) {
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
-		close(c)
-		return
-	}
-	h.watchers[j] = append(h.watchers[j], c)
-}
-
-// unwatch forgets a watcher that waits no longer.
-func (h *Host) unwatch(j id.Job, c chan struct{}) {
-	rest := slices.DeleteFunc(h.watchers[j], func(x chan struct{}) bool { return x == c })
-	if len(rest) == 0 {
-		delete(h.watchers, j)
-		return
-	}
-	h.watchers[j] = rest
-}
-
-// tellWatchers closes the channels of those that wait for a job that has ended.
-func (h *Host) tellWatchers(j id.Job) {
-	waiting := h.watchers[j]
-	if len(waiting) == 0 {
-		return
-	}
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome == job.Open && !e.Cancelled {
-		return
-	}
-	for _, c := range waiting {
-		close(c)
-	}
-	delete(h.watchers, j)
-}
-
-// hurry makes the next read of the jobs come at once.
-func (h *Host) hurry() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -19,7 +19,8 @@
 	jobsWait = 1500 * time.Millisecond
 	// jobsPause is the pause between two reads that brought news; each costs.
 	jobsPause = 100 * time.Millisecond
-	// ownerPause is the pause on the owner, where a job waits for it.
+	// ownerPause is the pause on the owner, where a job waits for it. Measured:
+	// docs/design/07-worth.md.
 	ownerPause = 8 * time.Millisecond
 	// operatorWait is how long a read of the configuration waits. A change must
 	// be in force within 2 s although the store may have lost this read.
@@ -43,6 +44,7 @@
 
 func (b *backoff) reset() { b.last = 0 }
 
+// pause waits, and reports whether ctx is still open.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
@@ -95,6 +97,8 @@
 	}
 }
 
+// load hands over the newest record of each key, and returns the offset from which to
+// read on: the end at the first page, since later pages may be newer.
 func (t *tail) load(ctx context.Context) (id.Offset, error) {
 	first, err := t.host.store.Newest(ctx, t.topic, "")
 	if err != nil {
@@ -111,6 +115,7 @@
 	return first.End, nil
 }
 
+// read hands over what was added from an offset on, and returns the next offset.
 func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
 	p, err := t.host.store.Read(ctx, t.topic, from, t.wait)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,8 +14,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,9 +29,11 @@
 	// call may wait at the store, before a peer is asked as well. A slow store
 	// answers within 300 ms.
 	hedgeAfter = 500 * time.Millisecond
-	// suspectFor is how long a way that failed is not the first choice.
+	// suspectFor is how long a way that failed is not the first choice. One second costs
+	// a host that is turned away for long one failed call a second.
 	suspectFor = time.Second
-	// maxBody bounds a call and an answer in bytes.
+	// maxBody bounds a call and an answer in bytes. The store takes 2 MB in an append and
+	// is asked for 1 MB in a read.
 	maxBody = 4 << 20
 )
 
@@ -94,103 +96,15 @@
 	defer p.mu.Unlock()
 	p.peers = peers
 	for a, l := range p.links {
-		if !contains(peers, a) {
+		if !slices.Contains(peers, Peer{Address: a}) {
 			l.close()
 			delete(p.links, a)
 		}
 	}
 }
 
-func contains(peers []Peer, address string) bool {
-	for _, x := range peers {
-		if x.Address == address {
-			return true
-		}
-	}
-	return false
-}
-
-// outcome is what became of one way of a call.
-type outcome struct {
-	resp   *http.Response
-	err    error
-	direct bool
-}
-
-// failed reports whether another way may do better.
-func (o outcome) failed() bool {
-	return o.err != nil || o.resp.StatusCode == http.StatusServiceUnavailable || o.resp.StatusCode == http.StatusTooManyRequests
-}
-
-// RoundTrip makes a call. It returns the first answer that isn't a refusal.
-func (p *Path) RoundTrip(req *http.Request) (*http.Response, error) {
-	wait := waitOf(req)
-	directFirst, usePeers := p.ways()
-	out := make(chan outcome, 2)
-	under := 0
-	begin := func(direct bool) {
-		under++
-		go func() { out <- p.try(req, direct, wait) }()
-	}
-	begin(directFirst || !usePeers)
-	second := usePeers
-	timer := time.NewTimer(wait + hedgeAfter)
-	defer timer.Stop()
-	var last outcome
-	for {
-		select {
-		case <-timer.C:
-			if second {
-				second = false
-				begin(!directFirst)
-			}
-		case o := <-out:
-			under--
-			p.learn(o)
-			if !o.failed() {
-				return o.resp, nil
-			}
-			last = worse(last, o)
-			if second {
-				second = false
-				begin(!directFirst)
-			}
-			if under == 0 {
-				return last.resp, last.err
-			}
-		case <-req.Context().Done():
-			return nil, req.Context().Err()
-		}
-	}
-}
-
-// doubt orders failed outcomes by how likely the call had its effect: surely not when
-// nothing was sent or the other end refused, perhaps when there was no answer.
-func (o outcome) doubt() int {
-	var op *net.OpError
-	switch {
-	case o.err == nil && o.resp == nil:
-		return 0
-	case errors.Is(o.err, ErrNoPeer):
-		return 1
-	case errors.As(o.err, &op) && op.Op == "dial":
-		return 2
-	case o.err == nil:
-		return 3
-	}
-	return 4
-}
-
-// worse returns the outcome that leaves more doubt: a call is surely without effect
-// only if that is so on every way that was tried.
-func worse(a, b outcome) outcome {
-	if b.doubt() > a.doubt() {
-		return b
-	}
-	return a
-}
-
-// ways tells which way comes first and whether peers can be asked.
+// ways tells which way comes first and whether peers can be asked. The direct way comes
+// first if they can't.
 func (p *Path) ways() (directFirst, usePeers bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -222,6 +136,7 @@
 	}
 }
 
+// try makes the call on one way.
 func (p *Path) try(req *http.Request, direct bool, wait time.Duration) outcome {
 	if direct {
 		resp, err := p.tryDirect(req)
@@ -297,7 +212,7 @@
 	}
 	a := p.peers[rand.IntN(len(p.peers))].Address
 	p.mu.Unlock()
-	l, err := dial(ctx, a)
+	l, err := dial(ctx, a, p.log)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
 	}
@@ -310,6 +225,7 @@
 	return l, nil
 }
 
+// bodyOf reads a copy of the body, so that both ways can send it.
 func bodyOf(req *http.Request) ([]byte, error) {
 	if req.GetBody == nil {
 		return nil, nil
@@ -336,6 +252,7 @@
 	return context.WithValue(ctx, waitKey{}, wait)
 }
 
+// waitOf returns the wait noted by WithWait, or 0.
 func waitOf(req *http.Request) time.Duration {
 	wait, _ := req.Context().Value(waitKey{}).(time.Duration)
 	return wait
