--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -10,9 +10,6 @@
 	StopTime time.Duration
 	// SaveEvery is how much of a task's run time passes between two checkpoints.
 	SaveEvery time.Duration
-	// FarFactor is how many times slower a task runs away from its data or gang. No
-	// decision reads it yet: slow places are taken by farUsage alone.
-	FarFactor float64
 	// KeepEnded is how long the state of an ended job must be known.
 	KeepEnded time.Duration
 }
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -67,7 +67,7 @@
 }
 
 var config = dispatch.Config{
-	MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: time.Second, FarFactor: 3, KeepEnded: 2 * time.Minute,
+	MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: time.Second, KeepEnded: 2 * time.Minute,
 }
 
 func newScript(t *testing.T) *script {
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -212,12 +212,12 @@
 	return Record{Key: ownerKey, Value: b}, err
 }
 
-// ForgetRecords returns the records that drop an ended job. The progress goes
-// last, so that no prefix of them makes an ended job look new.
+// ForgetRecords returns the records that drop an ended job. The spec goes first: what
+// has no spec is no job, so no prefix of them makes an ended job look new.
 func (t *Table) ForgetRecords(j id.Job) []Record {
 	return []Record{
-		{Key: cancelPrefix + string(j)},
 		{Key: specPrefix + string(j)},
+		{Key: cancelPrefix + string(j)},
 		{Key: progressPrefix + string(j)},
 	}
 }
--- /dev/null
+++ b/core/jobtable/jobtable_test.go
@@ -0,0 +1,117 @@
+package jobtable_test
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+)
+
+// TestScripts applies records and looks at the table. A line is a command:
+//
+//	spec JOB QUEUE | cancel JOB | began JOB | ended JOB | owner HOST EPOCH
+//	forget JOB N          the first N of the records that drop a job
+//	show JOB STATE        none if the table has no spec of it
+//	waiting QUEUE N
+//	owned HOST EPOCH
+//	damaged KEY           a record that must be refused
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &script{t: t, table: jobtable.New()}
+			for i, line := range strings.Split(string(data), "\n") {
+				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
+					s.line = i + 1
+					s.do(words)
+				}
+			}
+		})
+	}
+}
+
+type script struct {
+	t     *testing.T
+	table *jobtable.Table
+	line  int
+}
+
+func (s *script) apply(r jobtable.Record, err error) {
+	s.t.Helper()
+	if err == nil {
+		_, err = s.table.Apply(r)
+	}
+	if err != nil {
+		s.t.Errorf("line %d: %v", s.line, err)
+	}
+}
+
+func (s *script) number(word string) int {
+	n, err := strconv.Atoi(word)
+	if err != nil {
+		s.t.Fatalf("line %d: %v", s.line, err)
+	}
+	return n
+}
+
+func (s *script) do(f []string) {
+	j := id.Job(f[1])
+	switch f[0] {
+	case "spec":
+		s.apply(s.table.SpecRecord(j, job.Spec{Queue: id.Queue(f[2]), Steps: []job.Step{{Count: 1}}}))
+	case "cancel":
+		s.apply(s.table.CancelRecord(j), nil)
+	case "began":
+		s.apply(s.table.ProgressRecord(j, job.Progress{Tasks: []job.TaskState{{Run: 1, Phase: job.Placed}}}))
+	case "ended":
+		s.apply(s.table.ProgressRecord(j, job.Progress{Outcome: job.Completed}))
+	case "owner":
+		s.apply(s.table.OwnerRecord(jobtable.Owner{Host: id.Host(f[1]), Epoch: id.Epoch(s.number(f[2]))}))
+	case "forget":
+		for _, r := range s.table.ForgetRecords(j)[:s.number(f[2])] {
+			s.apply(r, nil)
+		}
+	case "damaged":
+		if _, err := s.table.Apply(jobtable.Record{Key: f[1], Value: []byte{0xff}}); err == nil {
+			s.t.Errorf("line %d: the record was taken", s.line)
+		}
+	default:
+		s.check(f)
+	}
+}
+
+func (s *script) check(f []string) {
+	got := ""
+	switch f[0] {
+	case "show":
+		got = "none"
+		if e := s.table.Get(id.Job(f[1])); e != nil && e.Spec != nil {
+			got = string(e.Show())
+		}
+	case "waiting":
+		got = strconv.Itoa(s.table.Waiting(id.Queue(f[1])))
+	case "owned":
+		o := s.table.Owner()
+		got = strconv.FormatUint(uint64(o.Epoch), 10)
+		if string(o.Host) != f[1] {
+			got += " by " + string(o.Host)
+		}
+	default:
+		s.t.Fatalf("line %d: unknown command %s", s.line, f[0])
+	}
+	if got != f[2] {
+		s.t.Errorf("line %d: %s: got %s", s.line, strings.Join(f, " "), got)
+	}
+}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -44,32 +44,32 @@
 }
 
 // state answers how far a job is.
-func (f *front) state(ctx context.Context, j id.Job) reply {
-	l, ok := f.find(ctx, j)
+func (f *front) state(ctx context.Context, c *call) reply {
+	l, ok := f.find(ctx, c.job)
 	switch {
 	case !ok:
 		return refused("the newest state can't be read")
-	case !l.known:
+	case !l.known || l.foreign(c):
 		return reply{status: http.StatusGone, why: "no such job"}
 	}
 	if l.state == jobtable.ShownRunning {
-		l = f.awaitEnd(ctx, j, l)
+		l = f.awaitEnd(ctx, c.job, l)
 	}
 	return reply{status: http.StatusOK, body: platform.StateBody{State: l.state}, why: string(l.state)}
 }
 
 // cancel ends a job for good. The answer is sent when its record is in the store.
-func (f *front) cancel(ctx context.Context, j id.Job) reply {
-	l, ok := f.find(ctx, j)
+func (f *front) cancel(ctx context.Context, c *call) reply {
+	l, ok := f.find(ctx, c.job)
 	switch {
 	case !ok:
 		return refused("the newest state can't be read")
-	case !l.known || l.state == jobtable.ShownCompleted || l.state == jobtable.ShownFailed:
+	case !l.known || l.foreign(c) || l.state == jobtable.ShownCompleted || l.state == jobtable.ShownFailed:
 		return reply{status: http.StatusGone, why: "no such open job"}
 	case l.state == jobtable.ShownCancelled:
 		return reply{status: http.StatusOK, why: "cancelled before"}
 	}
-	return f.store(ctx, f.records.CancelRecord(j), "cancelled")
+	return f.store(ctx, f.records.CancelRecord(c.job), "cancelled")
 }
 
 // submit takes a job in. The answer is sent when its record is in the store. A job that
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -158,9 +158,9 @@
 	case c.r.Method == http.MethodGet && c.job == "":
 		return f.pending(ctx, c.queue)
 	case c.r.Method == http.MethodGet:
-		return f.state(ctx, c.job)
+		return f.state(ctx, c)
 	case c.r.Method == http.MethodDelete && c.job != "":
-		return f.cancel(ctx, c.job)
+		return f.cancel(ctx, c)
 	case c.r.Method == http.MethodPost && c.job != "":
 		return f.submit(ctx, c)
 	}
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -29,6 +29,14 @@
 type look struct {
 	loaded, known bool
 	state         jobtable.Shown
+	// customer is the one who handed the job in; empty for an anonymous queue.
+	customer id.Customer
+}
+
+// foreign reports whether a known job is another customer's than the call's. Such a job
+// is not shown, and can't be cancelled.
+func (l look) foreign(c *call) bool {
+	return l.known && !c.queue.Anonymous && l.customer != "" && l.customer != c.customer
 }
 
 // ask lets the deciding goroutine look something up. It reports false if ctx ended
@@ -69,7 +77,7 @@
 func (h *Host) lookUp(j id.Job) look {
 	l := look{loaded: h.loaded}
 	if e := h.table.Get(j); e != nil && e.Spec != nil {
-		l.known, l.state = true, e.Show()
+		l.known, l.state, l.customer = true, e.Show(), e.Spec.Customer
 	}
 	return l
 }
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -86,7 +86,7 @@
 
 const configuration = `{"Version":1,
 "Routes":[{"Name":"q","Hostname":"jobs.example","PathPrefix":"/q/","Priority":1,"Backend":"svc","MaxAttempts":2,"Extension":3,"TargetLatencyMs":1000}],
-"Backends":[{"Name":"svc","RejectsOverload":true}],"Tenants":[{"Name":"c","ApiKeys":["key"],"Guaranteed":{"Gpus":8}}]}`
+"Backends":[{"Name":"svc","RejectsOverload":true}],"Tenants":[{"Name":"c","ApiKeys":["key"],"Guaranteed":{"Gpus":8}},{"Name":"d","ApiKeys":["second"]}]}`
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key"}
@@ -316,7 +316,7 @@
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: peers, Metrics: "127.0.0.1:0",
 		Store: s.address, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
-		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, FarFactor: 3, KeepEnded: time.Minute},
+		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute},
 	}, zap.NewNop())
 	if err != nil {
 		s.t.Fatal(err)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -163,10 +163,21 @@
 		l.close()
 		return result{}, errClosed
 	case <-ctx.Done():
+		l.forget(c.ID)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			l.close() // the answer is overdue; the next call opens another link
+		}
 		return result{}, ctx.Err()
 	}
 }
 
+// forget drops a call that nobody waits for.
+func (l *link) forget(n uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, n)
+}
+
 // Handler returns the handler of peers' calls. They are made on the direct path.
 func (p *Path) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,9 @@
 	maxBody = 4 << 20
 )
 
+// errTooLarge reports an answer that was not read whole.
+var errTooLarge = errors.New("relay: the answer is too large")
+
 // ErrNoPeer reports that no peer is known or reachable.
 var ErrNoPeer = errors.New("relay: no peer")
 
@@ -172,7 +175,10 @@
 		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	if err == nil && len(data) > maxBody {
+		err = errTooLarge
+	}
 	return resp.StatusCode, data, err
 }
 
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"strconv"
 	"time"
 
 	"curlewsill.org/curlewsill/core/dispatch"
@@ -70,10 +69,5 @@
 		},
 		LogLevel: f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
 	}
-	factor, err := strconv.ParseFloat(workers.Text("far_factor", "1"), 64)
-	if err != nil || factor < 1 {
-		workers.Fault("far_factor", "a number of at least 1")
-	}
-	s.Workers.FarFactor = factor
 	return s
 }
