--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -50,9 +50,8 @@
 
 // Limits bound requests.
 type Limits struct {
-	BodyBytes, HeaderBytes int
-	HeaderTimeout          time.Duration
-	IdleTimeout            time.Duration
+	// BodyBytes bounds a job; 0 if the configuration names no bound.
+	BodyBytes int
 }
 
 // Catalog is one configuration.
