entry: the path's test takes jobs and workers from the stand-ins

Cause: the job's body and the worker's entry stood in the test and, since the demo of the platform's path, in platform/standin as well, to the letter.

Change: the test uses the stand-ins' ones.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -182,7 +182,7 @@
 	}
 	switch f[0] {
 	case "submit":
-		s.bodies[f[2]] = fmt.Sprintf(`{"TaskSpec":%q,"Steps":[{"Count":%s,"Cpu":1000,"MemMb":100,"Gpus":1,"EstimateMs":100}]}`, f[4], f[3])
+		s.bodies[f[2]] = string(standin.JobBody(s.number(f[3]), f[4]))
 		s.want(f[5], s.until(f[5], host, http.MethodPost, f[2]))
 	case "again":
 		s.want(f[3], s.until(f[3], host, http.MethodPost, f[2]))
@@ -336,7 +336,5 @@
 	server := httptest.NewServer(w)
 	s.t.Cleanup(server.CloseClientConnections)
 	s.workers = append(s.workers, w)
-	s.store.Put("keyed.servers", name, fmt.Appendf(nil,
-		`{"Backend":"svc","Address":%q,"Zone":"d","State":"ready","Capacity":{"Cpu":8000,"MemMb":8000,"Gpus":8},"Labels":["a","r1"],"ClockMs":1,"Seq":1}`,
-		strings.TrimPrefix(server.URL, "http://")))
+	s.store.PutWorker(name, strings.TrimPrefix(server.URL, "http://"))
 }
