--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -69,6 +69,10 @@
 	// acceleratorWeight makes free accelerators count more than free processors
 	// or memory when the fullest worker is sought: they are what runs short.
 	acceleratorWeight = 2
+	// rackWeight is added for opening a worker of a rack that is wholly empty, less for
+	// one that is partly so. It outweighs the most that leftover returns, so that whole
+	// racks are kept. Measured: docs/design/07-worth.md.
+	rackWeight = 4
 	// stopCost is added for each run that is stopped, in core-seconds, so that
 	// few are stopped when little work is lost either way.
 	stopCost = 1
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -112,6 +112,8 @@
 	victims []*run
 	cost    float64
 	left    float64
+	// opens is added to left if the worker is empty: the more, the emptier its rack.
+	opens float64
 }
 
 // assign puts the members on workers one by one, each where it costs least.
@@ -119,8 +121,9 @@
 	s := c.step
 	need := s.step.Reserved()
 	tallies := make([]tally, len(workers))
+	empty := emptyByRack(workers)
 	for i, w := range workers {
-		tallies[i].worker = w
+		tallies[i].worker, tallies[i].opens = w, empty.opening(w)
 	}
 	var out assignment
 	for range c.waiting {
@@ -165,6 +168,6 @@
 		return t, false
 	}
 	t.victims, t.cost = victims, cost
-	t.left = leftover(free.Sub(all), t.worker.Capacity)
+	t.left = leftover(free.Sub(all), t.worker.Capacity) + t.opens
 	return t, true
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -126,11 +126,12 @@
 func (d *Dispatcher) choose(now unit.Instant, s *stepState, fits []*worker) *worker {
 	var best, far *worker
 	bestLeft, farLeft := 0.0, 0.0
+	empty := emptyByRack(fits)
 	for _, w := range fits {
 		if !s.step.Reserved().Fits(w.free()) || s.full(w, 0) {
 			continue
 		}
-		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity)
+		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w)
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
