--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -202,6 +202,7 @@
 func (d *Dispatcher) failed(now unit.Instant, r *run) {
 	s := r.step
 	js := s.job
+	s.noteFailure(now, r.task.Index, r.worker)
 	if s.step.Gang {
 		if s.failedRun >= r.number {
 			d.lose(now, r, "failed")
@@ -222,25 +223,6 @@
 	}
 }
 
-// countFailures counts the failed runs of different jobs in a row on a worker, and suspends
-// it when there are too many.
-func (d *Dispatcher) countFailures(now unit.Instant, w *worker, e fleet.End) {
-	switch e.How {
-	case fleet.EndDone:
-		w.streak, w.lastFailed = 0, ""
-	case fleet.EndFailed:
-		if w.lastFailed != e.Task.Job {
-			w.streak++
-			w.lastFailed = e.Task.Job
-		}
-		if w.streak >= failStreak {
-			w.pausedUntil = now.Add(failPause)
-			d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
-		}
-	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
-	}
-}
-
 // compare takes in what a worker says that it runs.
 func (d *Dispatcher) compare(now unit.Instant, w *worker, res RenewResult, ended map[job.Task]bool) {
 	listed := map[job.Task]bool{}
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -53,6 +53,13 @@
 	// fails one run in twenty on the users' sites.
 	failStreak = 3
 	failPause  = 5 * time.Second
+	// suspicionWeight is added for each failure in a row on a worker; it outweighs all
+	// else by which workers are compared, so that others are taken first.
+	suspicionWeight = 10
+	// avoidAfterFailure is how long a task isn't placed again where it has just
+	// failed, if there are other workers. It is less than the 3 s after which a
+	// waiting job counts as lost while there is room.
+	avoidAfterFailure = 2 * time.Second
 	// resendAfter is when an order without an answer is repeated. Workers answer
 	// within a few milliseconds. Measured.
 	resendAfter = 300 * time.Millisecond
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -112,8 +112,9 @@
 	victims []*run
 	cost    float64
 	left    float64
-	// opens is added to left if the worker is empty: the more, the emptier its rack.
-	opens float64
+	// extra is added to left: for opening an empty worker, and for one whose last
+	// runs failed.
+	extra float64
 }
 
 // assign puts the members on workers one by one, each where it costs least.
@@ -123,7 +124,7 @@
 	tallies := make([]tally, len(workers))
 	empty := emptyByRack(workers)
 	for i, w := range workers {
-		tallies[i].worker, tallies[i].opens = w, empty.opening(w)
+		tallies[i].worker, tallies[i].extra = w, empty.opening(w)+w.suspicion()
 	}
 	var out assignment
 	for range c.waiting {
@@ -156,7 +157,7 @@
 
 // oneMore returns the tally with one more member, or false if there is no room.
 func (d *Dispatcher) oneMore(now unit.Instant, c candidate, t tally, need job.Resources, by room) (tally, bool) {
-	if c.step.full(t.worker, t.members) {
+	if c.step.full(t.worker, t.members) || t.worker.onTrial() && len(t.worker.runs)+t.members > 0 {
 		return t, false
 	}
 	t.members++
@@ -168,6 +169,6 @@
 		return t, false
 	}
 	t.victims, t.cost = victims, cost
-	t.left = leftover(free.Sub(all), t.worker.Capacity) + t.opens
+	t.left = leftover(free.Sub(all), t.worker.Capacity) + t.extra
 	return t, true
 }
--- /dev/null
+++ b/core/dispatch/health.go
@@ -0,0 +1,78 @@
+package dispatch
+
+import (
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// failure is where and when a run of a task has failed.
+type failure struct {
+	worker *worker
+	at     unit.Instant
+}
+
+// noteFailure remembers that a run of a task of the step has failed on a worker.
+func (s *stepState) noteFailure(now unit.Instant, index int, w *worker) {
+	if s.failures == nil {
+		s.failures = map[int]failure{}
+	}
+	s.failures[s.failureKey(index)] = failure{worker: w, at: now}
+}
+
+// failureKey returns where failures of a task are kept: a gang fails as a whole.
+func (s *stepState) failureKey(index int) int {
+	if s.step.Gang {
+		return 0
+	}
+	return index
+}
+
+// elsewhere leaves out the workers on which one of the waiting tasks has just failed, if
+// there are others: a worker that fails all it starts has the most room.
+func (c *candidate) elsewhere(now unit.Instant, workers []*worker) []*worker {
+	failed := map[*worker]bool{}
+	for _, i := range c.waiting {
+		if f, ok := c.step.failures[c.step.failureKey(i)]; ok && now.Sub(f.at) < avoidAfterFailure {
+			failed[f.worker] = true
+		}
+	}
+	if len(failed) == 0 {
+		return workers
+	}
+	out := workers[:0:0]
+	for _, w := range workers {
+		if !failed[w] {
+			out = append(out, w)
+		}
+	}
+	if len(out) == 0 {
+		return workers
+	}
+	return out
+}
+
+// countFailures counts the failed runs of different jobs in a row on a worker, and suspends
+// it when there are too many.
+func (d *Dispatcher) countFailures(now unit.Instant, w *worker, e fleet.End) {
+	switch e.How {
+	case fleet.EndDone:
+		w.streak, w.lastFailed = 0, ""
+	case fleet.EndFailed:
+		if w.lastFailed != e.Task.Job {
+			w.streak++
+			w.lastFailed = e.Task.Job
+		}
+		if w.streak >= failStreak {
+			w.pausedUntil = now.Add(failPause)
+			d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: "tasks of several jobs failed in a row", Age: failPause})
+		}
+	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
+	}
+}
+
+// onTrial reports whether a worker was suspended and has ended nothing with success since.
+// It gets one run at a time until it has.
+func (w *worker) onTrial() bool { return w.streak >= failStreak }
+
+// suspicion is added to the leftover of a placement on a worker whose last runs failed.
+func (w *worker) suspicion() float64 { return suspicionWeight * float64(min(w.streak, failStreak)) }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -16,7 +16,7 @@
 	kept := d.reserves(now, usable)
 	d.claims = d.waitingClaims()
 	for _, c := range d.candidates(now) {
-		fits := c.step.among(usable)
+		fits := c.elsewhere(now, c.step.among(usable))
 		if d.useClaim(now, c, fits) {
 			continue
 		}
@@ -128,10 +128,10 @@
 	bestLeft, farLeft := 0.0, 0.0
 	empty := emptyByRack(fits)
 	for _, w := range fits {
-		if !s.step.Reserved().Fits(w.free()) || s.full(w, 0) {
+		if !s.step.Reserved().Fits(w.free()) || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
-		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w)
+		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w) + w.suspicion()
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -75,6 +75,9 @@
 	waitingSince unit.Instant
 	// claim is the room that is kept for the step's gang.
 	claim *claim
+	// failures holds the newest failure of each task, by its index; that of a gang is
+	// under 0.
+	failures map[int]failure
 }
 
 // run is one run of a task that takes a worker's room.
