entry, election: jobs are read at once while a client waits, and rarely by hosts in the back

Cause: clients ask for a job's state at the moment in which its last task ends.

Change: while a call waits for a job's end the host reads as closely as the owner; otherwise hosts that wouldn't claim soon pause 500 ms. Scripts for the election, which had none.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -26,6 +26,9 @@
 	// fresh is how old the newest look may be for a claim: hosts look every 500 ms, so
 	// two looks may be lost.
 	fresh = 1500 * time.Millisecond
+	// standbyHosts is how many hosts, by rank, are ready to claim at once. One of them is
+	// mostly the owner itself, and another may die together with it.
+	standbyHosts = 3
 )
 
 // Election is what one host knows of the group. The zero value is not ready; call New.
@@ -71,5 +74,11 @@
 	return now.Sub(e.since) >= time.Duration(place)*stagger
 }
 
+// Standby reports whether this host is among the first that would claim. A host that
+// hasn't seen the group yet may be.
+func (e *Election) Standby() bool {
+	return len(e.members) == 0 || rank.Of(e.self, "owner", e.members) < standbyHosts
+}
+
 // Suspects reports whether the owner was missing in the newest look.
 func (e *Election) Suspects() bool { return e.missed > 0 }
--- /dev/null
+++ b/core/election/election_test.go
@@ -0,0 +1,82 @@
+package election_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/election"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// TestScripts drives an election by the scripts in testdata, one host's view each:
+//
+//	self HOST
+//	look TIME OWNER MEMBER...    a look at the group; OWNER is - if there is none
+//	released TIME
+//	claim TIME true|false        checks whether the host claims
+//	standby true|false           checks whether it is among the first to claim
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			run(t, string(data))
+		})
+	}
+}
+
+func run(t *testing.T, text string) {
+	var e *election.Election
+	for i, l := range strings.Split(text, "\n") {
+		f := strings.Fields(l)
+		if len(f) == 0 || strings.HasPrefix(l, "#") {
+			continue
+		}
+		switch f[0] {
+		case "self":
+			e = election.New(id.Host(f[1]))
+		case "look":
+			e.Look(at(t, f[1]), members(f[3:]), id.Host(strings.TrimPrefix(f[2], "-")))
+		case "released":
+			e.Released(at(t, f[1]))
+		case "claim":
+			expect(t, i, l, e.Claim(at(t, f[1])), f[2])
+		case "standby":
+			expect(t, i, l, e.Standby(), f[1])
+		default:
+			t.Fatalf("line %d: unknown command %q", i+1, f[0])
+		}
+	}
+}
+
+func members(names []string) []id.Host {
+	var out []id.Host
+	for _, n := range names {
+		out = append(out, id.Host(n))
+	}
+	return out
+}
+
+func at(t *testing.T, text string) unit.Instant {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return unit.At(time.Unix(1000, 0)).Add(d)
+}
+
+func expect(t *testing.T, line int, text string, got bool, want string) {
+	if got != (want == "true") {
+		t.Errorf("line %d: %s: got %t", line+1, text, got)
+	}
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -70,7 +70,11 @@
 	// catalog is the configuration in force; nil before the first.
 	catalog atomic.Pointer[catalog.Catalog]
 	// ready is what the balancer is told.
-	ready    atomic.Bool
+	ready atomic.Bool
+	// standby is set while this host would be among the first to claim.
+	standby atomic.Bool
+	// waiting counts the calls that wait for a job's end.
+	waiting  atomic.Int32
 	stopping atomic.Bool
 	stopOnce sync.Once
 	stopped  chan struct{}
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -98,6 +98,8 @@
 // which the last task ends, before its record can be read back, and otherwise would
 // have to ask again.
 func (f *front) awaitEnd(ctx context.Context, j id.Job, l look) look {
+	f.host.waiting.Add(1)
+	defer f.host.waiting.Add(-1)
 	ended := make(chan struct{})
 	if !f.host.post(ctx, func(unit.Instant) { f.host.watch(j, ended) }) {
 		return l
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -70,6 +70,7 @@
 			h.path.SetPeers(peers)
 			suspects, _ := ask(ctx, h, func(now unit.Instant) bool {
 				h.election.Look(now, members, h.table.Owner().Host)
+				h.standby.Store(h.election.Standby())
 				return h.election.Suspects()
 			})
 			if suspects {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -18,10 +18,13 @@
 	// jobsWait is how long a read of the jobs waits for news.
 	jobsWait = 1500 * time.Millisecond
 	// jobsPause is the pause between two reads that brought news; each costs.
-	jobsPause = 100 * time.Millisecond
-	// ownerPause is the pause on the owner, where a job waits for it. Measured:
-	// docs/design/07-worth.md.
-	ownerPause = 8 * time.Millisecond
+	// standbyPause is the one on hosts that would claim first, so that they see at once
+	// that the owner has handed over.
+	jobsPause    = 500 * time.Millisecond
+	standbyPause = 100 * time.Millisecond
+	// waitedPause is the pause where a job waits for it: on the owner, and while a
+	// client waits for a job's end. Measured: docs/design/07-worth.md.
+	waitedPause = 8 * time.Millisecond
 	// operatorWait is how long a read of the configuration waits. A change must
 	// be in force within 2 s although the store may have lost this read.
 	operatorWait = 700 * time.Millisecond
@@ -159,12 +162,7 @@
 
 // readJobs follows the state of all jobs.
 func (h *Host) readJobs(ctx context.Context) {
-	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, wake: h.wake, pause: func() time.Duration {
-		if h.metrics.owning.Load() {
-			return ownerPause
-		}
-		return jobsPause
-	}}
+	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, wake: h.wake, pause: h.pauseOfJobs}
 	t.whole = func(recs []jobtable.Record, end id.Offset) {
 		h.post(ctx, func(now unit.Instant) { h.loadJobs(now, recs, end) })
 	}
@@ -174,6 +172,18 @@
 	t.run(ctx)
 }
 
+// pauseOfJobs returns the pause between two reads of the jobs.
+func (h *Host) pauseOfJobs() time.Duration {
+	switch {
+	case h.metrics.owning.Load(), h.waiting.Load() > 0:
+		return waitedPause
+	case h.standby.Load():
+		return standbyPause
+	default:
+		return jobsPause
+	}
+}
+
 // loadJobs replaces the table by what the store has.
 func (h *Host) loadJobs(now unit.Instant, recs []jobtable.Record, end id.Offset) {
 	if h.loaded && end < h.table.Next() {
