dispatch, platform, entry: queues that need the advice service's permit

Cause: the platform's queues may need advice. Starts without a ticket are refused, so on such a queue nothing would run; until now it was only noted.

A refused order of which a copy may still be on its way is followed by a stop. platform/ has the client, the stand-ins have the service; [workers] advice is its address.

Tests: advice.txt of the dispatcher and of the path, config_advice.txtar, the settings' script; advice.txt has nothing to fail against before.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
 )
 
 // Version numbers configurations; a later one has a higher version.
@@ -27,8 +28,8 @@
 	Target      time.Duration
 	// Anonymous queues ask for no key.
 	Anonymous bool
-	// Advice is set if placements need a ticket of the advice service.
-	Advice bool
+	// Advice says whether placements need a permit of the advice service.
+	Advice job.Advice
 }
 
 // Customer holds keys and a guarantee.
--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -57,11 +57,17 @@
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
 		}
-	case fleet.Unknown, fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.Expired:
+	case fleet.Unknown:
+		r.unanswered = true
+	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.Expired:
 		// The order is repeated by resend, or the worker was given up above.
 	case fleet.Stale:
 		d.overtaken(now, r)
-	case fleet.NoRoom, fleet.Busy, fleet.NoTicket, fleet.Invalid:
+	case fleet.NoTicket:
+		r.step.dropPermit(w)
+		d.rejected(now, r, res.Verdict)
+	case fleet.NoRoom, fleet.Busy, fleet.Invalid:
+		w.pausedUntil = now.Add(busyPause)
 		d.rejected(now, r, res.Verdict)
 	}
 }
@@ -82,10 +88,13 @@
 	if r.state == runRunning {
 		return // an older answer that was overtaken
 	}
-	w := r.worker
-	w.pausedUntil = now.Add(busyPause)
-	w.nextHold = min(w.nextHold, now)
+	r.worker.nextHold = min(r.worker.nextHold, now)
 	d.noteRun(EventStartRejected, r, v.String(), now.Sub(r.since))
+	if r.unanswered {
+		// An earlier copy of the order may still be carried out; a stop prevents it.
+		d.stopRun(now, r, "refused, while a copy of its order may be on its way")
+		return
+	}
 	if r.apply(evRejected) {
 		d.lose(now, r, v.String())
 	}
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -32,7 +32,7 @@
 	if s.claim == nil {
 		return false
 	}
-	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now) {
+	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now, s) {
 		s.dropClaim()
 		return false
 	}
@@ -75,10 +75,10 @@
 	return found
 }
 
-// sound reports whether all workers of a claim still take tasks.
-func (c *claim) sound(now unit.Instant) bool {
+// sound reports whether all workers of a claim still take tasks of the step.
+func (c *claim) sound(now unit.Instant, s *stepState) bool {
 	for _, w := range c.workers {
-		if !w.usable(now) {
+		if !w.usable(now) || !s.mayRunOn(now, w) {
 			return false
 		}
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -31,6 +31,9 @@
 	// claims counts the gangs that room is kept for without stopping anybody.
 	claims int
 
+	// advice is the state of the questions to the advice service.
+	advice consultation
+
 	orders Orders
 	notes  []Note
 	// starts are placed runs whose orders wait for the next batch.
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -69,6 +69,10 @@
 		d.stopRun(now, r, "its worker began to leave")
 		return
 	}
+	if !r.step.mayRunOn(now, r.worker) {
+		d.stopRun(now, r, "its permit has expired")
+		return
+	}
 	if what := d.checkStart(r); what != "" {
 		d.violated(now, r, what)
 		d.stopRun(now, r, what)
@@ -101,7 +105,8 @@
 	s := r.step
 	d.orders.Starts = append(d.orders.Starts, Start{
 		Target: d.target(r.worker), Task: r.task, Run: r.number, Text: s.job.spec.Text,
-		Checkpoint: s.job.progress.Tasks[s.base+r.task.Index].Checkpoint, Until: d.lease(now, r.worker),
+		Checkpoint: s.job.progress.Tasks[s.base+r.task.Index].Checkpoint, Ticket: s.permits[r.worker.ID].ticket,
+		Until: d.lease(now, r.worker),
 	})
 }
 
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -24,6 +24,8 @@
 	Run        job.Run
 	Text       string
 	Checkpoint string
+	// Ticket is the permit of the advice service; empty where none is needed.
+	Ticket string
 	// Until is when the lease of all that runs on the worker ends, by its clock.
 	Until fleet.Clock
 }
@@ -46,11 +48,38 @@
 	Wait time.Duration
 }
 
-// Orders are orders to workers.
+// Ask is a question to the advice service: on which of the workers a step may run.
+type Ask struct {
+	Step    job.StepID
+	Workers []id.Worker
+	// Takes is how long the service needs for its answer.
+	Takes time.Duration
+}
+
+// Permit is the advice service's leave to run a step on one life of a worker.
+type Permit struct {
+	Worker id.Worker
+	Ticket string
+}
+
+// AskResult is what became of an Ask. Workers that were asked about and have no permit
+// may not run the step.
+type AskResult struct {
+	Ask     Ask
+	Verdict fleet.Verdict
+	Permits []Permit
+	// Valid is how long the permits hold from the answer on, Sent when the question
+	// left.
+	Valid time.Duration
+	Sent  unit.Instant
+}
+
+// Orders are orders to workers, and questions to the advice service.
 type Orders struct {
 	Starts []Start
 	Stops  []Stop
 	Renews []Renew
+	Asks   []Ask
 }
 
 // StartResult is what became of a Start.
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -42,6 +42,14 @@
 	EventTaskLost Event = "task-lost"
 	// EventTaskVanished: a worker doesn't list a run any more; the age is the answer's.
 	EventTaskVanished Event = "task-vanished"
+	// EventAdviceAsked: the advice service is asked for a step; the estimate is how long
+	// it takes.
+	EventAdviceAsked Event = "advice-asked"
+	// EventAdviceTaken: the service has answered; the estimate is how long its permits
+	// hold.
+	EventAdviceTaken Event = "advice-taken"
+	// EventAdviceMissed: a question got no answer, or was refused.
+	EventAdviceMissed Event = "advice-missed"
 	// EventRoomClaimed: room is kept for a step, for as long as the estimate.
 	EventRoomClaimed Event = "room-claimed"
 	// EventGuaranteeAtRisk: urgent work within a guarantee finds no room, even by stops.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -16,13 +16,18 @@
 	kept := d.reserves(now, usable)
 	d.claims = d.waitingClaims()
 	for _, c := range d.candidates(now) {
-		fits := c.elsewhere(now, c.step.among(usable))
+		suited := c.step.among(usable)
+		fits := c.elsewhere(now, c.step.permitted(now, suited))
 		if d.useClaim(now, c, fits) {
 			continue
 		}
-		if !d.tryPlace(now, c, fits, kept) && c.step.waitingSince == 0 {
+		if d.tryPlace(now, c, fits, kept) {
+			continue
+		}
+		if c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
+		d.consult(now, c, suited)
 	}
 }
 
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -25,7 +25,7 @@
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
 //	    [label=L] [data=RACK] [apart=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
-//	    [rounds=N first=D interval=D]
+//	    [rounds=N first=D interval=D] [advice]
 //	clock DURATION           how far the time of day is ahead of the steady clock from now on
 //	cancel NAME
 //	pass [DURATION]          time passes, then what is due is done
@@ -33,6 +33,7 @@
 //	start NAME VERDICT       the last order to start that task is answered
 //	stop NAME VERDICT
 //	renew WORKER VERDICT [run TASK RUN PERCENT]... [end N TASK RUN HOW]...
+//	advised VERDICT [valid=D] [WORKER=TICKET]...    the last question to the advice service
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 func TestScripts(t *testing.T) {
@@ -62,6 +63,8 @@
 	starts  map[string]dispatch.Start
 	stops   map[string]dispatch.Stop
 	renews  map[string]dispatch.Renew
+	ask     dispatch.Ask
+	asked   unit.Instant
 	sent    map[string]unit.Instant
 	lines   []string
 }
@@ -135,6 +138,9 @@
 		if x.Checkpoint != "" {
 			line += " from " + x.Checkpoint
 		}
+		if x.Ticket != "" {
+			line += " with " + x.Ticket
+		}
 		s.lines = append(s.lines, line)
 	}
 	for _, x := range o.Stops {
@@ -146,6 +152,10 @@
 		s.sent[string(x.Worker)] = s.now
 		s.lines = append(s.lines, fmt.Sprintf("renew %s told %d", x.Worker, x.Told))
 	}
+	for _, x := range o.Asks {
+		s.ask, s.asked = x, s.now
+		s.lines = append(s.lines, fmt.Sprintf("ask %s on %v", x.Step, x.Workers))
+	}
 }
 
 func (s *script) do(f []string) {
@@ -198,6 +208,8 @@
 		s.d.Stopped(s.now, dispatch.StopResult{Stop: s.stops[f[1]], Verdict: verdict(s.t, f[2])})
 	case "renew":
 		s.renewed(f)
+	case "advised":
+		s.advised(f, o)
 	case "takeover":
 		s.takeOver()
 	case "state":
@@ -233,6 +245,7 @@
 	if r := o.number("rounds", 0); r > 0 {
 		spec.Rounds, spec.First, spec.Interval = r, s.now.Add(o.duration("first")), o.duration("interval")
 	}
+	spec.Advice = job.Advice{Needed: o.has("advice"), Decide: 100 * time.Millisecond, Each: time.Millisecond}
 	if o.has("twosteps") {
 		second := step
 		second.DependsOn = []int{0}
@@ -246,6 +259,16 @@
 	s.d.AddJob(s.now, name, &spec, job.Progress{}, false)
 }
 
+func (s *script) advised(f []string, o opts) {
+	res := dispatch.AskResult{Ask: s.ask, Verdict: verdict(s.t, f[1]), Valid: o.duration("valid"), Sent: s.asked}
+	for _, w := range s.ask.Workers {
+		if ticket := o.text(string(w), ""); ticket != "" {
+			res.Permits = append(res.Permits, dispatch.Permit{Worker: w, Ticket: ticket})
+		}
+	}
+	s.d.Advised(s.now, res)
+}
+
 func (s *script) renewed(f []string) {
 	res := dispatch.RenewResult{Renew: s.renews[f[1]], Sent: s.sent[f[1]], Verdict: verdict(s.t, f[2])}
 	res.Report.Clock = fleet.Clock(time.Hour) + fleet.Clock(s.now-unit.At(time.Unix(1000, 0)))
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -78,6 +78,8 @@
 	// failures holds the newest failure of each task, by its index; that of a gang is
 	// under 0.
 	failures map[int]failure
+	// permits holds what the advice service said of each worker.
+	permits map[id.Worker]permit
 }
 
 // run is one run of a task that takes a worker's room.
@@ -103,6 +105,9 @@
 	asked unit.Instant
 	// inFlight is set while an order for the run has no verdict.
 	inFlight bool
+	// unanswered is set once an order to start has got no answer: it may be carried
+	// out seconds later.
+	unanswered bool
 	// why says for logs what the run is stopped for.
 	why string
 }
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -86,6 +86,19 @@
 	return r
 }
 
+// Advice says whether the advice service has to allow a step's placements, and how long
+// it takes for an answer. Its zero value asks for none.
+type Advice struct {
+	_      struct{} `cbor:",toarray"`
+	Needed bool
+	// Decide is the service's time for an answer, and Each is added for each worker
+	// that is asked about.
+	Decide, Each time.Duration
+}
+
+// Takes returns how long the service needs for an answer on n workers.
+func (a Advice) Takes(n int) time.Duration { return a.Decide + time.Duration(n)*a.Each }
+
 // Spec is a job as it was accepted.
 type Spec struct {
 	_        struct{} `cbor:",toarray"`
@@ -99,8 +112,7 @@
 	// the job should be completed.
 	Stretch float64
 	Target  time.Duration
-	// Advice is set if the queue's placements need a ticket.
-	Advice bool
+	Advice  Advice
 	// Text is the payload of every task.
 	Text  string
 	Steps []Step
@@ -175,6 +187,16 @@
 // String returns the task's name for logs.
 func (t Task) String() string { return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Round, t.Step, t.Index) }
 
+// StepID names one step of one round of a job.
+type StepID struct {
+	Job   id.Job
+	Round int
+	Step  int
+}
+
+// String returns the step's name for logs.
+func (s StepID) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Round, s.Step) }
+
 // Run numbers the starts of one task from 1.
 type Run int
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -46,6 +46,8 @@
 	// worker.
 	storeConns  = 8
 	workerConns = 8
+	// adviceConns bounds those to the advice service, which takes one call at a time.
+	adviceConns = 1
 )
 
 // event is news for the deciding goroutine, which calls it.
@@ -59,6 +61,7 @@
 	path     *relay.Path
 	store    *platform.Store
 	workers  *platform.Workers
+	advice   *platform.Advice
 	// self is unique for this life of the process.
 	self   id.Host
 	events *ring.Ring[event]
@@ -115,6 +118,7 @@
 		path:    path,
 		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
 		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
+		advice:  platform.NewAdvice(s.Advice, platform.NewHTTPClient(adviceConns), log),
 		events:  ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -36,6 +36,19 @@
 			return v, func(now unit.Instant) { o.core.Renewed(now, res) }
 		})
 	}
+	o.askAdvice(ctx, orders.Asks)
+}
+
+// askAdvice hands out the questions to the advice service.
+func (o *owner) askAdvice(ctx context.Context, questions []dispatch.Ask) {
+	for _, q := range questions {
+		go o.send(ctx, "ask", func() (fleet.Verdict, event) {
+			sent := o.host.now()
+			v, permits, valid := o.host.advice.Ask(ctx, q)
+			res := dispatch.AskResult{Ask: q, Verdict: v, Permits: permits, Valid: valid, Sent: sent}
+			return v, func(now unit.Instant) { o.core.Advised(now, res) }
+		})
+	}
 }
 
 // send makes one call to a worker, counts it by its verdict, and hands its result to the
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -34,6 +34,7 @@
 // stand-ins of the store and the workers behind the same adapter as on the platform.
 //
 //	hosts N | workers N              starts so many
+//	advice WORKER...                 from now on, starts need permits, which these don't get
 //	submit HOST JOB TASKS PAYLOAD STATUS [key=K] [attempts...]
 //	again HOST JOB STATUS            submits the same job once more
 //	cancel HOST JOB STATUS
@@ -74,6 +75,7 @@
 	hosts   []*entry.Host
 	stops   []context.CancelFunc
 	ended   []chan struct{}
+	advice  string
 	bodies  map[string]string
 	key     string
 	line    int
@@ -138,6 +140,8 @@
 		}
 	case "start":
 		s.startHost(s.number(f[1]))
+	case "advice":
+		s.startAdvice(f[1:])
 	case "kill":
 		s.stops[s.number(f[1])]()
 	case "stop":
@@ -315,7 +319,7 @@
 	_ = listener.Close()
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: peers, Metrics: "127.0.0.1:0",
-		Store: s.address, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
+		Store: s.address, Advice: s.advice, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
 		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute},
 	}, zap.NewNop())
 	if err != nil {
@@ -330,6 +334,18 @@
 	}()
 }
 
+// startAdvice starts the advice service and makes the queue and the workers ask for it.
+func (s *site) startAdvice(refused []string) {
+	server := httptest.NewServer(standin.NewAdvice(refused...))
+	s.t.Cleanup(server.CloseClientConnections)
+	s.advice = strings.TrimPrefix(server.URL, "http://")
+	queue := `"MaxAttempts":2,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":2000}`
+	s.store.Put("keyed.op", "config", []byte(strings.Replace(configuration, `"MaxAttempts":2`, queue, 1)))
+	for _, w := range s.workers {
+		w.NeedTickets()
+	}
+}
+
 func (s *site) startWorker() {
 	name := fmt.Sprintf("w-%d", len(s.workers))
 	w := standin.NewWorker(name, work)
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -281,6 +281,14 @@
 	return v
 }
 
+// OptionalAddress returns an address, or an empty text if the key is missing.
+func (s *Section) OptionalAddress(key string) string {
+	if _, ok := s.get(key); !ok {
+		return ""
+	}
+	return s.Address(key, "")
+}
+
 // URL returns an http or https address that must be there.
 func (s *Section) URL(key string) string {
 	v, ok := s.get(key)
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -26,6 +26,9 @@
 	Memory unit.Bytes
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// Advice is the address of the service that says where steps of some queues may
+	// run; empty if there is none.
+	Advice string
 	// Workers holds the bounds that workers keep to.
 	Workers  dispatch.Config
 	LogLevel string
@@ -61,6 +64,7 @@
 		LeastTTL:   store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
 		Memory:     limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
 		Grace:      limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
+		Advice:     workers.OptionalAddress("advice"),
 		Workers: dispatch.Config{
 			MaxLease:  workers.Duration("max_lease", 10*time.Second, time.Second, maxPeriod),
 			StopTime:  workers.Duration("stop", time.Second, time.Millisecond, time.Minute),
