dispatch, relay, entry: questions to the advice service are sized by need and spread over hosts

Cause: with advice on every queue the service takes about 0.3 s for a question whatever it names and works on one of a host at a time, so one asking host got 3 answers a second. A rack of which not all workers had a permit yet counted as too small for a gang, which then was spread.

Change: a question names as many workers as the step is likely to need, or as fit into twice the time of an empty question; each host asks one at a time, the peers through their links; what was refused stays refused.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -14,6 +14,9 @@
 	step *stepState
 	// waiting holds the indexes of the tasks that wait.
 	waiting []int
+	// possible holds the workers that take new tasks and may run the step, as far as is
+	// known, whether there is room or not.
+	possible []*worker
 	// covered is set for urgent work within its customer's guarantee.
 	covered bool
 	// late is set when the job can't earn anything any more.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -53,6 +53,7 @@
 		config: c, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
 		arrivals: map[id.Service]*arrivals{},
+		advice:   consultation{yield: firstYield},
 	}
 }
 
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -70,23 +70,32 @@
 	s := c.step
 	var best assignment
 	if s.step.SameRack || s.step.DataRack != "" {
-		reachable := false
 		for _, group := range racks(fits) {
-			near := s.near(group[0])
-			if near && s.holds(group, len(c.waiting)) {
-				reachable = true
-				if a := d.assign(now, c, group, by); a.better(best) {
-					best = a
-				}
+			if !s.near(group[0]) {
+				continue
+			}
+			if a := d.assign(now, c, group, by); a.better(best) {
+				best = a
 			}
 		}
-		if best.workers != nil || reachable && !d.mayGoFar(now, s, fits, len(c.waiting)) {
+		if best.workers != nil || c.reachable() && !d.mayGoFar(now, s, fits, len(c.waiting)) {
 			return best
 		}
 	}
 	return d.assign(now, c, fits, by)
 }
 
+// reachable reports whether some rack near the data could hold all members if it were
+// empty. Workers that are kept for others now, or wait for a permit, count.
+func (c *candidate) reachable() bool {
+	for _, group := range racks(c.possible) {
+		if c.step.near(group[0]) && c.step.holds(group, len(c.waiting)) {
+			return true
+		}
+	}
+	return false
+}
+
 // racks groups workers by rack, in order.
 func racks(workers []*worker) [][]*worker {
 	groups := map[id.Rack][]*worker{}
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -52,6 +52,8 @@
 type Ask struct {
 	Step    job.StepID
 	Workers []id.Worker
+	// Adviser is the number of the host that asks, from 0.
+	Adviser int
 	// Takes is how long the service needs for its answer.
 	Takes time.Duration
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -16,8 +16,8 @@
 	kept := d.reserves(now, usable)
 	d.claims = d.waitingClaims()
 	for _, c := range d.candidates(now) {
-		suited := c.step.among(usable)
-		fits := c.elsewhere(now, c.step.permitted(now, suited))
+		c.possible = c.step.among(usable)
+		fits := c.elsewhere(now, c.step.permitted(now, c.possible))
 		if d.useClaim(now, c, fits) {
 			continue
 		}
@@ -27,7 +27,7 @@
 		if c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
-		d.consult(now, c, suited)
+		d.consult(now, c)
 	}
 }
 
@@ -88,11 +88,11 @@
 	return true
 }
 
-// among returns the workers that may run tasks of the step.
+// among returns the workers that may run tasks of the step, as far as is known.
 func (s *stepState) among(workers []*worker) []*worker {
 	var out []*worker
 	for _, w := range workers {
-		if s.suits(w) {
+		if s.suits(w) && !s.refusedOn(w) {
 			out = append(out, w)
 		}
 	}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -89,16 +89,20 @@
 	return of / whole
 }
 
+// mostOn returns how many tasks of the step fit into so much room of one worker.
+func (s *stepState) mostOn(room job.Resources) int {
+	need, n := s.step.Reserved(), 0
+	for need.Fits(room) && n < s.step.Count && (s.step.MaxPerWorker == 0 || n < s.step.MaxPerWorker) {
+		room = room.Sub(need)
+		n++
+	}
+	return n
+}
+
 // holds reports whether the workers, if they were empty, could hold n tasks.
 func (s *stepState) holds(workers []*worker, n int) bool {
-	need := s.step.Reserved()
 	for _, w := range workers {
-		room, here := w.Capacity, 0
-		for need.Fits(room) && n > 0 && (s.step.MaxPerWorker == 0 || here < s.step.MaxPerWorker) {
-			room = room.Sub(need)
-			here++
-			n--
-		}
+		n -= s.mostOn(w.Capacity)
 	}
 	return n <= 0
 }
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -33,7 +33,8 @@
 //	start NAME VERDICT       the last order to start that task is answered
 //	stop NAME VERDICT
 //	renew WORKER VERDICT [run TASK RUN PERCENT]... [end N TASK RUN HOW]...
-//	advised VERDICT [valid=D] [WORKER=TICKET]...    the last question to the advice service
+//	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
+//	advisers N               so many hosts can ask the advice service
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 func TestScripts(t *testing.T) {
@@ -63,7 +64,7 @@
 	starts  map[string]dispatch.Start
 	stops   map[string]dispatch.Stop
 	renews  map[string]dispatch.Renew
-	ask     dispatch.Ask
+	asks    []dispatch.Ask
 	asked   unit.Instant
 	sent    map[string]unit.Instant
 	lines   []string
@@ -85,6 +86,7 @@
 func (s *script) takeOver() {
 	s.epoch++
 	s.d = dispatch.New(config, s.epoch, s.table)
+	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
 		e := s.table.Get(j)
 		s.d.AddJob(s.now, j, e.Spec, e.Progress, e.Cancelled)
@@ -153,8 +155,12 @@
 		s.lines = append(s.lines, fmt.Sprintf("renew %s told %d", x.Worker, x.Told))
 	}
 	for _, x := range o.Asks {
-		s.ask, s.asked = x, s.now
-		s.lines = append(s.lines, fmt.Sprintf("ask %s on %v", x.Step, x.Workers))
+		s.asks, s.asked = append(s.asks, x), s.now
+		line := fmt.Sprintf("ask %s on %v", x.Step, x.Workers)
+		if x.Adviser > 0 {
+			line += fmt.Sprintf(" by %d", x.Adviser)
+		}
+		s.lines = append(s.lines, line)
 	}
 }
 
@@ -208,6 +214,8 @@
 		s.d.Stopped(s.now, dispatch.StopResult{Stop: s.stops[f[1]], Verdict: verdict(s.t, f[2])})
 	case "renew":
 		s.renewed(f)
+	case "advisers":
+		s.d.SetAdvisers(number(s.t, f[1]))
 	case "advised":
 		s.advised(f, o)
 	case "takeover":
@@ -260,8 +268,10 @@
 }
 
 func (s *script) advised(f []string, o opts) {
-	res := dispatch.AskResult{Ask: s.ask, Verdict: verdict(s.t, f[1]), Valid: o.duration("valid"), Sent: s.asked}
-	for _, w := range s.ask.Workers {
+	ask := s.asks[0]
+	s.asks = s.asks[1:]
+	res := dispatch.AskResult{Ask: ask, Verdict: verdict(s.t, f[1]), Valid: o.duration("valid"), Sent: s.asked}
+	for _, w := range ask.Workers {
 		if ticket := o.text(string(w), ""); ticket != "" {
 			res.Permits = append(res.Permits, dispatch.Permit{Worker: w, Ticket: ticket})
 		}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -80,6 +80,8 @@
 	failures map[int]failure
 	// permits holds what the advice service said of each worker.
 	permits map[id.Worker]permit
+	// asking is set while a question for the step is under way.
+	asking bool
 }
 
 // run is one run of a task that takes a worker's room.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -62,6 +62,8 @@
 	store    *platform.Store
 	workers  *platform.Workers
 	advice   *platform.Advice
+	// advicePath leads to the advice service, by this host and by its peers.
+	advicePath *relay.Path
 	// self is unique for this life of the process.
 	self   id.Host
 	events *ring.Ring[event]
@@ -112,14 +114,15 @@
 		return nil, fmt.Errorf("entry: %w", err)
 	}
 	self := id.Host(fmt.Sprintf("%s#%08x", s.Host, binary.BigEndian.Uint32(draw[:])))
-	path := relay.New("http://"+s.Store, platform.NewHTTPClient(storeConns), log)
+	path := relay.New("http://"+s.Store, relay.RouteStore, platform.NewHTTPClient(storeConns), log)
+	advicePath := relay.New("http://"+s.Advice, relay.RouteAdvice, platform.NewHTTPClient(adviceConns), log)
 	h := &Host{
 		settings: s, log: log, metrics: newMetrics(), self: self,
 		path:    path,
 		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
 		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
-		advice:  platform.NewAdvice(s.Advice, platform.NewHTTPClient(adviceConns), log),
-		events:  ring.New[event](events), stopped: make(chan struct{}),
+		advice:  platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log), advicePath: advicePath,
+		events: ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -39,7 +39,8 @@
 // peerHandler takes the calls of other entry hosts.
 func (h *Host) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(relay.PeerPath, h.path.Handler())
+	mux.Handle(string(relay.RouteStore), h.path.Handler())
+	mux.Handle(string(relay.RouteAdvice), h.advicePath.Handler())
 	return mux
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -68,6 +68,7 @@
 		if err == nil {
 			members, peers := h.readMembers(names)
 			h.path.SetPeers(peers)
+			h.advicePath.SetPeers(peers)
 			suspects, _ := ask(ctx, h, func(now unit.Instant) bool {
 				h.election.Look(now, members, h.table.Owner().Host)
 				h.standby.Store(h.election.Standby())
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -12,9 +12,6 @@
 	"go.uber.org/zap"
 )
 
-// PeerPath is where a host takes its peers' calls.
-const PeerPath = "/v1/relay"
-
 const (
 	// dialTimeout bounds the opening of a link: the longest way on the users' sites is a
 	// few milliseconds, and a peer behind a cut never answers.
@@ -45,10 +42,10 @@
 }
 
 // dial opens a link to a peer and begins to read it.
-func dial(ctx context.Context, address string, log *zap.Logger) (*link, error) {
+func dial(ctx context.Context, address string, route Route, log *zap.Logger) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+PeerPath, nil)
+	conn, _, err := websocket.Dial(ctx, "ws://"+address+string(route), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,7 +4,8 @@
 // tries the direct way; when that fails or is slow, it sends the same call to a peer
 // over WebSocket with CBOR, and the peer makes it on its own direct path. Every call
 // that goes this way may be made twice without harm: appends carry a number, and all
-// others are reads or say the same again. A peer never passes a call on.
+// others are reads or say the same again. A peer never passes a call on. A call can also be
+// bound to one way, which spreads calls over hosts.
 package relay
 
 import (
@@ -73,10 +74,20 @@
 	results = codec.New[result]()
 )
 
+// Route is where a host takes its peers' calls to one address.
+type Route string
+
+// The routes.
+const (
+	RouteStore  Route = "/v1/relay"
+	RouteAdvice Route = "/v1/relay/advice"
+)
+
 // Path is an http.RoundTripper to one address over the direct way and over peers. It
 // is safe for concurrent use.
 type Path struct {
 	base   string
+	route  Route
 	direct *http.Client
 	log    *zap.Logger
 
@@ -88,9 +99,9 @@
 }
 
 // New returns a path to the address base (with its scheme) whose direct calls are made
-// by the given client.
-func New(base string, direct *http.Client, log *zap.Logger) *Path {
-	return &Path{base: base, direct: direct, log: log, links: map[string]*link{}}
+// by the given client. Peers take its calls on the route.
+func New(base string, route Route, direct *http.Client, log *zap.Logger) *Path {
+	return &Path{base: base, route: route, direct: direct, log: log, links: map[string]*link{}}
 }
 
 // SetPeers takes over which peers there are.
@@ -191,6 +202,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.over(req, l, body, wait)
+}
+
+// over makes a call on a link.
+func (p *Path) over(req *http.Request, l *link, body []byte, wait time.Duration) (*http.Response, error) {
 	res, err := l.do(req.Context(), call{
 		Method: req.Method, Path: req.URL.RequestURI(), Kind: req.Header.Get("Content-Type"), Body: body, Limit: wait + 2*hedgeAfter,
 	})
@@ -218,7 +234,12 @@
 	}
 	a := p.peers[rand.IntN(len(p.peers))].Address
 	p.mu.Unlock()
-	l, err := dial(ctx, a, p.log)
+	return p.open(ctx, a)
+}
+
+// open opens a link to a peer.
+func (p *Path) open(ctx context.Context, a string) (*link, error) {
+	l, err := dial(ctx, a, p.route, p.log)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -20,11 +21,11 @@
 
 // TestScripts makes calls over paths that work or fail. A script has one line a call:
 //
-//	DIRECT PEER -> OUTCOME
+//	DIRECT PEER -> OUTCOME [by WAY]
 //
 // DIRECT and PEER say what becomes of the call on that way: ok, busy (503), lost (the
 // call was read and its connection closed), down (no connection) or none. OUTCOME is
-// ok, busy, unsent (surely no effect) or unknown. The lines of a script share one path,
+// ok, busy, unsent (surely no effect) or unknown. A call with a WAY is bound to it. The lines of a script share one path,
 // which learns which way works.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
@@ -52,7 +53,7 @@
 	other := httptest.NewServer(http.HandlerFunc(peer.peer))
 	t.Cleanup(other.Close)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: direct.dial}}
-	path := relay.New(store.URL, client, zap.NewNop())
+	path := relay.New(store.URL, relay.RouteStore, client, zap.NewNop())
 	for i, line := range strings.Split(text, "\n") {
 		f := strings.Fields(line)
 		if len(f) == 0 || f[0] == "#" {
@@ -63,14 +64,22 @@
 		if peer.mode != "none" {
 			path.SetPeers([]relay.Peer{{Address: strings.TrimPrefix(other.URL, "http://")}})
 		}
-		if got := call(t, path, store.URL); got != f[3] {
+		if got := call(t, path, store.URL, f[4:]); got != f[3] {
 			t.Errorf("line %d: %s: got %s", i+1, line, got)
 		}
 	}
 }
 
-func call(t *testing.T, path *relay.Path, url string) string {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/x", strings.NewReader("body"))
+func call(t *testing.T, path *relay.Path, url string, bound []string) string {
+	ctx := context.Background()
+	if len(bound) == 2 {
+		n, err := strconv.Atoi(bound[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx = relay.OnlyBy(ctx, relay.Way(n))
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/x", strings.NewReader("body"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,5 +130,5 @@
 	}
 	store := httptest.NewServer(http.HandlerFunc(w.store))
 	defer store.Close()
-	relay.New(store.URL, store.Client(), zap.NewNop()).Handler().ServeHTTP(rw, r)
+	relay.New(store.URL, relay.RouteStore, store.Client(), zap.NewNop()).Handler().ServeHTTP(rw, r)
 }
