--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -27,6 +27,9 @@
 	// permitMargin is kept of a permit's time for the record of the placement and the
 	// way of its order, about 30 ms, and for one repetition after resendAfter.
 	permitMargin = 500 * time.Millisecond
+	// permitAhead is how long before its end a permit is renewed while room is kept for
+	// the step: the service's answer takes some 300 ms, and stops about a second.
+	permitAhead = 1500 * time.Millisecond
 	// askPause is the pause after a question that got no answer.
 	askPause = 200 * time.Millisecond
 )
@@ -86,8 +89,13 @@
 	if !s.job.spec.Advice.Needed {
 		return true
 	}
+	return s.permitLasts(now, w, permitMargin)
+}
+
+// permitLasts reports whether the step's permit for a worker holds for so long.
+func (s *stepState) permitLasts(now unit.Instant, w *worker, t time.Duration) bool {
 	p := s.permits[w.ID]
-	return p.allowed && now.Add(permitMargin) < p.until
+	return p.allowed && now.Add(t) < p.until
 }
 
 // refusedOn reports whether the advice service has refused the step on a worker.
@@ -114,8 +122,8 @@
 func (s *stepState) dropPermit(w *worker) { delete(s.permits, w.ID) }
 
 // consult asks the advice service about more workers for a step that found no room on
-// those that it may run on.
-func (d *Dispatcher) consult(now unit.Instant, c candidate) {
+// those that it may run on for some time ahead.
+func (d *Dispatcher) consult(now unit.Instant, c candidate, ahead time.Duration) {
 	advice := c.step.job.spec.Advice
 	if !advice.Needed || c.step.asking {
 		return
@@ -124,7 +132,7 @@
 	if !ok {
 		return
 	}
-	workers := c.askAbout(now, advice, d.advice.yield)
+	workers := c.askAbout(now, ahead, advice, d.advice.yield)
 	if len(workers) == 0 {
 		return
 	}
@@ -140,7 +148,7 @@
 // and as many as are likely to be enough, or as fit into twice the time of a question that
 // names none. Work that isn't urgent has no use for workers
 // without room.
-func (c *candidate) askAbout(now unit.Instant, advice job.Advice, yield float64) []id.Worker {
+func (c *candidate) askAbout(now unit.Instant, ahead time.Duration, advice job.Advice, yield float64) []id.Worker {
 	s := c.step
 	need := s.step.Reserved()
 	room := map[id.Rack]int{}
@@ -150,7 +158,7 @@
 		if fits {
 			room[w.Rack]++
 		}
-		if s.mayRunOn(now, w) || !fits && s.job.spec.Priority > 0 {
+		if s.permitLasts(now, w, ahead) || !fits && s.job.spec.Priority > 0 {
 			continue
 		}
 		open = append(open, w)
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -40,7 +40,9 @@
 		s.dropClaim()
 		return false
 	}
-	if !s.claimFree() {
+	// Permits may run out while the room becomes free.
+	d.consult(now, c, permitAhead)
+	if !s.claimFree() || len(s.permitted(now, s.claim.workers)) < len(s.claim.workers) {
 		return true
 	}
 	workers := s.claim.workers
@@ -78,7 +80,7 @@
 // sound reports whether all workers of a claim still take tasks of the step.
 func (c *claim) sound(now unit.Instant, s *stepState) bool {
 	for _, w := range c.workers {
-		if !w.usable(now) || !s.mayRunOn(now, w) {
+		if !w.usable(now) || s.refusedOn(w) {
 			return false
 		}
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -27,7 +27,7 @@
 		if c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
-		d.consult(now, c)
+		d.consult(now, c, permitMargin)
 	}
 }
 
