dispatch: long-running tasks are stopped for urgent work, and are back when there is room

Long-running tasks were never stopped for urgent work, so they filled the accelerators that guarantees reclaim.

Change: urgent work may stop long-running tasks, within what their step may miss; they count as 6 s of their cores.

--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -41,6 +41,9 @@
 	// roomyWait is the same for other work while there is room to spare. The
 	// platform counts a job as lost that waits 3 s then.
 	roomyWait = 2 * time.Second
+	// lastingPatience is how long long-running tasks wait before room that is kept for
+	// others is given up. The platform counts one as lost that waits 3 s with room.
+	lastingPatience = time.Second
 	// farUsage is the part of a service's capacity in use below which work that
 	// isn't urgent may be placed where it is slow. The platform asks for work to
 	// start when under half is in use.
@@ -80,6 +83,9 @@
 	// one that is partly so. It outweighs the most that leftover returns, so that whole
 	// racks are kept. Measured: docs/design/07-worth.md.
 	rackWeight = 4
+	// lastingLoss is what stopping a long-running task costs, as time of its cores: the
+	// platform wants it back within 6 s.
+	lastingLoss = 6 * time.Second
 	// stopCost is added for each run that is stopped, in core-seconds, so that
 	// few are stopped when little work is lost either way.
 	stopCost = 1
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -30,6 +30,8 @@
 	wall unit.Instant
 	// claims counts the gangs that room is kept for without stopping anybody.
 	claims int
+	// lastingWaits holds the services in which long-running tasks wait for room.
+	lastingWaits map[id.Service]bool
 
 	// advice is the state of the questions to the advice service.
 	advice consultation
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -13,9 +13,11 @@
 	if len(usable) == 0 {
 		return
 	}
+	candidates := d.candidates(now)
+	d.lastingWaits = d.giveWay(now, candidates)
 	kept := d.reserves(now, usable)
 	d.claims = d.waitingClaims()
-	for _, c := range d.candidates(now) {
+	for _, c := range candidates {
 		c.possible = c.step.among(usable)
 		fits := c.elsewhere(now, c.step.permitted(now, c.possible))
 		if d.useClaim(now, c, fits) {
@@ -161,10 +163,14 @@
 
 // mayGoFar reports whether n tasks of a step may be placed where they are slow, or on
 // workers that are kept for urgent work. Slow tasks hold their room for longer, so that is
-// for urgent work, and for times in which there is more than enough room.
+// for urgent work, and for times in which there is more than enough room. Long-running tasks
+// must be back whenever there is room for two, however much is in use.
 func (d *Dispatcher) mayGoFar(now unit.Instant, s *stepState, fits []*worker, n int) bool {
 	if s.job.spec.Priority == 0 {
 		return s.waitedFor(now, nearWait)
 	}
+	if s.step.LongRunning {
+		return s.waitedFor(now, roomyWait) && s.roomFor(fits, 2)
+	}
 	return s.waitedFor(now, roomyWait) && d.usage(s.job.spec.Service) < farUsage && s.roomFor(fits, 2*n)
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -23,7 +23,7 @@
 		return
 	}
 	chosen := d.chooseGang(now, c, fits, d.preemptible)
-	if chosen.workers == nil {
+	if chosen.workers == nil || !mayStopAll(chosen.victims) {
 		d.reclaimable(now, c)
 		return
 	}
@@ -36,6 +36,9 @@
 // wait keeps room for a gang where enough of it will be free soonest, so that smaller
 // work doesn't take it bit by bit.
 func (d *Dispatcher) wait(now unit.Instant, c candidate, fits []*worker) {
+	if d.lastingWaits[c.step.job.spec.Service] {
+		return
+	}
 	for horizon := shortestWait; d.claims < mostWaitingClaims && horizon <= longestWait; horizon *= 2 {
 		chosen := d.chooseGang(now, c, fits, d.roomWithin(horizon))
 		if chosen.workers != nil {
@@ -68,7 +71,7 @@
 		switch {
 		case r.state == runStopping:
 			free = free.Add(r.need)
-		case r.step != nil && r.step.job.spec.Priority > c.step.job.spec.Priority && !r.step.step.LongRunning:
+		case r.step != nil && r.step.job.spec.Priority > c.step.job.spec.Priority && r.step.mayStopOne():
 			others = append(others, r)
 		}
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -141,6 +141,9 @@
 		return 0
 	}
 	age := now.Sub(r.started)
+	if r.step != nil && r.step.step.LongRunning {
+		age = lastingLoss // it makes no progress that could be lost, but is away
+	}
 	if r.step != nil && r.step.step.Checkpointing {
 		age = min(age, saveEvery)
 	}
