--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -141,6 +141,7 @@
 		}
 	}
 	d.compare(now, w, res, ended)
+	w.endTrial(now)
 	w.synced = res.Sent
 	if w.seen == w.durable {
 		w.nextHold = now
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -56,6 +56,9 @@
 	// fails one run in twenty on the users' sites.
 	failStreak = 3
 	failPause  = 5 * time.Second
+	// trialTime is how long the first run after a suspension must go on before the worker
+	// is taken for sound. Workers that fail all they start do so within 50 ms.
+	trialTime = 2 * time.Second
 	// suspicionWeight is added for each failure in a row on a worker; it outweighs all
 	// else by which workers are compared, so that others are taken first.
 	suspicionWeight = 10
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -70,9 +70,22 @@
 	}
 }
 
-// onTrial reports whether a worker was suspended and has ended nothing with success since.
-// It gets one run at a time until it has.
+// onTrial reports whether a worker was suspended and has done nothing with success since.
+// It gets one run at a time until then.
 func (w *worker) onTrial() bool { return w.streak >= failStreak }
 
+// endTrial ends a worker's trial if the run that it was given goes on for a while: a
+// long-running task never ends with success.
+func (w *worker) endTrial(now unit.Instant) {
+	if !w.onTrial() {
+		return
+	}
+	for _, r := range w.runs {
+		if r.state == runRunning && now.Sub(r.started) >= trialTime {
+			w.streak, w.lastFailed = 0, ""
+		}
+	}
+}
+
 // suspicion is added to the leftover of a placement on a worker whose last runs failed.
 func (w *worker) suspicion() float64 { return suspicionWeight * float64(min(w.streak, failStreak)) }
