dispatch, platform, entry: tasks that use what others leave are slowed beside serving ones

Cause: a step may fill what others leave, and another may serve users under a target latency. Side by side the first harms the second, and nothing watched it.

Change: such tasks are placed apart where that is possible. On a worker with both, the speed of those that fill is halved each 0.7 s while a serving task's tail is over 0.8 of its target, and raised by a tenth of full speed while it is under 0.6. A new owner orders it anew.

The control's figures (0.8, 0.6, 10, 0.7 s) are choices, not measured.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -142,6 +142,7 @@
 	}
 	d.compare(now, w, res, ended)
 	w.endTrial(now)
+	d.pace(now, w)
 	w.synced = res.Sent
 	if w.seen == w.durable {
 		w.nextHold = now
@@ -245,7 +246,7 @@
 		if r == nil || r.number != x.Run {
 			continue
 		}
-		r.checkpoint, r.percent = x.Checkpoint, x.Percent
+		r.checkpoint, r.percent, r.load = x.Checkpoint, x.Percent, x.Load
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
 		}
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -26,6 +26,9 @@
 	// renewWait is how long a renewal may wait at the worker for news; the
 	// platform allows 2 s.
 	renewWait = 2 * time.Second
+	// sharedWait is the same on a worker where tasks that use what others leave run beside
+	// serving ones: the worker's figures are those of the last half second.
+	sharedWait = 500 * time.Millisecond
 	// renewPause is the pause before another renewal when the last one brought
 	// nothing that could be waited for.
 	renewPause = 500 * time.Millisecond
@@ -62,6 +65,9 @@
 	// suspicionWeight is added for each failure in a row on a worker; it outweighs all
 	// else by which workers are compared, so that others are taken first.
 	suspicionWeight = 10
+	// sharingWeight is added for each run on a worker that a task would disturb, or that
+	// would disturb it; it outweighs all but suspicion.
+	sharingWeight = 8
 	// avoidAfterFailure is how long a task isn't placed again where it has just
 	// failed, if there are other workers. It is less than the 3 s after which a
 	// waiting job counts as lost while there is room.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -180,6 +180,9 @@
 			case job.Placed:
 				w := d.worker(now, t.Worker)
 				r := &run{task: s.task(i), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s, since: now, asked: now}
+				if r.fills() {
+					r.slowed = fullSpeed - paceLeast // an earlier owner may have slowed it down
+				}
 				d.occupy(r)
 			case job.Waiting:
 			}
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -133,7 +133,7 @@
 	tallies := make([]tally, len(workers))
 	empty := emptyByRack(workers)
 	for i, w := range workers {
-		tallies[i].worker, tallies[i].extra = w, empty.opening(w)+w.suspicion()
+		tallies[i].worker, tallies[i].extra = w, empty.opening(w)+w.suspicion()+sharingWeight*float64(s.disturbs(w))
 	}
 	var out assignment
 	for range c.waiting {
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -37,6 +37,21 @@
 	Run  job.Run
 }
 
+// Pace sets the share of its full speed, in percent, at which a run works.
+type Pace struct {
+	Target
+	Task    job.Task
+	Run     job.Run
+	Percent int
+}
+
+// PaceResult is what became of a Pace.
+type PaceResult struct {
+	Pace    Pace
+	Verdict fleet.Verdict
+	Clock   fleet.Clock
+}
+
 // Renew renews the lease of all that runs on a worker and asks what runs there.
 type Renew struct {
 	Target
@@ -81,6 +96,7 @@
 	Starts []Start
 	Stops  []Stop
 	Renews []Renew
+	Paces  []Pace
 	Asks   []Ask
 }
 
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -34,6 +34,8 @@
 	EventStartOvertaken Event = "start-overtaken"
 	// EventTaskStop: a run is ordered to stop.
 	EventTaskStop Event = "task-stop"
+	// EventTaskPaced: a run is to work slower or faster.
+	EventTaskPaced Event = "task-paced"
 	// EventTaskEnded: a worker says that a run has ended.
 	EventTaskEnded Event = "task-ended"
 	// EventUnknownEnd: a worker lists the end of a run that isn't known there.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -139,6 +139,9 @@
 	}
 	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.hurry(now) {
 		o.Wait = renewWait
+		if w.shared() {
+			o.Wait = sharedWait
+		}
 	}
 	w.holding = true
 	d.orders.Renews = append(d.orders.Renews, o)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -138,7 +138,8 @@
 		if !s.step.Reserved().Fits(w.free()) || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
-		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w) + w.suspicion()
+		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w) + w.suspicion() +
+			sharingWeight*float64(s.disturbs(w))
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -24,15 +24,16 @@
 //	worker NAME rack=R [gpus=8] [service=S] [draining=DURATION]   an entry of the list
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
-//	    [label=L] [data=RACK] [apart=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
-//	    [rounds=N first=D interval=D] [advice]
+//	    [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
+//	    [rounds=N first=D interval=D] [advice] [target=D, of a serving task] [fills]
 //	clock DURATION           how far the time of day is ahead of the steady clock from now on
 //	cancel NAME
 //	pass [DURATION]          time passes, then what is due is done
 //	write                    what was flushed gets into the store
 //	start NAME VERDICT       the last order to start that task is answered
 //	stop NAME VERDICT
-//	renew WORKER VERDICT [run TASK RUN PERCENT]... [end N TASK RUN HOW]...
+//	pace NAME VERDICT        the last order on that task's speed is answered
+//	renew WORKER VERDICT [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
 //	takeover                 another owner starts from the store's records
@@ -64,6 +65,7 @@
 	starts  map[string]dispatch.Start
 	stops   map[string]dispatch.Stop
 	renews  map[string]dispatch.Renew
+	paces   map[string]dispatch.Pace
 	asks    []dispatch.Ask
 	asked   unit.Instant
 	sent    map[string]unit.Instant
@@ -77,7 +79,7 @@
 func newScript(t *testing.T) *script {
 	s := &script{
 		t: t, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), workers: map[string]fleet.Listing{},
-		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, sent: map[string]unit.Instant{},
+		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, paces: map[string]dispatch.Pace{}, sent: map[string]unit.Instant{},
 	}
 	s.takeOver()
 	return s
@@ -154,6 +156,10 @@
 		s.sent[string(x.Worker)] = s.now
 		s.lines = append(s.lines, fmt.Sprintf("renew %s told %d", x.Worker, x.Told))
 	}
+	for _, x := range o.Paces {
+		s.paces[x.Task.String()] = x
+		s.lines = append(s.lines, fmt.Sprintf("pace %s run %d on %s to %d", x.Task, x.Run, x.Worker, x.Percent))
+	}
 	for _, x := range o.Asks {
 		s.asks, s.asked = append(s.asks, x), s.now
 		line := fmt.Sprintf("ask %s on %v", x.Step, x.Workers)
@@ -212,6 +218,8 @@
 		s.d.Started(s.now, dispatch.StartResult{Start: s.starts[f[1]], Verdict: verdict(s.t, f[2])})
 	case "stop":
 		s.d.Stopped(s.now, dispatch.StopResult{Stop: s.stops[f[1]], Verdict: verdict(s.t, f[2])})
+	case "pace":
+		s.d.Paced(s.now, dispatch.PaceResult{Pace: s.paces[f[1]], Verdict: verdict(s.t, f[2])})
 	case "renew":
 		s.renewed(f)
 	case "advisers":
@@ -243,6 +251,7 @@
 		Count: o.number("count", 1), Need: job.Resources{CPU: 1000, Memory: unit.GiB, Accelerators: o.number("gpus", 1)},
 		Estimate: max(time.Second, o.duration("estimate")), Gang: o.has("gang"), SameRack: o.has("samerack"), Checkpointing: o.has("saves"),
 		LongRunning: o.has("lasts"), Label: o.text("label", ""), DataRack: o.text("data", ""), MaxPerWorker: o.number("apart", 0),
+		TargetLatency: o.duration("target"), Fills: o.has("fills"), MayMiss: o.number("maymiss", 0),
 	}
 	spec := job.Spec{
 		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1),
@@ -285,7 +294,11 @@
 	for i := 3; i < len(f); {
 		switch f[i] {
 		case "run":
-			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.Run(number(s.t, f[i+2])), Percent: number(s.t, f[i+3])}
+			percent, load, _ := strings.Cut(f[i+3], ":")
+			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.Run(number(s.t, f[i+2])), Percent: number(s.t, percent)}
+			if load != "" {
+				x.Load = int64(number(s.t, load))
+			}
 			res.Report.Running = append(res.Report.Running, x)
 			i += 4
 		case "end":
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -99,6 +99,12 @@
 	started    unit.Instant
 	checkpoint string
 	percent    int
+	// load is the worker's figure of the run: a serving task's tail latency in
+	// milliseconds, another one's processor time in use.
+	load int64
+	// slowed is how many percent of its full speed the run was last ordered to leave
+	// to others; 0 if it works at full speed.
+	slowed int
 	// stopAsked is when the last order to stop was sent, stopDone whether it was
 	// answered.
 	stopAsked unit.Instant
@@ -169,6 +175,8 @@
 	// seen is the last end that was noted, durable the last one whose note is in
 	// the store, told the last one that the worker may forget.
 	seen, durable, told uint64
+	// pacedAt is when the runs that use what others leave were last slowed down or up.
+	pacedAt unit.Instant
 	// synced is when a renewal was sent that the worker answered, under the
 	// present epoch; 0 before the first.
 	synced unit.Instant
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -36,6 +36,12 @@
 			return v, func(now unit.Instant) { o.core.Renewed(now, res) }
 		})
 	}
+	for _, p := range orders.Paces {
+		go o.send(ctx, "pace", func() (fleet.Verdict, event) {
+			res := o.host.workers.Pace(ctx, p)
+			return res.Verdict, func(now unit.Instant) { o.core.Paced(now, res) }
+		})
+	}
 	o.askAdvice(ctx, orders.Asks)
 }
 
