entry: a host that peers reach on an open port tells the port it was given

Cause: TestPath failed once while other packages' tests ran, and once in 12 runs with the race detector: "listen: address already in use". The test, and the demo, freed a port and gave it to the host, and another listener took it in between.

Ruled out: the product's listeners (the settings name fixed ports on the platform).

Change: the address in the group of hosts is the one that is listened on, so port 0 works for peers too.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -70,7 +70,10 @@
 	writer *writer
 
 	listeners []net.Listener
-	servers   []*http.Server
+	// peers is the address on which peers are answered, with the port that was given if
+	// the settings left it open.
+	peers   string
+	servers []*http.Server
 
 	// catalog is the configuration in force; nil before the first.
 	catalog atomic.Pointer[catalog.Catalog]
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -15,7 +15,8 @@
 	idleTimeout   = 30 * time.Second
 )
 
-// listen opens the four listeners and prepares their servers; Run serves on them.
+// listen opens the four listeners, the one for peers last, and prepares their servers; Run
+// serves on them.
 func (h *Host) listen() error {
 	for _, l := range []struct {
 		address string
@@ -33,6 +34,7 @@
 		h.listeners = append(h.listeners, lis)
 		h.servers = append(h.servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
 	}
+	h.peers = h.listeners[len(h.listeners)-1].Addr().String()
 	return nil
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -83,7 +83,7 @@
 }
 
 // member is the host's name in the group: its own and where it listens for peers.
-func (h *Host) member() string { return string(h.self) + "@" + h.settings.Peers }
+func (h *Host) member() string { return string(h.self) + "@" + h.peers }
 
 // readMembers returns the hosts of the group, and the others as peers.
 func (h *Host) readMembers(names []string) ([]id.Host, []relay.Peer) {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -311,14 +310,8 @@
 }
 
 func (s *site) startHost(n int) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	peers := listener.Addr().String()
-	_ = listener.Close()
 	h, err := entry.New(settings.Site{
-		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: peers, Metrics: "127.0.0.1:0",
+		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
 		Store: s.address, Advice: s.advice, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
 		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute},
 	}, zap.NewNop())
