upkeep, dispatch, platform, entry: waves of maintenance

Cause: the operator can ask that machines go down for maintenance in time, so many at once at most.

Change: core/upkeep plans a wave by the chart upkeep.chart: the cheapest machines first, each emptied for its share of the time that is left, then stopped (never more of a long-running step than its customer allows) and ordered down; it counts as down until its next life is listed. What has begun is in the store, so that a new owner, which waits for the lease time, doesn't begin it again. platform/ reads waves, orders machines and reports the state. Settings: [machines] address, handover, away.

Tests: scripts of the plan and of the dispatcher, messages, and wave.txt over the whole path with a stand-in of the machines' service; nothing of it existed before, so none was seen failing.

--- a/core/charts/charts_test.go
+++ b/core/charts/charts_test.go
@@ -13,7 +13,7 @@
 // state can be reached from each state that isn't on a cycle without end.
 func TestWalk(t *testing.T) {
 	names, err := fs.Glob(charts.Files, "*.chart")
-	if err != nil || len(names) != 7 {
+	if err != nil || len(names) != 8 {
 		t.Fatalf("charts: %v, %v", names, err)
 	}
 	for _, file := range names {
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -12,6 +12,10 @@
 	SaveEvery time.Duration
 	// KeepEnded is how long the state of an ended job must be known.
 	KeepEnded time.Duration
+	// Handover is how long a new owner orders no machine about after another one may have.
+	Handover time.Duration
+	// Away is how long a machine is down for its maintenance.
+	Away time.Duration
 }
 
 // Figures of the owner. Where no source is named, a figure is a choice; those that were
@@ -65,6 +69,9 @@
 	// suspicionWeight is added for each failure in a row on a worker; it outweighs all
 	// else by which workers are compared, so that others are taken first.
 	suspicionWeight = 10
+	// upkeepAgain is when an order to take a machine down that got no answer is repeated.
+	// The platform answers one that was done in the same way.
+	upkeepAgain = time.Second
 	// sharingWeight is added for each run on a worker that a task would disturb, or that
 	// would disturb it; it outweighs all but suspicion.
 	sharingWeight = 8
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -33,6 +33,10 @@
 	// lastingWaits holds the services in which long-running tasks wait for room.
 	lastingWaits map[id.Service]bool
 
+	// waves holds the waves of maintenance that are asked for.
+	waves map[id.Wave]*wave
+	// began is when this owner's first pass was; 0 before.
+	began unit.Instant
 	// advice is the state of the questions to the advice service.
 	advice consultation
 
@@ -54,8 +58,8 @@
 	return &Dispatcher{
 		config: c, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
-		arrivals: map[id.Service]*arrivals{},
-		advice:   consultation{yield: firstYield},
+		arrivals: map[id.Service]*arrivals{}, waves: map[id.Wave]*wave{},
+		advice: consultation{yield: firstYield},
 	}
 }
 
@@ -100,11 +104,18 @@
 	}
 	w.clockAt = at
 	for _, o := range d.order {
-		if o != w && o.Address == l.Address {
+		if o == w {
+			continue
+		}
+		if o.Address == l.Address {
 			d.loseAll(now, o, "another life at its address")
 			o.listed = false
+		} else if l.Machine != "" && o.Machine == l.Machine {
+			d.loseAll(now, o, "another life of its machine")
+			o.listed = false
 		}
 	}
+	d.back(l)
 }
 
 // Unlist notes that the platform's list has dropped a worker. It may live on, cut off
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -24,6 +24,11 @@
 		b.Records = append(b.Records, d.table.ForgetRecords(name)...)
 	}
 	d.changed, d.forget = nil, nil
+	records, err := d.waveRecords()
+	if err != nil {
+		return Batch{}, false, err
+	}
+	b.Records = append(b.Records, records...)
 	b.starts, d.starts = d.starts, nil
 	if d.acks {
 		for _, w := range d.order {
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -91,13 +91,36 @@
 	Sent  unit.Instant
 }
 
-// Orders are orders to workers, and questions to the advice service.
+// Upkeep orders a machine to be taken down for its maintenance. All that runs there dies.
+type Upkeep struct {
+	Machine id.Machine
+	Wave    id.Wave
+	Epoch   id.Epoch
+}
+
+// UpkeepResult is what became of an Upkeep. Stale means that the machine isn't of the wave,
+// Invalid that there is no such machine, and Busy that it can't go down now.
+type UpkeepResult struct {
+	Upkeep  Upkeep
+	Verdict fleet.Verdict
+}
+
+// WaveReport says how far a wave is, for the operator.
+type WaveReport struct {
+	Wave     id.Wave
+	Finished bool
+}
+
+// Orders are orders to workers and machines, questions to the advice service, and reports.
 type Orders struct {
 	Starts []Start
 	Stops  []Stop
 	Renews []Renew
 	Paces  []Pace
 	Asks   []Ask
+	// Upkeeps may be repeated; Reports are in order.
+	Upkeeps []Upkeep
+	Reports []WaveReport
 }
 
 // StartResult is what became of a Start.
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -52,6 +52,17 @@
 	EventAdviceTaken Event = "advice-taken"
 	// EventAdviceMissed: a question got no answer, or was refused.
 	EventAdviceMissed Event = "advice-missed"
+	// EventWaveSeen: the operator asks for a wave of maintenance; the estimate is the time
+	// that is left for it.
+	EventWaveSeen Event = "wave-seen"
+	// EventUpkeepBegins: a machine is emptied, ordered down or refused.
+	EventUpkeepBegins Event = "upkeep-begins"
+	// EventUpkeepOrdered: a machine is ordered down.
+	EventUpkeepOrdered Event = "upkeep-ordered"
+	// EventUpkeepAnswered: what became of such an order; why is the verdict.
+	EventUpkeepAnswered Event = "upkeep-answered"
+	// EventWaveFinished: each machine of a wave has had its maintenance.
+	EventWaveFinished Event = "wave-finished"
 	// EventRoomClaimed: room is kept for a step, for as long as the estimate.
 	EventRoomClaimed Event = "room-claimed"
 	// EventGuaranteeAtRisk: urgent work within a guarantee finds no room, even by stops.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -15,6 +15,9 @@
 // timed jobs fall due, and may jump.
 func (d *Dispatcher) Pass(now, wall unit.Instant) {
 	d.wall = wall
+	if d.began == 0 {
+		d.began = now
+	}
 	for _, w := range d.order {
 		d.giveUp(now, w)
 		d.resend(now, w)
@@ -23,6 +26,7 @@
 	for _, name := range d.names() {
 		d.expire(now, d.jobs[name])
 	}
+	d.maintain(now)
 	d.placeAll(now)
 	for _, w := range d.order {
 		d.renew(now, w)
@@ -162,7 +166,7 @@
 
 // usable reports whether new tasks may go to a worker.
 func (w *worker) usable(now unit.Instant) bool {
-	return w.listed && !w.Draining && w.synced != 0 && now >= w.pausedUntil && w.healthy(now)
+	return w.listed && !w.Draining && !w.held && w.synced != 0 && now >= w.pausedUntil && w.healthy(now)
 }
 
 // healthy reports whether a worker that is at work answers.
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -16,12 +16,13 @@
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/upkeep"
 )
 
 // TestScripts drives a dispatcher by the scripts in testdata. A line is a command; the
 // lines that begin with > after it are the orders that it must lead to, in order.
 //
-//	worker NAME rack=R [gpus=8] [service=S] [draining=DURATION]   an entry of the list
+//	worker NAME rack=R [gpus=8] [service=S] [draining=DURATION] [machine=M]   an entry of the list
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
 //	    [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
@@ -36,6 +37,8 @@
 //	renew WORKER VERDICT [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
+//	wave N WITHIN MOST MACHINE...     the operator asks for maintenance
+//	upkeep MACHINE VERDICT   the last order to take that machine down is answered
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 func TestScripts(t *testing.T) {
@@ -67,6 +70,8 @@
 	renews  map[string]dispatch.Renew
 	paces   map[string]dispatch.Pace
 	asks    []dispatch.Ask
+	upkeeps map[string]dispatch.Upkeep
+	waves   []upkeep.Wave
 	asked   unit.Instant
 	sent    map[string]unit.Instant
 	lines   []string
@@ -74,12 +79,14 @@
 
 var config = dispatch.Config{
 	MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: time.Second, KeepEnded: 2 * time.Minute,
+	Handover: 3 * time.Second, Away: 2 * time.Second,
 }
 
 func newScript(t *testing.T) *script {
 	s := &script{
 		t: t, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), workers: map[string]fleet.Listing{},
-		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, paces: map[string]dispatch.Pace{}, sent: map[string]unit.Instant{},
+		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, paces: map[string]dispatch.Pace{},
+		upkeeps: map[string]dispatch.Upkeep{}, sent: map[string]unit.Instant{},
 	}
 	s.takeOver()
 	return s
@@ -96,6 +103,9 @@
 	for _, name := range sorted(s.workers) {
 		s.d.List(s.now, s.workers[name])
 	}
+	for _, w := range s.waves {
+		s.d.SetWave(s.now, s.now.Add(s.ahead), w)
+	}
 }
 
 func sorted[V any](m map[string]V) []string {
@@ -160,6 +170,13 @@
 		s.paces[x.Task.String()] = x
 		s.lines = append(s.lines, fmt.Sprintf("pace %s run %d on %s to %d", x.Task, x.Run, x.Worker, x.Percent))
 	}
+	for _, x := range o.Upkeeps {
+		s.upkeeps[string(x.Machine)] = x
+		s.lines = append(s.lines, fmt.Sprintf("upkeep %s of wave %d", x.Machine, x.Wave))
+	}
+	for _, x := range o.Reports {
+		s.lines = append(s.lines, fmt.Sprintf("report wave %d finished %t", x.Wave, x.Finished))
+	}
 	for _, x := range o.Asks {
 		s.asks, s.asked = append(s.asks, x), s.now
 		line := fmt.Sprintf("ask %s on %v", x.Step, x.Workers)
@@ -175,7 +192,8 @@
 	switch f[0] {
 	case "worker":
 		l := fleet.Listing{
-			ID: id.Worker(f[1]), Address: o.text("address", f[1]), Service: id.Service(o.text("service", "svc")), Rack: id.Rack(o.text("rack", "r1")),
+			ID: id.Worker(f[1]), Machine: id.Machine(o.text("machine", "")), Address: o.text("address", f[1]),
+			Service: id.Service(o.text("service", "svc")), Rack: id.Rack(o.text("rack", "r1")),
 			Labels:   []string{"a", o.text("rack", "r1")},
 			Capacity: job.Resources{CPU: 64000, Memory: 256 * unit.GiB, Accelerators: o.number("gpus", 8)}, Clock: fleet.Clock(time.Hour),
 		}
@@ -226,6 +244,10 @@
 		s.d.SetAdvisers(number(s.t, f[1]))
 	case "advised":
 		s.advised(f, o)
+	case "wave":
+		s.wave(f)
+	case "upkeep":
+		s.d.Upkept(s.now, dispatch.UpkeepResult{Upkeep: s.upkeeps[f[1]], Verdict: verdict(s.t, f[2])})
 	case "takeover":
 		s.takeOver()
 	case "state":
@@ -238,6 +260,19 @@
 	}
 }
 
+func (s *script) wave(f []string) {
+	within, err := time.ParseDuration(f[2])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	w := upkeep.Wave{Number: id.Wave(number(s.t, f[1])), Within: within, Most: number(s.t, f[3])}
+	for _, m := range f[4:] {
+		w.Machines = append(w.Machines, id.Machine(m))
+	}
+	s.waves = append(s.waves, w)
+	s.d.SetWave(s.now, s.now.Add(s.ahead), w)
+}
+
 func (s *script) apply(recs []jobtable.Record) {
 	for _, r := range recs {
 		if _, err := s.table.Apply(r); err != nil {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -159,6 +159,8 @@
 // worker is one life of a worker.
 type worker struct {
 	fleet.Listing
+	// held is set while the worker's machine is to go down for maintenance.
+	held bool
 	// listed is set while the platform's list has the worker.
 	listed bool
 	// leaves is when a draining worker may be gone.
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if ordered {
-		d.back(r)
+		d.putBack(r)
 		d.release(r)
 		return
 	}
@@ -72,8 +72,8 @@
 	d.orderStop(now, r)
 }
 
-// back makes the task of a run wait again, unless it is done or was placed anew.
-func (d *Dispatcher) back(r *run) {
+// putBack makes the task of a run wait again, unless it is done or was placed anew.
+func (d *Dispatcher) putBack(r *run) {
 	if r.step == nil {
 		return
 	}
@@ -111,7 +111,7 @@
 
 // lose gives up one run, and with it its gang.
 func (d *Dispatcher) lose(now unit.Instant, r *run, why string) {
-	d.back(r)
+	d.putBack(r)
 	d.release(r)
 	if r.step != nil && r.step.step.Gang && r.step.done < r.step.step.Count {
 		d.stopStep(now, r.step, "gang member lost: "+why)
--- /dev/null
+++ b/core/dispatch/upkeep.go
@@ -0,0 +1,210 @@
+package dispatch
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/upkeep"
+)
+
+// wave is one wave of maintenance and what the store knows of it.
+type wave struct {
+	number id.Wave
+	plan   *upkeep.Plan
+	record jobtable.Wave
+	// changed is set while the store's record is older than record.
+	changed bool
+	// finished is set once the operator was told so.
+	finished bool
+	// unanswered holds when the orders that got no answer are repeated.
+	unanswered map[id.Machine]unit.Instant
+}
+
+// SetWave takes in a wave that the operator asks for. One that an earlier owner has begun
+// goes on where the store's record says.
+func (d *Dispatcher) SetWave(now, wall unit.Instant, w upkeep.Wave) {
+	if d.waves[w.Number] != nil {
+		return
+	}
+	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}}
+	rec, known := d.table.Wave(w.Number)
+	if !known {
+		rec.Seen, x.changed = wall, true
+	}
+	x.record = jobtable.Wave{Seen: rec.Seen, Begun: slices.Clone(rec.Begun)}
+	x.plan = upkeep.New(w, now.Add(-wall.Sub(rec.Seen)), d.config.Away)
+	for _, m := range rec.Begun {
+		x.plan.Drop(m)
+	}
+	d.waves[w.Number] = x
+	d.orders.Reports = append(d.orders.Reports, WaveReport{Wave: w.Number})
+	d.note(Note{Event: EventWaveSeen, Why: fmt.Sprintf("wave %d: %d machines, %d begun", w.Number, len(w.Machines), len(rec.Begun)), Estimate: w.Within})
+}
+
+// maintain moves the waves on. A new owner waits: the former one may have ordered a machine
+// about a moment ago.
+func (d *Dispatcher) maintain(now unit.Instant) {
+	if len(d.waves) == 0 {
+		return
+	}
+	for _, n := range slices.Sorted(maps.Keys(d.waves)) {
+		if now.Sub(d.began) >= d.config.Handover {
+			d.advanceWave(now, d.waves[n])
+		}
+	}
+	for _, w := range d.order {
+		w.held = d.holds(w.Machine)
+	}
+}
+
+// holds reports whether a machine is to take no new tasks because of a wave.
+func (d *Dispatcher) holds(m id.Machine) bool {
+	for _, x := range d.waves {
+		if x.plan.Held(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// advanceWave begins to empty machines and orders down those that are empty.
+func (d *Dispatcher) advanceWave(now unit.Instant, x *wave) {
+	x.plan.Settle(now)
+	chosen := x.plan.Choose(now, func(m id.Machine) (float64, bool) { return d.emptyingCost(now, m) })
+	for _, m := range chosen {
+		d.note(Note{Event: EventUpkeepBegins, Why: fmt.Sprintf("machine %s of wave %d is emptied", m, x.number)})
+	}
+	for _, m := range x.plan.Emptying() {
+		d.empty(now, x, m)
+	}
+	for _, m := range slices.Sorted(maps.Keys(x.unanswered)) {
+		if now >= x.unanswered[m] {
+			delete(x.unanswered, m)
+			d.orderDown(x, m)
+		}
+	}
+	if x.plan.Finished() && !x.finished {
+		x.finished = true
+		d.orders.Reports = append(d.orders.Reports, WaveReport{Wave: x.number, Finished: true})
+		d.note(Note{Event: EventWaveFinished, Why: fmt.Sprintf("wave %d", x.number), Age: d.wall.Sub(x.record.Seen)})
+	}
+}
+
+// lifeOn returns the worker that is the present life of a machine, or nil.
+func (d *Dispatcher) lifeOn(m id.Machine) *worker {
+	for _, w := range d.order {
+		if w.Machine == m && w.listed {
+			return w
+		}
+	}
+	return nil
+}
+
+// emptyingCost returns the core-seconds that emptying a machine would throw away now. It
+// returns false if the machine isn't up, or runs tasks that may not be stopped now.
+func (d *Dispatcher) emptyingCost(now unit.Instant, m id.Machine) (float64, bool) {
+	w := d.lifeOn(m)
+	if w == nil || w.Draining {
+		return 0, false
+	}
+	cost, runs := 0.0, w.sorted()
+	for _, r := range runs {
+		if r.step != nil {
+			cost += d.lossOf(now, r)
+		}
+	}
+	return cost, mayStopAll(withStep(runs))
+}
+
+// withStep returns the runs whose jobs are known.
+func withStep(runs []*run) []*run {
+	return slices.DeleteFunc(runs, func(r *run) bool { return r.step == nil })
+}
+
+// empty orders a machine down if nothing runs there, and stops what runs when the wave can't
+// wait any longer.
+func (d *Dispatcher) empty(now unit.Instant, x *wave, m id.Machine) {
+	w := d.lifeOn(m)
+	if w == nil {
+		return // its next life will be emptied
+	}
+	if len(w.runs) == 0 {
+		if x.plan.Order(now, m) {
+			d.orderDown(x, m)
+		}
+		return
+	}
+	if !x.plan.Hurry(now, m) {
+		return
+	}
+	for _, r := range withStep(w.sorted()) {
+		if r.state != runStopping && mayStopAll([]*run{r}) {
+			d.stopRun(now, r, "its machine goes down for maintenance")
+		}
+	}
+}
+
+// orderDown orders a machine down, for the first time or again.
+func (d *Dispatcher) orderDown(x *wave, m id.Machine) {
+	d.orders.Upkeeps = append(d.orders.Upkeeps, Upkeep{Machine: m, Wave: x.number, Epoch: d.epoch})
+	d.note(Note{Event: EventUpkeepOrdered, Why: fmt.Sprintf("machine %s of wave %d", m, x.number)})
+}
+
+// Upkept takes in what became of an order to take a machine down.
+func (d *Dispatcher) Upkept(now unit.Instant, res UpkeepResult) {
+	x := d.waves[res.Upkeep.Wave]
+	if x == nil || res.Upkeep.Epoch != d.epoch {
+		return
+	}
+	m := res.Upkeep.Machine
+	d.note(Note{Event: EventUpkeepAnswered, Why: fmt.Sprintf("machine %s of wave %d: %s", m, x.number, res.Verdict)})
+	switch res.Verdict {
+	case fleet.Carried:
+		x.plan.Carried(now, m)
+		x.record.Begun = append(x.record.Begun, m)
+		x.changed = true
+		if w := d.lifeOn(m); w != nil {
+			w.listed = false // this life is over; the next one has another id
+		}
+	case fleet.Fenced:
+		d.fenced = true
+	case fleet.Stale, fleet.Invalid:
+		x.plan.Drop(m)
+	case fleet.Busy, fleet.Unreachable:
+		x.plan.Refused(now, m)
+	case fleet.Unknown, fleet.Expired, fleet.NoRoom, fleet.NoTicket, fleet.Replaced:
+		x.unanswered[m] = now.Add(upkeepAgain)
+	}
+}
+
+// back takes in that a machine shows another life.
+func (d *Dispatcher) back(l fleet.Listing) {
+	for _, x := range d.waves {
+		if w := d.workers[l.ID]; l.Machine != "" && w != nil && w.answered == 0 {
+			x.plan.Back(l.Machine)
+		}
+	}
+}
+
+// waveRecords returns the records of the waves that have moved on.
+func (d *Dispatcher) waveRecords() ([]jobtable.Record, error) {
+	var out []jobtable.Record
+	for _, n := range slices.Sorted(maps.Keys(d.waves)) {
+		x := d.waves[n]
+		if !x.changed {
+			continue
+		}
+		x.changed = false
+		r, err := d.table.WaveRecord(n, x.record)
+		if err != nil {
+			return nil, fmt.Errorf("dispatch: wave %d: %w", n, err)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -19,7 +19,9 @@
 
 // Listing is a worker as the platform's list of servers shows it.
 type Listing struct {
-	ID      id.Worker
+	ID id.Worker
+	// Machine is the one of which the worker is a life; empty if the list doesn't say.
+	Machine id.Machine
 	Address string
 	Service id.Service
 	Domain  id.Domain
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -20,6 +20,11 @@
 	Job string
 	// Worker names a worker, one machine that holds accelerators.
 	Worker string
+	// Machine names a machine of a service for as long as it stands; a worker is one life
+	// of it.
+	Machine string
+	// Wave numbers a wave of maintenance.
+	Wave int
 	// Rack names a rack of workers.
 	Rack string
 	// Domain names a failure domain.
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -4,7 +4,7 @@
 // has one kind of writer: the spec (the entry host that accepted the job), the
 // cancellation (the entry host that took it) and the progress (the owner). The keys
 // are apart, so that a submission repeated late can't undo a cancellation or an end.
-// One more key names the owner. Every host applies the same records in the order of
+// One more key names the owner, and the owner writes one for each wave of maintenance. Every host applies the same records in the order of
 // their offsets and so holds the same table.
 package jobtable
 
@@ -13,11 +13,13 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 
 	"curlewsill.org/curlewsill/core/codec"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
 )
 
 // ErrKey reports a record whose key no rule explains.
@@ -28,6 +30,7 @@
 	specPrefix     = "spec/"
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
+	wavePrefix     = "wave/"
 	ownerKey       = "owner"
 )
 
@@ -46,6 +49,15 @@
 	Epoch id.Epoch
 }
 
+// Wave is how far a wave of maintenance is.
+type Wave struct {
+	_ struct{} `cbor:",toarray"`
+	// Seen is the time of day at which an owner first saw the wave.
+	Seen unit.Instant
+	// Begun holds the machines whose maintenance has begun, in the order of that.
+	Begun []id.Machine
+}
+
 // Entry is what the table knows of one job.
 type Entry struct {
 	// Spec is nil if only other records of the job are known.
@@ -56,7 +68,8 @@
 
 // Table is the state of all jobs. The zero value is not ready; call New.
 type Table struct {
-	jobs map[id.Job]*Entry
+	jobs  map[id.Job]*Entry
+	waves map[id.Wave]Wave
 	// next is the offset of the first record that was not applied.
 	next  id.Offset
 	owner Owner
@@ -64,15 +77,18 @@
 	specs    codec.Codec[job.Spec]
 	progress codec.Codec[job.Progress]
 	owners   codec.Codec[Owner]
+	wave     codec.Codec[Wave]
 }
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{
 		jobs:     map[id.Job]*Entry{},
+		waves:    map[id.Wave]Wave{},
 		specs:    codec.New[job.Spec](),
 		progress: codec.New[job.Progress](),
 		owners:   codec.New[Owner](),
+		wave:     codec.New[Wave](),
 	}
 }
 
@@ -88,6 +104,12 @@
 // Get returns a job, or nil.
 func (t *Table) Get(j id.Job) *Entry { return t.jobs[j] }
 
+// Wave returns how far a wave is, or false if no owner has seen it.
+func (t *Table) Wave(n id.Wave) (Wave, bool) {
+	w, ok := t.waves[n]
+	return w, ok
+}
+
 // Jobs returns the names of all jobs in order.
 func (t *Table) Jobs() []id.Job { return slices.Sorted(maps.Keys(t.jobs)) }
 
@@ -120,6 +142,8 @@
 		return j, nil
 	case progressPrefix:
 		return j, t.applyProgress(j, r.Value)
+	case wavePrefix:
+		return "", t.applyWave(name, r.Value)
 	}
 	return "", fmt.Errorf("%w: %q", ErrKey, r.Key)
 }
@@ -135,6 +159,19 @@
 	return nil
 }
 
+func (t *Table) applyWave(name string, value []byte) error {
+	n, err := strconv.Atoi(name)
+	if err != nil {
+		return fmt.Errorf("%w: wave %q", ErrKey, name)
+	}
+	w, err := t.wave.Decode(value)
+	if err != nil {
+		return fmt.Errorf("jobtable: wave %d: %w", n, err)
+	}
+	t.waves[id.Wave(n)] = w
+	return nil
+}
+
 // entry returns the entry of a job, which is added if there is none.
 func (t *Table) entry(j id.Job) *Entry {
 	e := t.jobs[j]
@@ -206,6 +243,12 @@
 	return Record{Key: progressPrefix + string(j), Value: b}, err
 }
 
+// WaveRecord returns the record of how far a wave is.
+func (t *Table) WaveRecord(n id.Wave, w Wave) (Record, error) {
+	b, err := t.wave.Encode(w)
+	return Record{Key: wavePrefix + strconv.Itoa(int(n)), Value: b}, err
+}
+
 // OwnerRecord returns the record of a claim.
 func (t *Table) OwnerRecord(o Owner) (Record, error) {
 	b, err := t.owners.Encode(o)
--- /dev/null
+++ b/core/upkeep/upkeep_test.go
@@ -0,0 +1,122 @@
+package upkeep_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/upkeep"
+)
+
+// TestScripts drives a plan by the scripts in testdata:
+//
+//	wave WITHIN MOST MACHINE...       a new plan; machines are down for 2 s
+//	at TIME                           the time from when the wave was seen
+//	choose [MACHINE=COST]... -> M...  machines without a cost can't be emptied now
+//	hurry M true|false                order M true|false
+//	carried|refused|back|drop M
+//	settle                            time has passed
+//	finished true|false
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s := &script{t: t, now: unit.At(time.Unix(1000, 0))}
+			for i, l := range strings.Split(string(data), "\n") {
+				if f := strings.Fields(l); len(f) > 0 && f[0] != "#" {
+					s.line = i + 1
+					s.do(f)
+				}
+			}
+		})
+	}
+}
+
+type script struct {
+	t    *testing.T
+	line int
+	now  unit.Instant
+	plan *upkeep.Plan
+}
+
+func (s *script) do(f []string) {
+	m := id.Machine(f[len(f)-1])
+	if len(f) > 1 {
+		m = id.Machine(f[1])
+	}
+	switch f[0] {
+	case "wave":
+		w := upkeep.Wave{Number: 1, Within: s.duration(f[1])}
+		w.Most, _ = strconv.Atoi(f[2])
+		for _, name := range f[3:] {
+			w.Machines = append(w.Machines, id.Machine(name))
+		}
+		s.plan = upkeep.New(w, s.now, 2*time.Second)
+	case "at":
+		s.now = unit.At(time.Unix(1000, 0)).Add(s.duration(f[1]))
+	case "choose":
+		s.choose(f[1:])
+	case "hurry":
+		s.want(f[2], s.plan.Hurry(s.now, m))
+	case "order":
+		s.want(f[2], s.plan.Order(s.now, m))
+	case "carried":
+		s.plan.Carried(s.now, m)
+	case "settle":
+		s.plan.Settle(s.now)
+	case "refused":
+		s.plan.Refused(s.now, m)
+	case "back":
+		s.plan.Back(m)
+	case "drop":
+		s.plan.Drop(m)
+	case "finished":
+		s.want(f[1], s.plan.Finished())
+	default:
+		s.t.Fatalf("line %d: unknown command %q", s.line, f[0])
+	}
+}
+
+func (s *script) choose(f []string) {
+	costs := map[id.Machine]float64{}
+	for len(f) > 0 && f[0] != "->" {
+		name, cost, _ := strings.Cut(f[0], "=")
+		costs[id.Machine(name)], _ = strconv.ParseFloat(cost, 64)
+		f = f[1:]
+	}
+	got := s.plan.Choose(s.now, func(m id.Machine) (float64, bool) { c, ok := costs[m]; return c, ok })
+	want := make([]id.Machine, 0, len(f))
+	for _, name := range f[1:] {
+		want = append(want, id.Machine(name))
+	}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		s.t.Errorf("line %d: chose %v, want %v", s.line, got, want)
+	}
+}
+
+func (s *script) want(text string, got bool) {
+	if strconv.FormatBool(got) != text {
+		s.t.Errorf("line %d: got %t", s.line, got)
+	}
+}
+
+func (s *script) duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatalf("line %d: %v", s.line, err)
+	}
+	return d
+}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -10,6 +13,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -77,7 +81,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
 		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, epoch, h.table), cancel: cancel,
-		seq: 1, listed: map[id.Worker]bool{},
+		seq: 1, listed: map[id.Worker]bool{}, reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
 	h.metrics.owning.Store(true)
@@ -89,7 +93,11 @@
 	for _, j := range h.table.Jobs() {
 		o.learn(now, j)
 	}
+	for _, n := range slices.Sorted(maps.Keys(h.waves)) {
+		o.core.SetWave(now, unit.At(time.Now()), h.waves[n])
+	}
 	go h.readServers(ctx, o)
+	go o.report(ctx)
 }
 
 // stepDown ends scheduling at once.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -26,6 +26,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/upkeep"
 	"curlewsill.org/curlewsill/internal/relay"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/internal/settings"
@@ -48,6 +49,8 @@
 	workerConns = 8
 	// adviceConns bounds those to the advice service, which takes one call at a time.
 	adviceConns = 1
+	// machineConns bounds those to the service that takes machines down.
+	machineConns = 2
 )
 
 // event is news for the deciding goroutine, which calls it.
@@ -62,6 +65,7 @@
 	store    *platform.Store
 	workers  *platform.Workers
 	advice   *platform.Advice
+	machines *platform.Machines
 	// advicePath leads to the advice service, by this host and by its peers.
 	advicePath *relay.Path
 	// self is unique for this life of the process.
@@ -94,7 +98,9 @@
 
 	// What follows belongs to the deciding goroutine; others reach it by ask and post.
 	// loaded is set once table holds the store's state.
-	table    *jobtable.Table
+	table *jobtable.Table
+	// waves holds the waves of maintenance that the operator asks for.
+	waves    map[id.Wave]upkeep.Wave
 	loaded   bool
 	election *election.Election
 	// owner is nil unless this host schedules; claiming is set while an append that
@@ -125,7 +131,9 @@
 		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
 		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
 		advice:  platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log), advicePath: advicePath,
-		events: ring.New[event](events), stopped: make(chan struct{}),
+		machines: platform.NewMachines(s.Machines, s.Host, platform.NewHTTPClient(machineConns), log),
+		waves:    map[id.Wave]upkeep.Wave{},
+		events:   ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), election: election.New(self), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -43,6 +43,12 @@
 		})
 	}
 	o.askAdvice(ctx, orders.Asks)
+	o.takeDown(ctx, orders.Upkeeps)
+	for _, r := range orders.Reports {
+		if !o.reports.Offer(r) {
+			o.host.log.Error("report-dropped", zap.Int("wave", int(r.Wave)), zap.Bool("finished", r.Finished))
+		}
+	}
 }
 
 // askAdvice hands out the questions to the advice service.
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -12,6 +12,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -29,6 +30,8 @@
 	seq uint64
 	// writing is set while an append is under way.
 	writing bool
+	// reports wait to be written for the operator.
+	reports *ring.Ring[dispatch.WaveReport]
 	// listed holds the workers in the platform's list.
 	listed map[id.Worker]bool
 }
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -33,6 +33,8 @@
 // stand-ins of the store and the workers behind the same adapter as on the platform.
 //
 //	hosts N | workers N              starts so many
+//	wave N MOST MACHINE...           the operator asks for maintenance; machines are m-0 and so on
+//	maintained N                     waits until wave N is told to be completed
 //	advice WORKER...                 from now on, starts need permits, which these don't get
 //	submit HOST JOB TASKS PAYLOAD STATUS [key=K] [attempts...]
 //	again HOST JOB STATUS            submits the same job once more
@@ -75,9 +77,12 @@
 	stops   []context.CancelFunc
 	ended   []chan struct{}
 	advice  string
-	bodies  map[string]string
-	key     string
-	line    int
+	// machines is the address of the service that takes machines down, taken what it did.
+	machines string
+	taken    *standin.Machines
+	bodies   map[string]string
+	key      string
+	line     int
 }
 
 // work is what the payloads of the scripts do.
@@ -95,6 +100,10 @@
 	t.Cleanup(server.CloseClientConnections)
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	s.store.Put("keyed.op", "config", []byte(configuration))
+	s.taken = standin.NewMachines(s.takeDown)
+	cloud := httptest.NewServer(s.taken)
+	t.Cleanup(cloud.CloseClientConnections)
+	s.machines = strings.TrimPrefix(cloud.URL, "http://")
 	t.Cleanup(func() {
 		for _, stop := range s.stops {
 			stop()
@@ -141,6 +150,11 @@
 		s.startHost(s.number(f[1]))
 	case "advice":
 		s.startAdvice(f[1:])
+	case "wave":
+		body := fmt.Sprintf(`{"wave":%s,"Machines":["%s"],"FinishByS":8,"UpperLimit":%s}`, f[1], strings.Join(f[3:], `","`), f[2])
+		s.store.Put("keyed.op", "wave/"+f[1], []byte(body))
+	case "maintained":
+		s.maintained(f[1])
 	case "kill":
 		s.stops[s.number(f[1])]()
 	case "stop":
@@ -312,8 +326,11 @@
 func (s *site) startHost(n int) {
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
-		Store: s.address, Advice: s.advice, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
-		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute},
+		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
+		Workers: dispatch.Config{
+			MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
+			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
+		},
 	}, zap.NewNop())
 	if err != nil {
 		s.t.Fatal(err)
@@ -340,10 +357,42 @@
 }
 
 func (s *site) startWorker() {
-	name := fmt.Sprintf("w-%d", len(s.workers))
+	n := len(s.workers)
+	s.workers = append(s.workers, nil)
+	s.startLife(n, fmt.Sprintf("w-%d", n))
+}
+
+// startLife starts a life of the machine of a worker.
+func (s *site) startLife(n int, name string) {
 	w := standin.NewWorker(name, work)
 	server := httptest.NewServer(w)
 	s.t.Cleanup(server.CloseClientConnections)
-	s.workers = append(s.workers, w)
-	s.store.PutWorker(name, strings.TrimPrefix(server.URL, "http://"))
+	s.workers[n] = w
+	s.store.PutWorker(name, fmt.Sprintf("m-%d", n), strings.TrimPrefix(server.URL, "http://"))
+}
+
+// takeDown ends the life of a machine's worker and starts another one.
+func (s *site) takeDown(machine string) {
+	n, err := strconv.Atoi(strings.TrimPrefix(machine, "m-"))
+	if err != nil || n >= len(s.workers) {
+		s.failf("machine %s", machine)
+		return
+	}
+	s.workers[n].SetFault(standin.FaultSilent)
+	s.store.Put("keyed.servers", s.workers[n].ID(), nil)
+	s.startLife(n, s.workers[n].ID()+"+")
+}
+
+// maintained waits until a wave is told to be completed.
+func (s *site) maintained(wave string) {
+	for end := time.Now().Add(deadline); ; time.Sleep(20 * time.Millisecond) {
+		status := string(s.store.Get("keyed.status", "wave/"+wave))
+		if strings.Contains(status, "completed") {
+			return
+		}
+		if time.Now().After(end) {
+			s.failf("wave %s is %s; machines %v went down", wave, status, s.taken.Begun())
+			return
+		}
+	}
 }
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -240,8 +240,11 @@
 	t := &tail{host: h, topic: platform.TopicOperator, wait: operatorWait, pause: func() time.Duration { return 0 }}
 	take := func(recs []jobtable.Record) {
 		for _, r := range recs {
-			if r.Key == platform.KeyConfig && len(r.Value) > 0 {
+			switch {
+			case r.Key == platform.KeyConfig && len(r.Value) > 0:
 				h.takeConfig(ctx, r.Value)
+			case platform.IsWave(r):
+				h.takeWave(ctx, r.Value)
 			}
 		}
 	}
@@ -275,6 +278,21 @@
 	})
 }
 
+// takeWave takes in that the operator asks for a wave of maintenance.
+func (h *Host) takeWave(ctx context.Context, value []byte) {
+	w, err := platform.DecodeWave(value)
+	if err != nil {
+		h.log.Error("wave-rejected", zap.Error(err))
+		return
+	}
+	h.post(ctx, func(now unit.Instant) {
+		h.waves[w.Number] = w
+		if h.owner != nil {
+			h.owner.core.SetWave(now, unit.At(time.Now()), w)
+		}
+	})
+}
+
 // readServers follows the list of workers while the host is the owner.
 func (h *Host) readServers(ctx context.Context, o *owner) {
 	t := &tail{host: h, topic: platform.TopicServers, pause: func() time.Duration { return serversPause }}
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -26,6 +26,9 @@
 	Memory unit.Bytes
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
+	// Machines is the address of the service that takes machines down for maintenance;
+	// empty if there is none.
+	Machines string
 	// Advice is the address of the service that says where steps of some queues may
 	// run; empty if there is none.
 	Advice string
@@ -51,7 +54,7 @@
 }
 
 func readSite(f *inifile.File) Site {
-	host, store, limits, workers := f.Section("host"), f.Section("store"), f.Section("limits"), f.Section("workers")
+	host, store, limits, workers, machines := f.Section("host"), f.Section("store"), f.Section("limits"), f.Section("workers"), f.Section("machines")
 	s := Site{
 		Host:       id.Host(host.Need("id")),
 		Domain:     id.Domain(host.Need("domain")),
@@ -64,12 +67,15 @@
 		LeastTTL:   store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
 		Memory:     limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
 		Grace:      limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
+		Machines:   machines.OptionalAddress("address"),
 		Advice:     workers.OptionalAddress("advice"),
 		Workers: dispatch.Config{
 			MaxLease:  workers.Duration("max_lease", 10*time.Second, time.Second, maxPeriod),
 			StopTime:  workers.Duration("stop", time.Second, time.Millisecond, time.Minute),
 			SaveEvery: workers.Duration("save", time.Second, time.Millisecond, maxPeriod),
 			KeepEnded: workers.Duration("keep_ended", 2*time.Minute, time.Second, maxPeriod),
+			Handover:  machines.Duration("handover", 3*time.Second, time.Millisecond, time.Minute),
+			Away:      machines.Duration("away", 2*time.Second, time.Millisecond, time.Hour),
 		},
 		LogLevel: f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
 	}
