dispatch: the time that a run still needs counts from its last report

Cause: a report is up to two seconds old, and the time that a run still needs was taken as if it had made no progress since. Runs that would have ended were moved off leaving workers, and room for gangs was expected too late.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -246,7 +246,7 @@
 		if r == nil || r.number != x.Run {
 			continue
 		}
-		r.checkpoint, r.percent, r.load = x.Checkpoint, x.Percent, x.Load
+		r.checkpoint, r.percent, r.load, r.reported = x.Checkpoint, x.Percent, x.Load, now
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
 		}
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -114,8 +114,9 @@
 	if r.started == 0 {
 		ran = 0
 	}
-	if r.percent >= trustPercent && ran > 0 {
-		return scale(ran, float64(100-r.percent)/float64(r.percent))
+	if r.percent >= trustPercent && r.reported > r.started {
+		whole := scale(r.reported.Sub(r.started), 100/float64(r.percent))
+		return max(0, whole-ran)
 	}
 	return max(0, r.step.step.Estimate-ran)
 }
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -99,6 +99,8 @@
 	started    unit.Instant
 	checkpoint string
 	percent    int
+	// reported is when the worker told these.
+	reported unit.Instant
 	// load is the worker's figure of the run: a serving task's tail latency in
 	// milliseconds, another one's processor time in use.
 	load int64
