dispatch, platform, entry: the list of machines says which worker is a machine's life

Cause: the platform's example of a worker's entry doesn't name its machine, so a wave might find no worker for its machines and never move on.

Change: while a wave has machines of which no present life is known, the owner reads the platform's list of machines, all pages, twice a second. A machine is back when another life than the one that was ordered down shows.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -92,6 +92,9 @@
 	if l.Draining && !w.Draining {
 		d.note(Note{Event: EventWorkerDraining, Worker: l.ID, Age: l.Remaining})
 	}
+	if l.Machine == "" {
+		l.Machine = w.Machine // it may be known from elsewhere
+	}
 	keepClock, at := w.Clock, w.clockAt
 	w.Listing, w.listed = l, true
 	if l.Draining {
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -105,6 +105,12 @@
 	Verdict fleet.Verdict
 }
 
+// Life says which worker is the present life of a machine.
+type Life struct {
+	Machine id.Machine
+	Worker  id.Worker
+}
+
 // WaveReport says how far a wave is, for the operator.
 type WaveReport struct {
 	Wave     id.Wave
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -21,6 +21,8 @@
 	changed bool
 	// finished is set once the operator was told so.
 	finished bool
+	// down holds the lives that were ordered down, by machine.
+	down map[id.Machine]id.Worker
 	// unanswered holds when the orders that got no answer are repeated.
 	unanswered map[id.Machine]unit.Instant
 }
@@ -31,7 +33,7 @@
 	if d.waves[w.Number] != nil {
 		return
 	}
-	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}}
+	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, down: map[id.Machine]id.Worker{}}
 	rec, known := d.table.Wave(w.Number)
 	if !known {
 		rec.Seen, x.changed = wall, true
@@ -46,6 +48,32 @@
 	d.note(Note{Event: EventWaveSeen, Why: fmt.Sprintf("wave %d: %d machines, %d begun", w.Number, len(w.Machines), len(rec.Begun)), Estimate: w.Within})
 }
 
+// MachinesWanted reports whether a wave has machines of which no present life is known.
+func (d *Dispatcher) MachinesWanted() bool {
+	for _, x := range d.waves {
+		for _, m := range x.plan.Open() {
+			if d.lifeOn(m) == nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// SetLives takes in which workers are the present lives of machines, for workers whose
+// entry in the list names none.
+func (d *Dispatcher) SetLives(now unit.Instant, lives []Life) {
+	for _, l := range lives {
+		w := d.workers[l.Worker]
+		if w == nil || w.Machine == l.Machine {
+			continue
+		}
+		listing := w.Listing
+		listing.Machine = l.Machine
+		d.List(now, listing)
+	}
+}
+
 // maintain moves the waves on. A new owner waits: the former one may have ordered a machine
 // about a moment ago.
 func (d *Dispatcher) maintain(now unit.Instant) {
@@ -151,6 +179,9 @@
 
 // orderDown orders a machine down, for the first time or again.
 func (d *Dispatcher) orderDown(x *wave, m id.Machine) {
+	if w := d.lifeOn(m); w != nil {
+		x.down[m] = w.ID
+	}
 	d.orders.Upkeeps = append(d.orders.Upkeeps, Upkeep{Machine: m, Wave: x.number, Epoch: d.epoch})
 	d.note(Note{Event: EventUpkeepOrdered, Why: fmt.Sprintf("machine %s of wave %d", m, x.number)})
 }
@@ -185,7 +216,7 @@
 // back takes in that a machine shows another life.
 func (d *Dispatcher) back(l fleet.Listing) {
 	for _, x := range d.waves {
-		if w := d.workers[l.ID]; l.Machine != "" && w != nil && w.answered == 0 {
+		if l.Machine != "" && x.down[l.Machine] != "" && x.down[l.Machine] != l.ID {
 			x.plan.Back(l.Machine)
 		}
 	}
--- a/core/upkeep/upkeep.go
+++ b/core/upkeep/upkeep.go
@@ -103,6 +103,11 @@
 // Emptying returns the machines that are to take no new tasks, in the wave's order.
 func (p *Plan) Emptying() []id.Machine { return p.in(emptying) }
 
+// Open returns the machines that have not come back from their maintenance yet.
+func (p *Plan) Open() []id.Machine {
+	return slices.Concat(p.in(waiting), p.in(emptying), p.in(ordered), p.in(down))
+}
+
 // Held reports whether a machine is to take no new tasks.
 func (p *Plan) Held(m id.Machine) bool {
 	x := p.machines[m]
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -98,6 +98,7 @@
 	}
 	go h.readServers(ctx, o)
 	go o.report(ctx)
+	go o.followMachines(ctx)
 }
 
 // stepDown ends scheduling at once.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -360,6 +360,7 @@
 	n := len(s.workers)
 	s.workers = append(s.workers, nil)
 	s.startLife(n, fmt.Sprintf("w-%d", n))
+	s.taken.SetLife(fmt.Sprintf("m-%d", n), s.workers[n].ID())
 }
 
 // startLife starts a life of the machine of a worker.
@@ -368,19 +369,20 @@
 	server := httptest.NewServer(w)
 	s.t.Cleanup(server.CloseClientConnections)
 	s.workers[n] = w
-	s.store.PutWorker(name, fmt.Sprintf("m-%d", n), strings.TrimPrefix(server.URL, "http://"))
+	s.store.PutWorker(name, strings.TrimPrefix(server.URL, "http://"))
 }
 
-// takeDown ends the life of a machine's worker and starts another one.
-func (s *site) takeDown(machine string) {
+// takeDown ends the life of a machine's worker and starts another one, whose id it returns.
+func (s *site) takeDown(machine string) string {
 	n, err := strconv.Atoi(strings.TrimPrefix(machine, "m-"))
 	if err != nil || n >= len(s.workers) {
 		s.failf("machine %s", machine)
-		return
+		return ""
 	}
 	s.workers[n].SetFault(standin.FaultSilent)
 	s.store.Put("keyed.servers", s.workers[n].ID(), nil)
 	s.startLife(n, s.workers[n].ID()+"+")
+	return s.workers[n].ID()
 }
 
 // maintained waits until a wave is told to be completed.
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -27,6 +28,30 @@
 	}
 }
 
+// lookEveryMachines is the pause between two reads of the list of machines while a wave has
+// some whose worker isn't known. The platform takes some 60 such calls a second.
+const lookEveryMachines = 500 * time.Millisecond
+
+// followMachines tells the dispatcher which workers are lives of which machines, as long as
+// that is asked for, until ctx is done. The list of workers may say it too.
+func (o *owner) followMachines(ctx context.Context) {
+	dep := dependency{log: o.host.log, name: "list of machines"}
+	for pause(ctx, lookEveryMachines) {
+		wanted, ok := ask(ctx, o.host, func(unit.Instant) bool { return o.core.MachinesWanted() })
+		if !ok || !wanted || o.host.settings.Machines == "" {
+			continue
+		}
+		lives, err := o.host.machines.List(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		dep.note(err)
+		if err == nil {
+			o.answered(ctx, func(now unit.Instant) { o.core.SetLives(now, lives) })
+		}
+	}
+}
+
 // report writes the reports on waves for the operator, one after the other, until ctx is
 // done or a later owner has written.
 func (o *owner) report(ctx context.Context) {
--- a/internal/sitedemo/sitedemo.go
+++ b/internal/sitedemo/sitedemo.go
@@ -117,7 +117,7 @@
 			return err
 		}
 		s.workers, s.closers = append(s.workers, w), append(s.closers, stop)
-		s.store.PutWorker(name, "m-"+name, at)
+		s.store.PutWorker(name, at)
 	}
 	for i := range hostCount {
 		if err := s.startHost(ctx, i, address); err != nil {
