dispatch: a stop that a worker refuses is repeated

An unhealthy worker answered an order to stop with 503, which means that it has done nothing; that was taken for done. The run went on for ever as one that is being stopped, its room counted as free soon, and one urgent job kept room for 26 s in turns of 2 s without ever getting it (log: thirteen room-claimed lines). On a cancelled job the task would have run on.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -107,13 +107,15 @@
 	if w == nil || res.Stop.Epoch != d.epoch {
 		return
 	}
-	ok := d.judge(now, w, res.Verdict, res.Clock)
+	d.judge(now, w, res.Verdict, res.Clock)
 	r := w.runs[res.Stop.Task]
 	if r == nil || r.number != res.Stop.Run {
 		return
 	}
 	r.inFlight = false
-	if ok && r.stopDone == 0 {
+	// Any other answer means that nothing was done; resend repeats the order.
+	done := res.Verdict == fleet.Carried || res.Verdict == fleet.Stale
+	if done && r.stopDone == 0 {
 		r.stopDone = now
 		// One look that doesn't wait tells whether the run was ever there.
 		w.nextHold = min(w.nextHold, now.Add(d.config.StopTime))
@@ -246,6 +248,9 @@
 		if r == nil || r.number != x.Run {
 			continue
 		}
+		if r.state == runStopping && r.stopDone != 0 && now.Sub(r.stopDone) > stopPatience*d.config.StopTime {
+			r.stopDone = 0 // it should have ended long ago: resend orders it again
+		}
 		r.checkpoint, r.percent, r.load, r.reported = x.Checkpoint, x.Percent, x.Load, now
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -79,6 +79,9 @@
 	// failed, if there are other workers. It is less than the 3 s after which a
 	// waiting job counts as lost while there is room.
 	avoidAfterFailure = 2 * time.Second
+	// stopPatience times the time that a stop may take is when a run that is still listed is
+	// ordered to stop again.
+	stopPatience = 3
 	// resendAfter is when an order without an answer is repeated. Workers answer
 	// within a few milliseconds. Measured.
 	resendAfter = 300 * time.Millisecond
