core/dispatch: each figure stands with the code that uses it

config.go had grown to a list of all the owner's figures, far from their use. The weight of disturbed neighbours was multiplied in two places and is now part of disturbance. It is an integer times an integer, so sums and the order of workers stay the same.

No test is changed.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -1,11 +1,22 @@
 package dispatch
 
 import (
+	"time"
+
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+const (
+	// renewPause is the pause before another renewal when the last one brought
+	// nothing that could be waited for.
+	renewPause = 500 * time.Millisecond
+	// busyPause is how long a worker that refused a start is left alone; a
+	// renewal that is sent at once tells meanwhile what it holds.
+	busyPause = 500 * time.Millisecond
+)
+
 // answered notes that a worker lives, and its clock.
 func (d *Dispatcher) answered(now unit.Instant, w *worker, c fleet.Clock) {
 	w.answered, w.refused = now, 0
--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -9,6 +9,9 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+// lateFactor times the time allowed is when a job stops earning anything.
+const lateFactor = 3
+
 // candidate is one step of which tasks may start now.
 type candidate struct {
 	step *stepState
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -147,11 +147,6 @@
 	return w
 }
 
-// lapseOf returns when a lease that is granted at most now has surely run out.
-func (d *Dispatcher) lapseOf(now unit.Instant) unit.Instant {
-	return now.Add(scale(d.config.MaxLease, clockDrift)).Add(lapseSlack)
-}
-
 // AddJob takes in a job with the progress that the store has.
 func (d *Dispatcher) AddJob(now unit.Instant, name id.Job, s *job.Spec, p job.Progress, cancelled bool) {
 	if d.jobs[name] != nil {
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 
-	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -61,12 +60,6 @@
 	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch}
 }
 
-// lease returns the end of a lease granted now, and notes that it may be granted.
-func (d *Dispatcher) lease(now unit.Instant, w *worker) fleet.Clock {
-	w.lapse = max(w.lapse, d.lapseOf(now))
-	return w.clock(now) + fleet.Clock(d.config.MaxLease)
-}
-
 // firstOrder sends the order of a run whose placement is in the store, unless that has
 // become wrong meanwhile.
 func (d *Dispatcher) firstOrder(now unit.Instant, r *run) {
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -121,8 +121,8 @@
 	victims []*run
 	cost    float64
 	left    float64
-	// extra is added to left: for opening an empty worker, and for one whose last
-	// runs failed.
+	// extra is added to left: for opening an empty worker, for one whose last runs
+	// failed, and for disturbing or being disturbed.
 	extra float64
 }
 
@@ -133,7 +133,7 @@
 	tallies := make([]tally, len(workers))
 	empty := emptyByRack(workers)
 	for i, w := range workers {
-		tallies[i].worker, tallies[i].extra = w, empty.opening(w)+w.suspicion()+sharingWeight*float64(s.disturbs(w))
+		tallies[i].worker, tallies[i].extra = w, empty.opening(w)+w.suspicion()+s.disturbance(w)
 	}
 	var out assignment
 	for range c.waiting {
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -1,10 +1,30 @@
 package dispatch
 
 import (
+	"time"
+
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+const (
+	// failStreak is how many runs of different jobs fail in a row before a worker
+	// is suspected, and failPause how long it then gets no tasks. A sound worker
+	// fails one run in twenty on the users' sites.
+	failStreak = 3
+	failPause  = 5 * time.Second
+	// trialTime is how long the first run after a suspension must go on before the worker
+	// is taken for sound. Workers that fail all they start do so within 50 ms.
+	trialTime = 2 * time.Second
+	// suspicionWeight is added for each failure in a row on a worker; it outweighs all
+	// else by which workers are compared, so that others are taken first.
+	suspicionWeight = 10
+	// avoidAfterFailure is how long a task isn't placed again where it has just
+	// failed, if there are other workers. It is less than the 3 s after which a
+	// waiting job counts as lost while there is room.
+	avoidAfterFailure = 2 * time.Second
+)
+
 // failure is where and when a run of a task has failed.
 type failure struct {
 	worker *worker
--- a/core/dispatch/lasting.go
+++ b/core/dispatch/lasting.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -8,6 +10,10 @@
 // atWork is the percent of a long-running task that does its work in full.
 const atWork = 100
 
+// lastingPatience is how long long-running tasks wait before room that is kept for
+// others is given up. The platform counts one as lost that waits 3 s with room.
+const lastingPatience = time.Second
+
 // away returns how many tasks of a long-running step are not at work.
 func (s *stepState) away() int {
 	n := 0
--- /dev/null
+++ b/core/dispatch/lease.go
@@ -0,0 +1,34 @@
+package dispatch
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+const (
+	// clockDrift is how much faster than a worker's clock ours may run: theirs
+	// may be 2 % slow by the platform's word.
+	clockDrift = 1.0 / 0.98
+	// lapseSlack is added to each lease's end for the way of an order, a few
+	// milliseconds, and for late timers.
+	lapseSlack = 200 * time.Millisecond
+)
+
+// lease returns the end of a lease granted now, and notes that it may be granted.
+func (d *Dispatcher) lease(now unit.Instant, w *worker) fleet.Clock {
+	w.lapse = max(w.lapse, d.lapseOf(now))
+	return w.clock(now) + fleet.Clock(d.config.MaxLease)
+}
+
+// lapseOf returns when a lease that is granted at most now has surely run out.
+func (d *Dispatcher) lapseOf(now unit.Instant) unit.Instant {
+	return now.Add(scale(d.config.MaxLease, clockDrift)).Add(lapseSlack)
+}
+
+// clock returns a reading that the worker's clock has surely reached.
+func (w *worker) clock(now unit.Instant) fleet.Clock {
+	passed := float64(now.Sub(w.clockAt)) / clockDrift
+	return w.Clock + fleet.Clock(passed)
+}
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -29,6 +29,9 @@
 	paceEvery = 700 * time.Millisecond
 	// fullSpeed is the speed of a run that nobody slows down, in percent.
 	fullSpeed = 100
+	// sharingWeight is added for each run on a worker that a task would disturb, or that
+	// would disturb it; it outweighs all but suspicion.
+	sharingWeight = 8
 )
 
 // fills reports whether a run uses what others leave.
@@ -47,9 +50,9 @@
 	return filling && serving
 }
 
-// disturbs counts the runs on a worker that would disturb a task of the step, or that it
-// would disturb.
-func (s *stepState) disturbs(w *worker) int {
+// disturbance is added to the leftover of a placement on a worker with runs that would
+// disturb a task of the step, or that it would disturb.
+func (s *stepState) disturbance(w *worker) float64 {
 	if !s.step.Fills && s.step.TargetLatency == 0 {
 		return 0
 	}
@@ -59,7 +62,7 @@
 			n++
 		}
 	}
-	return n
+	return sharingWeight * float64(n)
 }
 
 // pressure returns the worst tail latency of the worker's serving tasks, as a part of the
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -10,6 +10,32 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+const (
+	// resendAfter is when an order without an answer is repeated. Workers answer
+	// within a few milliseconds. Measured.
+	resendAfter = 300 * time.Millisecond
+	// renewWait is how long a renewal may wait at the worker for news; the
+	// platform allows 2 s.
+	renewWait = 2 * time.Second
+	// sharedWait is the same on a worker where tasks that use what others leave run beside
+	// serving ones: the worker's figures are those of the last half second.
+	sharedWait = 500 * time.Millisecond
+	// silentAfter is how long after its last answer a worker gets no new tasks.
+	// It is one renewal that waited in full, and one lost.
+	silentAfter = 3500 * time.Millisecond
+	// goneAfter is how long a worker that the list has dropped must be silent before its
+	// refused connections, or its announced end, count: two renewals after renewPause.
+	goneAfter = time.Second
+	// evacuateSlack is the time that a stop needs on its way and to be noted.
+	evacuateSlack = 500 * time.Millisecond
+	// trustPercent is the least progress, in percent, from which a run's remaining time
+	// is estimated; below, the customer's estimate counts.
+	trustPercent = 10
+	// forgetJobs bounds how many ended jobs are dropped in one batch; each is
+	// three records.
+	forgetJobs = 20
+)
+
 // Pass does what is due: it gives up lapsed leases, repeats orders, renews leases and
 // places tasks. Now is a steady clock; wall is the time of day, by which the rounds of
 // timed jobs fall due, and may jump.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -7,6 +7,19 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+const (
+	// nearWait is how long urgent work waits for room near its data or in one rack
+	// before it takes room elsewhere; it must have begun after about 3 s.
+	nearWait = 1200 * time.Millisecond
+	// roomyWait is the same for other work while there is room to spare. The
+	// platform counts a job as lost that waits 3 s then.
+	roomyWait = 2 * time.Second
+	// farUsage is the part of a service's capacity in use below which work that
+	// isn't urgent may be placed where it is slow. The platform asks for work to
+	// start when under half is in use.
+	farUsage = 0.5
+)
+
 // placeAll places what may start, most urgent first.
 func (d *Dispatcher) placeAll(now unit.Instant) {
 	usable := d.usableWorkers(now)
@@ -138,8 +151,7 @@
 		if !s.step.Reserved().Fits(w.free()) || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
-		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w) + w.suspicion() +
-			sharingWeight*float64(s.disturbs(w))
+		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w) + w.suspicion() + s.disturbance(w)
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -9,6 +9,21 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+const (
+	// claimTime is how long room is kept for a step that others were stopped for: twice
+	// the time that a stop may take by default.
+	claimTime = 2 * time.Second
+	// stopCost is added for each run that is stopped, in core-seconds, so that
+	// few are stopped when little work is lost either way.
+	stopCost = 1
+	// shortestWait and longestWait bound how far ahead room is kept for a gang that
+	// nobody is stopped for; the time doubles in between. mostWaitingClaims bounds how
+	// many gangs that is done for at a time, because kept room lies idle.
+	shortestWait      = time.Second
+	longestWait       = 8 * time.Second
+	mostWaitingClaims = 2
+)
+
 // preempt stops work of lower priority for work that finds no room and can't wait, and
 // keeps the room for it until the stopped runs have ended. If that isn't enough, room
 // is kept where most of it will be free soonest.
@@ -116,15 +131,3 @@
 	}
 	return victims, cost
 }
-
-// lossOf returns the core-seconds that are lost when a run, and so its gang, stops.
-func (d *Dispatcher) lossOf(now unit.Instant, r *run) float64 {
-	if !r.step.step.Gang {
-		return r.unsaved(now, d.config.SaveEvery)
-	}
-	sum := 0.0
-	for _, m := range r.step.runs {
-		sum += m.unsaved(now, d.config.SaveEvery)
-	}
-	return sum
-}
--- a/core/dispatch/rack.go
+++ b/core/dispatch/rack.go
@@ -2,6 +2,11 @@
 
 import "curlewsill.org/curlewsill/core/id"
 
+// rackWeight is added for opening a worker of a rack that is wholly empty, less for
+// one that is partly so. It outweighs the most that leftover returns, so that whole
+// racks are kept. Measured: docs/design/07-worth.md.
+const rackWeight = 4
+
 // rackUse is the part of each rack's workers on which nothing runs.
 type rackUse map[id.Rack]float64
 
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -5,6 +5,10 @@
 	"curlewsill.org/curlewsill/core/job"
 )
 
+// acceleratorWeight makes free accelerators count more than free processors
+// or memory when the fullest worker is sought: they are what runs short.
+const acceleratorWeight = 2
+
 // occupy makes a run take room on its worker.
 func (d *Dispatcher) occupy(r *run) {
 	r.worker.runs[r.task] = r
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"curlewsill.org/curlewsill/core/chart"
 	"curlewsill.org/curlewsill/core/charts"
@@ -133,31 +132,6 @@
 	return true
 }
 
-// cores returns the run's weight for wasted work: accelerators count as
-// acceleratorCores each.
-func (r *run) cores() float64 {
-	return float64(r.need.CPU)/1000 + acceleratorCores*float64(r.need.Accelerators)
-}
-
-// acceleratorCores is how many cores an accelerator counts for, by the platform's
-// prices.
-const acceleratorCores = 8
-
-// unsaved returns the core-seconds that stopping the run now would throw away.
-func (r *run) unsaved(now unit.Instant, saveEvery time.Duration) float64 {
-	if r.started == 0 {
-		return 0
-	}
-	age := now.Sub(r.started)
-	if r.step != nil && r.step.step.LongRunning {
-		age = lastingLoss // it makes no progress that could be lost, but is away
-	}
-	if r.step != nil && r.step.step.Checkpointing {
-		age = min(age, saveEvery)
-	}
-	return age.Seconds() * r.cores()
-}
-
 // worker is one life of a worker.
 type worker struct {
 	fleet.Listing
@@ -198,12 +172,6 @@
 	lastFailed id.Job
 }
 
-// clock returns a reading that the worker's clock has surely reached.
-func (w *worker) clock(now unit.Instant) fleet.Clock {
-	passed := float64(now.Sub(w.clockAt)) / clockDrift
-	return w.Clock + fleet.Clock(passed)
-}
-
 // sorted returns the worker's runs in the order of their tasks.
 func (w *worker) sorted() []*run {
 	out := make([]*run, 0, len(w.runs))
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
@@ -12,6 +13,10 @@
 	"curlewsill.org/curlewsill/core/upkeep"
 )
 
+// upkeepAgain is when an order to take a machine down that got no answer is repeated.
+// The platform answers one that was done in the same way.
+const upkeepAgain = time.Second
+
 // wave is one wave of maintenance and what the store knows of it.
 type wave struct {
 	number id.Wave
