--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -30,6 +30,13 @@
 	Until fleet.Clock
 }
 
+// StartResult is what became of a Start.
+type StartResult struct {
+	Start   Start
+	Verdict fleet.Verdict
+	Clock   fleet.Clock
+}
+
 // Stop orders a worker to end a run.
 type Stop struct {
 	Target
@@ -37,6 +44,13 @@
 	Run  job.Run
 }
 
+// StopResult is what became of a Stop.
+type StopResult struct {
+	Stop    Stop
+	Verdict fleet.Verdict
+	Clock   fleet.Clock
+}
+
 // Pace sets the share of its full speed, in percent, at which a run works.
 type Pace struct {
 	Target
@@ -63,6 +77,15 @@
 	Wait time.Duration
 }
 
+// RenewResult is what became of a Renew.
+type RenewResult struct {
+	Renew Renew
+	// Sent is when the order left.
+	Sent    unit.Instant
+	Verdict fleet.Verdict
+	Report  fleet.Report
+}
+
 // Ask is a question to the advice service: on which of the workers a step may run.
 type Ask struct {
 	Step    job.StepID
@@ -129,29 +152,6 @@
 	Reports []WaveReport
 }
 
-// StartResult is what became of a Start.
-type StartResult struct {
-	Start   Start
-	Verdict fleet.Verdict
-	Clock   fleet.Clock
-}
-
-// StopResult is what became of a Stop.
-type StopResult struct {
-	Stop    Stop
-	Verdict fleet.Verdict
-	Clock   fleet.Clock
-}
-
-// RenewResult is what became of a Renew.
-type RenewResult struct {
-	Renew Renew
-	// Sent is when the order left.
-	Sent    unit.Instant
-	Verdict fleet.Verdict
-	Report  fleet.Report
-}
-
 // Batch is a set of records for the store, and what waits for them.
 type Batch struct {
 	Records []jobtable.Record
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -145,16 +145,14 @@
 	if w == nil || w.Draining {
 		return 0, false
 	}
-	cost, runs := 0.0, w.sorted()
+	cost, runs := 0.0, withStep(w.sorted())
 	for _, r := range runs {
-		if r.step != nil {
-			cost += d.lossOf(now, r)
-		}
+		cost += d.lossOf(now, r)
 	}
-	return cost, mayStopAll(withStep(runs))
+	return cost, mayStopAll(runs)
 }
 
-// withStep returns the runs whose jobs are known.
+// withStep leaves out runs whose jobs aren't known any more. It takes the slice over.
 func withStep(runs []*run) []*run {
 	return slices.DeleteFunc(runs, func(r *run) bool { return r.step == nil })
 }
