core/dispatch: the script test is four files; its commands are short

It now holds the script itself; commands_test.go holds the commands, orders_test.go the lines that orders become, and words_test.go how words are read. Long commands are functions, and durations are read in one place, as strictly as before. No assertion, script or command is changed.

--- /dev/null
+++ b/core/dispatch/commands_test.go
@@ -0,0 +1,178 @@
+package dispatch_test
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/upkeep"
+)
+
+// do carries out one command.
+func (s *script) do(f []string) {
+	o := options(f)
+	switch f[0] {
+	case "worker":
+		s.list(f[1], o)
+	case "unlist":
+		delete(s.workers, f[1])
+		s.d.Unlist(s.now, id.Worker(f[1]))
+	case "job":
+		s.addJob(id.Job(f[1]), o)
+	case "cancel":
+		s.apply([]jobtable.Record{s.table.CancelRecord(id.Job(f[1]))})
+		s.d.CancelJob(s.now, id.Job(f[1]))
+	case "pass":
+		if len(f) > 1 {
+			s.now = s.now.Add(duration(s.t, f[1]))
+		}
+		s.d.Pass(s.now, s.now.Add(s.ahead))
+	case "clock":
+		s.ahead = duration(s.t, f[1])
+	case "write":
+		s.write()
+	case "start":
+		s.d.Started(s.now, dispatch.StartResult{Start: s.starts[f[1]], Verdict: verdict(s.t, f[2])})
+	case "stop":
+		s.d.Stopped(s.now, dispatch.StopResult{Stop: s.stops[f[1]], Verdict: verdict(s.t, f[2])})
+	case "pace":
+		s.d.Paced(s.now, dispatch.PaceResult{Pace: s.paces[f[1]], Verdict: verdict(s.t, f[2])})
+	case "renew":
+		s.renewed(f)
+	case "advisers":
+		s.d.SetAdvisers(number(s.t, f[1]))
+	case "advised":
+		s.advised(f, o)
+	case "wave":
+		s.wave(f)
+	case "upkeep":
+		s.d.Upkept(s.now, dispatch.UpkeepResult{Upkeep: s.upkeeps[f[1]], Verdict: verdict(s.t, f[2])})
+	case "takeover":
+		s.takeOver()
+	case "state":
+		s.checkState(id.Job(f[1]), f[2])
+	default:
+		s.t.Fatalf("unknown command %q", f[0])
+	}
+}
+
+// list puts a worker on the platform's list.
+func (s *script) list(name string, o opts) {
+	l := fleet.Listing{
+		ID: id.Worker(name), Machine: id.Machine(o.text("machine", "")), Address: o.text("address", name),
+		Service: id.Service(o.text("service", "svc")), Rack: id.Rack(o.text("rack", "r1")),
+		Labels:   []string{"a", o.text("rack", "r1")},
+		Capacity: job.Resources{CPU: 64000, Memory: 256 * unit.GiB, Accelerators: o.number("gpus", 8)}, Clock: fleet.Clock(time.Hour),
+	}
+	if r := o.duration("draining"); r > 0 {
+		l.Draining, l.Remaining = true, r
+	}
+	s.workers[name] = l
+	s.d.List(s.now, l)
+}
+
+// write puts what was flushed into the store.
+func (s *script) write() {
+	b, _, err := s.d.Flush()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.apply(b.Records)
+	s.d.Committed(s.now, b)
+}
+
+// checkState compares a job's outcome in the store's records.
+func (s *script) checkState(name id.Job, want string) {
+	got := [...]string{"open", "completed", "failed", "cancelled"}[s.table.Get(name).Progress.Outcome]
+	if got != want {
+		s.t.Errorf("job %s is %s, want %s", name, got, want)
+	}
+}
+
+// wave asks for a wave of maintenance.
+func (s *script) wave(f []string) {
+	w := upkeep.Wave{Number: id.Wave(number(s.t, f[1])), Within: duration(s.t, f[2]), Most: number(s.t, f[3])}
+	for _, m := range f[4:] {
+		w.Machines = append(w.Machines, id.Machine(m))
+	}
+	s.waves = append(s.waves, w)
+	s.d.SetWave(s.now, s.now.Add(s.ahead), w)
+}
+
+// addJob puts a job into the store and hands it to the dispatcher.
+func (s *script) addJob(name id.Job, o opts) {
+	step := job.Step{
+		Count: o.number("count", 1), Need: job.Resources{CPU: 1000, Memory: unit.GiB, Accelerators: o.number("gpus", 1)},
+		Estimate: max(time.Second, o.duration("estimate")), Gang: o.has("gang"), SameRack: o.has("samerack"), Checkpointing: o.has("saves"),
+		LongRunning: o.has("lasts"), Label: o.text("label", ""), DataRack: o.text("data", ""), MaxPerWorker: o.number("apart", 0),
+		TargetLatency: o.duration("target"), Fills: o.has("fills"), MayMiss: o.number("maymiss", 0),
+	}
+	spec := job.Spec{
+		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1),
+		Stretch: 3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
+	}
+	spec.MaxAttempts = o.number("attempts", 2)
+	spec.Accepted = spec.Accepted.Add(o.duration("ahead"))
+	if r := o.number("rounds", 0); r > 0 {
+		spec.Rounds, spec.First, spec.Interval = r, s.now.Add(o.duration("first")), o.duration("interval")
+	}
+	spec.Advice = job.Advice{Needed: o.has("advice"), Decide: 100 * time.Millisecond, Each: time.Millisecond}
+	if o.has("twosteps") {
+		second := step
+		second.DependsOn = []int{0}
+		spec.Steps = append(spec.Steps, second)
+	}
+	r, err := s.table.SpecRecord(name, spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.apply([]jobtable.Record{r})
+	s.d.AddJob(s.now, name, &spec, job.Progress{}, false)
+}
+
+// advised answers the oldest open question to the advice service.
+func (s *script) advised(f []string, o opts) {
+	ask := s.asks[0]
+	s.asks = s.asks[1:]
+	res := dispatch.AskResult{Ask: ask, Verdict: verdict(s.t, f[1]), Valid: o.duration("valid"), Sent: s.asked}
+	for _, w := range ask.Workers {
+		if ticket := o.text(string(w), ""); ticket != "" {
+			res.Permits = append(res.Permits, dispatch.Permit{Worker: w, Ticket: ticket})
+		}
+	}
+	s.d.Advised(s.now, res)
+}
+
+// renewed answers the last renewal of a worker, with the rows that the line holds.
+func (s *script) renewed(f []string) {
+	res := dispatch.RenewResult{Renew: s.renews[f[1]], Sent: s.sent[f[1]], Verdict: verdict(s.t, f[2])}
+	res.Report.Clock = fleet.Clock(time.Hour) + fleet.Clock(s.now-unit.At(time.Unix(1000, 0)))
+	for i := 3; i < len(f); {
+		switch f[i] {
+		case "run":
+			percent, load, _ := strings.Cut(f[i+3], ":")
+			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.Run(number(s.t, f[i+2])), Percent: number(s.t, percent)}
+			if load != "" {
+				x.Load = int64(number(s.t, load))
+			}
+			res.Report.Running = append(res.Report.Running, x)
+			i += 4
+		case "end":
+			e := fleet.End{Seq: uint64(number(s.t, f[i+1])), Task: task(s.t, f[i+2]), Run: job.Run(number(s.t, f[i+3]))}
+			how, saved, _ := strings.Cut(f[i+4], ":")
+			e.How = fleet.How(slices.Index([]string{"done", "failed", "stopped", "lapsed", "broken", "alone"}, how))
+			e.Checkpoint = saved
+			res.Report.Ended = append(res.Report.Ended, e)
+			i += 5
+		default:
+			s.t.Fatalf("unknown row %q", f[i])
+		}
+	}
+	s.d.Renewed(s.now, res)
+}
