internal/entry: orders are handed out by one loop; files by what they do

handOut repeated the same loop for six kinds of order, in two files. What concerns waves is in waves.go. A table of kinds was ruled out: the orders' types differ.

go vet, staticcheck and go test on internal/entry and platform pass. No test is changed.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -94,7 +93,7 @@
 		o.learn(now, j)
 	}
 	for _, n := range slices.Sorted(maps.Keys(h.waves)) {
-		o.core.SetWave(now, unit.At(time.Now()), h.waves[n])
+		o.setWave(now, h.waves[n])
 	}
 	go h.readServers(ctx, o)
 	go o.report(ctx)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -61,13 +61,13 @@
 	settings settings.Site
 	log      *zap.Logger
 	metrics  *metrics
-	path     *relay.Path
-	store    *platform.Store
-	workers  *platform.Workers
-	advice   *platform.Advice
-	machines *platform.Machines
-	// advicePath leads to the advice service, by this host and by its peers.
-	advicePath *relay.Path
+	// path and advicePath lead to the store and to the advice service, by this host and by
+	// its peers.
+	path, advicePath *relay.Path
+	store            *platform.Store
+	workers          *platform.Workers
+	advice           *platform.Advice
+	machines         *platform.Machines
 	// self is unique for this life of the process.
 	self   id.Host
 	events *ring.Ring[event]
@@ -98,10 +98,10 @@
 
 	// What follows belongs to the deciding goroutine; others reach it by ask and post.
 	// loaded is set once table holds the store's state.
-	table *jobtable.Table
+	table  *jobtable.Table
+	loaded bool
 	// waves holds the waves of maintenance that the operator asks for.
 	waves    map[id.Wave]upkeep.Wave
-	loaded   bool
 	election *election.Election
 	// owner is nil unless this host schedules; claiming is set while an append that
 	// is to make it the owner is under way.
@@ -118,23 +118,21 @@
 // New returns a host whose listeners are open.
 func New(s settings.Site, log *zap.Logger) (*Host, error) {
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
-	var draw [4]byte
-	if _, err := rand.Read(draw[:]); err != nil {
-		return nil, fmt.Errorf("entry: %w", err)
+	self, err := drawName(s.Host)
+	if err != nil {
+		return nil, err
 	}
-	self := id.Host(fmt.Sprintf("%s#%08x", s.Host, binary.BigEndian.Uint32(draw[:])))
 	path := relay.New("http://"+s.Store, relay.RouteStore, platform.NewHTTPClient(storeConns), log)
 	advicePath := relay.New("http://"+s.Advice, relay.RouteAdvice, platform.NewHTTPClient(adviceConns), log)
 	h := &Host{
 		settings: s, log: log, metrics: newMetrics(), self: self,
-		path:    path,
-		store:   platform.NewStore(s.Store, &http.Client{Transport: path}),
-		workers: platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
-		advice:  platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log), advicePath: advicePath,
+		path: path, advicePath: advicePath,
+		store:    platform.NewStore(s.Store, &http.Client{Transport: path}),
+		workers:  platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
+		advice:   platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log),
 		machines: platform.NewMachines(s.Machines, s.Host, platform.NewHTTPClient(machineConns), log),
-		waves:    map[id.Wave]upkeep.Wave{},
 		events:   ring.New[event](events), stopped: make(chan struct{}),
-		table: jobtable.New(), election: election.New(self), start: time.Now(),
+		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(self), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.writer = newWriter(h.store, string(self), log, h.metrics)
@@ -144,6 +142,15 @@
 	return h, nil
 }
 
+// drawName returns a host's name for this life of the process.
+func drawName(host id.Host) (id.Host, error) {
+	var draw [4]byte
+	if _, err := rand.Read(draw[:]); err != nil {
+		return "", fmt.Errorf("entry: %w", err)
+	}
+	return id.Host(fmt.Sprintf("%s#%08x", host, binary.BigEndian.Uint32(draw[:]))), nil
+}
+
 // now is the time by a clock that never jumps.
 func (h *Host) now() unit.Instant { return unit.At(h.start).Add(time.Since(h.start)) }
 
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -12,59 +12,71 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// handOut sends orders, each in a goroutine of its own: a worker has at most one
-// renewal and one order for each of its runs under way.
+// handOut sends what the dispatcher has decided: a worker has at most one renewal and one
+// order for each of its runs under way, a host one question to the advice service.
 func (o *owner) handOut(ctx context.Context) {
 	orders := o.core.Take()
-	for _, s := range orders.Starts {
-		go o.send(ctx, "start", func() (fleet.Verdict, event) {
-			res := o.host.workers.Start(ctx, s)
-			return res.Verdict, func(now unit.Instant) { o.core.Started(now, res) }
-		})
-	}
-	for _, s := range orders.Stops {
-		go o.send(ctx, "stop", func() (fleet.Verdict, event) {
-			res := o.host.workers.Stop(ctx, s)
-			return res.Verdict, func(now unit.Instant) { o.core.Stopped(now, res) }
-		})
-	}
-	for _, r := range orders.Renews {
-		go o.send(ctx, "renew", func() (fleet.Verdict, event) {
-			sent := o.host.now()
-			v, report := o.host.workers.Renew(ctx, r)
-			res := dispatch.RenewResult{Renew: r, Sent: sent, Verdict: v, Report: report}
-			return v, func(now unit.Instant) { o.core.Renewed(now, res) }
-		})
-	}
-	for _, p := range orders.Paces {
-		go o.send(ctx, "pace", func() (fleet.Verdict, event) {
-			res := o.host.workers.Pace(ctx, p)
-			return res.Verdict, func(now unit.Instant) { o.core.Paced(now, res) }
-		})
-	}
-	o.askAdvice(ctx, orders.Asks)
-	o.takeDown(ctx, orders.Upkeeps)
-	for _, r := range orders.Reports {
-		if !o.reports.Offer(r) {
-			o.host.log.Error("report-dropped", zap.Int("wave", int(r.Wave)), zap.Bool("finished", r.Finished))
-		}
-	}
+	sendEach(ctx, o, "start", orders.Starts, o.start)
+	sendEach(ctx, o, "stop", orders.Stops, o.stop)
+	sendEach(ctx, o, "renew", orders.Renews, o.renew)
+	sendEach(ctx, o, "pace", orders.Paces, o.pace)
+	sendEach(ctx, o, "ask", orders.Asks, o.askAdvice)
+	sendEach(ctx, o, "upkeep", orders.Upkeeps, o.takeDown)
+	o.offer(orders.Reports)
 }
 
-// askAdvice hands out the questions to the advice service.
-func (o *owner) askAdvice(ctx context.Context, questions []dispatch.Ask) {
-	for _, q := range questions {
-		go o.send(ctx, "ask", func() (fleet.Verdict, event) {
-			sent := o.host.now()
-			v, permits, valid := o.host.advice.Ask(ctx, q)
-			res := dispatch.AskResult{Ask: q, Verdict: v, Permits: permits, Valid: valid, Sent: sent}
-			return v, func(now unit.Instant) { o.core.Advised(now, res) }
-		})
+// sender makes the call for an order. It returns the verdict, and what hands the result to the
+// dispatcher.
+type sender[T any] func(context.Context, T) (fleet.Verdict, event)
+
+// sendEach sends orders of one kind, each in a goroutine of its own.
+func sendEach[T any](ctx context.Context, o *owner, kind string, orders []T, by sender[T]) {
+	for _, x := range orders {
+		go o.send(ctx, kind, func() (fleet.Verdict, event) { return by(ctx, x) })
 	}
 }
 
-// send makes one call to a worker, counts it by its verdict, and hands its result to the
-// dispatcher.
+// start sends an order to start.
+func (o *owner) start(ctx context.Context, s dispatch.Start) (fleet.Verdict, event) {
+	res := o.host.workers.Start(ctx, s)
+	return res.Verdict, func(now unit.Instant) { o.core.Started(now, res) }
+}
+
+// stop sends an order to stop.
+func (o *owner) stop(ctx context.Context, s dispatch.Stop) (fleet.Verdict, event) {
+	res := o.host.workers.Stop(ctx, s)
+	return res.Verdict, func(now unit.Instant) { o.core.Stopped(now, res) }
+}
+
+// renew sends a renewal; what is told in its answer is as of when that left, or later.
+func (o *owner) renew(ctx context.Context, r dispatch.Renew) (fleet.Verdict, event) {
+	sent := o.host.now()
+	v, report := o.host.workers.Renew(ctx, r)
+	res := dispatch.RenewResult{Renew: r, Sent: sent, Verdict: v, Report: report}
+	return v, func(now unit.Instant) { o.core.Renewed(now, res) }
+}
+
+// pace sends an order on a run's speed.
+func (o *owner) pace(ctx context.Context, p dispatch.Pace) (fleet.Verdict, event) {
+	res := o.host.workers.Pace(ctx, p)
+	return res.Verdict, func(now unit.Instant) { o.core.Paced(now, res) }
+}
+
+// askAdvice asks the advice service. Tickets count from the question at the earliest.
+func (o *owner) askAdvice(ctx context.Context, q dispatch.Ask) (fleet.Verdict, event) {
+	sent := o.host.now()
+	v, permits, valid := o.host.advice.Ask(ctx, q)
+	res := dispatch.AskResult{Ask: q, Verdict: v, Permits: permits, Valid: valid, Sent: sent}
+	return v, func(now unit.Instant) { o.core.Advised(now, res) }
+}
+
+// takeDown orders a machine down.
+func (o *owner) takeDown(ctx context.Context, u dispatch.Upkeep) (fleet.Verdict, event) {
+	v := o.host.machines.Upkeep(ctx, u)
+	return v, func(now unit.Instant) { o.core.Upkept(now, dispatch.UpkeepResult{Upkeep: u, Verdict: v}) }
+}
+
+// send makes one call, counts it by its verdict, and hands its result to the dispatcher.
 func (o *owner) send(ctx context.Context, kind string, order func() (fleet.Verdict, event)) {
 	began := time.Now()
 	verdict, take := order()
@@ -72,7 +84,7 @@
 	o.answered(ctx, take)
 }
 
-// answered hands the result of an order to the dispatcher, if it is still in office.
+// answered hands news to the dispatcher, if this owner is still in office then.
 func (o *owner) answered(ctx context.Context, take event) {
 	o.host.post(ctx, func(now unit.Instant) {
 		if o.host.owner == o {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -25,141 +23,14 @@
 	// waitedPause is the pause where a job waits for it: on the owner, and while a
 	// client waits for a job's end. Measured: docs/design/07-worth.md.
 	waitedPause = 8 * time.Millisecond
-	// operatorWait is how long a read of the configuration waits. A change must
-	// be in force within 2 s although the store may have lost this read.
+	// operatorWait is how long a read of what the operator writes waits. A change must be
+	// in force within 2 s although the store may have lost this read.
 	operatorWait = 700 * time.Millisecond
 	// serversPause is the pause between two reads of the list of workers. A
 	// worker that leaves must get nothing new after 2 s.
 	serversPause = 300 * time.Millisecond
-	// retryLeast and retryMost bound the pause after a failed call.
-	retryLeast = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
 )
 
-// backoff is a growing pause with jitter.
-type backoff struct{ last time.Duration }
-
-// wait pauses after a failure. It reports whether ctx is still open.
-func (b *backoff) wait(ctx context.Context) bool {
-	b.last = min(retryMost, max(retryLeast, 2*b.last))
-	return pause(ctx, b.last/2+rand.N(b.last/2))
-}
-
-func (b *backoff) reset() { b.last = 0 }
-
-// pause waits, and reports whether ctx is still open.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
-// tail follows one topic: the newest record of each key first, then what is added.
-type tail struct {
-	host  *Host
-	topic platform.Topic
-	wait  time.Duration
-	pause func() time.Duration
-	// wake cuts a pause short; nil if nobody does.
-	wake <-chan struct{}
-	// whole is called with the newest records of all keys, and more with those
-	// that follow from an offset on.
-	whole func(recs []jobtable.Record, end id.Offset)
-	more  func(recs []jobtable.Record, from id.Offset)
-}
-
-// run follows the topic until ctx is done.
-func (t *tail) run(ctx context.Context) {
-	var b backoff
-	dep := dependency{log: t.host.log, name: "store " + string(t.topic)}
-	next, loaded := id.Offset(0), false
-	for ctx.Err() == nil {
-		var err error
-		if loaded {
-			next, err = t.read(ctx, next)
-		} else {
-			next, err = t.load(ctx)
-			loaded = err == nil
-		}
-		if errors.Is(err, platform.ErrForgotten) {
-			loaded = false
-			continue
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		dep.note(err)
-		if err != nil {
-			b.wait(ctx)
-			continue
-		}
-		b.reset()
-	}
-}
-
-// load hands over the newest record of each key, and returns the offset from which to
-// read on: the end at the first page, since later pages may be newer.
-func (t *tail) load(ctx context.Context) (id.Offset, error) {
-	first, err := t.host.store.Newest(ctx, t.topic, "")
-	if err != nil {
-		return 0, err
-	}
-	recs, page := first.Records, first
-	for page.More && len(page.Records) > 0 {
-		if page, err = t.host.store.Newest(ctx, t.topic, page.Records[len(page.Records)-1].Key); err != nil {
-			return 0, err
-		}
-		recs = append(recs, page.Records...)
-	}
-	t.whole(recs, first.End)
-	return first.End, nil
-}
-
-// read hands over what was added from an offset on, and returns the next offset.
-func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
-	p, err := t.host.store.Read(ctx, t.topic, from, t.wait)
-	if err != nil {
-		return from, err
-	}
-	if len(p.Records) > 0 {
-		t.more(p.Records, from)
-	}
-	if len(p.Records) > 0 || t.wait == 0 {
-		t.rest(ctx)
-	}
-	return p.Next, nil
-}
-
-// rest pauses before the next read, unless somebody waits for it.
-func (t *tail) rest(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-t.wake:
-	case <-time.After(t.pause()):
-	}
-}
-
-// dependency logs once when something is lost and once when it is back.
-type dependency struct {
-	log  *zap.Logger
-	name string
-	lost time.Time
-}
-
-func (d *dependency) note(err error) {
-	switch {
-	case err != nil && d.lost.IsZero():
-		d.lost = time.Now()
-		d.log.Warn("dependency-lost", zap.String("dependency", d.name), zap.Error(err))
-	case err == nil && !d.lost.IsZero():
-		d.log.Info("dependency-regained", zap.String("dependency", d.name), zap.Duration("away", time.Since(d.lost)))
-		d.lost = time.Time{}
-	}
-}
-
 // readJobs follows the state of all jobs.
 func (h *Host) readJobs(ctx context.Context) {
 	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, wake: h.wake, pause: h.pauseOfJobs}
@@ -235,7 +106,7 @@
 	}
 }
 
-// readOperator follows the configuration.
+// readOperator follows what the operator writes: the configuration and waves of maintenance.
 func (h *Host) readOperator(ctx context.Context) {
 	t := &tail{host: h, topic: platform.TopicOperator, wait: operatorWait, pause: func() time.Duration { return 0 }}
 	take := func(recs []jobtable.Record) {
@@ -278,21 +149,6 @@
 	})
 }
 
-// takeWave takes in that the operator asks for a wave of maintenance.
-func (h *Host) takeWave(ctx context.Context, value []byte) {
-	w, err := platform.DecodeWave(value)
-	if err != nil {
-		h.log.Error("wave-rejected", zap.Error(err))
-		return
-	}
-	h.post(ctx, func(now unit.Instant) {
-		h.waves[w.Number] = w
-		if h.owner != nil {
-			h.owner.core.SetWave(now, unit.At(time.Now()), w)
-		}
-	})
-}
-
 // readServers follows the list of workers while the host is the owner.
 func (h *Host) readServers(ctx context.Context, o *owner) {
 	t := &tail{host: h, topic: platform.TopicServers, pause: func() time.Duration { return serversPause }}
--- /dev/null
+++ b/internal/entry/tail.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/platform"
+)
+
+// tail follows one topic: the newest record of each key first, then what is added.
+type tail struct {
+	host  *Host
+	topic platform.Topic
+	wait  time.Duration
+	pause func() time.Duration
+	// wake cuts a pause short; nil if nobody does.
+	wake <-chan struct{}
+	// whole is called with the newest records of all keys, and more with those
+	// that follow from an offset on.
+	whole func(recs []jobtable.Record, end id.Offset)
+	more  func(recs []jobtable.Record, from id.Offset)
+}
+
+// run follows the topic until ctx is done.
+func (t *tail) run(ctx context.Context) {
+	var b backoff
+	dep := dependency{log: t.host.log, name: "store " + string(t.topic)}
+	next, loaded := id.Offset(0), false
+	for ctx.Err() == nil {
+		var err error
+		if loaded {
+			next, err = t.read(ctx, next)
+		} else {
+			next, err = t.load(ctx)
+			loaded = err == nil
+		}
+		if errors.Is(err, platform.ErrForgotten) {
+			loaded = false
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		dep.note(err)
+		if err != nil {
+			b.wait(ctx)
+			continue
+		}
+		b.reset()
+	}
+}
+
+// load hands over the newest record of each key, and returns the offset from which to
+// read on: the end at the first page, since later pages may be newer.
+func (t *tail) load(ctx context.Context) (id.Offset, error) {
+	first, err := t.host.store.Newest(ctx, t.topic, "")
+	if err != nil {
+		return 0, err
+	}
+	recs, page := first.Records, first
+	for page.More && len(page.Records) > 0 {
+		if page, err = t.host.store.Newest(ctx, t.topic, page.Records[len(page.Records)-1].Key); err != nil {
+			return 0, err
+		}
+		recs = append(recs, page.Records...)
+	}
+	t.whole(recs, first.End)
+	return first.End, nil
+}
+
+// read hands over what was added from an offset on, and returns the next offset.
+func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
+	p, err := t.host.store.Read(ctx, t.topic, from, t.wait)
+	if err != nil {
+		return from, err
+	}
+	if len(p.Records) > 0 {
+		t.more(p.Records, from)
+	}
+	if len(p.Records) > 0 || t.wait == 0 {
+		t.rest(ctx)
+	}
+	return p.Next, nil
+}
+
+// rest pauses before the next read, unless somebody waits for it.
+func (t *tail) rest(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-t.wake:
+	case <-time.After(t.pause()):
+	}
+}
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -8,35 +8,46 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/dispatch"
-	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/upkeep"
 	"curlewsill.org/curlewsill/platform"
 )
 
-// reportsWaiting is how many reports on waves may wait for the store: two for each of more
-// waves than an operator starts at a time.
-const reportsWaiting = 256
+const (
+	// reportsWaiting is how many reports on waves may wait for the store: two for each of
+	// more waves than an operator starts at a time.
+	reportsWaiting = 256
+	// machinesPause is the pause between two reads of the list of machines while a wave has
+	// some whose worker isn't known. The platform takes some 60 such calls a second.
+	machinesPause = 500 * time.Millisecond
+)
 
-// takeDown hands out the orders to take machines down.
-func (o *owner) takeDown(ctx context.Context, orders []dispatch.Upkeep) {
-	for _, u := range orders {
-		go o.send(ctx, "upkeep", func() (fleet.Verdict, event) {
-			v := o.host.machines.Upkeep(ctx, u)
-			return v, func(now unit.Instant) { o.core.Upkept(now, dispatch.UpkeepResult{Upkeep: u, Verdict: v}) }
-		})
+// takeWave takes in that the operator asks for a wave of maintenance.
+func (h *Host) takeWave(ctx context.Context, value []byte) {
+	w, err := platform.DecodeWave(value)
+	if err != nil {
+		h.log.Error("wave-rejected", zap.Error(err))
+		return
 	}
+	h.post(ctx, func(now unit.Instant) {
+		h.waves[w.Number] = w
+		if h.owner != nil {
+			h.owner.setWave(now, w)
+		}
+	})
 }
 
-// lookEveryMachines is the pause between two reads of the list of machines while a wave has
-// some whose worker isn't known. The platform takes some 60 such calls a second.
-const lookEveryMachines = 500 * time.Millisecond
+// setWave hands a wave to the dispatcher, which knows by the time of day how old it is.
+func (o *owner) setWave(now unit.Instant, w upkeep.Wave) {
+	o.core.SetWave(now, unit.At(time.Now()), w)
+}
 
 // followMachines tells the dispatcher which workers are lives of which machines, as long as
 // that is asked for, until ctx is done. The list of workers may say it too.
 func (o *owner) followMachines(ctx context.Context) {
 	dep := dependency{log: o.host.log, name: "list of machines"}
-	for pause(ctx, lookEveryMachines) {
+	for pause(ctx, machinesPause) {
 		wanted, ok := ask(ctx, o.host, func(unit.Instant) bool { return o.core.MachinesWanted() })
 		if !ok || !wanted || o.host.settings.Machines == "" {
 			continue
@@ -52,6 +63,15 @@
 	}
 }
 
+// offer hands reports on waves to the one who writes them.
+func (o *owner) offer(reports []dispatch.WaveReport) {
+	for _, r := range reports {
+		if !o.reports.Offer(r) {
+			o.host.log.Error("report-dropped", zap.Int("wave", int(r.Wave)), zap.Bool("finished", r.Finished))
+		}
+	}
+}
+
 // report writes the reports on waves for the operator, one after the other, until ctx is
 // done or a later owner has written.
 func (o *owner) report(ctx context.Context) {
