internal/entry: the path test is three files; waiting is written once

It now holds the scripts and their commands, site_test.go the site that they are played on, and checks_test.go what looks at it. Three loops that look again until the deadline are eventually; pauses, deadline and messages are the same. No assertion, script or command is changed.

go vet and go test on internal/entry pass with the 9 scripts. A number of starts that was made wrong on purpose still fails.

--- /dev/null
+++ b/internal/entry/checks_test.go
@@ -0,0 +1,168 @@
+package entry_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// ask carries out a command that looks at the site as a client does, or checks something.
+func (s *site) ask(f []string) {
+	host := 0
+	if f[0] != "starts" {
+		host = s.number(f[1])
+	}
+	switch f[0] {
+	case "submit":
+		s.bodies[f[2]] = string(standin.JobBody(s.number(f[3]), f[4]))
+		s.want(f[5], s.until(f[5], host, http.MethodPost, f[2]))
+	case "again":
+		s.want(f[3], s.until(f[3], host, http.MethodPost, f[2]))
+	case "cancel":
+		s.want(f[3], s.until(f[3], host, http.MethodDelete, f[2]))
+	case "state":
+		status, state := s.call(host, http.MethodGet, f[2])
+		s.want(f[3], status)
+		if len(f) > 4 && state != f[4] {
+			s.failf("job %s is %s", f[2], state)
+		}
+	case "await":
+		s.await(host, f[2], f[3])
+	case "awaitstatus":
+		s.want(f[3], s.until(f[3], host, http.MethodGet, f[2]))
+	case "pending":
+		s.pending(host, f[2])
+	case "starts":
+		s.starts(f[1], s.number(f[2]))
+	case "metric":
+		s.metric(host, f[2])
+	default:
+		s.t.Fatalf("line %d: unknown command %s", s.line, f[0])
+	}
+}
+
+// want checks the status of an answer.
+func (s *site) want(status string, got int) {
+	s.t.Helper()
+	if strconv.Itoa(got) != status {
+		s.failf("status %d, want %s", got, status)
+	}
+}
+
+// eventually looks again and again until it sees what is wanted. At the deadline it fails with
+// what was seen last.
+func (s *site) eventually(look func() (wanted bool, seen string)) {
+	for end := time.Now().Add(deadline); ; time.Sleep(20 * time.Millisecond) {
+		wanted, seen := look()
+		if wanted {
+			return
+		}
+		if time.Now().After(end) {
+			s.failf("%s", seen)
+			return
+		}
+	}
+}
+
+// await waits until a job is in a state.
+func (s *site) await(host int, job, want string) {
+	s.eventually(func() (bool, string) {
+		status, state := s.call(host, http.MethodGet, job)
+		return state == want, fmt.Sprintf("job %s is %s (%d)", job, state, status)
+	})
+}
+
+// until repeats a call that is refused until it has the status, as clients do.
+func (s *site) until(status string, host int, method, job string) int {
+	for end := time.Now().Add(deadline); ; time.Sleep(50 * time.Millisecond) {
+		got, _ := s.call(host, method, job)
+		refused := got == 0 || got >= http.StatusInternalServerError
+		if strconv.Itoa(got) == status || !refused && method != http.MethodGet || time.Now().After(end) {
+			return got
+		}
+	}
+}
+
+// call makes a client's call on a job, or on the queue if the job is empty. It returns the
+// status, 0 if there was no answer, and the job's state or how many are pending.
+func (s *site) call(host int, method, job string) (int, string) {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = bytes.NewReader([]byte(s.bodies[job]))
+	}
+	req, err := http.NewRequest(method, "http://"+s.hosts[host].Callers()+"/q/"+job, body)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "jobs.example"
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var out struct {
+		State   string `json:"State"`
+		Pending int    `json:"Pending"`
+	}
+	data, _ := io.ReadAll(resp.Body)
+	_ = json.Unmarshal(data, &out)
+	if job == "" {
+		return resp.StatusCode, strconv.Itoa(out.Pending)
+	}
+	return resp.StatusCode, out.State
+}
+
+// pending waits until so many jobs wait in the queue.
+func (s *site) pending(host int, want string) {
+	s.eventually(func() (bool, string) {
+		_, got := s.call(host, http.MethodGet, "")
+		return got == want, fmt.Sprintf("pending %s, want %s", got, want)
+	})
+}
+
+// starts checks how many runs of a job all workers together have started.
+func (s *site) starts(job string, want int) {
+	got := 0
+	for _, w := range s.workers {
+		for task, n := range w.Starts() {
+			if strings.HasPrefix(task, job+".") {
+				got += n
+			}
+		}
+	}
+	if got != want {
+		s.failf("%d runs of %s were started, want %d", got, job, want)
+	}
+}
+
+// metric checks that a counter is served and isn't zero.
+func (s *site) metric(host int, name string) {
+	resp, err := http.Get("http://" + s.hosts[host].Metrics() + "/metrics")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, _ := io.ReadAll(resp.Body)
+	for _, l := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(l, name) && !strings.HasSuffix(l, " 0") {
+			return
+		}
+	}
+	s.failf("%s is not served", name)
+}
+
+// maintained waits until a wave is told to be completed.
+func (s *site) maintained(wave string) {
+	s.eventually(func() (bool, string) {
+		status := string(s.store.Get("keyed.status", "wave/"+wave))
+		return strings.Contains(status, "completed"), fmt.Sprintf("wave %s is %s; machines %v went down", wave, status, s.taken.Begun())
+	})
+}
--- /dev/null
+++ b/internal/entry/site_test.go
@@ -0,0 +1,144 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/entry"
+	"curlewsill.org/curlewsill/internal/settings"
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// site is entry hosts between stand-ins of what the platform has.
+type site struct {
+	t *testing.T
+	// store stands at address, advice is the address of the advice service.
+	store           *standin.Store
+	address, advice string
+	// machines is the address of the service that takes machines down, taken what it did.
+	machines string
+	taken    *standin.Machines
+	workers  []*standin.Worker
+
+	// stops end a host at once, ended are closed when it has ended.
+	hosts []*entry.Host
+	stops []context.CancelFunc
+	ended []chan struct{}
+
+	// bodies holds what was submitted, by job, and key is what clients show.
+	bodies map[string]string
+	key    string
+	// line is the script's line that is played.
+	line int
+}
+
+// work is what the payloads of the scripts do.
+var work = map[string]standin.Work{
+	"short": {Time: 20 * time.Millisecond}, "long": {Time: 700 * time.Millisecond}, "fails": {Fails: true}, "endless": {Time: time.Hour},
+}
+
+// configuration is what the operator writes at first.
+const configuration = `{"Version":1,
+"Routes":[{"Name":"q","Hostname":"jobs.example","PathPrefix":"/q/","Priority":1,"Backend":"svc","MaxAttempts":2,"Extension":3,"TargetLatencyMs":1000}],
+"Backends":[{"Name":"svc","RejectsOverload":true}],"Tenants":[{"Name":"c","ApiKeys":["key"],"Guaranteed":{"Gpus":8}},{"Name":"d","ApiKeys":["second"]}]}`
+
+// newSite starts a site without hosts and workers.
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key"}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.CloseClientConnections)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	s.store.Put("keyed.op", "config", []byte(configuration))
+	s.taken = standin.NewMachines(s.takeDown)
+	cloud := httptest.NewServer(s.taken)
+	t.Cleanup(cloud.CloseClientConnections)
+	s.machines = strings.TrimPrefix(cloud.URL, "http://")
+	t.Cleanup(func() {
+		for _, stop := range s.stops {
+			stop()
+		}
+	})
+	return s
+}
+
+// startHost starts a host, or starts it again.
+func (s *site) startHost(n int) {
+	h, err := entry.New(settings.Site{
+		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
+		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Grace: 3 * time.Second,
+		Workers: dispatch.Config{
+			MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
+			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
+		},
+	}, zap.NewNop())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	s.hosts[n], s.stops[n], s.ended[n] = h, cancel, ended
+	go func() {
+		defer close(ended)
+		_ = h.Run(ctx)
+	}()
+}
+
+// startAdvice starts the advice service and makes the queue and the workers ask for it.
+func (s *site) startAdvice(refused []string) {
+	server := httptest.NewServer(standin.NewAdvice(refused...))
+	s.t.Cleanup(server.CloseClientConnections)
+	s.advice = strings.TrimPrefix(server.URL, "http://")
+	queue := `"MaxAttempts":2,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":2000}`
+	s.store.Put("keyed.op", "config", []byte(strings.Replace(configuration, `"MaxAttempts":2`, queue, 1)))
+	for _, w := range s.workers {
+		w.NeedTickets()
+	}
+}
+
+// startWorker starts a worker on a machine of its own.
+func (s *site) startWorker() {
+	n := len(s.workers)
+	s.workers = append(s.workers, nil)
+	s.startLife(n, fmt.Sprintf("w-%d", n))
+	s.taken.SetLife(fmt.Sprintf("m-%d", n), s.workers[n].ID())
+}
+
+// startLife starts a life of the machine of a worker.
+func (s *site) startLife(n int, name string) {
+	w := standin.NewWorker(name, work)
+	server := httptest.NewServer(w)
+	s.t.Cleanup(server.CloseClientConnections)
+	s.workers[n] = w
+	s.store.PutWorker(name, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// takeDown ends the life of a machine's worker and starts another one, whose id it returns.
+func (s *site) takeDown(machine string) string {
+	n, err := strconv.Atoi(strings.TrimPrefix(machine, "m-"))
+	if err != nil || n >= len(s.workers) {
+		s.failf("machine %s", machine)
+		return ""
+	}
+	s.workers[n].SetFault(standin.FaultSilent)
+	s.store.Put("keyed.servers", s.workers[n].ID(), nil)
+	s.startLife(n, s.workers[n].ID()+"+")
+	return s.workers[n].ID()
+}
+
+// fault returns the fault of that name.
+func fault(name string) standin.Fault {
+	if name == "none" {
+		return standin.FaultNone
+	}
+	return standin.Fault(name)
+}
