internal/relay: calls through a peer are written once

A call by some peer and a call bound to one differed only in how the peer is chosen, and were two functions that met in a third. through makes both, and what concerns peers is in peers.go. ways, which told an order, and Ways, which counts, had one name: the first is firstWay. In relay_test.go one line of a comment is wrapped.

go vet and go test on internal/relay and internal/entry pass.

--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -34,14 +34,14 @@
 	}
 }
 
-// RoundTrip makes a call, by the way that it is bound to if there is one. It returns the first answer that isn't a refusal. The second
-// way is tried when the first one fails or is slow. If all fail, the answer that leaves
-// the most doubt is returned.
+// RoundTrip makes a call, by the way that it is bound to if there is one. Otherwise it
+// returns the first answer that isn't a refusal: the second way is tried when the first one
+// fails or is slow. If all fail, the answer that leaves the most doubt is returned.
 func (p *Path) RoundTrip(req *http.Request) (*http.Response, error) {
 	if w, bound := req.Context().Value(wayKey{}).(Way); bound {
 		return p.by(req, w)
 	}
-	directFirst, usePeers := p.ways()
+	directFirst, usePeers := p.firstWay()
 	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: usePeers, spareDirect: !directFirst}
 	r.begin(directFirst)
 	timer := time.NewTimer(r.wait + hedgeAfter)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,17 +4,17 @@
 // tries the direct way; when that fails or is slow, it sends the same call to a peer
 // over WebSocket with CBOR, and the peer makes it on its own direct path. Every call
 // that goes this way may be made twice without harm: appends carry a number, and all
-// others are reads or say the same again. A peer never passes a call on. A call can also be
-// bound to one way, which spreads calls over hosts.
+// others are reads or say the same again. A peer never passes a call on.
+//
+// A call can be bound to one way by OnlyBy, which spreads calls over hosts; no other way is
+// tried then.
 package relay
 
 import (
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -117,9 +117,9 @@
 	}
 }
 
-// ways tells which way comes first and whether peers can be asked. The direct way comes
+// firstWay tells which way comes first and whether peers can be asked. The direct way comes
 // first if they can't.
-func (p *Path) ways() (directFirst, usePeers bool) {
+func (p *Path) firstWay() (directFirst, usePeers bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -139,11 +139,9 @@
 		until = &p.suspect
 	}
 	was := time.Now().Before(*until)
-	switch {
-	case o.failed():
+	*until = time.Time{}
+	if o.failed() {
 		*until = time.Now().Add(suspectFor)
-	default:
-		*until = time.Time{}
 	}
 	if o.direct && was != o.failed() {
 		p.log.Info("direct-path", zap.String("to", p.base), zap.Bool("works", !o.failed()))
@@ -160,6 +158,7 @@
 	return outcome{resp: resp, err: err}
 }
 
+// tryDirect makes the call on the direct way.
 func (p *Path) tryDirect(req *http.Request) (*http.Response, error) {
 	body, err := bodyOf(req)
 	if err != nil {
@@ -193,65 +192,6 @@
 	return resp.StatusCode, data, err
 }
 
-func (p *Path) tryPeer(req *http.Request, wait time.Duration) (*http.Response, error) {
-	body, err := bodyOf(req)
-	if err != nil {
-		return nil, err
-	}
-	l, err := p.pick(req.Context())
-	if err != nil {
-		return nil, err
-	}
-	return p.over(req, l, body, wait)
-}
-
-// over makes a call on a link.
-func (p *Path) over(req *http.Request, l *link, body []byte, wait time.Duration) (*http.Response, error) {
-	res, err := l.do(req.Context(), call{
-		Method: req.Method, Path: req.URL.RequestURI(), Kind: req.Header.Get("Content-Type"), Body: body, Limit: wait + 2*hedgeAfter,
-	})
-	if err != nil {
-		return nil, err
-	}
-	if res.Status == 0 {
-		return nil, fmt.Errorf("relay: peer %s got no answer", l.address)
-	}
-	return response(req, res.Status, res.Body), nil
-}
-
-// pick returns a link to a peer: one that is open, or else to one drawn at random.
-func (p *Path) pick(ctx context.Context) (*link, error) {
-	p.mu.Lock()
-	for _, l := range p.links {
-		if l.works() {
-			p.mu.Unlock()
-			return l, nil
-		}
-	}
-	if len(p.peers) == 0 {
-		p.mu.Unlock()
-		return nil, ErrNoPeer
-	}
-	a := p.peers[rand.IntN(len(p.peers))].Address
-	p.mu.Unlock()
-	return p.open(ctx, a)
-}
-
-// open opens a link to a peer.
-func (p *Path) open(ctx context.Context, a string) (*link, error) {
-	l, err := dial(ctx, a, p.route, p.log)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if old := p.links[a]; old != nil {
-		old.close()
-	}
-	p.links[a] = l
-	return l, nil
-}
-
 // bodyOf reads a copy of the body, so that both ways can send it.
 func bodyOf(req *http.Request) ([]byte, error) {
 	if req.GetBody == nil {
@@ -264,6 +204,7 @@
 	return io.ReadAll(r)
 }
 
+// response returns an answer that was read whole.
 func response(req *http.Request, status int, body []byte) *http.Response {
 	return &http.Response{
 		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -25,8 +25,8 @@
 //
 // DIRECT and PEER say what becomes of the call on that way: ok, busy (503), lost (the
 // call was read and its connection closed), down (no connection) or none. OUTCOME is
-// ok, busy, unsent (surely no effect) or unknown. A call with a WAY is bound to it. The lines of a script share one path,
-// which learns which way works.
+// ok, busy, unsent (surely no effect) or unknown. A call with a WAY is bound to it. The
+// lines of a script share one path, which learns which way works.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
