--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -52,8 +52,8 @@
 	fenced bool
 }
 
-// New returns the dispatcher of an owner with the given epoch. The table only encodes
-// records; it is not changed.
+// New returns the dispatcher of an owner with the given epoch. The table encodes records and
+// tells how far an earlier owner's waves are; it is not changed.
 func New(c Config, epoch id.Epoch, table *jobtable.Table) *Dispatcher {
 	return &Dispatcher{
 		config: c, epoch: epoch, table: table,
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -4,8 +4,8 @@
 // has one kind of writer: the spec (the entry host that accepted the job), the
 // cancellation (the entry host that took it) and the progress (the owner). The keys
 // are apart, so that a submission repeated late can't undo a cancellation or an end.
-// One more key names the owner, and the owner writes one for each wave of maintenance. Every host applies the same records in the order of
-// their offsets and so holds the same table.
+// One more key names the owner, and the owner writes one for each wave of maintenance. Every
+// host applies the same records in the order of their offsets and so holds the same table.
 package jobtable
 
 import (
@@ -66,7 +66,7 @@
 	Progress  job.Progress
 }
 
-// Table is the state of all jobs. The zero value is not ready; call New.
+// Table is the state of all jobs and waves. The zero value is not ready; call New.
 type Table struct {
 	jobs  map[id.Job]*Entry
 	waves map[id.Wave]Wave
@@ -74,21 +74,21 @@
 	next  id.Offset
 	owner Owner
 
-	specs    codec.Codec[job.Spec]
-	progress codec.Codec[job.Progress]
-	owners   codec.Codec[Owner]
-	wave     codec.Codec[Wave]
+	specs     codec.Codec[job.Spec]
+	progress  codec.Codec[job.Progress]
+	owners    codec.Codec[Owner]
+	waveCodec codec.Codec[Wave]
 }
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{
-		jobs:     map[id.Job]*Entry{},
-		waves:    map[id.Wave]Wave{},
-		specs:    codec.New[job.Spec](),
-		progress: codec.New[job.Progress](),
-		owners:   codec.New[Owner](),
-		wave:     codec.New[Wave](),
+		jobs:      map[id.Job]*Entry{},
+		waves:     map[id.Wave]Wave{},
+		specs:     codec.New[job.Spec](),
+		progress:  codec.New[job.Progress](),
+		owners:    codec.New[Owner](),
+		waveCodec: codec.New[Wave](),
 	}
 }
 
@@ -148,6 +148,7 @@
 	return "", fmt.Errorf("%w: %q", ErrKey, r.Key)
 }
 
+// applyOwner takes in a claim, unless a later one was there.
 func (t *Table) applyOwner(value []byte) error {
 	o, err := t.owners.Decode(value)
 	if err != nil {
@@ -159,12 +160,13 @@
 	return nil
 }
 
+// applyWave takes in how far the wave of that number is.
 func (t *Table) applyWave(name string, value []byte) error {
 	n, err := strconv.Atoi(name)
 	if err != nil {
 		return fmt.Errorf("%w: wave %q", ErrKey, name)
 	}
-	w, err := t.wave.Decode(value)
+	w, err := t.waveCodec.Decode(value)
 	if err != nil {
 		return fmt.Errorf("jobtable: wave %d: %w", n, err)
 	}
@@ -245,7 +247,7 @@
 
 // WaveRecord returns the record of how far a wave is.
 func (t *Table) WaveRecord(n id.Wave, w Wave) (Record, error) {
-	b, err := t.wave.Encode(w)
+	b, err := t.waveCodec.Encode(w)
 	return Record{Key: wavePrefix + strconv.Itoa(int(n)), Value: b}, err
 }
 
