core/dispatch, core/upkeep: answers find their run in one way; three long functions split

Four functions checked the order's worker and epoch, and three its run, each by itself: addressee and run do that now. From List, resume and pace one step each became a function of its own. machine.since was said to be the time that emptying began, but Carried sets it too.

No test is changed.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -17,6 +17,24 @@
 	busyPause = 500 * time.Millisecond
 )
 
+// addressee returns the worker that an order went to, or nil if it isn't known any more or the
+// order was another owner's.
+func (d *Dispatcher) addressee(t Target) *worker {
+	if t.Epoch != d.epoch {
+		return nil
+	}
+	return d.workers[t.Worker]
+}
+
+// run returns a run on the worker by its task and number, or nil.
+func (w *worker) run(t job.Task, number job.Run) *run {
+	r := w.runs[t]
+	if r == nil || r.number != number {
+		return nil
+	}
+	return r
+}
+
 // answered notes that a worker lives, and its clock.
 func (d *Dispatcher) answered(now unit.Instant, w *worker, c fleet.Clock) {
 	w.answered, w.refused = now, 0
@@ -53,13 +71,13 @@
 
 // Started takes in what became of an order to start.
 func (d *Dispatcher) Started(now unit.Instant, res StartResult) {
-	w := d.workers[res.Start.Worker]
-	if w == nil || res.Start.Epoch != d.epoch {
+	w := d.addressee(res.Start.Target)
+	if w == nil {
 		return
 	}
 	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.runs[res.Start.Task]
-	if r == nil || r.number != res.Start.Run {
+	r := w.run(res.Start.Task, res.Start.Run)
+	if r == nil {
 		return
 	}
 	r.inFlight = false
@@ -114,13 +132,13 @@
 // Stopped takes in what became of an order to stop. The room is free only when the
 // worker lists the end, or no longer lists the run.
 func (d *Dispatcher) Stopped(now unit.Instant, res StopResult) {
-	w := d.workers[res.Stop.Worker]
-	if w == nil || res.Stop.Epoch != d.epoch {
+	w := d.addressee(res.Stop.Target)
+	if w == nil {
 		return
 	}
 	ok := d.judge(now, w, res.Verdict, res.Clock)
-	r := w.runs[res.Stop.Task]
-	if r == nil || r.number != res.Stop.Run {
+	r := w.run(res.Stop.Task, res.Stop.Run)
+	if r == nil {
 		return
 	}
 	r.inFlight = false
@@ -133,8 +151,8 @@
 
 // Renewed takes in a worker's answer to a renewal.
 func (d *Dispatcher) Renewed(now unit.Instant, res RenewResult) {
-	w := d.workers[res.Renew.Worker]
-	if w == nil || res.Renew.Epoch != d.epoch {
+	w := d.addressee(res.Renew.Target)
+	if w == nil {
 		return
 	}
 	w.holding = false
@@ -162,10 +180,9 @@
 
 // end takes in that a run has ended.
 func (d *Dispatcher) end(now unit.Instant, w *worker, e fleet.End) {
-	r := w.runs[e.Task]
-	known := r != nil && r.number == e.Run
+	r := w.run(e.Task, e.Run)
 	n := Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
-	if !known {
+	if r == nil {
 		n.Event = EventUnknownEnd
 		d.note(n)
 		return
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -95,30 +95,33 @@
 	if l.Machine == "" {
 		l.Machine = w.Machine // it may be known from elsewhere
 	}
-	keepClock, at := w.Clock, w.clockAt
+	if l.Clock > w.Clock {
+		w.clockAt = now
+	} else {
+		l.Clock = w.Clock // a worker's answer may be newer than the list
+	}
 	w.Listing, w.listed = l, true
 	if l.Draining {
 		w.leaves = now.Add(l.Remaining)
 	}
-	if l.Clock > keepClock {
-		at = now
-	} else {
-		w.Clock = keepClock
-	}
-	w.clockAt = at
+	d.supersede(now, w)
+	d.back(l)
+}
+
+// supersede gives up other workers at the address or on the machine of one that is listed:
+// they are earlier lives.
+func (d *Dispatcher) supersede(now unit.Instant, w *worker) {
 	for _, o := range d.order {
-		if o == w {
-			continue
-		}
-		if o.Address == l.Address {
+		switch {
+		case o == w:
+		case o.Address == w.Address:
 			d.loseAll(now, o, "another life at its address")
 			o.listed = false
-		} else if l.Machine != "" && o.Machine == l.Machine {
+		case w.Machine != "" && o.Machine == w.Machine:
 			d.loseAll(now, o, "another life of its machine")
 			o.listed = false
 		}
 	}
-	d.back(l)
 }
 
 // Unlist notes that the platform's list has dropped a worker. It may live on, cut off
@@ -187,12 +190,7 @@
 			case job.Done:
 				s.done++
 			case job.Placed:
-				w := d.worker(now, t.Worker)
-				r := &run{task: s.task(i), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s, since: now, asked: now}
-				if r.fills() {
-					r.slowed = fullSpeed - paceLeast // an earlier owner may have slowed it down
-				}
-				d.occupy(r)
+				d.resumeRun(now, s, i, t)
 			case job.Waiting:
 			}
 		}
@@ -203,6 +201,17 @@
 	}
 }
 
+// resumeRun takes over a run that an earlier owner has placed. Whether its order has left isn't
+// known, nor how much a run that uses what others leave was slowed down.
+func (d *Dispatcher) resumeRun(now unit.Instant, s *stepState, index int, t *job.TaskState) {
+	w := d.worker(now, t.Worker)
+	r := &run{task: s.task(index), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s, since: now, asked: now}
+	if r.fills() {
+		r.slowed = fullSpeed - paceLeast
+	}
+	d.occupy(r)
+}
+
 // mark notes that the job's record must be written again.
 func (d *Dispatcher) mark(js *jobState) {
 	if !js.changed {
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -89,17 +89,9 @@
 		if !r.fills() || r.state != runRunning {
 			continue
 		}
-		speed := fullSpeed - r.slowed
-		switch {
-		case !w.shared():
-			speed = fullSpeed
-		case pressure > paceHigh:
-			speed /= 2
-			if speed < paceLeast {
-				speed = 0
-			}
-		case pressure < paceLow:
-			speed = min(fullSpeed, speed+paceUp)
+		speed := fullSpeed
+		if w.shared() {
+			speed = nextSpeed(fullSpeed-r.slowed, pressure)
 		}
 		if speed == fullSpeed-r.slowed {
 			continue
@@ -114,16 +106,29 @@
 	}
 }
 
+// nextSpeed returns the speed, in percent, that follows on one under a pressure.
+func nextSpeed(speed int, pressure float64) int {
+	switch {
+	case pressure > paceHigh && speed/2 < paceLeast:
+		return 0
+	case pressure > paceHigh:
+		return speed / 2
+	case pressure < paceLow:
+		return min(fullSpeed, speed+paceUp)
+	}
+	return speed
+}
+
 // Paced takes in what became of an order on a run's speed. One that wasn't carried out is
 // decided anew.
 func (d *Dispatcher) Paced(now unit.Instant, res PaceResult) {
-	w := d.workers[res.Pace.Worker]
-	if w == nil || res.Pace.Epoch != d.epoch {
+	w := d.addressee(res.Pace.Target)
+	if w == nil {
 		return
 	}
 	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.runs[res.Pace.Task]
-	if r == nil || r.number != res.Pace.Run || res.Verdict == fleet.Carried {
+	r := w.run(res.Pace.Task, res.Pace.Run)
+	if r == nil || res.Verdict == fleet.Carried {
 		return
 	}
 	// The worker may work at the old speed or at the new one. A speed between the two
--- a/core/upkeep/upkeep.go
+++ b/core/upkeep/upkeep.go
@@ -69,8 +69,10 @@
 // machine is one machine of the wave.
 type machine struct {
 	state state
-	// since is when emptying began, next when an order may leave.
-	since, next unit.Instant
+	// since is when emptying began, or when the machine went down.
+	since unit.Instant
+	// next is when the machine may be tried again after a refusal.
+	next unit.Instant
 }
 
 // New returns the plan of a wave that was first seen at a time. Each machine is down for
@@ -190,6 +192,7 @@
 // underWay counts the machines that are down or soon will be.
 func (p *Plan) underWay() int { return p.count(emptying) + p.count(ordered) + p.count(down) }
 
+// count returns how many machines are in a state.
 func (p *Plan) count(s state) int { return len(p.in(s)) }
 
 // in returns the machines in a state, in the wave's order.
