--- /dev/null
+++ b/core/dispatch/outcome.go
@@ -0,0 +1,136 @@
+package dispatch
+
+import (
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// end takes in that a run has ended.
+func (d *Dispatcher) end(now unit.Instant, w *worker, e fleet.End) {
+	r := w.run(e.Task, e.Run)
+	n := Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
+	if r == nil {
+		n.Event = EventUnknownEnd
+		d.note(n)
+		return
+	}
+	n.Age = now.Sub(r.since)
+	d.note(n)
+	if e.Checkpoint != "" {
+		r.checkpoint = e.Checkpoint
+	}
+	r.apply(evEnded)
+	s := r.step
+	if s == nil || s.job.progress.Outcome != job.Open {
+		d.release(r)
+		return
+	}
+	d.countFailures(now, w, e)
+	switch e.How {
+	case fleet.EndDone:
+		d.done(now, r)
+	case fleet.EndFailed:
+		d.failed(now, r)
+	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
+		d.lose(now, r, e.How.String())
+	}
+}
+
+// done takes in a success. One member's success stands for its whole gang.
+func (d *Dispatcher) done(now unit.Instant, r *run) {
+	s := r.step
+	js := s.job
+	if s.step.LongRunning {
+		d.lose(now, r, "ended")
+		return
+	}
+	tasks := s.together(r.task.Index)
+	for i := range tasks {
+		t := &tasks[i]
+		if t.Phase != job.Done {
+			t.Phase, t.Worker, t.Checkpoint = job.Done, "", ""
+			s.done++
+		}
+	}
+	d.mark(js)
+	if s.done == s.step.Count && !s.counted {
+		s.counted = true
+		js.open--
+		s.dropClaim()
+	}
+	d.release(r)
+	if js.open == 0 {
+		d.finish(now, js, job.Completed, "all tasks are done")
+	}
+}
+
+// failed takes in a failure, which uses up one attempt of the task or its gang.
+func (d *Dispatcher) failed(now unit.Instant, r *run) {
+	s := r.step
+	js := s.job
+	s.noteFailure(now, r.task.Index, r.worker)
+	if s.step.Gang {
+		if s.failedRun >= r.number {
+			d.lose(now, r, "failed")
+			return
+		}
+		s.failedRun = r.number
+	}
+	worst := 0
+	tasks := s.together(r.task.Index)
+	for i := range tasks {
+		tasks[i].Failed++
+		worst = max(worst, tasks[i].Failed)
+	}
+	d.mark(js)
+	d.lose(now, r, "failed")
+	if worst >= js.spec.MaxAttempts && !s.step.LongRunning {
+		d.finish(now, js, job.Failed, "out of attempts")
+	}
+}
+
+// compare takes in what a worker says that it runs.
+func (d *Dispatcher) compare(now unit.Instant, w *worker, res RenewResult, ended map[job.Task]bool) {
+	listed := map[job.Task]bool{}
+	for _, x := range res.Report.Running {
+		listed[x.Task] = true
+		r := w.runs[x.Task]
+		if r == nil && !ended[x.Task] {
+			r = d.discover(now, w, x)
+		}
+		if r == nil || r.number != x.Run {
+			continue
+		}
+		r.checkpoint, r.percent, r.load, r.reported = x.Checkpoint, x.Percent, x.Load, now
+		if r.apply(evStarted) && r.started == 0 {
+			r.started = now
+		}
+	}
+	for _, r := range w.sorted() {
+		if listed[r.task] || ended[r.task] {
+			continue
+		}
+		vanished := r.state == runRunning && res.Sent > r.started
+		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
+		if vanished || neverThere {
+			d.noteRun(EventTaskVanished, r, string(r.state), now.Sub(res.Sent))
+			r.apply(evLost)
+			d.lose(now, r, "not listed by its worker")
+		}
+	}
+}
+
+// discover takes in a run that no record tells of, and stops it.
+func (d *Dispatcher) discover(now unit.Instant, w *worker, x fleet.Running) *run {
+	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now}
+	if js := d.jobs[x.Task.Job]; js != nil {
+		if _, ok := js.spec.Index(x.Task); ok {
+			r.need = js.spec.Steps[x.Task.Step].Reserved()
+		}
+	}
+	w.runs[r.task] = r
+	w.used = w.used.Add(r.need)
+	d.stop(now, r, "no placement is known for it")
+	return r
+}
