internal/settings: the bounds of workers and machines are read by readBounds

readSite read six sections in one literal. Keys, defaults, limits and the order in which faults are listed are the same.

No test is changed.

--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -32,7 +32,7 @@
 	// Advice is the address of the service that says where steps of some queues may
 	// run; empty if there is none.
 	Advice string
-	// Workers holds the bounds that workers keep to.
+	// Workers holds the bounds that workers and machines keep to.
 	Workers  dispatch.Config
 	LogLevel string
 }
@@ -53,9 +53,11 @@
 	return s, f.Err()
 }
 
+// readSite reads the sections. Faults are kept in f.
 func readSite(f *inifile.File) Site {
-	host, store, limits, workers, machines := f.Section("host"), f.Section("store"), f.Section("limits"), f.Section("workers"), f.Section("machines")
-	s := Site{
+	host, store, limits := f.Section("host"), f.Section("store"), f.Section("limits")
+	workers, machines := f.Section("workers"), f.Section("machines")
+	return Site{
 		Host:       id.Host(host.Need("id")),
 		Domain:     id.Domain(host.Need("domain")),
 		Callers:    host.Address("callers", "127.0.0.1:8080"),
@@ -69,15 +71,19 @@
 		Grace:      limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
 		Machines:   machines.OptionalAddress("address"),
 		Advice:     workers.OptionalAddress("advice"),
-		Workers: dispatch.Config{
-			MaxLease:  workers.Duration("max_lease", 10*time.Second, time.Second, maxPeriod),
-			StopTime:  workers.Duration("stop", time.Second, time.Millisecond, time.Minute),
-			SaveEvery: workers.Duration("save", time.Second, time.Millisecond, maxPeriod),
-			KeepEnded: workers.Duration("keep_ended", 2*time.Minute, time.Second, maxPeriod),
-			Handover:  machines.Duration("handover", 3*time.Second, time.Millisecond, time.Minute),
-			Away:      machines.Duration("away", 2*time.Second, time.Millisecond, time.Hour),
-		},
-		LogLevel: f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
+		Workers:    readBounds(workers, machines),
+		LogLevel:   f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
+	}
+}
+
+// readBounds reads the bounds of workers and machines, and how long ended jobs are kept.
+func readBounds(workers, machines *inifile.Section) dispatch.Config {
+	return dispatch.Config{
+		MaxLease:  workers.Duration("max_lease", 10*time.Second, time.Second, maxPeriod),
+		StopTime:  workers.Duration("stop", time.Second, time.Millisecond, time.Minute),
+		SaveEvery: workers.Duration("save", time.Second, time.Millisecond, maxPeriod),
+		KeepEnded: workers.Duration("keep_ended", 2*time.Minute, time.Second, maxPeriod),
+		Handover:  machines.Duration("handover", 3*time.Second, time.Millisecond, time.Minute),
+		Away:      machines.Duration("away", 2*time.Second, time.Millisecond, time.Hour),
 	}
-	return s
 }
