--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -33,6 +33,7 @@
 	evLost      runEvent = "lost"
 )
 
+// runChart has the transitions of a run.
 var runChart = chart.MustParse[runState, runEvent]("run.chart", charts.Read("run"))
 
 // jobState is one open job.
@@ -205,6 +206,7 @@
 	return false
 }
 
+// task returns the name of the step's task at an index.
 func (s *stepState) task(i int) job.Task {
 	return job.Task{Job: s.job.id, Round: s.round, Step: s.index, Index: i}
 }
--- a/core/upkeep/upkeep.go
+++ b/core/upkeep/upkeep.go
@@ -36,6 +36,7 @@
 	evDrop    event = "drop"
 )
 
+// machineChart has the transitions of a machine.
 var machineChart = chart.MustParse[state, event]("upkeep.chart", charts.Read("upkeep"))
 
 const (
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -74,6 +74,7 @@
 	}
 }
 
+// lookUp returns what the table knows of a job; it belongs to the deciding goroutine.
 func (h *Host) lookUp(j id.Job) look {
 	l := look{loaded: h.loaded}
 	if e := h.table.Get(j); e != nil && e.Spec != nil {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -140,7 +140,7 @@
 		_, err := o.host.store.Append(ctx, platform.TopicJobs, recs, w, nil)
 		o.host.metrics.storeCall("append", began, err)
 		dep.note(err)
-		if err == nil || errors.Is(err, platform.ErrFenced) || errors.Is(err, platform.ErrSequence) || errors.Is(err, platform.ErrInvalid) {
+		if settled(err) {
 			return err
 		}
 		bk.wait(ctx)
@@ -148,6 +148,11 @@
 	return ctx.Err()
 }
 
+// settled reports whether an append was done, or can't be done by repeating it.
+func settled(err error) bool {
+	return err == nil || errors.Is(err, platform.ErrFenced) || errors.Is(err, platform.ErrSequence) || errors.Is(err, platform.ErrInvalid)
+}
+
 // flushed takes in what became of an append of flush. One that can't be repeated ends the
 // ownership: the records may lack what the next decisions rest on.
 func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, err error) {
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -100,10 +99,10 @@
 	var b backoff
 	for {
 		_, err := o.host.store.Append(ctx, platform.TopicStatus, []jobtable.Record{rec}, w, nil)
-		switch {
-		case err == nil:
+		if err == nil {
 			return true
-		case errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrInvalid):
+		}
+		if settled(err) {
 			o.host.log.Warn("report-failed", zap.String("key", rec.Key), zap.Error(err))
 			return false
 		}
