--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -1,11 +1,40 @@
 package dispatch
 
 import (
+	"time"
+
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+const (
+	// renewPause is the pause before another renewal when the last one brought
+	// nothing that could be waited for.
+	renewPause = 500 * time.Millisecond
+	// busyPause is how long a worker that refused a start is left alone; a
+	// renewal that is sent at once tells meanwhile what it holds.
+	busyPause = 500 * time.Millisecond
+)
+
+// addressee returns the worker that an order went to, or nil if it isn't known any more or the
+// order was another owner's.
+func (d *Dispatcher) addressee(t Target) *worker {
+	if t.Epoch != d.epoch {
+		return nil
+	}
+	return d.workers[t.Worker]
+}
+
+// run returns a run on the worker by its task and number, or nil.
+func (w *worker) run(t job.Task, number job.Run) *run {
+	r := w.runs[t]
+	if r == nil || r.number != number {
+		return nil
+	}
+	return r
+}
+
 // answered notes that a worker lives, and its clock.
 func (d *Dispatcher) answered(now unit.Instant, w *worker, c fleet.Clock) {
 	w.answered, w.refused = now, 0
@@ -42,13 +71,13 @@
 
 // Started takes in what became of an order to start.
 func (d *Dispatcher) Started(now unit.Instant, res StartResult) {
-	w := d.workers[res.Start.Worker]
-	if w == nil || res.Start.Epoch != d.epoch {
+	w := d.addressee(res.Start.Target)
+	if w == nil {
 		return
 	}
 	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.runs[res.Start.Task]
-	if r == nil || r.number != res.Start.Run {
+	r := w.run(res.Start.Task, res.Start.Run)
+	if r == nil {
 		return
 	}
 	r.inFlight = false
@@ -103,13 +132,13 @@
 // Stopped takes in what became of an order to stop. The room is free only when the
 // worker lists the end, or no longer lists the run.
 func (d *Dispatcher) Stopped(now unit.Instant, res StopResult) {
-	w := d.workers[res.Stop.Worker]
-	if w == nil || res.Stop.Epoch != d.epoch {
+	w := d.addressee(res.Stop.Target)
+	if w == nil {
 		return
 	}
 	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.runs[res.Stop.Task]
-	if r == nil || r.number != res.Stop.Run {
+	r := w.run(res.Stop.Task, res.Stop.Run)
+	if r == nil {
 		return
 	}
 	r.inFlight = false
@@ -124,8 +153,8 @@
 
 // Renewed takes in a worker's answer to a renewal.
 func (d *Dispatcher) Renewed(now unit.Instant, res RenewResult) {
-	w := d.workers[res.Renew.Worker]
-	if w == nil || res.Renew.Epoch != d.epoch {
+	w := d.addressee(res.Renew.Target)
+	if w == nil {
 		return
 	}
 	w.holding = false
@@ -150,136 +179,3 @@
 		w.nextHold = now
 	}
 }
-
-// end takes in that a run has ended.
-func (d *Dispatcher) end(now unit.Instant, w *worker, e fleet.End) {
-	r := w.runs[e.Task]
-	known := r != nil && r.number == e.Run
-	n := Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.How.String()}
-	if !known {
-		n.Event = EventUnknownEnd
-		d.note(n)
-		return
-	}
-	n.Age = now.Sub(r.since)
-	d.note(n)
-	if e.Checkpoint != "" {
-		r.checkpoint = e.Checkpoint
-	}
-	r.apply(evEnded)
-	s := r.step
-	if s == nil || s.job.progress.Outcome != job.Open {
-		d.release(r)
-		return
-	}
-	d.countFailures(now, w, e)
-	switch e.How {
-	case fleet.EndDone:
-		d.done(now, r)
-	case fleet.EndFailed:
-		d.failed(now, r)
-	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
-		d.lose(now, r, e.How.String())
-	}
-}
-
-// done takes in a success. One member's success stands for its whole gang.
-func (d *Dispatcher) done(now unit.Instant, r *run) {
-	s := r.step
-	js := s.job
-	if s.step.LongRunning {
-		d.lose(now, r, "ended")
-		return
-	}
-	tasks := s.together(r.task.Index)
-	for i := range tasks {
-		t := &tasks[i]
-		if t.Phase != job.Done {
-			t.Phase, t.Worker, t.Checkpoint = job.Done, "", ""
-			s.done++
-		}
-	}
-	d.mark(js)
-	if s.done == s.step.Count && !s.counted {
-		s.counted = true
-		js.open--
-		s.dropClaim()
-	}
-	d.release(r)
-	if js.open == 0 {
-		d.finish(now, js, job.Completed, "all tasks are done")
-	}
-}
-
-// failed takes in a failure, which uses up one attempt of the task or its gang.
-func (d *Dispatcher) failed(now unit.Instant, r *run) {
-	s := r.step
-	js := s.job
-	s.noteFailure(now, r.task.Index, r.worker)
-	if s.step.Gang {
-		if s.failedRun >= r.number {
-			d.lose(now, r, "failed")
-			return
-		}
-		s.failedRun = r.number
-	}
-	worst := 0
-	tasks := s.together(r.task.Index)
-	for i := range tasks {
-		tasks[i].Failed++
-		worst = max(worst, tasks[i].Failed)
-	}
-	d.mark(js)
-	d.lose(now, r, "failed")
-	if worst >= js.spec.MaxAttempts && !s.step.LongRunning {
-		d.finish(now, js, job.Failed, "out of attempts")
-	}
-}
-
-// compare takes in what a worker says that it runs.
-func (d *Dispatcher) compare(now unit.Instant, w *worker, res RenewResult, ended map[job.Task]bool) {
-	listed := map[job.Task]bool{}
-	for _, x := range res.Report.Running {
-		listed[x.Task] = true
-		r := w.runs[x.Task]
-		if r == nil && !ended[x.Task] {
-			r = d.discover(now, w, x)
-		}
-		if r == nil || r.number != x.Run {
-			continue
-		}
-		if r.state == runStopping && r.stopDone != 0 && now.Sub(r.stopDone) > stopPatience*d.config.StopTime {
-			r.stopDone = 0 // it should have ended long ago: resend orders it again
-		}
-		r.checkpoint, r.percent, r.load, r.reported = x.Checkpoint, x.Percent, x.Load, now
-		if r.apply(evStarted) && r.started == 0 {
-			r.started = now
-		}
-	}
-	for _, r := range w.sorted() {
-		if listed[r.task] || ended[r.task] {
-			continue
-		}
-		vanished := r.state == runRunning && res.Sent > r.started
-		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
-		if vanished || neverThere {
-			d.noteRun(EventTaskVanished, r, string(r.state), now.Sub(res.Sent))
-			r.apply(evLost)
-			d.lose(now, r, "not listed by its worker")
-		}
-	}
-}
-
-// discover takes in a run that no record tells of, and stops it.
-func (d *Dispatcher) discover(now unit.Instant, w *worker, x fleet.Running) *run {
-	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now}
-	if js := d.jobs[x.Task.Job]; js != nil {
-		if _, ok := js.spec.Index(x.Task); ok {
-			r.need = js.spec.Steps[x.Task.Step].Reserved()
-		}
-	}
-	w.runs[r.task] = r
-	w.used = w.used.Add(r.need)
-	d.stop(now, r, "no placement is known for it")
-	return r
-}
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
@@ -12,6 +13,10 @@
 	"curlewsill.org/curlewsill/core/upkeep"
 )
 
+// upkeepAgain is when an order to take a machine down that got no answer is repeated.
+// The platform answers one that was done in the same way.
+const upkeepAgain = time.Second
+
 // wave is one wave of maintenance and what the store knows of it.
 type wave struct {
 	number id.Wave
@@ -140,16 +145,14 @@
 	if w == nil || w.Draining {
 		return 0, false
 	}
-	cost, runs := 0.0, w.sorted()
+	cost, runs := 0.0, withStep(w.sorted())
 	for _, r := range runs {
-		if r.step != nil {
-			cost += d.lossOf(now, r)
-		}
+		cost += d.lossOf(now, r)
 	}
-	return cost, mayStopAll(withStep(runs))
+	return cost, mayStopAll(runs)
 }
 
-// withStep returns the runs whose jobs are known.
+// withStep leaves out runs whose jobs aren't known any more. It takes the slice over.
 func withStep(runs []*run) []*run {
 	return slices.DeleteFunc(runs, func(r *run) bool { return r.step == nil })
 }
