--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -93,7 +93,9 @@
 	case fleet.Stale:
 		d.overtaken(now, r)
 	case fleet.NoTicket:
-		r.step.dropPermit(w)
+		if r.step != nil {
+			r.step.dropPermit(w)
+		}
 		d.rejected(now, r, res.Verdict)
 	case fleet.NoRoom, fleet.Busy, fleet.Invalid:
 		w.pausedUntil = now.Add(busyPause)
--- a/core/dispatch/lasting.go
+++ b/core/dispatch/lasting.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"curlewsill.org/curlewsill/core/id"
@@ -14,13 +16,15 @@
 // others is given up. The platform counts one as lost that waits 3 s with room.
 const lastingPatience = time.Second
 
+// works reports whether a run of a long-running task is at work.
+func (r *run) works() bool { return r.state == runRunning && r.percent >= atWork }
+
 // away returns how many tasks of a long-running step are not at work.
 func (s *stepState) away() int {
-	n := 0
-	for i := range s.step.Count {
-		r := s.runs[i]
-		if r == nil || r.state != runRunning || r.percent < atWork {
-			n++
+	n := s.step.Count
+	for _, r := range s.runs {
+		if r.works() {
+			n--
 		}
 	}
 	return n
@@ -29,25 +33,40 @@
 // bounded reports whether the step's customer limits how many tasks may be away.
 func (s *stepState) bounded() bool { return s.step.LongRunning && s.step.MayMiss > 0 }
 
-// mayStopOne reports whether one task of the step may be stopped in favor of others. A
-// long-running step without a limit may lose any, a step with one only while fewer are away.
-func (s *stepState) mayStopOne() bool { return !s.bounded() || s.away() < s.step.MayMiss }
-
-// mayStopAll reports whether the runs may be stopped together without taking more tasks of
-// a step away than its customer allows.
-func mayStopAll(victims []*run) bool {
-	stopped := map[*stepState]int{}
+// mayStopAll reports whether the runs may be stopped together, each with its gang, without
+// taking more tasks of a step away than its customer allows. A task that isn't at work is
+// away already.
+func mayStopAll(victims ...*run) bool {
+	stopped := map[*run]bool{}
 	for _, v := range victims {
-		stopped[v.step]++
+		if v.step != nil && v.step.bounded() {
+			for _, r := range v.stoppedWith() {
+				stopped[r] = r.works()
+			}
+		}
+	}
+	leave := map[*stepState]int{}
+	for r, worked := range stopped {
+		if worked {
+			leave[r.step]++
+		}
 	}
-	for s, n := range stopped {
-		if s.bounded() && s.away()+n > s.step.MayMiss {
+	for s, n := range leave {
+		if s.away()+n > s.step.MayMiss {
 			return false
 		}
 	}
 	return true
 }
 
+// stoppedWith returns the runs that stopping this one stops: its gang, or itself alone.
+func (r *run) stoppedWith() []*run {
+	if !r.step.step.Gang {
+		return []*run{r}
+	}
+	return slices.Collect(maps.Values(r.step.runs))
+}
+
 // giveWay gives up the room that is kept for gangs without stopping anybody, in services in
 // which long-running tasks have waited for a while: those must be back soon if there is
 // room for them at all. It returns these services.
--- a/core/dispatch/loss.go
+++ b/core/dispatch/loss.go
@@ -42,8 +42,10 @@
 		return r.unsaved(now, d.config.SaveEvery)
 	}
 	sum := 0.0
-	for _, m := range r.step.runs {
-		sum += m.unsaved(now, d.config.SaveEvery)
+	for i := range r.step.step.Count { // in order, so that the sum is the same on every host
+		if m := r.step.runs[i]; m != nil {
+			sum += m.unsaved(now, d.config.SaveEvery)
+		}
 	}
 	return sum
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -38,7 +38,7 @@
 		return
 	}
 	chosen := d.chooseGang(now, c, fits, d.preemptible)
-	if chosen.workers == nil || !mayStopAll(chosen.victims) {
+	if chosen.workers == nil || !mayStopAll(chosen.victims...) {
 		d.reclaimable(now, c)
 		return
 	}
@@ -86,7 +86,7 @@
 		switch {
 		case r.state == runStopping:
 			free = free.Add(r.need)
-		case r.step != nil && r.step.job.spec.Priority > c.step.job.spec.Priority && r.step.mayStopOne():
+		case r.step != nil && r.step.job.spec.Priority > c.step.job.spec.Priority && mayStopAll(r):
 			others = append(others, r)
 		}
 	}
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -49,7 +49,8 @@
 		x.plan.Drop(m)
 	}
 	d.waves[w.Number] = x
-	d.orders.Reports = append(d.orders.Reports, WaveReport{Wave: w.Number})
+	x.finished = x.plan.Finished()
+	d.orders.Reports = append(d.orders.Reports, WaveReport{Wave: w.Number, Finished: x.finished})
 	d.note(Note{Event: EventWaveSeen, Why: fmt.Sprintf("wave %d: %d machines, %d begun", w.Number, len(w.Machines), len(rec.Begun)), Estimate: w.Within})
 }
 
@@ -70,12 +71,12 @@
 func (d *Dispatcher) SetLives(now unit.Instant, lives []Life) {
 	for _, l := range lives {
 		w := d.workers[l.Worker]
-		if w == nil || w.Machine == l.Machine {
+		if w == nil || !w.listed || w.Machine == l.Machine {
 			continue
 		}
-		listing := w.Listing
-		listing.Machine = l.Machine
-		d.List(now, listing)
+		w.Machine = l.Machine
+		d.supersede(now, w)
+		d.back(w.Listing)
 	}
 }
 
@@ -149,7 +150,7 @@
 	for _, r := range runs {
 		cost += d.lossOf(now, r)
 	}
-	return cost, mayStopAll(runs)
+	return cost, mayStopAll(runs...)
 }
 
 // withStep leaves out runs whose jobs aren't known any more. It takes the slice over.
@@ -174,7 +175,7 @@
 		return
 	}
 	for _, r := range withStep(w.sorted()) {
-		if r.state != runStopping && mayStopAll([]*run{r}) {
+		if r.state != runStopping && mayStopAll(r) {
 			d.stopRun(now, r, "its machine goes down for maintenance")
 		}
 	}
--- a/internal/entry/checks_test.go
+++ b/internal/entry/checks_test.go
@@ -131,7 +131,8 @@
 // starts checks how many runs of a job all workers together have started.
 func (s *site) starts(job string, want int) {
 	got := 0
-	for _, w := range s.workers {
+	for n := range s.workers {
+		w := s.worker(n)
 		for task, n := range w.Starts() {
 			if strings.HasPrefix(task, job+".") {
 				got += n
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -121,7 +121,7 @@
 	case "store":
 		s.store.SetFault(fault(f[1]))
 	case "worker":
-		s.workers[s.number(f[1])].SetFault(fault(f[2]))
+		s.worker(s.number(f[1])).SetFault(fault(f[2]))
 	case "forget":
 		s.store.Forget()
 	default:
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,7 +29,9 @@
 	// machines is the address of the service that takes machines down, taken what it did.
 	machines string
 	taken    *standin.Machines
-	workers  []*standin.Worker
+	// mu guards the elements of workers.
+	mu      sync.Mutex
+	workers []*standin.Worker
 
 	// stops end a host at once, ended are closed when it has ended.
 	hosts []*entry.Host
@@ -118,21 +121,32 @@
 	w := standin.NewWorker(name, work)
 	server := httptest.NewServer(w)
 	s.t.Cleanup(server.CloseClientConnections)
+	s.mu.Lock()
 	s.workers[n] = w
+	s.mu.Unlock()
 	s.store.PutWorker(name, strings.TrimPrefix(server.URL, "http://"))
 }
 
+// worker returns the present life of a machine's worker. Orders about machines come from
+// other goroutines than the script's.
+func (s *site) worker(n int) *standin.Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[n]
+}
+
 // takeDown ends the life of a machine's worker and starts another one, whose id it returns.
 func (s *site) takeDown(machine string) string {
 	n, err := strconv.Atoi(strings.TrimPrefix(machine, "m-"))
-	if err != nil || n >= len(s.workers) {
-		s.failf("machine %s", machine)
+	if err != nil {
+		s.t.Errorf("an order about machine %q", machine)
 		return ""
 	}
-	s.workers[n].SetFault(standin.FaultSilent)
-	s.store.Put("keyed.servers", s.workers[n].ID(), nil)
-	s.startLife(n, s.workers[n].ID()+"+")
-	return s.workers[n].ID()
+	w := s.worker(n)
+	w.SetFault(standin.FaultSilent)
+	s.store.Put("keyed.servers", w.ID(), nil)
+	s.startLife(n, w.ID()+"+")
+	return s.worker(n).ID()
 }
 
 // fault returns the fault of that name.
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -85,29 +86,32 @@
 				o.host.log.Error("report-failed", zap.Int("wave", int(r.Wave)), zap.Error(err))
 				continue
 			}
-			seq++
-			if !o.writeReport(ctx, rec, platform.Writer{Name: ownerWriter, Epoch: o.epoch, Seq: seq}) {
+			err = o.writeReport(ctx, rec, platform.Writer{Name: ownerWriter, Epoch: o.epoch, Seq: seq + 1})
+			switch {
+			case err == nil:
+				seq++
+			case ctx.Err() != nil:
+				return
+			default:
+				o.host.log.Warn("report-failed", zap.String("key", rec.Key), zap.Error(err))
+			}
+			if errors.Is(err, platform.ErrFenced) {
 				return
 			}
 		}
 	}
 }
 
-// writeReport repeats an append until it is done. It reports whether this owner may go on
-// writing.
-func (o *owner) writeReport(ctx context.Context, rec jobtable.Record, w platform.Writer) bool {
+// writeReport repeats an append until it is done, or can't be.
+func (o *owner) writeReport(ctx context.Context, rec jobtable.Record, w platform.Writer) error {
 	var b backoff
 	for {
 		_, err := o.host.store.Append(ctx, platform.TopicStatus, []jobtable.Record{rec}, w, nil)
-		if err == nil {
-			return true
-		}
-		if settled(err) {
-			o.host.log.Warn("report-failed", zap.String("key", rec.Key), zap.Error(err))
-			return false
+		if err == nil || settled(err) {
+			return err
 		}
 		if !b.wait(ctx) {
-			return false
+			return ctx.Err()
 		}
 	}
 }
