dispatch: long-running tasks that wait go in the order of their waiting

Jobs that can't earn anything any more go last, and a long-running job counted as such soon after its start, because its work has no estimate.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -107,6 +107,13 @@
 	allowed := scale(js.spec.LongestChain(), js.spec.Stretch) + js.spec.Target
 	c.deadline = due.Add(allowed)
 	c.late = now > due.Add(lateFactor*allowed)
+	if s.step.LongRunning {
+		// It earns as long as it runs, whenever that begins: who waits longest goes first.
+		c.late = false
+		if s.waitingSince != 0 {
+			c.deadline = s.waitingSince
+		}
+	}
 	return c, true
 }
 
