scripttest: one driver for tests that run scripts

Change: core/scripttest runs each script as a subtest, and fails if there is none; the seven use it. No assertion, script or name of a subtest changed.

--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -1,8 +1,6 @@
 package dispatch_test
 
 import (
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -12,6 +10,7 @@
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/upkeep"
 )
@@ -39,19 +38,9 @@
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			newScript(t).run(string(data))
-		})
-	}
+	scripttest.Each(t, func(t *testing.T, text string) {
+		newScript(t).run(text)
+	})
 }
 
 // script is a dispatcher under test, with the store and the platform's list beside it.
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -1,14 +1,13 @@
 package election_test
 
 import (
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -20,19 +19,7 @@
 //	claim TIME true|false        checks whether the host claims
 //	standby true|false           checks whether it is among the first to claim
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			run(t, string(data))
-		})
-	}
+	scripttest.Each(t, run)
 }
 
 func run(t *testing.T, text string) {
--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -1,8 +1,6 @@
 package jobtable_test
 
 import (
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -10,6 +8,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/scripttest"
 )
 
 // TestScripts applies records and looks at the table. A line is a command:
@@ -21,25 +20,15 @@
 //	owned HOST EPOCH
 //	damaged KEY           a record that must be refused
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &script{t: t, table: jobtable.New()}
-			for i, line := range strings.Split(string(data), "\n") {
-				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
-					s.line = i + 1
-					s.do(words)
-				}
+	scripttest.Each(t, func(t *testing.T, text string) {
+		s := &script{t: t, table: jobtable.New()}
+		for i, line := range strings.Split(text, "\n") {
+			if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
+				s.line = i + 1
+				s.do(words)
 			}
-		})
-	}
+		}
+	})
 }
 
 type script struct {
--- /dev/null
+++ b/core/scripttest/scripttest.go
@@ -0,0 +1,28 @@
+// Package scripttest runs a test's scripts, the text files in its folder testdata, each as a
+// subtest. What a script's lines mean is up to the test. Only tests import it.
+package scripttest
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// Each runs a subtest for each script of testdata, in the order of their names, with the
+// script's text. It fails if there is none.
+func Each(t *testing.T, run func(t *testing.T, text string)) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("testdata", "*.txt"))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			run(t, string(data))
+		})
+	}
+}
--- a/core/state/script_test.go
+++ b/core/state/script_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -12,6 +10,7 @@
 	"curlewsill.org/curlewsill/core/config"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/record"
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/core/state"
 )
 
@@ -20,19 +19,7 @@
 // more. The site is one rack r1 of 64 accelerators, a guarantee g of 32 for customer a,
 // and a customer b.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			run(t, string(data))
-		})
-	}
+	scripttest.Each(t, run)
 }
 
 type script struct {
--- a/core/upkeep/upkeep_test.go
+++ b/core/upkeep/upkeep_test.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/upkeep"
 )
@@ -24,25 +23,15 @@
 //	settle                            time has passed
 //	finished true|false
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			s := &script{t: t, now: unit.At(time.Unix(1000, 0))}
-			for i, l := range strings.Split(string(data), "\n") {
-				if f := strings.Fields(l); len(f) > 0 && f[0] != "#" {
-					s.line = i + 1
-					s.do(f)
-				}
+	scripttest.Each(t, func(t *testing.T, text string) {
+		s := &script{t: t, now: unit.At(time.Unix(1000, 0))}
+		for i, l := range strings.Split(text, "\n") {
+			if f := strings.Fields(l); len(f) > 0 && f[0] != "#" {
+				s.line = i + 1
+				s.do(f)
 			}
-		})
-	}
+		}
+	})
 }
 
 type script struct {
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"curlewsill.org/curlewsill/core/scripttest"
 )
 
 // deadline is when a script that makes no progress is given up. No script asserts how
@@ -37,20 +37,10 @@
 //	starts JOB N                     all workers together have started N runs of it
 //	metric HOST NAME                 the counter is served and not zero
 func TestPath(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			t.Parallel()
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			newSite(t).run(string(data))
-		})
-	}
+	scripttest.Each(t, func(t *testing.T, text string) {
+		t.Parallel()
+		newSite(t).run(text)
+	})
 }
 
 // run plays a script until something fails.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,6 +14,7 @@
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/internal/relay"
 )
 
@@ -28,19 +27,7 @@
 // ok, busy, unsent (surely no effect) or unknown. A call with a WAY is bound to it. The
 // lines of a script share one path, which learns which way works.
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			run(t, string(data))
-		})
-	}
+	scripttest.Each(t, run)
 }
 
 // way is one way of a call, scripted.
