dispatch, platform: hosts whose questions get no answer pause longer

Cause: a host that is cut off from the advice service, or from the owner, was asked to ask again after 0.2 s, and each time cost a step up to 2.3 s beyond the service's time.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -24,8 +24,13 @@
 	firstYield  = 0.5
 	leastYield  = 0.1
 	yieldWeight = 0.2
-	// askPause is the pause after a question that got no answer.
-	askPause = 200 * time.Millisecond
+	// askPause is the pause of a host whose question got no answer. It doubles with each
+	// miss in a row, up to mostAskPause: a host that is cut off costs a step the time of a
+	// question.
+	askPause     = 200 * time.Millisecond
+	mostAskPause = 3200 * time.Millisecond
+	// mostDoublings keeps the doubling from running over.
+	mostDoublings = 8
 )
 
 // consultation is the state of the questions to the advice service. The service works on
@@ -39,8 +44,15 @@
 // adviser is one host that can ask the service.
 type adviser struct {
 	busy bool
-	// next is when the next question may leave.
-	next unit.Instant
+	// next is when the next question may leave, misses how many in a row got no answer.
+	next   unit.Instant
+	misses int
+}
+
+// miss notes that a question got no answer.
+func (a *adviser) miss(now unit.Instant) {
+	a.next = now.Add(min(mostAskPause, askPause<<min(a.misses, mostDoublings)))
+	a.misses++
 }
 
 // idle returns the number of a host that can ask now, or false if there is none.
@@ -167,10 +179,11 @@
 		s.asking = false
 	}
 	if res.Verdict != fleet.Carried {
-		by.next = now.Add(askPause)
+		by.miss(now)
 		d.note(Note{Event: EventAdviceMissed, Job: res.Ask.Step.Job, Why: res.Verdict.String(), Age: now.Sub(res.Sent)})
 		return
 	}
+	by.misses = 0
 	if s == nil {
 		return
 	}
