dispatch: urgent tasks get part of their room; questions name all workers that fit

RECLAIM, mix: five urgent tasks that aren't a gang, five workers allowed, one held by other urgent work: nobody was stopped on the other four until that one was free. LOST, mix: a large step was asked about one worker at a time, as each became free, 0.3 s for each.

Ruled out: lost questions (none in either log).

Change: tasks that aren't a gang get room for as many of them as stops can give.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -106,11 +106,15 @@
 }
 
 // askAbout returns the workers to ask about: as many as are likely to be enough, or as fit
-// into twice the time of a question that names none.
+// into twice the time of a question that names none. What is refused stays so, and a permit
+// may still hold when a worker without room has some.
 func (c *candidate) askAbout(now unit.Instant, ahead time.Duration, advice job.Advice, yield float64) []id.Worker {
 	s := c.step
 	need := s.step.Reserved()
 	open := c.open(now, ahead)
+	if len(open) == 0 || s.job.spec.Priority > 0 && !need.Fits(open[0].free()) {
+		return nil // no use for work that isn't urgent while there is no room
+	}
 	var out []id.Worker
 	expected := 0.0
 	for _, w := range open[:min(askBatch, len(open))] {
@@ -130,7 +134,7 @@
 
 // open returns the workers for which the step has no permit that lasts for a time ahead:
 // those with room first, and racks with most of them first, so that a gang finds its workers
-// in one. Work that isn't urgent has no use for workers without room.
+// in one.
 func (c *candidate) open(now unit.Instant, ahead time.Duration) []*worker {
 	s := c.step
 	need := s.step.Reserved()
@@ -141,7 +145,7 @@
 		if fits {
 			roomy[w.Rack]++
 		}
-		if s.permitLasts(now, w, ahead) || !fits && s.job.spec.Priority > 0 {
+		if s.permitLasts(now, w, ahead) {
 			continue
 		}
 		out = append(out, w)
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -12,8 +12,8 @@
 // or are expected to end soon. It counts as reserved on its workers until it is used,
 // dropped, or over.
 type claim struct {
-	// workers has one worker for each waiting task; a worker that is to take several
-	// is listed as often.
+	// workers has one worker for each waiting task, or for the first of them if there
+	// can't be room for all; a worker that is to take several is listed as often.
 	workers []*worker
 	// until is when the room is given up if it has not become free.
 	until unit.Instant
@@ -32,7 +32,7 @@
 	if s.claim == nil {
 		return false
 	}
-	if now > s.claim.until || len(s.claim.workers) != len(c.waiting) || !s.claim.sound(now, s) {
+	if now > s.claim.until || len(s.claim.workers) > len(c.waiting) || !s.claim.sound(now, s) {
 		s.dropClaim()
 		return false
 	}
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -19,17 +19,21 @@
 	return true
 }
 
-// placeOn places each waiting task on its worker. The members of a gang share a number.
+// placeOn places as many of the waiting tasks as there are workers, each on its own. The
+// members of a gang share a number.
 func (d *Dispatcher) placeOn(c candidate, workers []*worker) {
 	s := c.step
 	number := s.nextRun(0)
-	for at, i := range c.waiting {
+	for at, w := range workers {
+		i := c.waiting[at]
 		if !s.step.Gang {
 			number = s.nextRun(i)
 		}
-		d.place(s, i, workers[at], number)
+		d.place(s, i, w, number)
+	}
+	if len(workers) == len(c.waiting) {
+		s.waitingSince = 0
 	}
-	s.waitingSince = 0
 }
 
 // assignment is room for the members of a gang.
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -22,6 +22,11 @@
 	shortestWait      = time.Second
 	longestWait       = 8 * time.Second
 	mostWaitingClaims = 2
+	// fewerPart is the part of the waiting tasks by which their number is lowered until
+	// there can be room for the rest, and fewerPause the pause between two such searches,
+	// which take longer than a pass.
+	fewerPart  = 4
+	fewerPause = 200 * time.Millisecond
 )
 
 // preempt stops work of lower priority for work that finds no room and can't wait, and
@@ -37,8 +42,12 @@
 		d.wait(now, c, fits)
 		return
 	}
-	chosen := d.chooseGang(now, c, fits, d.preemptible)
-	if chosen.workers == nil || !mayStopAll(chosen.victims...) {
+	chosen, ok := d.choosePreempted(now, c, fits)
+	if !ok && !s.step.Gang && now.Sub(s.triedFewer) >= fewerPause {
+		s.triedFewer = now
+		chosen, ok = d.chooseFewer(now, c, fits)
+	}
+	if !ok {
 		d.reclaimable(now, c)
 		return
 	}
@@ -48,6 +57,25 @@
 	d.keep(now, c, chosen.workers, claimTime, "work of lower priority is stopped")
 }
 
+// choosePreempted finds room for all that waits of a step by stopping others, or reports
+// false.
+func (d *Dispatcher) choosePreempted(now unit.Instant, c candidate, fits []*worker) (assignment, bool) {
+	chosen := d.chooseGang(now, c, fits, d.preemptible)
+	return chosen, chosen.workers != nil && mayStopAll(chosen.victims...)
+}
+
+// chooseFewer does the same for as many of the tasks as there can be room for.
+func (d *Dispatcher) chooseFewer(now unit.Instant, c candidate, fits []*worker) (assignment, bool) {
+	for n := len(c.waiting); n > 1; {
+		n -= max(1, n/fewerPart)
+		c.waiting = c.waiting[:n]
+		if chosen, ok := d.choosePreempted(now, c, fits); ok {
+			return chosen, true
+		}
+	}
+	return assignment{}, false
+}
+
 // wait keeps room for a gang where enough of it will be free soonest, so that smaller
 // work doesn't take it bit by bit.
 func (d *Dispatcher) wait(now unit.Instant, c candidate, fits []*worker) {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -75,6 +75,8 @@
 	waitingSince unit.Instant
 	// claim is the room that is kept for the step's gang.
 	claim *claim
+	// triedFewer is when room for fewer than all waiting tasks was last sought.
+	triedFewer unit.Instant
 	// failures holds the newest failure of each task, by its index; that of a gang is
 	// under 0.
 	failures map[int]failure
