dispatch: benchmarks of a second and of a pass, in a world of virtual time

Cause: the owner of 350 workers breaks down on small hosts, and nothing measured what deciding costs.

--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,56 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkSecond plays a second of a busy site, load and workers in proportion. Its figure is
+// the deciding time of a second, without sending anything.
+func BenchmarkSecond(b *testing.B) {
+	for _, workers := range []int{48, 350, 990} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			w := newWorld(b, workers, 0)
+			scale := float64(workers) / 350
+			for range 8 {
+				w.arrive(scale)
+				w.run(time.Second)
+			}
+			before := w.starts
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				w.arrive(scale)
+				w.run(time.Second)
+			}
+			b.ReportMetric(float64(w.starts-before)/float64(b.N), "starts/op")
+		})
+	}
+}
+
+// BenchmarkPass is one pass over idle workers and tasks that wait for room.
+func BenchmarkPass(b *testing.B) {
+	for _, workers := range []int{48, 350, 990} {
+		for _, waiting := range []int{0, 1000, 10000} {
+			b.Run(fmt.Sprintf("workers=%d/waiting=%d", workers, waiting), func(b *testing.B) {
+				w := newWorld(b, workers, 0)
+				w.run(time.Second)
+				for range workers {
+					w.submit(1, 1, 8, time.Hour)
+				}
+				w.run(time.Second)
+				for range waiting / 40 {
+					w.submit(2, 40, 1, time.Hour)
+				}
+				w.run(100 * time.Millisecond)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					w.now = w.now.Add(worldStep)
+					w.d.Pass(w.now, w.now)
+				}
+			})
+		}
+	}
+}
