election, entry: the ablest host owns, and a small owner hands over to one that stays

Cause: hosts claimed by a hash alone. Change: a host tells how many tasks a second it can start (from its processor share and link, new keys cores and link_mbps of [limits]) with its name in the group; abler hosts claim first; an owner hands over once a host 1.5 times as able has been seen for 2 s and it has been in office for 5 s. Tests: ablest_first, yields, yields_once, yields_to_much_abler; abler_host on the path, seen to fail without the hand-over.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -1,10 +1,11 @@
-// Package election decides when a host claims to be the owner of scheduling.
+// Package election decides when a host claims to be the owner of scheduling, and when an
+// owner hands over to an abler host.
 //
 // The platform's store keeps the group of live hosts and drops a host that is silent.
 // The owner is whoever wrote the newest claim. A host claims when the owner is missing
-// from the group in several looks in a row; hosts claim one after the other, by a rank
-// that they all agree on, and the store takes only a claim that follows the newest
-// state. A claim too many is harmless: it costs one change of owner.
+// from the group in several looks in a row; hosts claim one after the other, the ablest
+// first and equal ones by a rank that they all agree on, and the store takes only a claim
+// that follows the newest state. A claim too many is harmless: it costs one change of owner.
 package election
 
 import (
@@ -29,26 +30,49 @@
 	// standbyHosts is how many hosts, by rank, are ready to claim at once. One of them is
 	// mostly the owner itself, and another may die together with it.
 	standbyHosts = 3
+	// ablerFactor is how much abler another host must be for the owner to hand over, and
+	// ablerFor how long it must have been in the group without a break: a change of owner
+	// costs about 0.3 s without new starts, and a host that comes and goes would cost it
+	// again and again.
+	ablerFactor = 1.5
+	ablerFor    = 2 * time.Second
+	// tenure is the least time between a claim and a hand-over to an abler host, so that a
+	// host that can be seen but can't claim doesn't make owners alternate.
+	tenure = 5 * time.Second
 )
 
+// Member is one host of the group.
+type Member struct {
+	Host id.Host
+	// Ability is how many tasks a second the host can start as the owner; 0 if it isn't
+	// known.
+	Ability int
+}
+
 // Election is what one host knows of the group. The zero value is not ready; call New.
 type Election struct {
-	self id.Host
+	self Member
 	// members is the newest look at the group, looked when it was made.
-	members []id.Host
+	members []Member
 	looked  unit.Instant
 	// missed counts the looks in a row without the owner, since is the first.
 	missed int
 	since  unit.Instant
+	// ablerSince is since when every look has shown a much abler host; 0 if the newest
+	// one has not.
+	ablerSince unit.Instant
+	// owned is when this host last became the owner; 0 before.
+	owned unit.Instant
 }
 
 // New returns the election of a host.
-func New(self id.Host) *Election { return &Election{self: self} }
+func New(self Member) *Election { return &Election{self: self} }
 
 // Look takes in the members of the group and who the owner is by the newest claim.
-func (e *Election) Look(now unit.Instant, members []id.Host, owner id.Host) {
+func (e *Election) Look(now unit.Instant, members []Member, owner id.Host) {
 	e.members, e.looked = members, now
-	if owner != "" && slices.Contains(members, owner) {
+	e.lookForAbler(now)
+	if owner != "" && contains(members, owner) {
 		e.missed = 0
 		return
 	}
@@ -58,6 +82,27 @@
 	e.missed++
 }
 
+// lookForAbler notes since when a much abler host is in the group.
+func (e *Election) lookForAbler(now unit.Instant) {
+	abler := slices.ContainsFunc(e.members, func(m Member) bool {
+		return float64(m.Ability) >= ablerFactor*float64(e.self.Ability) && m.Ability > 0
+	})
+	switch {
+	case !abler:
+		e.ablerSince = 0
+	case e.ablerSince == 0:
+		e.ablerSince = now
+	}
+}
+
+// Owned notes that this host has become the owner.
+func (e *Election) Owned(now unit.Instant) { e.owned = now }
+
+// Yields reports whether this host, as the owner, is to hand over to an abler one.
+func (e *Election) Yields(now unit.Instant) bool {
+	return e.ablerSince != 0 && now.Sub(e.ablerSince) >= ablerFor && now.Sub(e.owned) >= tenure && now.Sub(e.looked) <= fresh
+}
+
 // Released notes that the owner has given its ownership back.
 func (e *Election) Released(now unit.Instant) {
 	if e.missed < missedLooks {
@@ -67,18 +112,36 @@
 
 // Claim reports whether the host is to claim now.
 func (e *Election) Claim(now unit.Instant) bool {
-	if e.missed < missedLooks || now.Sub(e.looked) > fresh || !slices.Contains(e.members, e.self) {
+	if e.missed < missedLooks || now.Sub(e.looked) > fresh || !contains(e.members, e.self.Host) {
 		return false
 	}
-	place := rank.Of(e.self, "owner", e.members)
-	return now.Sub(e.since) >= time.Duration(place)*stagger
+	return now.Sub(e.since) >= time.Duration(e.place())*stagger
+}
+
+// place returns how many members claim before this host: all that are abler, and those as able
+// that rank before it.
+func (e *Election) place() int {
+	before := 0
+	var equals []id.Host
+	for _, m := range e.members {
+		switch {
+		case m.Ability > e.self.Ability:
+			before++
+		case m.Ability == e.self.Ability:
+			equals = append(equals, m.Host)
+		}
+	}
+	return before + rank.Of(e.self.Host, "owner", equals)
 }
 
 // Standby reports whether this host is among the first that would claim. A host that
 // hasn't seen the group yet may be.
-func (e *Election) Standby() bool {
-	return len(e.members) == 0 || rank.Of(e.self, "owner", e.members) < standbyHosts
-}
+func (e *Election) Standby() bool { return len(e.members) == 0 || e.place() < standbyHosts }
 
 // Suspects reports whether the owner was missing in the newest look.
 func (e *Election) Suspects() bool { return e.missed > 0 }
+
+// contains reports whether a host is a member.
+func contains(members []Member, host id.Host) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Host == host })
+}
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -1,6 +1,7 @@
 package election_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,8 +14,10 @@
 
 // TestScripts drives an election by the scripts in testdata, one host's view each:
 //
-//	self HOST
-//	look TIME OWNER MEMBER...    a look at the group; OWNER is - if there is none
+//	self HOST[=ABILITY]
+//	look TIME OWNER MEMBER[=ABILITY]...    a look at the group; OWNER is - if there is none
+//	owned TIME                   the host has become the owner
+//	yields TIME true|false       checks whether it hands over to an abler host
 //	released TIME
 //	claim TIME true|false        checks whether the host claims
 //	standby true|false           checks whether it is among the first to claim
@@ -31,11 +34,15 @@
 		}
 		switch f[0] {
 		case "self":
-			e = election.New(id.Host(f[1]))
+			e = election.New(member(t, f[1]))
 		case "look":
-			e.Look(at(t, f[1]), members(f[3:]), id.Host(strings.TrimPrefix(f[2], "-")))
+			e.Look(at(t, f[1]), members(t, f[3:]), id.Host(strings.TrimPrefix(f[2], "-")))
 		case "released":
 			e.Released(at(t, f[1]))
+		case "owned":
+			e.Owned(at(t, f[1]))
+		case "yields":
+			expect(t, i, l, e.Yields(at(t, f[1])), f[2])
 		case "claim":
 			expect(t, i, l, e.Claim(at(t, f[1])), f[2])
 		case "standby":
@@ -46,14 +53,29 @@
 	}
 }
 
-func members(names []string) []id.Host {
-	var out []id.Host
+func members(t *testing.T, names []string) []election.Member {
+	var out []election.Member
 	for _, n := range names {
-		out = append(out, id.Host(n))
+		out = append(out, member(t, n))
 	}
 	return out
 }
 
+// member reads a host and its ability, which is 0 if it isn't given.
+func member(t *testing.T, text string) election.Member {
+	name, ability, given := strings.Cut(text, "=")
+	m := election.Member{Host: id.Host(name)}
+	if !given {
+		return m
+	}
+	n, err := strconv.Atoi(ability)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.Ability = n
+	return m
+}
+
 func at(t *testing.T, text string) unit.Instant {
 	d, err := time.ParseDuration(text)
 	if err != nil {
--- a/internal/entry/checks_test.go
+++ b/internal/entry/checks_test.go
@@ -43,6 +43,8 @@
 		s.starts(f[1], s.number(f[2]))
 	case "metric":
 		s.metric(host, f[2])
+	case "awaitmetric":
+		s.eventually(func() (bool, string) { return s.counted(host, f[2]), f[2] + " stays 0" })
 	default:
 		s.t.Fatalf("line %d: unknown command %s", s.line, f[0])
 	}
@@ -146,6 +148,13 @@
 
 // metric checks that a counter is served and isn't zero.
 func (s *site) metric(host int, name string) {
+	if !s.counted(host, name) {
+		s.failf("%s is not served", name)
+	}
+}
+
+// counted reports whether a counter is served and isn't zero.
+func (s *site) counted(host int, name string) bool {
 	resp, err := http.Get("http://" + s.hosts[host].Metrics() + "/metrics")
 	if err != nil {
 		s.t.Fatal(err)
@@ -154,10 +163,10 @@
 	data, _ := io.ReadAll(resp.Body)
 	for _, l := range strings.Split(string(data), "\n") {
 		if strings.HasPrefix(l, name) && !strings.HasSuffix(l, " 0") {
-			return
+			return true
 		}
 	}
-	s.failf("%s is not served", name)
+	return false
 }
 
 // maintained waits until a wave is told to be completed.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -83,6 +83,7 @@
 		seq: 1, listed: map[id.Worker]bool{}, reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
+	h.election.Owned(now)
 	h.metrics.owning.Store(true)
 	h.metrics.takeovers.Inc()
 	h.log.Info("owner", zap.Uint64("epoch", uint64(epoch)), zap.Int("jobs", len(h.table.Jobs())), zap.Uint64("applied", uint64(h.table.Next())))
@@ -100,6 +101,16 @@
 	go o.followMachines(ctx)
 }
 
+// yield hands the ownership over to an abler host, if there is one and no append is under way.
+func (h *Host) yield(ctx context.Context, now unit.Instant) {
+	if h.owner == nil || h.stopping.Load() || !h.election.Yields(now) {
+		return
+	}
+	if r := h.retire("an abler host is there"); r.owner != nil {
+		go h.release(ctx, r.owner)
+	}
+}
+
 // stepDown ends scheduling at once.
 func (h *Host) stepDown(why string) {
 	if h.owner == nil {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -132,7 +132,7 @@
 		advice:   platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log),
 		machines: platform.NewMachines(s.Machines, s.Host, platform.NewHTTPClient(machineConns), log),
 		events:   ring.New[event](events), stopped: make(chan struct{}),
-		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(self), start: time.Now(),
+		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.writer = newWriter(h.store, string(self), log, h.metrics)
@@ -215,6 +215,7 @@
 	h.ready.Store(h.loaded && h.catalog.Load() != nil && !h.stopping.Load())
 	if h.owner != nil {
 		h.owner.pass(ctx, now)
+		h.yield(ctx, now)
 		return
 	}
 	// An owner that was fenced without a successor has to claim again itself: the
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
+	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/relay"
+	"curlewsill.org/curlewsill/internal/settings"
 )
 
 const (
@@ -24,8 +27,18 @@
 	// mostMembers is how many hosts the group must have room for: each member
 	// shows only if it holds a partition.
 	mostMembers = 64
+	// tasksPerCore is how many tasks a second an owner with a whole core can start, and
+	// tasksPerMegabit how many one Mbit/s carries, at 4 kB a task with its renewals and
+	// records. Measured with 350 workers: docs/CAPACITY.md.
+	tasksPerCore    = 700
+	tasksPerMegabit = 31
 )
 
+// ability returns how many tasks a second a host can start as the owner.
+func ability(s settings.Site) int {
+	return int(min(s.Cores*tasksPerCore, float64(s.Link)*tasksPerMegabit))
+}
+
 // memberTopics returns topics with partitions for mostMembers hosts.
 func memberTopics(partitions int) []string {
 	var out []string
@@ -82,16 +95,23 @@
 	}
 }
 
-// member is the host's name in the group: its own and where it listens for peers.
-func (h *Host) member() string { return string(h.self) + "@" + h.peers }
+// member is the host's name in the group: its own, where it listens for peers, and its ability.
+func (h *Host) member() string {
+	return string(h.self) + "@" + h.peers + "@" + strconv.Itoa(ability(h.settings))
+}
 
 // readMembers returns the hosts of the group, and the others as peers.
-func (h *Host) readMembers(names []string) ([]id.Host, []relay.Peer) {
-	members := make([]id.Host, 0, len(names))
+func (h *Host) readMembers(names []string) ([]election.Member, []relay.Peer) {
+	members := make([]election.Member, 0, len(names))
 	var peers []relay.Peer
 	for _, n := range names {
-		host, address, _ := strings.Cut(n, "@")
-		members = append(members, id.Host(host))
+		host, rest, _ := strings.Cut(n, "@")
+		address, tasks, _ := strings.Cut(rest, "@")
+		m := election.Member{Host: id.Host(host)}
+		if a, err := strconv.Atoi(tasks); err == nil {
+			m.Ability = a // a member that doesn't tell it claims last
+		}
+		members = append(members, m)
 		if id.Host(host) != h.self && address != "" {
 			peers = append(peers, relay.Peer{Address: address})
 		}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -17,7 +17,7 @@
 // TestPath plays scripts over the whole path: entry hosts with their listeners, and
 // stand-ins of the store and the workers behind the same adapter as on the platform.
 //
-//	hosts N | workers N              starts so many
+//	hosts N | weak N | workers N     starts so many; a weak host has a tenth of a core
 //	wave N MOST MACHINE...           the operator asks for maintenance; machines are m-0 and so on
 //	maintained N                     waits until wave N is told to be completed
 //	advice WORKER...                 from now on, starts need permits, which these don't get
@@ -36,6 +36,7 @@
 //	key KEY                          clients show this key from now on
 //	starts JOB N                     all workers together have started N runs of it
 //	metric HOST NAME                 the counter is served and not zero
+//	awaitmetric HOST NAME            waits until it is
 func TestPath(t *testing.T) {
 	scripttest.Each(t, func(t *testing.T, text string) {
 		t.Parallel()
@@ -75,9 +76,10 @@
 // do carries out one command.
 func (s *site) do(f []string) {
 	switch f[0] {
-	case "hosts":
+	case "hosts", "weak":
 		for range s.number(f[1]) {
 			s.hosts, s.stops, s.ended = append(s.hosts, nil), append(s.stops, nil), append(s.ended, nil)
+			s.cores = append(s.cores, map[string]float64{"hosts": 1, "weak": 0.1}[f[0]])
 			s.startHost(len(s.hosts) - 1)
 		}
 	case "start":
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
 	for {
-		r, ok := ask(ctx, h, func(unit.Instant) retired { return h.retire() })
+		r, ok := ask(ctx, h, func(unit.Instant) retired { return h.retire("planned stop") })
 		if ok && r.busy {
 			// No new append begins while the host is stopping; this one ends soon.
 			if !pause(ctx, handOverLook) {
@@ -86,8 +86,8 @@
 	busy bool
 }
 
-// retire ends scheduling, unless an append is under way.
-func (h *Host) retire() retired {
+// retire ends scheduling for a reason, unless an append is under way.
+func (h *Host) retire(why string) retired {
 	o := h.owner
 	switch {
 	case o == nil:
@@ -95,7 +95,7 @@
 	case o.writing:
 		return retired{busy: true}
 	}
-	h.stepDown("planned stop")
+	h.stepDown(why)
 	return retired{owner: o}
 }
 
--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -214,6 +214,21 @@
 	return n
 }
 
+// Number returns a number, perhaps with a fraction, between least and most, or def if the
+// key is missing.
+func (s *Section) Number(key string, def, least, most float64) float64 {
+	v, ok := s.get(key)
+	if !ok {
+		return def
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(n >= least && n <= most) {
+		s.bad(key, v, fmt.Sprintf("a number from %g to %g", least, most))
+		return def
+	}
+	return n
+}
+
 // Bool returns yes or no, or def if the key is missing.
 func (s *Section) Bool(key string, def bool) bool {
 	v, ok := s.get(key)
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -24,6 +24,10 @@
 	LeastTTL time.Duration
 	// Memory is what the process may use before the platform ends it.
 	Memory unit.Bytes
+	// Cores is the part of a core that the process may use, 1 for a whole one.
+	Cores float64
+	// Link is what the host can send or receive.
+	Link unit.MegabitsPerSecond
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// Machines is the address of the service that takes machines down for maintenance;
@@ -41,6 +45,10 @@
 const (
 	maxPartitions = 4096
 	maxPeriod     = 24 * time.Hour
+	// leastCores and mostCores bound the processor share, leastLink and mostLink the link in
+	// Mbit/s.
+	leastCores, mostCores = 0.01, 1024
+	leastLink, mostLink   = 0.1, 1_000_000
 )
 
 // LoadSite reads and checks the file. The error lists every fault.
@@ -68,6 +76,8 @@
 		Partitions: store.Int("partitions", 12, 1, maxPartitions),
 		LeastTTL:   store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
 		Memory:     limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
+		Cores:      limits.Number("cores", 1, leastCores, mostCores),
+		Link:       unit.MegabitsPerSecond(limits.Number("link_mbps", 1000, leastLink, mostLink)),
 		Grace:      limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
 		Machines:   machines.OptionalAddress("address"),
 		Advice:     workers.OptionalAddress("advice"),
