dispatch: a pass costs by what changes, not by workers times waiting tasks

Cause: each waiting step walked over all workers several times in each pass (who suits, who is empty before and after, how empty each rack is), all jobs of the last two minutes were sorted by name twice a pass, and each worker's runs were copied and sorted. On a small host passes then crowd out the answers. Change: workers are gathered by service once a pass, racks and empty workers are counted as they change; a step for which no worker has room, and for which nobody may be stopped, is passed over at once; open jobs are kept in order, ended ones apart; a worker's runs are kept in order; an assignment asks a worker again only when it took a member.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -28,7 +28,7 @@
 
 // run returns a run on the worker by its task and number, or nil.
 func (w *worker) run(t job.Task, number job.Run) *run {
-	r := w.runs[t]
+	r := w.runs.get(t)
 	if r == nil || r.number != number {
 		return nil
 	}
--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -32,11 +32,7 @@
 func (d *Dispatcher) candidates(now unit.Instant) []candidate {
 	var out []candidate
 	used := d.urgentUse()
-	for _, name := range d.names() {
-		js := d.jobs[name]
-		if js.progress.Outcome != job.Open {
-			continue
-		}
+	for _, js := range d.open {
 		for _, s := range js.steps {
 			if c, ok := d.candidate(now, s); ok {
 				c.covered = js.spec.Priority == 0 && used[js.spec.Customer] <= d.guaranteed[js.spec.Customer]
@@ -74,8 +70,8 @@
 // ask for.
 func (d *Dispatcher) urgentUse() map[id.Customer]int {
 	out := map[id.Customer]int{}
-	for _, js := range d.jobs {
-		if js.progress.Outcome != job.Open || js.spec.Priority != 0 {
+	for _, js := range d.open {
+		if js.spec.Priority != 0 {
 			continue
 		}
 		for i := range js.spec.Steps {
@@ -89,7 +85,7 @@
 func (d *Dispatcher) candidate(now unit.Instant, s *stepState) (candidate, bool) {
 	js := s.job
 	due, ok := d.due(now, s)
-	if !ok || s.done == s.step.Count || !js.ready(s) {
+	if !ok || s.done+len(s.runs) >= s.step.Count || !js.ready(s) {
 		return candidate{}, false
 	}
 	if s.step.Gang && len(s.runs) > 0 {
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -91,7 +91,7 @@
 func (s *stepState) hold(c *claim) {
 	need := s.step.Reserved()
 	for _, w := range c.workers {
-		w.reserved = w.reserved.Add(need)
+		w.recount(func() { w.reserved = w.reserved.Add(need) })
 	}
 	s.claim = c
 }
@@ -103,7 +103,7 @@
 	}
 	need := s.step.Reserved()
 	for _, w := range s.claim.workers {
-		w.reserved = w.reserved.Sub(need)
+		w.recount(func() { w.reserved = w.reserved.Sub(need) })
 	}
 	s.claim = nil
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -17,7 +17,12 @@
 	epoch  id.Epoch
 	table  *jobtable.Table
 
-	jobs    map[id.Job]*jobState
+	jobs map[id.Job]*jobState
+	// open holds the jobs without an outcome by id, so that walks are the same on every
+	// host; ended the others, until nobody needs to know them.
+	open, ended []*jobState
+	// expired is when ended was last looked through.
+	expired unit.Instant
 	workers map[id.Worker]*worker
 	// order holds the workers by id, so that walks are the same on every host.
 	order []*worker
@@ -28,6 +33,10 @@
 
 	// wall is the time of day at the last pass.
 	wall unit.Instant
+	// pools holds what this pass knows of the workers, by service; racks how empty each rack
+	// is.
+	pools map[id.Service]*pool
+	racks map[rackName]*rackUse
 	// claims counts the gangs that room is kept for without stopping anybody.
 	claims int
 	// lastingWaits holds the services in which long-running tasks wait for room.
@@ -58,7 +67,7 @@
 	return &Dispatcher{
 		config: c, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
-		arrivals: map[id.Service]*arrivals{}, waves: map[id.Wave]*wave{},
+		arrivals: map[id.Service]*arrivals{}, racks: map[rackName]*rackUse{}, waves: map[id.Wave]*wave{},
 		advice: consultation{yield: firstYield},
 	}
 }
@@ -142,7 +151,7 @@
 	if w != nil {
 		return w
 	}
-	w = &worker{Listing: fleet.Listing{ID: name}, runs: map[job.Task]*run{}, clockAt: now}
+	w = &worker{Listing: fleet.Listing{ID: name}, clockAt: now}
 	w.lapse = d.lapseOf(now)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -158,6 +167,11 @@
 	p.Tasks = slices.Clone(p.Tasks)
 	js := &jobState{id: name, spec: s, progress: p, seen: now}
 	d.jobs[name] = js
+	if p.Outcome == job.Open {
+		d.insertOpen(js)
+	} else {
+		d.ended = append(d.ended, js)
+	}
 	base := 0
 	for r := range s.RoundCount() {
 		for i := range s.Steps {
@@ -181,6 +195,23 @@
 	}
 }
 
+// insertOpen takes a job among the open ones.
+func (d *Dispatcher) insertOpen(js *jobState) {
+	at, _ := slices.BinarySearchFunc(d.open, js, compareJobs)
+	d.open = slices.Insert(d.open, at, js)
+}
+
+// removeOpen takes a job that has its outcome from the open ones to the ended ones.
+func (d *Dispatcher) removeOpen(js *jobState) {
+	if at, ok := slices.BinarySearchFunc(d.open, js, compareJobs); ok {
+		d.open = slices.Delete(d.open, at, at+1)
+	}
+	d.ended = append(d.ended, js)
+}
+
+// compareJobs orders jobs by id.
+func compareJobs(a, b *jobState) int { return cmp.Compare(a.id, b.id) }
+
 // resume takes over what an earlier owner has placed.
 func (d *Dispatcher) resume(now unit.Instant, js *jobState) {
 	for _, s := range js.steps {
--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -130,32 +130,31 @@
 	extra float64
 }
 
-// assign puts the members on workers one by one, each where it costs least.
+// offer is what one more member would make of a worker's tally, and whether there is room.
+type offer struct {
+	tally tally
+	ok    bool
+}
+
+// assign puts the members on workers one by one, each where it costs least. A worker's offer
+// changes only when it takes a member.
 func (d *Dispatcher) assign(now unit.Instant, c candidate, workers []*worker, by room) assignment {
 	s := c.step
 	need := s.step.Reserved()
 	tallies := make([]tally, len(workers))
-	empty := emptyByRack(workers)
+	offers := make([]offer, len(workers))
 	for i, w := range workers {
-		tallies[i].worker, tallies[i].extra = w, empty.opening(w)+w.suspicion()+s.disturbance(w)
+		tallies[i].worker, tallies[i].extra = w, w.opening()+w.suspicion()+s.disturbance(w)
+		offers[i] = d.oneMore(now, c, tallies[i], need, by)
 	}
 	var out assignment
 	for range c.waiting {
-		best, bestTally := -1, tally{}
-		for i := range tallies {
-			t, ok := d.oneMore(now, c, tallies[i], need, by)
-			if !ok {
-				continue
-			}
-			if best < 0 || t.cost-tallies[i].cost < bestTally.cost-tallies[best].cost ||
-				t.cost-tallies[i].cost == bestTally.cost-tallies[best].cost && t.left < bestTally.left {
-				best, bestTally = i, t
-			}
-		}
+		best := cheapest(tallies, offers)
 		if best < 0 {
 			return assignment{}
 		}
-		tallies[best] = bestTally
+		tallies[best] = offers[best].tally
+		offers[best] = d.oneMore(now, c, tallies[best], need, by)
 		out.workers = append(out.workers, workers[best])
 	}
 	for _, t := range tallies {
@@ -168,10 +167,30 @@
 	return out
 }
 
-// oneMore returns the tally with one more member, or false if there is no room.
-func (d *Dispatcher) oneMore(now unit.Instant, c candidate, t tally, need job.Resources, by room) (tally, bool) {
+// cheapest returns the position of the offer that adds least to its tally's cost, and among those
+// the one with the least left over; -1 if there is none.
+func cheapest(tallies []tally, offers []offer) int {
+	best := -1
+	for i := range offers {
+		if !offers[i].ok {
+			continue
+		}
+		if best < 0 {
+			best = i
+			continue
+		}
+		adds, least := offers[i].tally.cost-tallies[i].cost, offers[best].tally.cost-tallies[best].cost
+		if adds < least || adds == least && offers[i].tally.left < offers[best].tally.left {
+			best = i
+		}
+	}
+	return best
+}
+
+// oneMore returns the tally with one more member, if there is room.
+func (d *Dispatcher) oneMore(now unit.Instant, c candidate, t tally, need job.Resources, by room) offer {
 	if c.step.full(t.worker, t.members) || t.worker.onTrial() && len(t.worker.runs)+t.members > 0 {
-		return t, false
+		return offer{}
 	}
 	t.members++
 	all := job.Resources{
@@ -179,9 +198,9 @@
 	}
 	free, victims, cost := by(now, c, t.worker, all)
 	if !all.Fits(free) {
-		return t, false
+		return offer{}
 	}
 	t.victims, t.cost = victims, cost
 	t.left = leftover(free.Sub(all), t.worker.Capacity) + t.extra
-	return t, true
+	return offer{tally: t, ok: true}
 }
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -50,6 +50,9 @@
 // elsewhere leaves out the workers on which one of the waiting tasks has just failed, if
 // there are others: a worker that fails all it starts has the most room.
 func (c *candidate) elsewhere(now unit.Instant, workers []*worker) []*worker {
+	if len(c.step.failures) == 0 {
+		return workers
+	}
 	failed := map[*worker]bool{}
 	for _, i := range c.waiting {
 		if f, ok := c.step.failures[c.step.failureKey(i)]; ok && now.Sub(f.at) < avoidAfterFailure {
--- a/core/dispatch/lasting.go
+++ b/core/dispatch/lasting.go
@@ -80,12 +80,11 @@
 	if len(waits) == 0 {
 		return waits
 	}
-	for _, name := range d.names() {
-		spec := d.jobs[name].spec
-		if spec.Priority == 0 || !waits[spec.Service] {
+	for _, js := range d.open {
+		if js.spec.Priority == 0 || !waits[js.spec.Service] {
 			continue
 		}
-		for _, s := range d.jobs[name].steps {
+		for _, s := range js.steps {
 			s.dropClaim()
 		}
 	}
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -95,7 +95,7 @@
 	listed := map[job.Task]bool{}
 	for _, x := range res.Report.Running {
 		listed[x.Task] = true
-		r := w.runs[x.Task]
+		r := w.runs.get(x.Task)
 		if r == nil && !ended[x.Task] {
 			r = d.discover(now, w, x)
 		}
@@ -132,7 +132,7 @@
 			r.need = js.spec.Steps[x.Task.Step].Reserved()
 		}
 	}
-	w.runs[r.task] = r
+	w.runs.put(r)
 	w.used = w.used.Add(r.need)
 	d.stop(now, r, "no placement is known for it")
 	return r
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -1,12 +1,9 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
-	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -37,6 +34,9 @@
 	// forgetJobs bounds how many ended jobs are dropped in one batch; each is
 	// three records.
 	forgetJobs = 20
+	// expireEvery is how often ended jobs are looked through: with forgetJobs, 40 a second
+	// can be dropped, three times what the users' sites end.
+	expireEvery = 500 * time.Millisecond
 )
 
 // Pass does what is due: it gives up lapsed leases, repeats orders, renews leases and
@@ -52,9 +52,7 @@
 		d.resend(now, w)
 		d.evacuate(now, w)
 	}
-	for _, name := range d.names() {
-		d.expire(now, d.jobs[name])
-	}
+	d.expire(now)
 	d.maintain(now)
 	d.placeAll(now)
 	for _, w := range d.order {
@@ -62,9 +60,6 @@
 	}
 }
 
-// names returns the ids of all jobs in order, so that walks are the same on every host.
-func (d *Dispatcher) names() []id.Job { return slices.Sorted(maps.Keys(d.jobs)) }
-
 // giveUp loses the runs of a worker that has surely stopped running them.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
 	if !w.leased() {
@@ -98,6 +93,9 @@
 	if w.Address == "" {
 		return
 	}
+	if !w.unsettled() {
+		return
+	}
 	for _, r := range w.sorted() {
 		if r.inFlight {
 			continue
@@ -113,6 +111,16 @@
 	}
 }
 
+// unsettled reports whether some order for a run on the worker may have to be repeated.
+func (w *worker) unsettled() bool {
+	for _, r := range w.runs {
+		if !r.inFlight && (r.state == runStarting || r.state == runStopping) {
+			return true
+		}
+	}
+	return false
+}
+
 // evacuate moves tasks off a worker that leaves, if they can't end there in time.
 func (d *Dispatcher) evacuate(now unit.Instant, w *worker) {
 	if !w.Draining || len(w.runs) == 0 {
@@ -150,15 +158,23 @@
 	return max(0, r.step.step.Estimate-ran)
 }
 
-// expire forgets a job whose end nobody needs to know any more.
-func (d *Dispatcher) expire(now unit.Instant, js *jobState) {
-	if js.progress.Outcome == job.Open || js.busy() || js.changed || len(d.forget) >= forgetJobs {
+// expire forgets jobs whose end nobody needs to know any more.
+func (d *Dispatcher) expire(now unit.Instant) {
+	if now.Sub(d.expired) < expireEvery {
 		return
 	}
-	if now.Sub(js.progress.Ended) > d.config.KeepEnded {
+	d.expired = now
+	kept := d.ended[:0]
+	for _, js := range d.ended {
+		if js.busy() || js.changed || len(d.forget) >= forgetJobs || now.Sub(js.progress.Ended) <= d.config.KeepEnded {
+			kept = append(kept, js)
+			continue
+		}
 		d.forget = append(d.forget, js.id)
 		delete(d.jobs, js.id)
 	}
+	clear(d.ended[len(kept):])
+	d.ended = kept
 }
 
 // renew renews a worker's lease when that is due.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -22,34 +22,40 @@
 
 // placeAll places what may start, most urgent first.
 func (d *Dispatcher) placeAll(now unit.Instant) {
-	usable := d.usableWorkers(now)
-	if len(usable) == 0 {
+	d.gather(now)
+	if len(d.pools) == 0 {
 		return
 	}
 	candidates := d.candidates(now)
 	d.lastingWaits = d.giveWay(now, candidates)
-	kept := d.reserves(now, usable)
 	d.claims = d.waitingClaims()
 	for _, c := range candidates {
-		c.possible = c.step.among(usable)
-		fits := c.elsewhere(now, c.step.permitted(now, c.possible))
-		if d.useClaim(now, c, fits) {
-			continue
-		}
-		if d.tryPlace(now, c, fits, kept) {
-			continue
-		}
-		if c.step.waitingSince == 0 {
+		if !d.placeCandidate(now, c) && c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
-		d.consult(now, c, permitMargin)
 	}
 }
 
+// placeCandidate places what finds room of a candidate. It reports whether that is all, or room
+// is kept for it.
+func (d *Dispatcher) placeCandidate(now unit.Instant, c candidate) bool {
+	p := d.pools[c.step.job.spec.Service]
+	if p == nil || d.hopeless(now, &c, p) {
+		return false
+	}
+	c.possible = c.step.notRefused(p.with(c.step.step.Label))
+	fits := c.elsewhere(now, c.step.permitted(now, c.possible))
+	if d.useClaim(now, c, fits) || d.tryPlace(now, c, p, fits) {
+		return true
+	}
+	d.consult(now, c, permitMargin)
+	return false
+}
+
 // waitingClaims counts the steps of work that isn't urgent for which room is kept.
 func (d *Dispatcher) waitingClaims() int {
 	n := 0
-	for _, js := range d.jobs {
+	for _, js := range d.open {
 		for _, s := range js.steps {
 			if s.claim != nil && js.spec.Priority > 0 {
 				n++
@@ -59,30 +65,19 @@
 	return n
 }
 
-// usableWorkers returns the workers that new tasks may go to, by id.
-func (d *Dispatcher) usableWorkers(now unit.Instant) []*worker {
-	var out []*worker
-	for _, w := range d.order {
-		if w.usable(now) {
-			out = append(out, w)
-		}
-	}
-	return out
-}
-
 // tryPlace places as many of the candidate's tasks as find room, a gang whole or not
 // at all. It reports whether all were placed.
-func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, fits []*worker, kept reserve) bool {
-	service, placed := c.step.job.spec.Service, false
+func (d *Dispatcher) tryPlace(now unit.Instant, c candidate, p *pool, fits []*worker) bool {
 	if c.step.step.Gang {
-		kept.charge(service, fits, func() { placed = d.placeGang(now, c, d.allowed(now, c, fits, kept)) })
-		return placed
+		if !d.mayOpen(now, c, p, fits) {
+			fits = inUse(fits)
+		}
+		return d.placeGang(now, c, fits)
 	}
 	for at := range c.waiting {
 		rest := c
 		rest.waiting = c.waiting[at:]
-		kept.charge(service, fits, func() { placed = d.placeFirst(now, rest, fits, d.allowed(now, c, fits, kept)) })
-		if !placed {
+		if !d.placeFirst(now, rest, p, fits) {
 			return false
 		}
 	}
@@ -90,11 +85,11 @@
 	return true
 }
 
-// placeFirst places the first waiting task on one of the allowed workers. If none has
+// placeFirst places the first waiting task on one of the workers that it may go to. If none has
 // room, it frees room for all that wait where they fit.
-func (d *Dispatcher) placeFirst(now unit.Instant, c candidate, fits, allowed []*worker) bool {
+func (d *Dispatcher) placeFirst(now unit.Instant, c candidate, p *pool, fits []*worker) bool {
 	s, index := c.step, c.waiting[0]
-	w := d.choose(now, s, allowed)
+	w := d.choose(now, s, fits, d.mayOpen(now, c, p, fits))
 	if w == nil {
 		d.preempt(now, c, fits)
 		return false
@@ -103,28 +98,20 @@
 	return true
 }
 
-// among returns the workers that may run tasks of the step, as far as is known.
-func (s *stepState) among(workers []*worker) []*worker {
-	var out []*worker
+// notRefused leaves out the workers on which the advice service has refused the step.
+func (s *stepState) notRefused(workers []*worker) []*worker {
+	if len(s.permits) == 0 {
+		return workers
+	}
+	out := workers[:0:0]
 	for _, w := range workers {
-		if s.suits(w) && !s.refusedOn(w) {
+		if !s.refusedOn(w) {
 			out = append(out, w)
 		}
 	}
 	return out
 }
 
-// emptyAmong counts the workers on which nothing runs and nothing is about to.
-func emptyAmong(workers []*worker) int {
-	n := 0
-	for _, w := range workers {
-		if w.empty() {
-			n++
-		}
-	}
-	return n
-}
-
 // nextRun returns the number of a task's next run. A gang's members share it.
 func (s *stepState) nextRun(index int) job.Run {
 	tasks := s.job.progress.Tasks
@@ -142,16 +129,18 @@
 }
 
 // choose returns the best worker for one task: near its data if there is room or if
-// it hasn't waited long, and among those where least is left over.
-func (d *Dispatcher) choose(now unit.Instant, s *stepState, fits []*worker) *worker {
+// it hasn't waited long, and among those where least is left over. Empty workers are left
+// out unless they may be opened.
+func (d *Dispatcher) choose(now unit.Instant, s *stepState, fits []*worker, mayOpen bool) *worker {
 	var best, far *worker
 	bestLeft, farLeft := 0.0, 0.0
-	empty := emptyByRack(fits)
+	need := s.step.Reserved()
 	for _, w := range fits {
-		if !s.step.Reserved().Fits(w.free()) || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
+		free := w.free()
+		if !need.Fits(free) || !mayOpen && w.empty() || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
-		left := leftover(w.free().Sub(s.step.Reserved()), w.Capacity) + empty.opening(w) + w.suspicion() + s.disturbance(w)
+		left := leftover(free.Sub(need), w.Capacity) + w.opening() + w.suspicion() + s.disturbance(w)
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
@@ -185,5 +174,5 @@
 	if s.step.LongRunning {
 		return s.waitedFor(now, roomyWait) && s.roomFor(fits, 2)
 	}
-	return s.waitedFor(now, roomyWait) && d.usage(s.job.spec.Service) < farUsage && s.roomFor(fits, 2*n)
+	return s.waitedFor(now, roomyWait) && d.pools[s.job.spec.Service].usage < farUsage && s.roomFor(fits, 2*n)
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -110,7 +110,7 @@
 func (d *Dispatcher) preemptible(now unit.Instant, c candidate, w *worker, need job.Resources) (job.Resources, []*run, float64) {
 	free := w.free()
 	var others []*run
-	for _, r := range w.sorted() {
+	for _, r := range w.runs {
 		switch {
 		case r.state == runStopping:
 			free = free.Add(r.need)
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -58,51 +57,17 @@
 	a.note(now, n)
 }
 
-// reserve is how many more empty workers of each service less urgent work may take in
-// this pass.
-type reserve map[id.Service]int
-
-// reserves returns how many workers are empty beyond those that are kept for urgent
-// work. Whole workers are kept because urgent gangs ask for many accelerators of one
-// rack; workers that are in use already may be filled by anybody.
-func (d *Dispatcher) reserves(now unit.Instant, usable []*worker) reserve {
-	empty, all := reserve{}, map[id.Service]int{}
-	most := map[id.Service]int{}
-	for _, w := range usable {
-		all[w.Service]++
-		most[w.Service] = max(most[w.Service], w.Capacity.Accelerators)
-		if w.empty() {
-			empty[w.Service]++
-		}
-	}
-	for s := range empty {
-		a := d.arrivals[s]
-		if a == nil || most[s] == 0 {
-			continue
-		}
-		kept := a.now(now) * reserveTime.Seconds() / float64(most[s])
-		empty[s] -= int(min(math.Ceil(kept), reserveMost*float64(all[s])))
-	}
-	return empty
-}
-
-// charge does a placement and takes the workers off the reserve that are not empty any more
-// by it.
-func (r reserve) charge(name id.Service, fits []*worker, place func()) {
-	before := emptyAmong(fits)
-	place()
-	r[name] -= before - emptyAmong(fits)
-}
-
 // empty reports whether nothing runs on a worker and nothing is about to.
 func (w *worker) empty() bool { return len(w.runs) == 0 && w.reserved == (job.Resources{}) }
 
-// allowed leaves out empty workers if less urgent work may take none.
-func (d *Dispatcher) allowed(now unit.Instant, c candidate, workers []*worker, kept reserve) []*worker {
-	s := c.step
-	if s.job.spec.Priority == 0 || c.pressing(now) || kept[s.job.spec.Service] > 0 || d.mayGoFar(now, s, workers, len(c.waiting)) {
-		return workers
-	}
+// mayOpen reports whether a candidate may take empty workers: less urgent work may not take those
+// that are kept.
+func (d *Dispatcher) mayOpen(now unit.Instant, c candidate, p *pool, fits []*worker) bool {
+	return c.step.job.spec.Priority == 0 || p.spare > 0 || c.pressing(now) || d.mayGoFar(now, c.step, fits, len(c.waiting))
+}
+
+// inUse leaves out the empty workers.
+func inUse(workers []*worker) []*worker {
 	out := workers[:0:0]
 	for _, w := range workers {
 		if !w.empty() {
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -11,7 +11,7 @@
 
 // occupy makes a run take room on its worker.
 func (d *Dispatcher) occupy(r *run) {
-	r.worker.runs[r.task] = r
+	r.worker.recount(func() { r.worker.runs.put(r) })
 	r.worker.used = r.worker.used.Add(r.need)
 	if r.step != nil {
 		r.step.runs[r.task.Index] = r
@@ -20,10 +20,10 @@
 
 // release gives the room of a run that is gone back.
 func (d *Dispatcher) release(r *run) {
-	if r.worker.runs[r.task] != r {
+	if r.worker.runs.get(r.task) != r {
 		return
 	}
-	delete(r.worker.runs, r.task)
+	r.worker.recount(func() { r.worker.runs.remove(r.task) })
 	r.worker.used = r.worker.used.Sub(r.need)
 	if r.step == nil {
 		return
@@ -39,7 +39,7 @@
 }
 
 // usage returns how much of a service's capacity is taken: of the resource of which
-// most is free.
+// most is free. Workers that take no new tasks count, as far as the list has them.
 func (d *Dispatcher) usage(name id.Service) float64 {
 	var used, all job.Resources
 	for _, w := range d.order {
--- /dev/null
+++ b/core/dispatch/runset.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"curlewsill.org/curlewsill/core/job"
+)
+
+// runSet holds the runs of one worker in the order of their tasks, at most one of each task, so
+// that walks are the same on every host. A worker has a few dozen at most. The zero value is
+// empty.
+type runSet []*run
+
+// find returns the position of a task's run, or where it would be, and whether it is there.
+func (s runSet) find(t job.Task) (int, bool) {
+	return slices.BinarySearchFunc(s, t, func(r *run, t job.Task) int { return compareTasks(r.task, t) })
+}
+
+// get returns the run of a task, or nil.
+func (s runSet) get(t job.Task) *run {
+	at, ok := s.find(t)
+	if !ok {
+		return nil
+	}
+	return s[at]
+}
+
+// put adds a run in place of the one of the same task.
+func (s *runSet) put(r *run) {
+	at, ok := s.find(r.task)
+	if ok {
+		(*s)[at] = r
+		return
+	}
+	*s = slices.Insert(*s, at, r)
+}
+
+// remove takes the run of a task out, if there is one.
+func (s *runSet) remove(t job.Task) {
+	if at, ok := s.find(t); ok {
+		*s = slices.Delete(*s, at, at+1)
+	}
+}
+
+// compareTasks orders tasks by job, round, step and index.
+func compareTasks(a, b job.Task) int {
+	return cmp.Or(
+		cmp.Compare(a.Job, b.Job), cmp.Compare(a.Round, b.Round), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index),
+	)
+}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 
 	"curlewsill.org/curlewsill/core/chart"
@@ -138,6 +137,10 @@
 // worker is one life of a worker.
 type worker struct {
 	fleet.Listing
+	// pool and rackUse are what the worker counts in during this pass; nil if new tasks may
+	// not go to it.
+	pool    *pool
+	rackUse *rackUse
 	// held is set while the worker's machine is to go down for maintenance.
 	held bool
 	// listed is set while the platform's list has the worker.
@@ -146,7 +149,7 @@
 	leaves unit.Instant
 	// used is what runs take of the capacity, reserved what claims do.
 	used, reserved job.Resources
-	runs           map[job.Task]*run
+	runs           runSet
 	// clockAt is when the worker's clock showed Clock at the earliest.
 	clockAt unit.Instant
 	// lapse is when every lease on the worker has surely run out.
@@ -175,18 +178,8 @@
 	lastFailed id.Job
 }
 
-// sorted returns the worker's runs in the order of their tasks.
-func (w *worker) sorted() []*run {
-	out := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.task.Job, b.task.Job), cmp.Compare(a.task.Round, b.task.Round),
-			cmp.Compare(a.task.Step, b.task.Step), cmp.Compare(a.task.Index, b.task.Index))
-	})
-	return out
-}
+// sorted returns a copy of the worker's runs, for walks that change them.
+func (w *worker) sorted() runSet { return slices.Clone(w.runs) }
 
 // together returns the states of the tasks that start and end with the one at index: its
 // whole gang, or itself alone. The job must have progress.
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -22,6 +22,7 @@
 		return
 	}
 	js.progress.Outcome, js.progress.Ended = o, now
+	d.removeOpen(js)
 	for _, s := range js.steps {
 		s.dropClaim()
 	}
