--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -220,11 +220,6 @@
 	return len(w.runs) == 0 || now.Sub(w.answered) < silentAfter
 }
 
-// suits reports whether a worker may run tasks of a step at all.
-func (s *stepState) suits(w *worker) bool {
-	return w.Service == s.job.spec.Service && (s.step.Label == "" || slices.Contains(w.Labels, s.step.Label))
-}
-
 // near reports whether a worker is where the step's data is.
 func (s *stepState) near(w *worker) bool {
 	return s.step.DataRack == "" || slices.Contains(w.Labels, s.step.DataRack)
