entry: a call is refused, not unknown, while its record was surely refused each time

Cause: while a record waited between two tries that the store had refused, it counted as sent; a call whose time ended then was told 504, after which its client doesn't ask again. Ruled out: calls held on purpose: the other ones at that time were refused within 0.18 s. Change: between two refused tries a record can be withdrawn, and then never leaves. Test: TestStoreRefusals, in virtual time, seen to fail (504, and two more tries after the answer).

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -133,6 +133,9 @@
 				return refused("the store doesn't answer")
 			}
 		case <-sent.C:
+			if p.withdraw() {
+				return refused("the store doesn't answer")
+			}
 			return unknown("the store has not answered in time")
 		case <-ctx.Done():
 			if p.withdraw() {
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -30,7 +30,8 @@
 // errNotWritten reports a record that is surely not in the store.
 var errNotWritten = errors.New("entry: the record was not written")
 
-// The states of a pending record.
+// The states of a pending record. One that the store has surely refused is queued again until
+// the next try leaves.
 const (
 	writeQueued int32 = iota
 	writeSent
@@ -46,7 +47,8 @@
 	done chan error
 }
 
-// withdraw takes a record back that has not left. It reports whether that was so.
+// withdraw takes a record back that has not left, or was surely refused each time. It reports
+// whether that was so.
 func (p *pending) withdraw() bool { return p.state.CompareAndSwap(writeQueued, writeWithdrawn) }
 
 // writer appends records of jobs, as many at once as wait.
@@ -117,49 +119,74 @@
 	if len(batch) == 0 {
 		return
 	}
-	recs := make([]jobtable.Record, 0, len(batch))
-	for _, p := range batch {
-		recs = append(recs, p.record)
-	}
 	w.id.Seq++
 	w.busySince.Store(time.Now().UnixNano())
 	defer w.busySince.Store(0)
-	err := w.persist(ctx, recs)
+	batch, err := w.persist(ctx, batch)
 	for _, p := range batch {
 		p.done <- err
 	}
 }
 
-// persist appends until the outcome is known. It returns errNotWritten only if every
-// try was surely without effect.
-func (w *writer) persist(ctx context.Context, recs []jobtable.Record) error {
+// persist appends until the outcome is known. It returns the records that were not withdrawn
+// meanwhile, and errNotWritten only if every try was surely without effect.
+func (w *writer) persist(ctx context.Context, batch []*pending) ([]*pending, error) {
 	var b backoff
 	unknown := false
 	for tries := 1; ctx.Err() == nil; tries++ {
 		began := time.Now()
-		_, err := w.store.Append(ctx, platform.TopicJobs, recs, w.id, nil)
+		_, err := w.store.Append(ctx, platform.TopicJobs, recordsOf(batch), w.id, nil)
 		w.metrics.storeCall("append", began, err)
 		switch {
 		case err == nil:
-			return nil
+			return batch, nil
 		case errors.Is(err, platform.ErrNotDone) && !unknown:
 			if tries >= refusedTries {
-				// Under a new epoch the store refuses these records for good, and
-				// the numbers begin anew.
-				w.id.Epoch, w.id.Seq = w.id.Epoch+1, 0
-				w.log.Warn("write-refused", zap.Int("records", len(recs)), zap.Error(err))
-				return errNotWritten
+				w.renumber()
+				w.log.Warn("write-refused", zap.Int("records", len(batch)), zap.Error(err))
+				return batch, errNotWritten
+			}
+			if batch = w.pauseRefused(ctx, batch); len(batch) == 0 {
+				w.renumber()
+				return nil, errNotWritten
 			}
-			pause(ctx, refusedPause)
 		case errors.Is(err, platform.ErrSequence), errors.Is(err, platform.ErrFenced), errors.Is(err, platform.ErrInvalid):
-			// Whatever the store counts, a new epoch begins its count anew.
-			w.id.Epoch, w.id.Seq = w.id.Epoch+1, 0
-			w.log.Error("write-failed", zap.Int("records", len(recs)), zap.Error(err))
-			return err
+			w.renumber()
+			w.log.Error("write-failed", zap.Int("records", len(batch)), zap.Error(err))
+			return batch, err
 		default:
 			unknown = true
 			b.wait(ctx)
 		}
 	}
-	return ctx.Err()
+	return batch, ctx.Err()
+}
+
+// renumber goes on under a new epoch: whatever the store has counted, the numbers begin anew, and
+// it refuses for good what was sent before and may still be on its way.
+func (w *writer) renumber() { w.id.Epoch, w.id.Seq = w.id.Epoch+1, 0 }
+
+// pauseRefused pauses after a try that the store has surely refused, and returns the records that
+// were not withdrawn meanwhile: a call whose time ends then is refused, not unknown.
+func (w *writer) pauseRefused(ctx context.Context, batch []*pending) []*pending {
+	for _, p := range batch {
+		p.state.Store(writeQueued)
+	}
+	pause(ctx, refusedPause)
+	var rest []*pending
+	for _, p := range batch {
+		if p.state.CompareAndSwap(writeQueued, writeSent) {
+			rest = append(rest, p)
+		}
+	}
+	return rest
+}
+
+// recordsOf returns the records of a batch.
+func recordsOf(batch []*pending) []jobtable.Record {
+	recs := make([]jobtable.Record, 0, len(batch))
+	for _, p := range batch {
+		recs = append(recs, p.record)
+	}
+	return recs
 }
--- /dev/null
+++ b/internal/entry/writer_internal_test.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/platform"
+)
+
+// storeAnswer is a store that answers each call at once in one way, without a network.
+type storeAnswer struct {
+	status int
+	body   string
+	// silent makes calls hang until their caller gives up.
+	silent bool
+	// mu guards sent, which counts the appends.
+	mu   sync.Mutex
+	sent int
+}
+
+// tries returns how many appends were sent.
+func (s *storeAnswer) tries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *storeAnswer) RoundTrip(req *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	s.sent++
+	s.mu.Unlock()
+	if s.silent {
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	return &http.Response{StatusCode: s.status, Body: io.NopCloser(strings.NewReader(s.body)), Header: http.Header{}, Request: req}, nil
+}
+
+// TestStoreRefusals checks that a call is told the truth when its time is over: refused if its
+// record is surely not in the store, and then it never gets there; unknown only if it may.
+func TestStoreRefusals(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer *storeAnswer
+		time   time.Duration
+		status int
+	}{
+		{"between two tries that were refused", &storeAnswer{status: http.StatusServiceUnavailable}, refusedPause / 2, http.StatusServiceUnavailable},
+		{"after all tries", &storeAnswer{status: http.StatusServiceUnavailable}, time.Second, http.StatusServiceUnavailable},
+		{"while a try hangs", &storeAnswer{silent: true}, refusedPause / 2, http.StatusGatewayTimeout},
+		{"in time", &storeAnswer{status: http.StatusOK, body: `{"offset":0,"end":1}`}, time.Second, http.StatusOK},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := c.answer
+				w := newWriter(platform.NewStore("store", &http.Client{Transport: store}), "w", zap.NewNop(), newMetrics())
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go w.run(ctx)
+				f := &front{host: &Host{writer: w}}
+				call, done := context.WithTimeout(ctx, c.time)
+				defer done()
+				got := f.store(call, jobtable.Record{Key: "spec/first"}, "accepted")
+				if got.status != c.status {
+					t.Errorf("status %d (%s), want %d", got.status, got.why, c.status)
+				}
+				tries := store.tries()
+				time.Sleep(time.Second)
+				if c.status == http.StatusServiceUnavailable && store.tries() > tries {
+					t.Errorf("the record was sent %d times after the refusal", store.tries()-tries)
+				}
+			})
+		})
+	}
+}
