entry: the waits of a call are bounded by parts of the time it has left

Change: waiting behind other calls takes a quarter, an unknown outcome 0.45 of what is left; a call whose patience is over is refused as soon as a try was refused; looking up an unknown job is bounded as well.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -22,6 +22,11 @@
 	// unknownWait is how long a call waits for an append that was sent before its
 	// outcome is reported as unknown, so that the client can ask another host.
 	unknownWait = time.Second
+	// waitShare and unknownShare bound the two above by the part of its remaining time that a
+	// call may spend on them. A client that is refused late has no time left to ask another
+	// host: calls that were refused after 180 ms of their last 250 ms were lost.
+	waitShare    = 0.25
+	unknownShare = 0.45
 	// maxBody bounds a job if the configuration names no bound.
 	maxBody = 256 << 10
 )
@@ -121,7 +126,7 @@
 	if p == nil {
 		return refused("other calls wait for the store")
 	}
-	queued, sent := time.NewTimer(queueWait), time.NewTimer(unknownWait)
+	queued, sent := time.NewTimer(within(ctx, queueWait, waitShare)), time.NewTimer(within(ctx, unknownWait, unknownShare))
 	defer queued.Stop()
 	defer sent.Stop()
 	for {
@@ -129,6 +134,7 @@
 		case err := <-p.done:
 			return written(err, why)
 		case <-queued.C:
+			p.hurried.Store(true)
 			if p.withdraw() {
 				return refused("the store doesn't answer")
 			}
@@ -146,6 +152,15 @@
 	}
 }
 
+// within returns a time to wait, bounded by a part of what is left of a call's time.
+func within(ctx context.Context, wait time.Duration, part float64) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return wait
+	}
+	return min(wait, time.Duration(float64(time.Until(end))*part))
+}
+
 // written is the answer when the outcome of a write is known.
 func written(err error, why string) reply {
 	switch {
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -63,7 +63,7 @@
 // whenLoaded asks for a job and gives a host that has just started a moment to load
 // its state.
 func (f *front) whenLoaded(ctx context.Context, j id.Job) (look, bool) {
-	for end := time.Now().Add(loadWait); ; {
+	for end := time.Now().Add(within(ctx, loadWait, waitShare)); ; {
 		l, ok := f.inTable(ctx, j)
 		if !ok || l.loaded || time.Now().After(end) {
 			return l, ok
@@ -89,7 +89,9 @@
 	if !ok || l.known {
 		return l, ok && l.loaded
 	}
-	if !l.loaded || !f.host.catchUp(ctx) {
+	reading, cancel := context.WithTimeout(ctx, within(ctx, queueWait, waitShare))
+	defer cancel()
+	if !l.loaded || !f.host.catchUp(reading) {
 		return l, false
 	}
 	return f.inTable(ctx, j)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -42,6 +42,8 @@
 type pending struct {
 	record jobtable.Record
 	state  atomic.Int32
+	// hurried is set once the record's call wants to be refused as soon as that is true.
+	hurried atomic.Bool
 	// done receives nil once the record is in the store, errNotWritten if it
 	// surely isn't.
 	done chan error
@@ -169,12 +171,20 @@
 // pauseRefused pauses after a try that the store has surely refused, and returns the records that
 // were not withdrawn meanwhile: a call whose time ends then is refused, not unknown.
 func (w *writer) pauseRefused(ctx context.Context, batch []*pending) []*pending {
+	var patient, rest []*pending
 	for _, p := range batch {
+		if p.hurried.Load() {
+			p.done <- errNotWritten
+			continue
+		}
 		p.state.Store(writeQueued)
+		patient = append(patient, p)
+	}
+	if len(patient) == 0 {
+		return nil
 	}
 	pause(ctx, refusedPause)
-	var rest []*pending
-	for _, p := range batch {
+	for _, p := range patient {
 		if p.state.CompareAndSwap(writeQueued, writeSent) {
 			rest = append(rest, p)
 		}
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -56,6 +56,7 @@
 		status int
 	}{
 		{"between two tries that were refused", &storeAnswer{status: http.StatusServiceUnavailable}, refusedPause / 2, http.StatusServiceUnavailable},
+		{"early in a short time", &storeAnswer{status: http.StatusServiceUnavailable}, 3 * refusedPause, http.StatusServiceUnavailable},
 		{"after all tries", &storeAnswer{status: http.StatusServiceUnavailable}, time.Second, http.StatusServiceUnavailable},
 		{"while a try hangs", &storeAnswer{silent: true}, refusedPause / 2, http.StatusGatewayTimeout},
 		{"in time", &storeAnswer{status: http.StatusOK, body: `{"offset":0,"end":1}`}, time.Second, http.StatusOK},
