entry: a store that refuses or hangs is known from all short calls, and calls are refused at once

Cause: each host found out by its clients' calls alone that the store takes nothing: the first call on each host hung for up to a second and ended unknown, and each refusal took 180 ms of the client's three seconds. Change: joins, looks and appends tell whether the store has refused everything for 150 ms, or has answered nothing for 400 ms; then a call is refused after one refused try, or without one. Tests: TestStoreHealth, in virtual time.

--- /dev/null
+++ b/internal/entry/health.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"curlewsill.org/curlewsill/platform"
+)
+
+const (
+	// refusingAfter is for how long every call to the store must have been refused before it
+	// counts as one that takes nothing: a refusal for too many calls ends within one second's
+	// share of them, and one that restarts refuses for longer than this.
+	refusingAfter = 150 * time.Millisecond
+	// hangingAfter is after which time without any answer a call counts as hanging. A slow
+	// store answers within 300 ms.
+	hangingAfter = 400 * time.Millisecond
+)
+
+// storeHealth is what a host's short calls to the store, those that don't wait there for news,
+// say of it. A call of a client that needs the store is refused at once while it takes nothing,
+// so that the client has time left for another host. It is safe for concurrent use.
+type storeHealth struct {
+	mu sync.Mutex
+	// under holds when each call under way began, by its number.
+	under map[uint64]time.Time
+	next  uint64
+	// answered is when the last answer came, of whatever kind.
+	answered time.Time
+	// refusedSince is when the first of the newest refusals in a row came; zero if the newest
+	// answer was another one.
+	refusedSince time.Time
+}
+
+func newStoreHealth() *storeHealth { return &storeHealth{under: map[uint64]time.Time{}} }
+
+// begin notes a call that leaves now. The function that it returns takes what became of it.
+func (h *storeHealth) begin() func(error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.next++
+	n := h.next
+	h.under[n] = time.Now()
+	return func(err error) { h.end(n, err) }
+}
+
+// end notes what became of a call. Without an answer nothing is learned but that it is over.
+func (h *storeHealth) end(n uint64, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.under, n)
+	if errors.Is(err, platform.ErrUnknown) {
+		return
+	}
+	now := time.Now()
+	h.answered = now
+	switch {
+	case !errors.Is(err, platform.ErrNotDone):
+		h.refusedSince = time.Time{}
+	case h.refusedSince.IsZero():
+		h.refusedSince = now
+	}
+}
+
+// refusing reports whether the store has refused every call for a while.
+func (h *storeHealth) refusing() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.refusedSince.IsZero() && time.Since(h.refusedSince) >= refusingAfter
+}
+
+// hanging reports whether some call has waited long for its answer, and no other one has got an
+// answer meanwhile.
+func (h *storeHealth) hanging() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, began := range h.under {
+		if time.Since(began) >= hangingAfter && h.answered.Before(began) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/health_internal_test.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"curlewsill.org/curlewsill/platform"
+)
+
+// TestStoreHealth plays short scripts in virtual time: a duration passes, begin starts a call, and
+// the other words end the oldest call under way; the last word of each says what the health is.
+func TestStoreHealth(t *testing.T) {
+	outcomes := map[string]error{"done": nil, "refused": fmt.Errorf("store: %w", platform.ErrNotDone), "unanswered": platform.ErrUnknown}
+	for _, script := range []string{
+		"well",
+		"begin 10ms done well",
+		"begin 10ms refused well",
+		"begin 10ms refused 100ms begin 60ms refused refusing",
+		"begin 10ms refused 200ms begin 10ms done well",
+		"begin 10ms refused 200ms begin 10ms done begin refused well",
+		"begin 390ms well",
+		"begin 410ms hanging",
+		"begin 410ms done well",
+		"begin 300ms begin 10ms done begin 100ms well",
+		"begin 1500ms unanswered well",
+		"begin 1500ms unanswered begin 410ms hanging",
+		"begin 10ms refused 200ms begin 410ms refusing",
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newStoreHealth()
+			var under []func(error)
+			words := strings.Fields(script)
+			for _, word := range words[:len(words)-1] {
+				if d, err := time.ParseDuration(word); err == nil {
+					time.Sleep(d)
+					continue
+				}
+				if word == "begin" {
+					under = append(under, h.begin())
+					continue
+				}
+				under[0](outcomes[word])
+				under = under[1:]
+			}
+			want := words[len(words)-1]
+			got := "well"
+			if h.hanging() {
+				got = "hanging"
+			}
+			if h.refusing() {
+				got = "refusing"
+			}
+			if got != want {
+				t.Errorf("%s: the store is %s", script, got)
+			}
+		})
+	}
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -77,6 +77,8 @@
 	self   id.Host
 	events *ring.Ring[event]
 	writer *writer
+	// health is what the short calls to the store say of it.
+	health *storeHealth
 
 	listeners []net.Listener
 	// peers is the address on which peers are answered, with the port that was given if
@@ -142,7 +144,8 @@
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
-	h.writer = newWriter(h.store, string(self), log, h.metrics)
+	h.health = newStoreHealth()
+	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -56,7 +56,9 @@
 	dep := dependency{log: h.log, name: "store group"}
 	generation := uint64(0)
 	for ctx.Err() == nil && !h.stopping.Load() {
+		ended := h.health.begin()
 		g, err := h.store.Join(ctx, group, h.member(), topics, ttl, generation)
+		ended(err)
 		if ctx.Err() != nil {
 			return
 		}
@@ -73,7 +75,9 @@
 	dep := dependency{log: h.log, name: "store members"}
 	for ctx.Err() == nil {
 		wait := lookEvery
+		ended := h.health.begin()
 		names, err := h.store.Members(ctx, group)
+		ended(err)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -58,6 +58,7 @@
 	store   *platform.Store
 	log     *zap.Logger
 	metrics *metrics
+	health  *storeHealth
 	queue   *ring.Ring[*pending]
 	id      platform.Writer
 	// busySince is when the append that is under way began, in nanoseconds; 0 for
@@ -65,13 +66,13 @@
 	busySince atomic.Int64
 }
 
-func newWriter(s *platform.Store, name string, log *zap.Logger, m *metrics) *writer {
-	return &writer{store: s, log: log, metrics: m, queue: ring.New[*pending](pendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
+func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics) *writer {
+	return &writer{store: s, health: health, log: log, metrics: m, queue: ring.New[*pending](pendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
 }
 
 // add queues a record, or returns nil if too many wait or if the store hangs.
 func (w *writer) add(r jobtable.Record) *pending {
-	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > queueWait {
+	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > queueWait || w.health.hanging() {
 		return nil
 	}
 	p := &pending{record: r, done: make(chan error, 1)}
@@ -136,14 +137,15 @@
 	var b backoff
 	unknown := false
 	for tries := 1; ctx.Err() == nil; tries++ {
-		began := time.Now()
+		began, ended := time.Now(), w.health.begin()
 		_, err := w.store.Append(ctx, platform.TopicJobs, recordsOf(batch), w.id, nil)
+		ended(err)
 		w.metrics.storeCall("append", began, err)
 		switch {
 		case err == nil:
 			return batch, nil
 		case errors.Is(err, platform.ErrNotDone) && !unknown:
-			if tries >= refusedTries {
+			if tries >= refusedTries || w.health.refusing() {
 				w.renumber()
 				w.log.Warn("write-refused", zap.Int("records", len(batch)), zap.Error(err))
 				return batch, errNotWritten
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -64,7 +64,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := c.answer
-				w := newWriter(platform.NewStore("store", &http.Client{Transport: store}), "w", zap.NewNop(), newMetrics())
+				w := newWriter(platform.NewStore("store", &http.Client{Transport: store}), newStoreHealth(), "w", zap.NewNop(), newMetrics())
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go w.run(ctx)
