entry, relay: while the store is slow, the owner appends the records of all hosts together

Cause: the store takes the appends to a topic one after the other. Ruled out: the owner (it placed what it had), the link; calls that hang (the appends did end, late). Change: short calls tell how long the store takes; while that is over 100 ms a host hands its record to the owner over the peers' link, and the owner appends all that wait at once. With no link, or a fast store, a host appends by itself as before. Test: store_slow on the path, failing without the hand-over.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -15,21 +15,8 @@
 	"curlewsill.org/curlewsill/platform"
 )
 
-const (
-	// queueWait is how long a record may wait behind an append that hangs before
-	// the call is refused. A slow store answers within 300 ms.
-	queueWait = 400 * time.Millisecond
-	// unknownWait is how long a call waits for an append that was sent before its
-	// outcome is reported as unknown, so that the client can ask another host.
-	unknownWait = time.Second
-	// waitShare and unknownShare bound the two above by the part of its remaining time that a
-	// call may spend on them. A client that is refused late has no time left to ask another
-	// host: calls that were refused after 180 ms of their last 250 ms were lost.
-	waitShare    = 0.25
-	unknownShare = 0.45
-	// maxBody bounds a job if the configuration names no bound.
-	maxBody = 256 << 10
-)
+// maxBody bounds a job if the configuration names no bound.
+const maxBody = 256 << 10
 
 // notLoaded stands for the number of waiting jobs while the table is not loaded.
 const notLoaded = -1
@@ -121,53 +108,10 @@
 }
 
 // store writes a record and answers truly: refused only if it was surely not written.
-func (f *front) store(ctx context.Context, rec jobtable.Record, why string) reply {
-	p := f.host.writer.add(rec)
-	if p == nil {
-		return refused("other calls wait for the store")
-	}
-	queued, sent := time.NewTimer(within(ctx, queueWait, waitShare)), time.NewTimer(within(ctx, unknownWait, unknownShare))
-	defer queued.Stop()
-	defer sent.Stop()
-	for {
-		select {
-		case err := <-p.done:
-			return written(err, why)
-		case <-queued.C:
-			p.hurried.Store(true)
-			if p.withdraw() {
-				return refused("the store doesn't answer")
-			}
-		case <-sent.C:
-			if p.withdraw() {
-				return refused("the store doesn't answer")
-			}
-			return unknown("the store has not answered in time")
-		case <-ctx.Done():
-			if p.withdraw() {
-				return refused("the store doesn't answer")
-			}
-			return unknown("the store has not answered in time")
-		}
-	}
-}
-
-// within returns a time to wait, bounded by a part of what is left of a call's time.
-func within(ctx context.Context, wait time.Duration, part float64) time.Duration {
-	end, ok := ctx.Deadline()
-	if !ok {
-		return wait
-	}
-	return min(wait, time.Duration(float64(time.Until(end))*part))
-}
-
-// written is the answer when the outcome of a write is known.
-func written(err error, why string) reply {
-	switch {
-	case err == nil:
-		return reply{status: http.StatusOK, why: why}
-	case errors.Is(err, errNotWritten):
-		return refused("the store takes no records")
+func (f *front) store(ctx context.Context, rec jobtable.Record, done string) reply {
+	got, why := f.host.put(ctx, rec)
+	if got == stored {
+		why = done
 	}
-	return unknown("the store's answer is unknown: " + err.Error())
+	return reply{status: got.status(), why: why}
 }
--- a/internal/entry/checks_test.go
+++ b/internal/entry/checks_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"curlewsill.org/curlewsill/platform/standin"
@@ -176,3 +177,37 @@
 		return strings.Contains(status, "completed"), fmt.Sprintf("wave %s is %s; machines %v went down", wave, status, s.taken.Begun())
 	})
 }
+
+// submitAll submits so many jobs at once, each at the next host, again and again until it is taken.
+// Their names count up from the first.
+func (s *site) submitAll(f []string) {
+	first, err := strconv.ParseUint(f[1], 16, 64)
+	if err != nil {
+		s.t.Fatalf("line %d: %v", s.line, err)
+	}
+	jobs := make([]string, s.number(f[2]))
+	for i := range jobs {
+		jobs[i] = fmt.Sprintf("%016x", first+uint64(i))
+		s.bodies[jobs[i]] = string(standin.JobBody(s.number(f[3]), f[4]))
+	}
+	var all sync.WaitGroup
+	for i, job := range jobs {
+		all.Go(func() {
+			s.eventually(func() (bool, string) {
+				status, _ := s.call(i%len(s.hosts), http.MethodPost, job)
+				return status == http.StatusOK, fmt.Sprintf("job %s is answered %d", job, status)
+			})
+		})
+	}
+	all.Wait()
+}
+
+// gathered reports whether some host has appended records for others.
+func (s *site) gathered() bool {
+	for n := range s.hosts {
+		if s.counted(n, "curlewsill_gathered_records_total") {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/gather.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/codec"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/internal/relay"
+)
+
+// While the store is slow, hosts hand their records to the owner, which appends all that wait at
+// once. The store takes the appends to a topic one after the other: at 60 times its usual time
+// it takes three a second, which 41 hosts with records of their own would wait for in vain.
+// Measured there: 25 of 80 jobs were accepted within 6 s without this.
+
+// recordsBase is the address under which a host's own writer is called on the relay's path.
+const recordsBase = "http://records"
+
+// recordCodec carries a record from a host to the owner.
+var recordCodec = codec.New[gathered]()
+
+// gathered is a record on its way to the owner.
+type gathered struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
+}
+
+// putByOwner gets a record into the store through the owner. It reports false if that isn't to be
+// tried, or nothing was sent.
+func (h *Host) putByOwner(ctx context.Context, rec jobtable.Record) (outcome, string, bool) {
+	address := h.gatherer.Load()
+	if address == nil || !h.health.slow() || h.health.hanging() {
+		return notStored, "", false
+	}
+	body, err := recordCodec.Encode(gathered{Key: rec.Key, Value: rec.Value})
+	if err != nil {
+		h.log.Error("record-not-encoded", zap.String("key", rec.Key), zap.Error(err))
+		return notStored, "", false
+	}
+	_, limit := h.patience(ctx)
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	status, why, err := h.recordsPath.To(limited, *address, relay.Request{Method: http.MethodPost, Path: "/", Body: body, Limit: limit})
+	switch {
+	case errors.Is(err, relay.ErrNoPeer):
+		return notStored, "", false
+	case err != nil:
+		return unknownOutcome, "the owner has not answered in time", true
+	case status == http.StatusOK:
+		return stored, "by the owner", true
+	case status == http.StatusServiceUnavailable:
+		return notStored, "the owner says: " + string(why), true
+	}
+	return unknownOutcome, "the owner says: " + string(why), true
+}
+
+// recordsTransport hands the records of other hosts to this one's writer.
+type recordsTransport struct{ host *Host }
+
+// RoundTrip implements http.RoundTripper. The answer's status is that of a client's call.
+func (t recordsTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	rec, err := recordCodec.Decode(body)
+	if err != nil {
+		t.host.log.Warn("gathered-record-rejected", zap.Error(err))
+		return answerTo(req, http.StatusBadRequest, "not a record"), nil
+	}
+	t.host.metrics.gathered.Inc()
+	got, why := t.host.append(req.Context(), jobtable.Record{Key: rec.Key, Value: rec.Value})
+	return answerTo(req, got.status(), why), nil
+}
+
+// status is the HTTP status that tells an outcome.
+func (o outcome) status() int {
+	switch o {
+	case stored:
+		return http.StatusOK
+	case notStored:
+		return http.StatusServiceUnavailable
+	case unknownOutcome:
+	}
+	return http.StatusGatewayTimeout
+}
+
+// answerTo returns an answer of this process to itself.
+func answerTo(req *http.Request, status int, body string) *http.Response {
+	return &http.Response{
+		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
+		Body: io.NopCloser(bytes.NewReader([]byte(body))), ContentLength: int64(len(body)), Request: req,
+	}
+}
+
+// findGatherer notes where the owner takes records, unless this host is the owner. It belongs to
+// the deciding goroutine.
+func (h *Host) findGatherer(addresses map[id.Host]string) {
+	address, ok := addresses[h.table.Owner().Host]
+	if !ok || h.owner != nil {
+		h.gatherer.Store(nil)
+		return
+	}
+	h.gatherer.Store(&address)
+}
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -16,6 +16,9 @@
 	// hangingAfter is after which time without any answer a call counts as hanging. A slow
 	// store answers within 300 ms.
 	hangingAfter = 400 * time.Millisecond
+	// slowAfter is how long an answer takes at least from a store that counts as slow: ten times
+	// the usual time.
+	slowAfter = 100 * time.Millisecond
 )
 
 // storeHealth is what a host's short calls to the store, those that don't wait there for news,
@@ -31,6 +34,8 @@
 	// refusedSince is when the first of the newest refusals in a row came; zero if the newest
 	// answer was another one.
 	refusedSince time.Time
+	// took is how long the newest answer took.
+	took time.Duration
 }
 
 func newStoreHealth() *storeHealth { return &storeHealth{under: map[uint64]time.Time{}} }
@@ -49,12 +54,13 @@
 func (h *storeHealth) end(n uint64, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	began := h.under[n]
 	delete(h.under, n)
 	if errors.Is(err, platform.ErrUnknown) {
 		return
 	}
 	now := time.Now()
-	h.answered = now
+	h.answered, h.took = now, now.Sub(began)
 	switch {
 	case !errors.Is(err, platform.ErrNotDone):
 		h.refusedSince = time.Time{}
@@ -70,6 +76,21 @@
 	return !h.refusedSince.IsZero() && time.Since(h.refusedSince) >= refusingAfter
 }
 
+// slow reports whether the newest answer took long, or one has been awaited for as long.
+func (h *storeHealth) slow() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.took >= slowAfter {
+		return true
+	}
+	for _, began := range h.under {
+		if time.Since(began) >= slowAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // hanging reports whether some call has waited long for its answer, and no other one has got an
 // answer meanwhile.
 func (h *storeHealth) hanging() bool {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -69,10 +69,14 @@
 	// path and advicePath lead to the store and to the advice service, by this host and by
 	// its peers.
 	path, advicePath *relay.Path
-	store            *platform.Store
-	workers          *platform.Workers
-	advice           *platform.Advice
-	machines         *platform.Machines
+	// recordsPath leads to the writers of peers; gatherer is where the owner takes records, nil
+	// if that isn't known or is this host.
+	recordsPath *relay.Path
+	gatherer    atomic.Pointer[string]
+	store       *platform.Store
+	workers     *platform.Workers
+	advice      *platform.Advice
+	machines    *platform.Machines
 	// self is unique for this life of the process.
 	self   id.Host
 	events *ring.Ring[event]
@@ -144,6 +148,7 @@
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
+	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, log)
 	h.health = newStoreHealth()
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -43,6 +43,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(string(relay.RouteStore), h.path.Handler())
 	mux.Handle(string(relay.RouteAdvice), h.advicePath.Handler())
+	mux.Handle(string(relay.RouteRecords), h.recordsPath.Handler())
 	return mux
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -83,12 +83,14 @@
 		}
 		dep.note(err)
 		if err == nil {
-			members, peers := h.readMembers(names)
+			members, peers, addresses := h.readMembers(names)
 			h.path.SetPeers(peers)
 			h.advicePath.SetPeers(peers)
+			h.recordsPath.SetPeers(peers)
 			suspects, _ := ask(ctx, h, func(now unit.Instant) bool {
 				h.election.Look(now, members, h.table.Owner().Host)
 				h.standby.Store(h.election.Standby())
+				h.findGatherer(addresses)
 				return h.election.Suspects()
 			})
 			if suspects {
@@ -104,9 +106,10 @@
 	return string(h.self) + "@" + h.peers + "@" + strconv.Itoa(ability(h.settings))
 }
 
-// readMembers returns the hosts of the group, and the others as peers.
-func (h *Host) readMembers(names []string) ([]election.Member, []relay.Peer) {
+// readMembers returns the hosts of the group, the others as peers, and where these listen.
+func (h *Host) readMembers(names []string) ([]election.Member, []relay.Peer, map[id.Host]string) {
 	members := make([]election.Member, 0, len(names))
+	addresses := map[id.Host]string{}
 	var peers []relay.Peer
 	for _, n := range names {
 		host, rest, _ := strings.Cut(n, "@")
@@ -118,7 +121,8 @@
 		members = append(members, m)
 		if id.Host(host) != h.self && address != "" {
 			peers = append(peers, relay.Peer{Address: address})
+			addresses[m.Host] = address
 		}
 	}
-	return members, peers
+	return members, peers, addresses
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -20,6 +20,7 @@
 	takeovers prometheus.Counter
 	decisions *prometheus.CounterVec
 	faults    prometheus.Counter
+	gathered  prometheus.Counter
 	requests  *prometheus.HistogramVec
 	store     *prometheus.HistogramVec
 	orders    *prometheus.HistogramVec
@@ -47,7 +48,10 @@
 		}
 		return 0
 	})
-	m.registry.MustRegister(m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
+	m.gathered = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_gathered_records_total", Help: "Records of other hosts that this one appended for them.",
+	})
+	m.registry.MustRegister(m.gathered, m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
 	return m
 }
 
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -28,15 +28,17 @@
 //	await HOST JOB STATE             asks until the job is in the state
 //	awaitstatus HOST JOB STATUS      asks until the answer has the status
 //	pending HOST N
-//	store FAULT | worker N FAULT     none, busy, lost or silent
+//	store FAULT | worker N FAULT     none, busy, lost, slow or silent
 //	forget                           the store drops its history
 //	kill HOST | start HOST
 //	stop HOST | gone HOST            a planned stop begins | has ended
 //	config VERSION KEY               the operator writes a configuration with another key
 //	key KEY                          clients show this key from now on
+//	submitall JOB N TASKS PAYLOAD    submits N jobs at all hosts in turn, at once, until each is taken
 //	starts JOB N                     all workers together have started N runs of it
 //	metric HOST NAME                 the counter is served and not zero
 //	awaitmetric HOST NAME            waits until it is
+//	gathered                         some host has appended records for others
 func TestPath(t *testing.T) {
 	scripttest.Each(t, func(t *testing.T, text string) {
 		t.Parallel()
@@ -112,6 +114,12 @@
 		}
 	case "store":
 		s.store.SetFault(fault(f[1]))
+	case "gathered":
+		if !s.gathered() {
+			s.failf("no host has appended records for others")
+		}
+	case "submitall":
+		s.submitAll(f)
 	case "worker":
 		s.worker(s.number(f[1])).SetFault(fault(f[2]))
 	case "forget":
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -64,15 +64,30 @@
 	// busySince is when the append that is under way began, in nanoseconds; 0 for
 	// none.
 	busySince atomic.Int64
+	// took is how long the last append took, in nanoseconds; 0 if it failed.
+	took atomic.Int64
 }
 
+// learn notes how long an append took.
+func (w *writer) learn(began time.Time, err error) {
+	if err != nil {
+		w.took.Store(0)
+		return
+	}
+	w.took.Store(int64(time.Since(began)))
+}
+
+// lastTook returns how long the last append took, or 0 if it failed.
+func (w *writer) lastTook() time.Duration { return time.Duration(w.took.Load()) }
+
 func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics) *writer {
 	return &writer{store: s, health: health, log: log, metrics: m, queue: ring.New[*pending](pendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
 }
 
 // add queues a record, or returns nil if too many wait or if the store hangs.
 func (w *writer) add(r jobtable.Record) *pending {
-	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > queueWait || w.health.hanging() {
+	longest := max(queueWait, time.Duration(float64(w.lastTook())*slowFactor))
+	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > longest || w.health.hanging() {
 		return nil
 	}
 	p := &pending{record: r, done: make(chan error, 1)}
@@ -140,6 +155,7 @@
 		began, ended := time.Now(), w.health.begin()
 		_, err := w.store.Append(ctx, platform.TopicJobs, recordsOf(batch), w.id, nil)
 		ended(err)
+		w.learn(began, err)
 		w.metrics.storeCall("append", began, err)
 		switch {
 		case err == nil:
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -64,11 +64,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := c.answer
-				w := newWriter(platform.NewStore("store", &http.Client{Transport: store}), newStoreHealth(), "w", zap.NewNop(), newMetrics())
+				h := &Host{health: newStoreHealth()}
+				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics())
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				go w.run(ctx)
-				f := &front{host: &Host{writer: w}}
+				go h.writer.run(ctx)
+				f := &front{host: h}
 				call, done := context.WithTimeout(ctx, c.time)
 				defer done()
 				got := f.store(call, jobtable.Record{Key: "spec/first"}, "accepted")
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -79,10 +79,17 @@
 		return nil, ErrNoPeer
 	}
 	a := p.peers[w-1].Address
-	l := p.links[a]
+	p.mu.Unlock()
+	return p.linkTo(ctx, a)
+}
+
+// linkTo returns a link to the peer at an address: the open one, or else a new one.
+func (p *Path) linkTo(ctx context.Context, address string) (*link, error) {
+	p.mu.Lock()
+	l := p.links[address]
 	p.mu.Unlock()
 	if l != nil && l.works() {
 		return l, nil
 	}
-	return p.open(ctx, a)
+	return p.open(ctx, address)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,6 +81,8 @@
 const (
 	RouteStore  Route = "/v1/relay"
 	RouteAdvice Route = "/v1/relay/advice"
+	// RouteRecords leads to the peer's own writer.
+	RouteRecords Route = "/v1/records"
 )
 
 // Path is an http.RoundTripper to one address over the direct way and over peers. It
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"time"
 )
 
 // Way numbers the ways of a path: 0 is the direct one, and N, from 1, leads through the Nth of
@@ -29,3 +31,28 @@
 	}
 	return p.through(req, waitOf(req), func(ctx context.Context) (*link, error) { return p.peer(ctx, w) })
 }
+
+// Request is a call for one peer. Path includes the query.
+type Request struct {
+	Method, Path, Kind string
+	Body               []byte
+	// Limit is how long the peer may take.
+	Limit time.Duration
+}
+
+// To lets the peer at an address make a call on its direct path, and returns its answer. No other
+// way is tried. With ErrNoPeer the call was surely not sent.
+func (p *Path) To(ctx context.Context, address string, r Request) (status int, body []byte, err error) {
+	l, err := p.linkTo(ctx, address)
+	if err != nil {
+		return 0, nil, err
+	}
+	res, err := l.do(ctx, call{Method: r.Method, Path: r.Path, Kind: r.Kind, Body: r.Body, Limit: r.Limit})
+	if err != nil {
+		return 0, nil, err
+	}
+	if res.Status == 0 {
+		return 0, nil, fmt.Errorf("relay: peer %s got no answer", address)
+	}
+	return res.Status, res.Body, nil
+}
