--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -109,6 +109,9 @@
 
 // failedAtOnce reports whether a run that has just failed had hardly begun.
 func (r *run) failedAtOnce(now unit.Instant) bool {
+	if r.resumed {
+		return false
+	}
 	began := r.started
 	if began == 0 {
 		began = r.since
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -121,6 +121,8 @@
 	// unanswered is set once an order to start has got no answer: it may be carried
 	// out seconds later.
 	unanswered bool
+	// resumed is set for a run that an earlier owner ordered: when it began isn't known.
+	resumed bool
 	// why says for logs what the run is stopped for.
 	why string
 }
