entry: a claim may follow records that its host hasn't read

Cause: a claim was an append on condition that the log ends where the claimer has read to. Ruled out: that the condition is needed: a host becomes the owner when it reads its own claim, so all before that is in its table; the newest epoch wins, and the store refuses lower ones of the owner's writer.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -27,7 +27,10 @@
 // below 2^53, which every JSON number keeps.
 const epochDrawBits = 20
 
-// claim asks the store to make this host the owner.
+// claim asks the store to make this host the owner. The claim may follow records that this host
+// hasn't read: it becomes the owner when it reads its own claim, and has read all before that by
+// then. Waiting for a moment in which nobody writes cost five claims and 0.25 s while 41 hosts
+// took in clients that came back.
 func (h *Host) claim(ctx context.Context) {
 	h.claiming = true
 	at := h.table.Next()
@@ -40,24 +43,24 @@
 	}
 	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
 	go func() {
-		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1}, &at)
-		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, rec, at, end, err) })
+		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1}, nil)
+		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, rec, end, err) })
 	}()
 }
 
-// claimed takes in what became of a claim.
-func (h *Host) claimed(ctx context.Context, now unit.Instant, rec jobtable.Record, at, end id.Offset, err error) {
+// claimed takes in what became of a claim, which the log holds right before end.
+func (h *Host) claimed(ctx context.Context, now unit.Instant, rec jobtable.Record, end id.Offset, err error) {
 	if err != nil {
-		h.log.Info("claim-refused", zap.Uint64("at", uint64(at)), zap.Uint64("end", uint64(end)), zap.Error(err))
+		h.log.Info("claim-refused", zap.Uint64("applied", uint64(h.table.Next())), zap.Error(err))
 		go h.catchUpAfterClaim(ctx)
 		return
 	}
-	if h.table.Next() != at || h.stopping.Load() {
+	if h.table.Next()+1 != end || h.stopping.Load() {
 		go h.catchUpAfterClaim(ctx)
-		return // the reader overtook the answer; ownership settles it
+		return // there are records before it, or the reader overtook the answer
 	}
 	h.claiming = false
-	h.applyJobs(now, []jobtable.Record{rec}, at)
+	h.applyJobs(now, []jobtable.Record{rec}, end-1)
 }
 
 // catchUpAfterClaim reads what a claim has missed. Until then another claim would miss it too.
