--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -143,7 +143,7 @@
 		if settled(err) {
 			return err
 		}
-		bk.wait(ctx)
+		bk.wait(ctx, began)
 	}
 	return ctx.Err()
 }
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -9,16 +9,22 @@
 )
 
 const (
-	// retryLeast and retryMost bound the pause after a failed call.
+	// retryLeast and retryMost bound the pause after a failed call. The longest one is what a host
+	// loses at most when the store takes calls again.
 	retryLeast = 100 * time.Millisecond
-	retryMost  = 800 * time.Millisecond
+	retryMost  = 400 * time.Millisecond
 )
 
 // backoff is a growing pause with jitter.
 type backoff struct{ last time.Duration }
 
-// wait pauses after a failure. It reports whether ctx is still open.
-func (b *backoff) wait(ctx context.Context) bool {
+// wait pauses after a call that began at a time and failed. A call that hung has kept its pause
+// already: the next one follows at once, since a store that was silent answers only calls that
+// were made after its return. It reports whether ctx is still open.
+func (b *backoff) wait(ctx context.Context, began time.Time) bool {
+	if time.Since(began) >= retryMost {
+		return pause(ctx, rand.N(retryLeast))
+	}
 	b.last = min(retryMost, max(retryLeast, 2*b.last))
 	return pause(ctx, b.last/2+rand.N(b.last/2))
 }
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -31,6 +31,7 @@
 	next, loaded := id.Offset(0), false
 	for ctx.Err() == nil {
 		var err error
+		began := time.Now()
 		if loaded {
 			next, err = t.read(ctx, next)
 		} else {
@@ -46,7 +47,7 @@
 		}
 		dep.note(err)
 		if err != nil {
-			b.wait(ctx)
+			b.wait(ctx, began)
 			continue
 		}
 		b.reset()
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -106,11 +106,12 @@
 func (o *owner) writeReport(ctx context.Context, rec jobtable.Record, w platform.Writer) error {
 	var b backoff
 	for {
+		began := time.Now()
 		_, err := o.host.store.Append(ctx, platform.TopicStatus, []jobtable.Record{rec}, w, nil)
 		if err == nil || settled(err) {
 			return err
 		}
-		if !b.wait(ctx) {
+		if !b.wait(ctx, began) {
 			return ctx.Err()
 		}
 	}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -176,7 +176,7 @@
 			return batch, err
 		default:
 			unknown = true
-			b.wait(ctx)
+			b.wait(ctx, began)
 		}
 	}
 	return batch, ctx.Err()
