election: a new owner isn't suspected for a second

Cause: after all processes were killed, 41 hosts join the group at once, and the store deals its partitions anew again and again; the group doesn't show a host that holds none. Change: claims wait for a second after a claim, unless the owner gives the ownership back.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -30,6 +30,10 @@
 	// standbyHosts is how many hosts, by rank, are ready to claim at once. One of them is
 	// mostly the owner itself, and another may die together with it.
 	standbyHosts = 3
+	// settle is how long a new owner isn't suspected. The group shows a host only once it holds
+	// a partition, and while many hosts join at once they are dealt anew again and again: three
+	// owners within 0.8 s after 41 hosts came back. A dead one is missed for a second anyway.
+	settle = time.Second
 	// ablerFactor is how much abler another host must be for the owner to hand over, and
 	// ablerFor how long it must have been in the group without a break: a change of owner
 	// costs about 0.3 s without new starts, and a host that comes and goes would cost it
@@ -58,6 +62,9 @@
 	// missed counts the looks in a row without the owner, since is the first.
 	missed int
 	since  unit.Instant
+	// claimed is when the newest claim was seen; 0 if none was, or the owner has given the
+	// ownership back since.
+	claimed unit.Instant
 	// ablerSince is since when every look has shown a much abler host; 0 if the newest
 	// one has not.
 	ablerSince unit.Instant
@@ -98,7 +105,7 @@
 // Claimed notes that some host has claimed. It is taken to live until looks miss it: without
 // that, all hosts that have missed the former owner go on to claim, a hundred times within 0.1 s
 // on 41 hosts that come back together.
-func (e *Election) Claimed(now unit.Instant) { e.missed, e.since = 0, now }
+func (e *Election) Claimed(now unit.Instant) { e.missed, e.since, e.claimed = 0, now, now }
 
 // Owned notes that this host has become the owner.
 func (e *Election) Owned(now unit.Instant) { e.owned = now }
@@ -110,6 +117,7 @@
 
 // Released notes that the owner has given its ownership back.
 func (e *Election) Released(now unit.Instant) {
+	e.claimed = 0
 	if e.missed < missedLooks {
 		e.missed, e.since = missedLooks, now
 	}
@@ -120,6 +128,9 @@
 	if e.missed < missedLooks || now.Sub(e.looked) > fresh || !contains(e.members, e.self.Host) {
 		return false
 	}
+	if e.claimed != 0 && now.Sub(e.claimed) < settle {
+		return false
+	}
 	return now.Sub(e.since) >= time.Duration(e.place())*stagger
 }
 
