dispatch: starts under way are bounded by a window that follows the answer times

Cause: all that found room was ordered at once. A host that can't send so fast answers late, orders time out and are repeated, leases are old when they arrive, and urgent work waits behind hundreds of orders. A decision that is put off is logged as starts-bounded.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -86,6 +86,7 @@
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
 		}
+		d.window.answered(now, now.Sub(r.asked))
 	case fleet.Unknown:
 		r.unanswered = true
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.Expired:
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -37,6 +37,8 @@
 	// is.
 	pools map[id.Service]*pool
 	racks map[rackName]*rackUse
+	// window bounds the starts under way.
+	window window
 	// claims counts the gangs that room is kept for without stopping anybody.
 	claims int
 	// lastingWaits holds the services in which long-running tasks wait for room.
@@ -68,7 +70,7 @@
 		config: c, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
 		arrivals: map[id.Service]*arrivals{}, racks: map[rackName]*rackUse{}, waves: map[id.Wave]*wave{},
-		advice: consultation{yield: firstYield},
+		advice: consultation{yield: firstYield}, window: newWindow(),
 	}
 }
 
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -125,6 +125,7 @@
 	r := &run{task: s.task(index), number: number, state: runOrdered, worker: w, need: s.step.Reserved(), step: s}
 	d.occupy(r)
 	d.starts = append(d.starts, r)
+	d.window.under++
 	d.mark(js)
 	d.noteRun(EventTaskPlaced, r, string(w.Rack), 0)
 }
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -63,6 +63,9 @@
 	EventUpkeepAnswered Event = "upkeep-answered"
 	// EventWaveFinished: each machine of a wave has had its maintenance.
 	EventWaveFinished Event = "wave-finished"
+	// EventStartsBounded: no more tasks are placed in this pass, because so many orders have no
+	// verdict yet; the job is the first that waits for it.
+	EventStartsBounded Event = "starts-bounded"
 	// EventRoomClaimed: room is kept for a step, for as long as the estimate.
 	EventRoomClaimed Event = "room-claimed"
 	// EventGuaranteeAtRisk: urgent work within a guarantee finds no room, even by stops.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"curlewsill.org/curlewsill/core/job"
@@ -26,10 +27,17 @@
 	if len(d.pools) == 0 {
 		return
 	}
+	d.countPending(now)
 	candidates := d.candidates(now)
 	d.lastingWaits = d.giveWay(now, candidates)
 	d.claims = d.waitingClaims()
 	for _, c := range candidates {
+		some := d.window.room(len(c.waiting), c.step.step.Gang)
+		if some == 0 {
+			d.note(Note{Event: EventStartsBounded, Job: c.step.job.id, Why: fmt.Sprintf("%d starts under way", d.window.under)})
+			return
+		}
+		c.waiting = c.waiting[:some]
 		if !d.placeCandidate(now, c) && c.step.waitingSince == 0 {
 			c.step.waitingSince = now
 		}
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -72,10 +72,17 @@
 	jobs    int
 	// starts counts the runs that workers began, accepted the tasks of all jobs.
 	starts, accepted int
-	// ended counts the runs that ended by themselves.
+	// ended counts the runs that ended by themselves; done does so by job.
 	ended int
+	done  map[id.Job]int
 }
 
+// doneOf returns how many runs of the Nth job ended by themselves.
+func (w *world) doneOf(n int) int { return w.done[jobName(n)] }
+
+// jobName returns the name of the Nth job.
+func jobName(n int) id.Job { return id.Job(fmt.Sprintf("%016x", n)) }
+
 // simWorker is a worker of a world.
 type simWorker struct {
 	world   *world
@@ -100,7 +107,7 @@
 func newWorld(tb testing.TB, workers int, sending time.Duration) *world {
 	w := &world{
 		tb: tb, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), sending: sending,
-		workers: map[id.Worker]*simWorker{}, random: rand.New(rand.NewPCG(1, 2)),
+		workers: map[id.Worker]*simWorker{}, done: map[id.Job]int{}, random: rand.New(rand.NewPCG(1, 2)),
 	}
 	w.free = w.now
 	w.d = dispatch.New(config, 1, w.table)
@@ -144,7 +151,7 @@
 			Count: count, Estimate: takes, Need: job.Resources{CPU: 1000 * job.MilliCPU(gpus), Memory: unit.GiB, Accelerators: gpus},
 		}},
 	}
-	name := id.Job(fmt.Sprintf("%016x", w.jobs))
+	name := jobName(w.jobs)
 	r, err := w.table.SpecRecord(name, spec)
 	if err != nil {
 		w.tb.Fatal(err)
@@ -258,6 +265,7 @@
 	w.plan(takes, func() {
 		if x.runs[o.Task] == r {
 			w.ended++
+			w.done[o.Task.Job]++
 			x.end(o.Task, fleet.EndDone)
 		}
 	})
