entry, dispatch, relay, platform: files by what they do; a condition that nobody asks for is gone

Cause: writer.go, host.go and dispatcher.go had grown by several duties; an answer of the process to itself was written twice; since claims have no condition, Append's offset and its error had no caller. Change: pending.go, decide.go and jobs.go apart; relay.Answer used in both places; Append without an offset.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -6,7 +6,6 @@
 
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -161,90 +160,6 @@
 	return w
 }
 
-// AddJob takes in a job with the progress that the store has.
-func (d *Dispatcher) AddJob(now unit.Instant, name id.Job, s *job.Spec, p job.Progress, cancelled bool) {
-	if d.jobs[name] != nil {
-		return
-	}
-	p.Tasks = slices.Clone(p.Tasks)
-	js := &jobState{id: name, spec: s, progress: p, seen: now}
-	d.jobs[name] = js
-	if p.Outcome == job.Open {
-		d.insertOpen(js)
-	} else {
-		d.ended = append(d.ended, js)
-	}
-	base := 0
-	for r := range s.RoundCount() {
-		for i := range s.Steps {
-			js.steps = append(js.steps, &stepState{job: js, round: r, index: i, step: &s.Steps[i], base: base, runs: map[int]*run{}})
-			base += s.Steps[i].Count
-		}
-	}
-	js.open = len(js.steps)
-	if s.Priority == 0 && p.Outcome == job.Open && len(p.Tasks) == 0 {
-		d.expect(now, s)
-	}
-	if len(p.Tasks) == base {
-		d.resume(now, js)
-	}
-	if p.Outcome != job.Open {
-		d.stopAll(now, js, "job ended")
-		return
-	}
-	if cancelled {
-		d.CancelJob(now, name)
-	}
-}
-
-// insertOpen takes a job among the open ones.
-func (d *Dispatcher) insertOpen(js *jobState) {
-	at, _ := slices.BinarySearchFunc(d.open, js, compareJobs)
-	d.open = slices.Insert(d.open, at, js)
-}
-
-// removeOpen takes a job that has its outcome from the open ones to the ended ones.
-func (d *Dispatcher) removeOpen(js *jobState) {
-	if at, ok := slices.BinarySearchFunc(d.open, js, compareJobs); ok {
-		d.open = slices.Delete(d.open, at, at+1)
-	}
-	d.ended = append(d.ended, js)
-}
-
-// compareJobs orders jobs by id.
-func compareJobs(a, b *jobState) int { return cmp.Compare(a.id, b.id) }
-
-// resume takes over what an earlier owner has placed.
-func (d *Dispatcher) resume(now unit.Instant, js *jobState) {
-	for _, s := range js.steps {
-		for i := range s.step.Count {
-			t := &js.progress.Tasks[s.base+i]
-			switch t.Phase {
-			case job.Done:
-				s.done++
-			case job.Placed:
-				d.resumeRun(now, s, i, t)
-			case job.Waiting:
-			}
-		}
-		if s.done == s.step.Count {
-			s.counted = true
-			js.open--
-		}
-	}
-}
-
-// resumeRun takes over a run that an earlier owner has placed. Whether its order has left isn't
-// known, nor how much a run that uses what others leave was slowed down.
-func (d *Dispatcher) resumeRun(now unit.Instant, s *stepState, index int, t *job.TaskState) {
-	w := d.worker(now, t.Worker)
-	r := &run{task: s.task(index), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s, since: now, asked: now, resumed: true}
-	if r.fills() {
-		r.slowed = fullSpeed - paceLeast
-	}
-	d.occupy(r)
-}
-
 // mark notes that the job's record must be written again.
 func (d *Dispatcher) mark(js *jobState) {
 	if !js.changed {
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -31,12 +31,6 @@
 	// trustPercent is the least progress, in percent, from which a run's remaining time
 	// is estimated; below, the customer's estimate counts.
 	trustPercent = 10
-	// forgetJobs bounds how many ended jobs are dropped in one batch; each is
-	// three records.
-	forgetJobs = 20
-	// expireEvery is how often ended jobs are looked through: with forgetJobs, 40 a second
-	// can be dropped, three times what the users' sites end.
-	expireEvery = 500 * time.Millisecond
 )
 
 // Pass does what is due: it gives up lapsed leases, repeats orders, renews leases and
@@ -158,25 +152,6 @@
 	return max(0, r.step.step.Estimate-ran)
 }
 
-// expire forgets jobs whose end nobody needs to know any more.
-func (d *Dispatcher) expire(now unit.Instant) {
-	if now.Sub(d.expired) < expireEvery {
-		return
-	}
-	d.expired = now
-	kept := d.ended[:0]
-	for _, js := range d.ended {
-		if js.busy() || js.changed || len(d.forget) >= forgetJobs || now.Sub(js.progress.Ended) <= d.config.KeepEnded {
-			kept = append(kept, js)
-			continue
-		}
-		d.forget = append(d.forget, js.id)
-		delete(d.jobs, js.id)
-	}
-	clear(d.ended[len(kept):])
-	d.ended = kept
-}
-
 // renew renews a worker's lease when that is due.
 func (d *Dispatcher) renew(now unit.Instant, w *worker) {
 	needed := len(w.runs) > 0 || w.durable > w.told || w.synced == 0 && w.listed
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -69,7 +69,7 @@
 	}
 	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
 	go func() {
-		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1}, nil)
+		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1})
 		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, rec, end, err) })
 	}()
 }
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -68,9 +68,6 @@
 // refused is the answer to a call that surely had no effect.
 func refused(why string) reply { return reply{status: http.StatusServiceUnavailable, why: why} }
 
-// unknown is the answer to a call that may have had its effect.
-func unknown(why string) reply { return reply{status: http.StatusGatewayTimeout, why: why} }
-
 // ServeHTTP answers one call.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -74,11 +73,11 @@
 	rec, err := recordCodec.Decode(body)
 	if err != nil {
 		t.host.log.Warn("gathered-record-rejected", zap.Error(err))
-		return answerTo(req, http.StatusBadRequest, "not a record"), nil
+		return relay.Answer(req, http.StatusBadRequest, []byte("not a record")), nil
 	}
 	t.host.metrics.gathered.Inc()
 	got, why := t.host.append(req.Context(), jobtable.Record{Key: rec.Key, Value: rec.Value})
-	return answerTo(req, got.status(), why), nil
+	return relay.Answer(req, got.status(), []byte(why)), nil
 }
 
 // status is the HTTP status that tells an outcome.
@@ -93,14 +92,6 @@
 	return http.StatusGatewayTimeout
 }
 
-// answerTo returns an answer of this process to itself.
-func answerTo(req *http.Request, status int, body string) *http.Response {
-	return &http.Response{
-		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
-		Body: io.NopCloser(bytes.NewReader([]byte(body))), ContentLength: int64(len(body)), Request: req,
-	}
-}
-
 // findGatherer notes where the owner takes records, unless this host is the owner. It belongs to
 // the deciding goroutine.
 func (h *Host) findGatherer(addresses map[id.Host]string) {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -137,7 +137,7 @@
 	dep := dependency{log: o.host.log, name: "store append"}
 	for ctx.Err() == nil {
 		began := time.Now()
-		_, err := o.host.store.Append(ctx, platform.TopicJobs, recs, w, nil)
+		_, err := o.host.store.Append(ctx, platform.TopicJobs, recs, w)
 		o.host.metrics.storeCall("append", began, err)
 		dep.note(err)
 		if settled(err) {
--- a/internal/entry/put.go
+++ b/internal/entry/put.go
@@ -83,14 +83,6 @@
 	return within(ctx, queueWait, waitShare), within(ctx, unknownWait, unknownShare)
 }
 
-// giveUp ends the waiting for a record.
-func (p *pending) giveUp() (outcome, string) {
-	if p.withdraw() {
-		return notStored, "the store doesn't answer"
-	}
-	return unknownOutcome, "the store has not answered in time"
-}
-
 // within returns a time to wait, bounded by a part of what is left of a call's time.
 func within(ctx context.Context, wait time.Duration, part float64) time.Duration {
 	end, ok := ctx.Deadline()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -104,7 +104,7 @@
 	rec, err := jobtable.New().OwnerRecord(jobtable.Owner{Epoch: o.epoch + 1})
 	if err == nil {
 		w := platform.Writer{Name: ownerWriter, Epoch: o.epoch, Seq: o.seq + 1}
-		_, err = h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, w, nil)
+		_, err = h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, w)
 	}
 	h.log.Info("handed-over", zap.Uint64("epoch", uint64(o.epoch)), zap.Error(err))
 }
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -107,7 +107,7 @@
 	var b backoff
 	for {
 		began := time.Now()
-		_, err := o.host.store.Append(ctx, platform.TopicStatus, []jobtable.Record{rec}, w, nil)
+		_, err := o.host.store.Append(ctx, platform.TopicStatus, []jobtable.Record{rec}, w)
 		if err == nil || settled(err) {
 			return err
 		}
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -30,29 +30,6 @@
 // errNotWritten reports a record that is surely not in the store.
 var errNotWritten = errors.New("entry: the record was not written")
 
-// The states of a pending record. One that the store has surely refused is queued again until
-// the next try leaves.
-const (
-	writeQueued int32 = iota
-	writeSent
-	writeWithdrawn
-)
-
-// pending is a record on its way to the store.
-type pending struct {
-	record jobtable.Record
-	state  atomic.Int32
-	// hurried is set once the record's call wants to be refused as soon as that is true.
-	hurried atomic.Bool
-	// done receives nil once the record is in the store, errNotWritten if it
-	// surely isn't.
-	done chan error
-}
-
-// withdraw takes a record back that has not left, or was surely refused each time. It reports
-// whether that was so.
-func (p *pending) withdraw() bool { return p.state.CompareAndSwap(writeQueued, writeWithdrawn) }
-
 // writer appends records of jobs, as many at once as wait.
 type writer struct {
 	store   *platform.Store
@@ -153,7 +130,7 @@
 	unknown := false
 	for tries := 1; ctx.Err() == nil; tries++ {
 		began, ended := time.Now(), w.health.begin()
-		_, err := w.store.Append(ctx, platform.TopicJobs, recordsOf(batch), w.id, nil)
+		_, err := w.store.Append(ctx, platform.TopicJobs, recordsOf(batch), w.id)
 		ended(err)
 		w.learn(began, err)
 		w.metrics.storeCall("append", began, err)
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -35,7 +35,7 @@
 	if res.Status == 0 {
 		return nil, fmt.Errorf("relay: peer %s got no answer", l.address)
 	}
-	return response(req, res.Status, res.Body), nil
+	return Answer(req, res.Status, res.Body), nil
 }
 
 // pick returns a link to a peer: one that is open, or else to one drawn at random.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return response(req, status, data), nil
+	return Answer(req, status, data), nil
 }
 
 // Make makes a call on the direct path and reads its answer whole.
@@ -206,8 +206,8 @@
 	return io.ReadAll(r)
 }
 
-// response returns an answer that was read whole.
-func response(req *http.Request, status int, body []byte) *http.Response {
+// Answer returns an answer that was read whole, or one that this process gives itself.
+func Answer(req *http.Request, status int, body []byte) *http.Response {
 	return &http.Response{
 		StatusCode: status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{},
 		Body: io.NopCloser(bytes.NewReader(body)), ContentLength: int64(len(body)), Request: req,
