--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -111,7 +111,7 @@
 func (f *front) store(ctx context.Context, rec jobtable.Record, done string) reply {
 	got, why := f.host.put(ctx, rec)
 	if got == stored {
-		why = done
+		why = done + why
 	}
 	return reply{status: got.status(), why: why}
 }
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -54,7 +54,7 @@
 	case err != nil:
 		return unknownOutcome, "the owner has not answered in time", true
 	case status == http.StatusOK:
-		return stored, "by the owner", true
+		return stored, ", by the owner", true
 	case status == http.StatusServiceUnavailable:
 		return notStored, "the owner says: " + string(why), true
 	}
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -25,6 +27,8 @@
 // say of it. A call of a client that needs the store is refused at once while it takes nothing,
 // so that the client has time left for another host. It is safe for concurrent use.
 type storeHealth struct {
+	log *zap.Logger
+
 	mu sync.Mutex
 	// under holds when each call under way began, by its number.
 	under map[uint64]time.Time
@@ -38,7 +42,9 @@
 	took time.Duration
 }
 
-func newStoreHealth() *storeHealth { return &storeHealth{under: map[uint64]time.Time{}} }
+func newStoreHealth(log *zap.Logger) *storeHealth {
+	return &storeHealth{log: log, under: map[uint64]time.Time{}}
+}
 
 // begin notes a call that leaves now. The function that it returns takes what became of it.
 func (h *storeHealth) begin() func(error) {
@@ -60,7 +66,8 @@
 		return
 	}
 	now := time.Now()
-	h.answered, h.took = now, now.Sub(began)
+	h.answered = now
+	h.learnPace(now.Sub(began))
 	switch {
 	case !errors.Is(err, platform.ErrNotDone):
 		h.refusedSince = time.Time{}
@@ -69,6 +76,15 @@
 	}
 }
 
+// learnPace notes how long the newest answer took, and logs when that changes what is believed.
+func (h *storeHealth) learnPace(took time.Duration) {
+	was := h.took >= slowAfter
+	h.took = took
+	if slow := took >= slowAfter; slow != was {
+		h.log.Info("store-pace", zap.Bool("slow", slow), zap.Duration("took", took))
+	}
+}
+
 // refusing reports whether the store has refused every call for a while.
 func (h *storeHealth) refusing() bool {
 	h.mu.Lock()
--- a/internal/entry/health_internal_test.go
+++ b/internal/entry/health_internal_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -30,7 +32,7 @@
 		"begin 10ms refused 200ms begin 410ms refusing",
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			h := newStoreHealth()
+			h := newStoreHealth(zap.NewNop())
 			var under []func(error)
 			words := strings.Fields(script)
 			for _, word := range words[:len(words)-1] {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -139,7 +139,7 @@
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, log)
-	h.health = newStoreHealth()
+	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
 		return nil, err
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -64,7 +64,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := c.answer
-				h := &Host{health: newStoreHealth()}
+				h := &Host{health: newStoreHealth(zap.NewNop())}
 				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics())
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
