entry: the group of hosts grows with their number

Change: once three quarters of the room are taken, hosts join with twice as many partitions, up to 512.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -84,6 +84,8 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	// ready is what the balancer is told.
 	ready atomic.Bool
+	// room is for how many hosts the group has room, as far as this host has seen.
+	room atomic.Int32
 	// standby is set while this host would be among the first to claim.
 	standby atomic.Bool
 	// waiting counts the calls that wait for a job's end.
@@ -139,6 +141,7 @@
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, log)
+	h.room.Store(fewMembers)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
@@ -24,9 +26,12 @@
 	// is missing.
 	lookEvery = 500 * time.Millisecond
 	lookSoon  = 120 * time.Millisecond
-	// mostMembers is how many hosts the group must have room for: each member
-	// shows only if it holds a partition.
-	mostMembers = 64
+	// fewMembers is how many hosts the group has room for at first, and mostMembers at most: a
+	// member shows only if it holds a partition, and an owner that doesn't show is taken for
+	// dead. Each look returns all partitions, so there are no more of them than needed: with
+	// room for 512, a look on a site of 41 hosts would be seven times as long.
+	fewMembers  = 64
+	mostMembers = 512
 	// tasksPerCore is how many tasks a second an owner with a whole core can start, and
 	// tasksPerMegabit how many one Mbit/s carries, at 4 kB a task with its renewals and
 	// records. Measured with 350 workers: docs/CAPACITY.md.
@@ -39,10 +44,19 @@
 	return int(min(s.Cores*tasksPerCore, float64(s.Link)*tasksPerMegabit))
 }
 
-// memberTopics returns topics with partitions for mostMembers hosts.
-func memberTopics(partitions int) []string {
+// roomForMembers returns for how many hosts the group is to have room after a look that showed so
+// many, with room for that many: twice as many once three quarters are taken.
+func roomForMembers(shown, room int) int {
+	if 4*shown >= 3*room {
+		return min(2*room, mostMembers)
+	}
+	return room
+}
+
+// memberTopics returns topics with partitions for so many hosts.
+func memberTopics(partitions, room int) []string {
 	var out []string
-	for n := 0; n < mostMembers; n += partitions {
+	for n := 0; n < room; n += partitions {
 		out = append(out, fmt.Sprintf("hosts.%d", len(out)))
 	}
 	return out
@@ -51,11 +65,11 @@
 // keepMembership keeps the host in the group and looks at who else is.
 func (h *Host) keepMembership(ctx context.Context) {
 	go h.lookAtMembers(ctx)
-	topics := memberTopics(h.settings.Partitions)
 	ttl := max(time.Second, h.settings.LeastTTL)
 	dep := dependency{log: h.log, name: "store group"}
 	generation := uint64(0)
 	for ctx.Err() == nil && !h.stopping.Load() {
+		topics := memberTopics(h.settings.Partitions, int(h.room.Load()))
 		ended := h.health.begin()
 		g, err := h.store.Join(ctx, group, h.member(), topics, ttl, generation)
 		ended(err)
@@ -84,6 +98,7 @@
 		dep.note(err)
 		if err == nil {
 			members, peers, addresses := h.readMembers(names)
+			h.growGroup(len(members))
 			h.path.SetPeers(peers)
 			h.advicePath.SetPeers(peers)
 			h.recordsPath.SetPeers(peers)
@@ -101,6 +116,16 @@
 	}
 }
 
+// growGroup makes room for more hosts in the group when a look has shown that many.
+func (h *Host) growGroup(shown int) {
+	room := int(h.room.Load())
+	larger := roomForMembers(shown, room)
+	if larger != room {
+		h.room.Store(int32(larger))
+		h.log.Info("group-grows", zap.Int("members", shown), zap.Int("room", larger))
+	}
+}
+
 // member is the host's name in the group: its own, where it listens for peers, and its ability.
 func (h *Host) member() string {
 	return string(h.self) + "@" + h.peers + "@" + strconv.Itoa(ability(h.settings))
