entry: a store that answers nothing is known when calls end without an answer, too

Change: three short calls in a row without an answer, over 150 ms, count as a store that answers nothing; calls are refused at once until one is answered. Test: new lines of TestStoreHealth.

--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -18,6 +18,9 @@
 	// hangingAfter is after which time without any answer a call counts as hanging. A slow
 	// store answers within 300 ms.
 	hangingAfter = 400 * time.Millisecond
+	// mostUnanswered is how many calls in a row must end without an answer for the same. A store
+	// that loses three answers in ten loses so many in a row once in forty calls.
+	mostUnanswered = 3
 	// slowAfter is how long an answer takes at least from a store that counts as slow: ten times
 	// the usual time.
 	slowAfter = 100 * time.Millisecond
@@ -38,6 +41,10 @@
 	// refusedSince is when the first of the newest refusals in a row came; zero if the newest
 	// answer was another one.
 	refusedSince time.Time
+	// unanswered counts the calls in a row that ended without an answer, unansweredSince is when
+	// the first of them did.
+	unanswered      int
+	unansweredSince time.Time
 	// took is how long the newest answer took.
 	took time.Duration
 }
@@ -56,16 +63,21 @@
 	return func(err error) { h.end(n, err) }
 }
 
-// end notes what became of a call. Without an answer nothing is learned but that it is over.
+// end notes what became of a call.
 func (h *storeHealth) end(n uint64, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	began := h.under[n]
 	delete(h.under, n)
+	now := time.Now()
 	if errors.Is(err, platform.ErrUnknown) {
+		if h.unanswered == 0 {
+			h.unansweredSince = now
+		}
+		h.unanswered++
 		return
 	}
-	now := time.Now()
+	h.unanswered = 0
 	h.answered = now
 	h.learnPace(now.Sub(began))
 	switch {
@@ -107,11 +119,15 @@
 	return false
 }
 
-// hanging reports whether some call has waited long for its answer, and no other one has got an
-// answer meanwhile.
+// hanging reports whether the store answers nothing: some call has waited long for its answer and
+// no other one has got one meanwhile, or several in a row have ended without one. A client's call
+// would then end unknown, after which many clients can't ask again.
 func (h *storeHealth) hanging() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.unanswered >= mostUnanswered && time.Since(h.unansweredSince) >= refusingAfter {
+		return true
+	}
 	for _, began := range h.under {
 		if time.Since(began) >= hangingAfter && h.answered.Before(began) {
 			return true
--- a/internal/entry/health_internal_test.go
+++ b/internal/entry/health_internal_test.go
@@ -30,6 +30,11 @@
 		"begin 1500ms unanswered well",
 		"begin 1500ms unanswered begin 410ms hanging",
 		"begin 10ms refused 200ms begin 410ms refusing",
+		"begin 10ms unanswered begin 10ms unanswered 200ms begin 10ms done well",
+		"begin 10ms unanswered begin 10ms unanswered begin 10ms unanswered well",
+		"begin 10ms unanswered begin 10ms unanswered begin 10ms unanswered 200ms hanging",
+		"begin 10ms unanswered begin 10ms unanswered begin 10ms unanswered 200ms begin 10ms done well",
+		"begin 10ms unanswered begin 10ms unanswered begin 10ms unanswered 200ms begin 10ms refused well",
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			h := newStoreHealth(zap.NewNop())
