--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -32,9 +32,10 @@
 	// room for 512, a look on a site of 41 hosts would be seven times as long.
 	fewMembers  = 64
 	mostMembers = 512
-	// tasksPerCore is how many tasks a second an owner with a whole core can start, and
-	// tasksPerMegabit how many one Mbit/s carries, at 4 kB a task with its renewals and
-	// records. Measured with 350 workers: docs/CAPACITY.md.
+	// tasksPerCore is how many tasks a second an owner with a whole core can start: 0.35 of a
+	// core were used at 250 a second with 350 workers. tasksPerMegabit is how many one Mbit/s
+	// carries at 4 kB a task with its renewals and records, an estimate from their sizes. What
+	// counts is the proportion between hosts.
 	tasksPerCore    = 700
 	tasksPerMegabit = 31
 )
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -75,7 +75,7 @@
 	Waiting       int
 }
 
-// job is what the bench knows of one job.
+// job is what a replay knows of one job.
 type job struct {
 	event   Event
 	started unit.Instant
