entry: an owner that hands over to an abler host doesn't claim again meanwhile

Cause: found when reading the change once more: between giving up the ownership and the store's answer the place looks vacant to the host that has just left it, and a fenced owner claims a vacant place itself. Ruled out: a planned stop, where a stopping host never claims. Change: the host counts as claiming until the store has the hand-over, or that has failed.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -4,8 +4,8 @@
 // The platform's store keeps the group of live hosts and drops a host that is silent.
 // The owner is whoever wrote the newest claim. A host claims when the owner is missing
 // from the group in several looks in a row; hosts claim one after the other, the ablest
-// first and equal ones by a rank that they all agree on, and the store takes only a claim
-// that follows the newest state. A claim too many is harmless: it costs one change of owner.
+// first and equal ones by a rank that they all agree on, and the store refuses a claim whose
+// epoch is below one that it has seen. A claim too many is harmless: it costs one change of owner.
 package election
 
 import (
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -142,14 +142,21 @@
 	go o.followMachines(ctx)
 }
 
-// yield hands the ownership over to an abler host, if there is one and no append is under way.
+// yield hands the ownership over to an abler host, if there is one and no append is under way. Until
+// the store has that, this host doesn't claim: it would find the place vacant.
 func (h *Host) yield(ctx context.Context, now unit.Instant) {
 	if h.owner == nil || h.stopping.Load() || !h.election.Yields(now) {
 		return
 	}
-	if r := h.retire("an abler host is there"); r.owner != nil {
-		go h.release(ctx, r.owner)
+	r := h.retire("an abler host is there")
+	if r.owner == nil {
+		return
 	}
+	h.claiming = true
+	go func() {
+		h.release(ctx, r.owner)
+		h.post(ctx, func(unit.Instant) { h.claiming = false })
+	}()
 }
 
 // stepDown ends scheduling at once.
