--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/ring"
 )
 
 const (
@@ -22,24 +23,29 @@
 
 // decide applies events and passes over the state until ctx is done.
 func (h *Host) decide(ctx context.Context) {
+	decideEach(ctx, h.events, h.now, func(now unit.Instant) { h.pass(ctx, now) })
+}
+
+// decideEach applies events as they come and makes a pass when one is due, until ctx is done.
+func decideEach(ctx context.Context, events *ring.Ring[event], now func() unit.Instant, pass func(unit.Instant)) {
 	timer := time.NewTimer(idleEvery)
 	defer timer.Stop()
-	next := h.now()
+	next := now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case e := <-h.events.C():
-			e(h.now())
-			if wait := next.Sub(h.now()); wait > 0 {
+		case e := <-events.C():
+			e(now())
+			if wait := next.Sub(now()); wait > 0 {
 				timer.Reset(wait)
 				continue
 			}
 		case <-timer.C:
 		}
-		began := h.now()
-		h.pass(ctx, began)
-		next = nextPass(began, h.now())
+		began := now()
+		pass(began)
+		next = nextPass(began, now())
 		timer.Reset(idleEvery)
 	}
 }
