--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -26,6 +26,9 @@
 	late bool
 	// deadline is when the job should be completed.
 	deadline unit.Instant
+	// turn orders candidates of the same urgency: the deadline, or when the step fell due if the
+	// policy has no order by deadline. Long-running tasks wait in turn either way.
+	turn unit.Instant
 }
 
 // candidates returns the steps that have tasks to start, most urgent first.
@@ -40,18 +43,22 @@
 			}
 		}
 	}
-	slices.SortStableFunc(out, compareCandidates)
+	slices.SortStableFunc(out, d.compareCandidates)
 	return out
 }
 
 // compareCandidates puts the more urgent priority first, then work within a guarantee, then
-// work that can still earn something, then the earlier deadline.
-func compareCandidates(a, b candidate) int {
+// work that can still earn something, then whose turn is earlier.
+func (d *Dispatcher) compareCandidates(a, b candidate) int {
+	late := 0
+	if d.policy.ByDeadline {
+		late = compareBools(a.late, b.late)
+	}
 	return cmp.Or(
 		cmp.Compare(a.step.job.spec.Priority, b.step.job.spec.Priority),
 		-compareBools(a.covered, b.covered),
-		compareBools(a.late, b.late),
-		cmp.Compare(a.deadline, b.deadline),
+		late,
+		cmp.Compare(a.turn, b.turn),
 	)
 }
 
@@ -110,6 +117,10 @@
 			c.deadline = s.waitingSince
 		}
 	}
+	c.turn = c.deadline
+	if !d.policy.ByDeadline && !s.step.LongRunning {
+		c.turn = due
+	}
 	return c, true
 }
 
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -7,12 +7,15 @@
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
 // Dispatcher is the owner's state. The zero value is not ready; call New.
 type Dispatcher struct {
 	config Config
+	// policy says which mechanisms are on.
+	policy policy.Policy
 	epoch  id.Epoch
 	table  *jobtable.Table
 
@@ -62,11 +65,11 @@
 	fenced bool
 }
 
-// New returns the dispatcher of an owner with the given epoch. The table encodes records and
-// tells how far an earlier owner's waves are; it is not changed.
-func New(c Config, epoch id.Epoch, table *jobtable.Table) *Dispatcher {
+// New returns the dispatcher of an owner with the given epoch, that decides by the given policy.
+// The table encodes records and tells how far an earlier owner's waves are; it is not changed.
+func New(c Config, p policy.Policy, epoch id.Epoch, table *jobtable.Table) *Dispatcher {
 	return &Dispatcher{
-		config: c, epoch: epoch, table: table,
+		config: c, policy: p, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
 		arrivals: map[id.Service]*arrivals{}, racks: map[rackName]*rackUse{}, waves: map[id.Wave]*wave{},
 		advice: consultation{yield: firstYield}, window: newWindow(),
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -92,11 +92,11 @@
 	case fleet.EndDone:
 		w.streak, w.lastFailed = 0, ""
 	case fleet.EndFailed:
-		if w.lastFailed != e.Task.Job {
+		if d.policy.SuspendFailing && w.lastFailed != e.Task.Job {
 			w.streak++
 			w.lastFailed = e.Task.Job
 		}
-		if r.failedAtOnce(now) && r.step.job.blames(w.ID) {
+		if d.policy.SuspendAtOnce && r.failedAtOnce(now) && r.step.job.blames(w.ID) {
 			w.streak = failStreak
 		}
 		if w.streak >= failStreak {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -32,7 +32,7 @@
 	d.lastingWaits = d.giveWay(now, candidates)
 	d.claims = d.waitingClaims()
 	for _, c := range candidates {
-		some := d.window.room(len(c.waiting), c.step.step.Gang)
+		some := d.startsLeft(len(c.waiting), c.step.step.Gang)
 		if some == 0 {
 			d.note(Note{Event: EventStartsBounded, Job: c.step.job.id, Why: fmt.Sprintf("%d starts under way", d.window.under)})
 			return
@@ -148,7 +148,7 @@
 		if !need.Fits(free) || !mayOpen && w.empty() || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
-		left := leftover(free.Sub(need), w.Capacity) + w.opening() + w.suspicion() + s.disturbance(w)
+		left := leftover(free.Sub(need), w.Capacity) + d.opening(w) + w.suspicion() + s.disturbance(w)
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -55,7 +55,9 @@
 		d.countRack(w)
 	}
 	for s, p := range d.pools {
-		p.spare -= d.keptEmpty(now, s, p)
+		if d.policy.KeepEmpty {
+			p.spare -= d.keptEmpty(now, s, p)
+		}
 		p.usage = d.usage(s)
 	}
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -42,6 +42,9 @@
 		d.wait(now, c, fits)
 		return
 	}
+	if !d.policy.Preempt {
+		return
+	}
 	chosen, ok := d.choosePreempted(now, c, fits)
 	if !ok && !s.step.Gang && now.Sub(s.triedFewer) >= fewerPause {
 		s.triedFewer = now
@@ -79,7 +82,7 @@
 // wait keeps room for a gang where enough of it will be free soonest, so that smaller
 // work doesn't take it bit by bit.
 func (d *Dispatcher) wait(now unit.Instant, c candidate, fits []*worker) {
-	if d.lastingWaits[c.step.job.spec.Service] {
+	if !d.policy.KeepGangRoom || d.lastingWaits[c.step.job.spec.Service] {
 		return
 	}
 	for horizon := shortestWait; d.claims < mostWaitingClaims && horizon <= longestWait; horizon *= 2 {
--- a/core/dispatch/rack.go
+++ b/core/dispatch/rack.go
@@ -7,8 +7,8 @@
 
 // opening returns what it costs, beside the leftover, to place something on a worker:
 // nothing on one that is in use, and the more the emptier the rack is.
-func (w *worker) opening() float64 {
-	if w.rackUse == nil || !w.empty() {
+func (d *Dispatcher) opening(w *worker) float64 {
+	if !d.policy.UsedRacksFirst || w.rackUse == nil || !w.empty() {
 		return 0
 	}
 	return rackWeight * float64(w.rackUse.empty) / float64(w.rackUse.all)
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -10,6 +10,7 @@
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/upkeep"
@@ -50,7 +51,9 @@
 	// table is what is in the store.
 	table *jobtable.Table
 	epoch id.Epoch
-	now   unit.Instant
+	// policy is that of the next owner.
+	policy policy.Policy
+	now    unit.Instant
 	// ahead is how far the time of day is ahead of now.
 	ahead time.Duration
 	// workers is the platform's list, waves what the operator asked for.
@@ -80,7 +83,7 @@
 
 func newScript(t *testing.T) *script {
 	s := &script{
-		t: t, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), workers: map[string]fleet.Listing{},
+		t: t, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), policy: policy.New(), workers: map[string]fleet.Listing{},
 		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, paces: map[string]dispatch.Pace{},
 		upkeeps: map[string]dispatch.Upkeep{}, sent: map[string]unit.Instant{},
 	}
@@ -91,7 +94,7 @@
 // takeOver starts another owner from the store's records.
 func (s *script) takeOver() {
 	s.epoch++
-	s.d = dispatch.New(config, s.epoch, s.table)
+	s.d = dispatch.New(config, s.policy, s.epoch, s.table)
 	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
 		e := s.table.Get(j)
--- a/core/dispatch/window.go
+++ b/core/dispatch/window.go
@@ -70,6 +70,14 @@
 	return min(tasks, free)
 }
 
+// startsLeft returns how many of so many waiting tasks may be started in this pass.
+func (d *Dispatcher) startsLeft(tasks int, gang bool) int {
+	if !d.policy.BoundStarts {
+		return tasks
+	}
+	return d.window.room(tasks, gang)
+}
+
 // pending reports whether a run counts as a start under way. One whose order got no answer counts
 // while its worker answers others: the order is repeated.
 func (r *run) pending(now unit.Instant) bool {
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -12,6 +12,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -110,7 +111,7 @@
 		workers: map[id.Worker]*simWorker{}, done: map[id.Job]int{}, random: rand.New(rand.NewPCG(1, 2)),
 	}
 	w.free = w.now
-	w.d = dispatch.New(config, 1, w.table)
+	w.d = dispatch.New(config, policy.New(), 1, w.table)
 	for i := range workers {
 		x := &simWorker{
 			world: w, id: id.Worker(fmt.Sprintf("worker-%04d", i)), rack: id.Rack(fmt.Sprintf("r%03d", i/workersOfRack)),
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -120,14 +120,15 @@
 func (h *Host) takeOver(now unit.Instant, epoch id.Epoch) {
 	ctx, cancel := context.WithCancel(context.Background())
 	o := &owner{
-		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, epoch, h.table), cancel: cancel,
+		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, h.settings.Policy, epoch, h.table), cancel: cancel,
 		seq: 1, listed: map[id.Worker]bool{}, reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
 	h.election.Owned(now)
 	h.metrics.owning.Store(true)
 	h.metrics.takeovers.Inc()
-	h.log.Info("owner", zap.Uint64("epoch", uint64(epoch)), zap.Int("jobs", len(h.table.Jobs())), zap.Uint64("applied", uint64(h.table.Next())))
+	h.log.Info("owner", zap.Uint64("epoch", uint64(epoch)), zap.Int("jobs", len(h.table.Jobs())), zap.Uint64("applied", uint64(h.table.Next())),
+		zap.Strings("off", h.settings.Policy.Off()))
 	if c := h.catalog.Load(); c != nil {
 		o.configure(c)
 	}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -14,6 +14,7 @@
 
 	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/entry"
 	"curlewsill.org/curlewsill/internal/settings"
@@ -82,6 +83,7 @@
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
 		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second,
 		Memory: 512 * unit.MiB, Cores: s.cores[n], Link: 1000, Grace: 3 * time.Second,
+		Policy: policy.New(),
 		Workers: dispatch.Config{
 			MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
 			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -5,6 +5,7 @@
 
 	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/inifile"
 )
@@ -37,7 +38,9 @@
 	// run; empty if there is none.
 	Advice string
 	// Workers holds the bounds that workers and machines keep to.
-	Workers  dispatch.Config
+	Workers dispatch.Config
+	// Policy says which mechanisms the owner decides by.
+	Policy   policy.Policy
 	LogLevel string
 }
 
@@ -82,6 +85,7 @@
 		Machines:   machines.OptionalAddress("address"),
 		Advice:     workers.OptionalAddress("advice"),
 		Workers:    readBounds(workers, machines),
+		Policy:     readPolicy(f.Section("policy")),
 		LogLevel:   f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
 	}
 }
@@ -97,3 +101,12 @@
 		Away:      machines.Duration("away", 2*time.Second, time.Millisecond, time.Hour),
 	}
 }
+
+// readPolicy reads the switches of the policy. All are on unless it says otherwise.
+func readPolicy(s *inifile.Section) policy.Policy {
+	p := policy.New()
+	for _, name := range policy.Names() {
+		p, _ = p.With(name, s.Bool(name, true))
+	}
+	return p
+}
