--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -69,14 +69,20 @@
 	}
 }
 
-// Started takes in what became of an order to start.
-func (d *Dispatcher) Started(now unit.Instant, res StartResult) {
-	w := d.addressee(res.Start.Target)
+// runAnswer takes in an answer to an order on a run. It returns the run, or nil if it or its worker
+// isn't known any more.
+func (d *Dispatcher) runAnswer(now unit.Instant, t Target, v fleet.Verdict, c fleet.Clock, task job.Task, number job.Run) *run {
+	w := d.addressee(t)
 	if w == nil {
-		return
+		return nil
 	}
-	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.run(res.Start.Task, res.Start.Run)
+	d.judge(now, w, v, c)
+	return w.run(task, number)
+}
+
+// Started takes in what became of an order to start.
+func (d *Dispatcher) Started(now unit.Instant, res StartResult) {
+	r := d.runAnswer(now, res.Start.Target, res.Verdict, res.Clock, res.Start.Task, res.Start.Run)
 	if r == nil {
 		return
 	}
@@ -95,11 +101,11 @@
 		d.overtaken(now, r)
 	case fleet.NoTicket:
 		if r.step != nil {
-			r.step.dropPermit(w)
+			r.step.dropPermit(r.worker)
 		}
 		d.rejected(now, r, res.Verdict)
 	case fleet.NoRoom, fleet.Busy, fleet.Invalid:
-		w.pausedUntil = now.Add(busyPause)
+		r.worker.pausedUntil = now.Add(busyPause)
 		d.rejected(now, r, res.Verdict)
 	}
 }
@@ -135,12 +141,7 @@
 // Stopped takes in what became of an order to stop. The room is free only when the
 // worker lists the end, or no longer lists the run.
 func (d *Dispatcher) Stopped(now unit.Instant, res StopResult) {
-	w := d.addressee(res.Stop.Target)
-	if w == nil {
-		return
-	}
-	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.run(res.Stop.Task, res.Stop.Run)
+	r := d.runAnswer(now, res.Stop.Target, res.Verdict, res.Clock, res.Stop.Task, res.Stop.Run)
 	if r == nil {
 		return
 	}
@@ -150,7 +151,7 @@
 	if done && r.stopDone == 0 {
 		r.stopDone = now
 		// One look that doesn't wait tells whether the run was ever there.
-		w.nextHold = min(w.nextHold, now.Add(d.config.StopTime))
+		r.worker.nextHold = min(r.worker.nextHold, now.Add(d.config.StopTime))
 	}
 }
 
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -122,17 +122,12 @@
 // Paced takes in what became of an order on a run's speed. One that wasn't carried out is
 // decided anew.
 func (d *Dispatcher) Paced(now unit.Instant, res PaceResult) {
-	w := d.addressee(res.Pace.Target)
-	if w == nil {
-		return
-	}
-	d.judge(now, w, res.Verdict, res.Clock)
-	r := w.run(res.Pace.Task, res.Pace.Run)
+	r := d.runAnswer(now, res.Pace.Target, res.Verdict, res.Clock, res.Pace.Task, res.Pace.Run)
 	if r == nil || res.Verdict == fleet.Carried {
 		return
 	}
 	// The worker may work at the old speed or at the new one. A speed between the two
 	// ends leads to another order either way.
 	r.slowed = min(max(r.slowed, paceUp), fullSpeed-paceLeast)
-	w.pacedAt = 0
+	r.worker.pacedAt = 0
 }
