--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -19,6 +19,11 @@
 	// waiting tasks and a fifth of a core 7 ms each, so that answers wait for seconds and
 	// leases run out.
 	passShare = 3
+	// longestPause bounds that: a pass in which the process stood still would else silence the
+	// owner, whose renewals leave in passes only, for three times as long, beyond the leases of 6 s.
+	// With a renewal that waits 2 s at its worker it is less than the 3.5 s after which a worker
+	// counts as silent.
+	longestPause = time.Second
 )
 
 // decide applies events and passes over the state until ctx is done.
@@ -52,7 +57,8 @@
 
 // nextPass returns when the pass after one that began and ended at these times is due.
 func nextPass(began, ended unit.Instant) unit.Instant {
-	return max(began.Add(passEvery), ended.Add(passShare*ended.Sub(began)))
+	rest := min(longestPause, passShare*ended.Sub(began))
+	return max(began.Add(passEvery), ended.Add(rest))
 }
 
 // pass does what is due.
