--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -97,6 +97,8 @@
 	until   fleet.Clock
 	// held answers the renewal that waits for an end; nil if none does.
 	held func()
+	// mute is set while the worker neither takes nor answers orders to start.
+	mute bool
 }
 
 // simRun is one run on a worker of a world.
@@ -252,6 +254,8 @@
 func (x *simWorker) start(o dispatch.Start) fleet.Verdict {
 	w := x.world
 	switch {
+	case x.mute:
+		return fleet.Unknown
 	case o.Until <= w.clock():
 		return fleet.Expired
 	case x.runs[o.Task] != nil && x.runs[o.Task].number == o.Run:
