--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -23,11 +23,11 @@
 
 // pending answers how many jobs of a queue wait.
 func (f *front) pending(ctx context.Context, q *catalog.Queue) reply {
-	n, ok := ask(ctx, f.host, func(unit.Instant) int {
+	n, ok := ask(ctx, f.host, func(now unit.Instant) int {
 		if !f.host.loaded {
 			return notLoaded
 		}
-		return f.host.table.Waiting(q.Name)
+		return f.host.counts.get(now, q.Name, f.host.table.Waiting)
 	})
 	if !ok || n == notLoaded {
 		return refused("the jobs are not known yet")
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -116,6 +116,8 @@
 	lost id.Epoch
 	// watchers are told when a job ends.
 	watchers watchers
+	// counts are told to callers.
+	counts counts
 	// released is the epoch whose owner gave it back.
 	released id.Epoch
 }
@@ -138,7 +140,7 @@
 		machines: platform.NewMachines(s.Machines, s.Host, platform.NewHTTPClient(machineConns), log),
 		events:   ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
-		watchers: watchers{}, wake: make(chan struct{}, 1),
+		watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, log)
 	h.room.Store(fewMembers)
