--- a/core/dispatch/lives_internal_test.go
+++ b/core/dispatch/lives_internal_test.go
@@ -9,6 +9,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -24,7 +25,7 @@
 func TestForgetsEarlierLives(t *testing.T) {
 	const workers, lives = 48, 20
 	c := Config{MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: time.Second, KeepEnded: 2 * time.Minute}
-	d := New(c, 1, jobtable.New())
+	d := New(c, policy.New(), 1, jobtable.New())
 	now := unit.At(time.Unix(1000, 0))
 	for life := range lives {
 		for i := range workers {
