--- a/core/dispatch/window.go
+++ b/core/dispatch/window.go
@@ -55,15 +55,14 @@
 	}
 }
 
-// room returns how many more starts may be decided. A gang that is larger than the whole window
-// may begin when nothing is under way.
+// room returns how many more starts may be decided. A gang begins whole whenever anything of the
+// window is free: one that had to wait for all of its room, or for a moment without any start under
+// way, never began beside 20 urgent tasks a second, nor did anything behind it.
 func (w *window) room(tasks int, gang bool) int {
 	free := int(w.size) - w.under
 	switch {
 	case free <= 0:
 		return 0
-	case gang && tasks > free && w.under > 0:
-		return 0
 	case gang:
 		return tasks
 	}
