--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -92,21 +92,41 @@
 	case fleet.EndDone:
 		w.streak, w.lastFailed = 0, ""
 	case fleet.EndFailed:
-		if d.policy.SuspendFailing && w.lastFailed != e.Task.Job {
-			w.streak++
-			w.lastFailed = e.Task.Job
-		}
+		d.countFailure(w, e.Task.Job)
 		if d.policy.SuspendAtOnce && r.failedAtOnce(now) && r.step.job.blames(w.ID) {
 			w.streak = failStreak
 		}
-		if w.streak >= failStreak {
-			w.pausedUntil = now.Add(failPause)
-			d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: "a task failed at once, or tasks of several jobs in a row", Age: failPause})
-		}
+		d.suspendFailing(now, w, "a task failed at once, or tasks of several jobs in a row")
 	case fleet.EndStopped, fleet.EndLapsed, fleet.EndBroken, fleet.EndAlone:
 	}
 }
 
+// countIgnored counts a run whose orders to start its worker ignored like one that failed there.
+func (d *Dispatcher) countIgnored(now unit.Instant, r *run) {
+	if r.step != nil {
+		r.step.noteFailure(now, r.task.Index, r.worker)
+	}
+	d.countFailure(r.worker, r.task.Job)
+	d.suspendFailing(now, r.worker, "it leaves orders to start unanswered")
+}
+
+// countFailure counts a run that failed on a worker, once for each job in a row.
+func (d *Dispatcher) countFailure(w *worker, j id.Job) {
+	if d.policy.SuspendFailing && w.lastFailed != j {
+		w.streak++
+		w.lastFailed = j
+	}
+}
+
+// suspendFailing keeps new tasks away from a worker for a while if too many runs failed there in a row.
+func (d *Dispatcher) suspendFailing(now unit.Instant, w *worker, why string) {
+	if w.streak < failStreak {
+		return
+	}
+	w.pausedUntil = now.Add(failPause)
+	d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: why, Age: failPause})
+}
+
 // failedAtOnce reports whether a run that has just failed had hardly begun.
 func (r *run) failedAtOnce(now unit.Instant) bool {
 	if r.resumed {
