--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -30,6 +30,7 @@
 	"curlewsill.org/curlewsill/internal/relay"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/internal/settings"
+	"curlewsill.org/curlewsill/internal/wslink"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -56,6 +57,8 @@
 	settings settings.Site
 	log      *zap.Logger
 	metrics  *metrics
+	// links are the connections from and to peers.
+	links *wslink.Links
 	// path and advicePath lead to the store and to the advice service, by this host and by
 	// its peers.
 	path, advicePath *relay.Path
@@ -127,11 +130,12 @@
 	if err != nil {
 		return nil, err
 	}
-	path := relay.New("http://"+s.Store, relay.RouteStore, platform.NewHTTPClient(storeConns), log)
-	advicePath := relay.New("http://"+s.Advice, relay.RouteAdvice, platform.NewHTTPClient(adviceConns), log)
+	links := relay.NewLinks((&net.Dialer{}).DialContext, log)
+	path := relay.New("http://"+s.Store, relay.RouteStore, platform.NewHTTPClient(storeConns), links, log)
+	advicePath := relay.New("http://"+s.Advice, relay.RouteAdvice, platform.NewHTTPClient(adviceConns), links, log)
 	h := &Host{
 		settings: s, log: log, metrics: newMetrics(), self: self,
-		path: path, advicePath: advicePath,
+		links: links, path: path, advicePath: advicePath,
 		store:    platform.NewStore(s.Store, &http.Client{Transport: path}),
 		workers:  platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
 		advice:   platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log),
@@ -140,7 +144,8 @@
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
-	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, log)
+	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
+	h.metrics.watchLinks(links)
 	h.room.Store(fewMembers)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -52,6 +52,7 @@
 	for _, s := range h.servers {
 		_ = s.Close()
 	}
+	h.links.Close() // the servers don't know what was taken over from them
 }
 
 // Callers returns the address on which clients are answered.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,6 +7,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"curlewsill.org/curlewsill/internal/wslink"
 )
 
 // buckets are those of all latency histograms, in seconds.
@@ -55,6 +57,18 @@
 	return m
 }
 
+// watchLinks adds the figures of the connections between hosts.
+func (m *metrics) watchLinks(l *wslink.Links) {
+	m.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "curlewsill_links_found_dead_total", Help: "Connections to and from other hosts that ended because nothing came from the peer.",
+		}, func() float64 { return float64(l.Silent()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "curlewsill_links_open", Help: "Open connections to and from other hosts.",
+		}, func() float64 { return float64(l.Open()) }),
+	)
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, labels)
 }
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/coder/websocket"
 	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/wslink"
 )
 
 const (
@@ -22,16 +23,60 @@
 	// servedAtOnce bounds the calls that are made for one peer at a time: twice the
 	// connections of a host to the store.
 	servedAtOnce = 16
+	// servedWaiting bounds the calls of one peer that wait to be made; further ones are refused.
+	// It bounds memory: they have been read.
+	servedWaiting = 48
 )
 
-// errClosed reports a link that has closed with calls under way.
-var errClosed = errors.New("relay: the link has closed")
+// The tightest duty that rests on a link is the record of a client's call, which may wait for one
+// second while the store is slow: a dead link has to be found early enough for another try.
+const (
+	// waitingQuiet is how long nothing may come from a peer that a call waits for until it is
+	// pinged. A usual answer takes a few milliseconds, so that most calls cost no ping.
+	waitingQuiet = 250 * time.Millisecond
+	// linkAnswer is how long a peer may take to answer a ping. 512 kB that stand before the ping
+	// take 420 ms on the thinnest link of the users' sites, and a quota of processor time ends for
+	// 100 ms at most.
+	linkAnswer = 500 * time.Millisecond
+	// linkQuiet is the same for a link that no call waits on: found within 1.5 s together with
+	// linkAnswer, at one ping a second.
+	linkQuiet = time.Second
+	// linkIdle closes a link that no call uses any more. By their sizes with headers, a ping and
+	// its answer are 200 bytes and the opening of a link 1 kB: an unused link costs as much in
+	// this time as opening it again.
+	linkIdle = 5 * time.Second
+	// acceptedQuiet is linkQuiet of the accepting side: two pings of the other side must be
+	// missing.
+	acceptedQuiet = 2500 * time.Millisecond
+)
+
+// Policies returns when links are pinged and ended.
+func Policies() wslink.Policies {
+	return wslink.Policies{
+		Dialed:   wslink.Policy{Quiet: linkQuiet, Waiting: waitingQuiet, Answer: linkAnswer, Idle: linkIdle},
+		Accepted: wslink.Policy{Quiet: acceptedQuiet, Waiting: waitingQuiet, Answer: linkAnswer},
+	}
+}
+
+// NewLinks returns a set of links for New. The function opens their connections.
+func NewLinks(dial wslink.DialFunc, log *zap.Logger) *wslink.Links {
+	return wslink.New(wslink.NewClient(dial), Policies(), maxBody, log)
+}
+
+// Errors of calls on a link. The call may have had its effect, but for errUnsent.
+var (
+	// errUnsent reports a link that had ended before the call.
+	errUnsent = fmt.Errorf("%w: the link has ended", ErrNoPeer)
+	// errDied reports a link that has ended with calls under way.
+	errDied = errors.New("relay: the link has died")
+	// errOverdue reports an answer that has not come in time.
+	errOverdue = errors.New("relay: the answer is overdue")
+)
 
 // link is one connection to a peer, for many calls at a time.
 type link struct {
 	address string
-	conn    *websocket.Conn
-	log     *zap.Logger
+	conn    *wslink.Conn
 	next    atomic.Uint64
 
 	mu sync.Mutex
@@ -42,15 +87,14 @@
 }
 
 // dial opens a link to a peer and begins to read it.
-func dial(ctx context.Context, address string, route Route, log *zap.Logger) (*link, error) {
+func dial(ctx context.Context, address string, route Route, links *wslink.Links) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, _, err := websocket.Dial(ctx, "ws://"+address+string(route), nil)
+	conn, err := links.Dial(ctx, "ws://"+address+string(route))
 	if err != nil {
 		return nil, err
 	}
-	conn.SetReadLimit(maxBody)
-	l := &link{address: address, conn: conn, log: log, waiting: map[uint64]chan result{}}
+	l := &link{address: address, conn: conn, waiting: map[uint64]chan result{}}
 	go l.read()
 	return l, nil
 }
@@ -74,7 +118,7 @@
 		close(c)
 	}
 	l.waiting = nil
-	go func() { _ = l.conn.CloseNow() }()
+	l.conn.Close()
 }
 
 // read hands results to those who wait until the link closes.
@@ -83,9 +127,6 @@
 	for {
 		res, err := l.receive()
 		if err != nil {
-			if l.works() {
-				l.log.Info("peer-link-lost", zap.String("peer", l.address), zap.Error(err))
-			}
 			return
 		}
 		l.mu.Lock()
@@ -100,7 +141,7 @@
 
 // receive reads one result.
 func (l *link) receive() (result, error) {
-	_, raw, err := l.conn.Read(context.Background())
+	raw, err := l.conn.Read(context.Background())
 	if err != nil {
 		return result{}, err
 	}
@@ -124,7 +165,7 @@
 func (l *link) send(ctx context.Context, raw []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	err := l.conn.Write(ctx, websocket.MessageBinary, raw)
+	err := l.conn.Write(ctx, raw)
 	if err != nil {
 		l.close()
 	}
@@ -140,17 +181,19 @@
 	}
 	answer, ok := l.expect(c.ID)
 	if !ok {
-		return result{}, errClosed
+		return result{}, errUnsent
 	}
+	release := l.conn.Use()
+	defer release()
 	if err := l.send(ctx, raw); err != nil {
-		return result{}, err
+		return result{}, errDied
 	}
 	overdue := time.NewTimer(c.Limit + hedgeAfter)
 	defer overdue.Stop()
 	select {
 	case res, ok := <-answer:
 		if !ok {
-			return result{}, errClosed
+			return result{}, errDied
 		}
 		if res.Status == 0 {
 			l.close() // this peer's own path fails too; the next call tries another
@@ -158,7 +201,7 @@
 		return res, nil
 	case <-overdue.C:
 		l.close()
-		return result{}, errClosed
+		return result{}, errOverdue
 	case <-ctx.Done():
 		l.forget(c.ID)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -174,61 +217,3 @@
 	defer l.mu.Unlock()
 	delete(l.waiting, n)
 }
-
-// Handler returns the handler of peers' calls. They are made on the direct path.
-func (p *Path) Handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		conn, err := websocket.Accept(w, r, nil)
-		if err != nil {
-			p.log.Info("peer-refused", zap.Error(err))
-			return
-		}
-		defer func() { _ = conn.CloseNow() }()
-		conn.SetReadLimit(maxBody)
-		p.serve(r.Context(), conn)
-	})
-}
-
-// serve makes the calls that come on a peer's connection until it closes.
-func (p *Path) serve(ctx context.Context, conn *websocket.Conn) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	slots := make(chan struct{}, servedAtOnce)
-	for {
-		_, raw, err := conn.Read(ctx)
-		if err != nil {
-			return
-		}
-		c, err := calls.Decode(raw)
-		if err != nil {
-			p.log.Warn("peer-call-rejected", zap.Error(err))
-			return
-		}
-		slots <- struct{}{}
-		go func() {
-			defer func() { <-slots }()
-			p.serveCall(ctx, conn, c)
-		}()
-	}
-}
-
-// serveCall makes one call for a peer. A call without an answer is answered with status 0.
-func (p *Path) serveCall(ctx context.Context, conn *websocket.Conn, c call) {
-	limited, cancel := context.WithTimeout(ctx, c.Limit)
-	defer cancel()
-	res := result{ID: c.ID}
-	status, body, err := p.Make(limited, c.Method, c.Path, c.Kind, c.Body)
-	if err == nil {
-		res.Status, res.Body = status, body
-	}
-	raw, err := results.Encode(res)
-	if err != nil {
-		p.log.Error("peer-answer-failed", zap.Error(err))
-		return
-	}
-	write, cancelWrite := context.WithTimeout(ctx, writeTimeout)
-	defer cancelWrite()
-	if err := conn.Write(write, websocket.MessageBinary, raw); err != nil {
-		p.log.Info("peer-answer-lost", zap.Error(err))
-	}
-}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"go.uber.org/zap"
 )
 
+// errNoAnswer reports a peer that got no answer itself.
+var errNoAnswer = errors.New("relay: the peer got no answer")
+
 // linkChoice returns the link to the peer that makes a call.
 type linkChoice func(context.Context) (*link, error)
 
@@ -22,22 +28,47 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := choose(req.Context())
-	if err != nil {
-		return nil, err
-	}
-	res, err := l.do(req.Context(), call{
+	res, err := p.ask(req.Context(), choose, call{
 		Method: req.Method, Path: req.URL.RequestURI(), Kind: req.Header.Get("Content-Type"), Body: body, Limit: wait + 2*hedgeAfter,
 	})
 	if err != nil {
 		return nil, err
 	}
-	if res.Status == 0 {
-		return nil, fmt.Errorf("relay: peer %s got no answer", l.address)
-	}
 	return Answer(req, res.Status, res.Body), nil
 }
 
+// ask makes a call on a link, and once more on another one if the link dies under it. What was
+// sent on the dead link may have had its effect: a refusal of the second try doesn't tell, so the
+// outcome stays unknown then.
+func (p *Path) ask(ctx context.Context, choose linkChoice, c call) (result, error) {
+	res, err := p.askOnce(ctx, choose, c)
+	if errors.Is(err, errUnsent) {
+		return p.askOnce(ctx, choose, c)
+	}
+	if !errors.Is(err, errDied) || ctx.Err() != nil {
+		return res, err
+	}
+	again, errAgain := p.askOnce(ctx, choose, c)
+	p.log.Info("peer-call-again", zap.String("path", c.Path), zap.Int("status", again.Status), zap.Error(errAgain))
+	if errAgain != nil || again.Status == http.StatusServiceUnavailable || again.Status == http.StatusTooManyRequests {
+		return result{}, err
+	}
+	return again, nil
+}
+
+// askOnce makes a call on a link.
+func (p *Path) askOnce(ctx context.Context, choose linkChoice, c call) (result, error) {
+	l, err := choose(ctx)
+	if err != nil {
+		return result{}, err
+	}
+	res, err := l.do(ctx, c)
+	if err == nil && res.Status == 0 {
+		return result{}, fmt.Errorf("%w: %s", errNoAnswer, l.address)
+	}
+	return res, err
+}
+
 // pick returns a link to a peer: one that is open, or else to one drawn at random.
 func (p *Path) pick(ctx context.Context) (*link, error) {
 	p.mu.Lock()
@@ -56,19 +87,49 @@
 	return p.open(ctx, a)
 }
 
-// open opens a link to a peer.
+// opening is a link that is being opened.
+type opening struct {
+	// done is closed when link or err is set.
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// open returns the link to a peer: the open one, or else a new one. Calls that need it at the same
+// moment share it: one for each would close the others, with the calls under way on them.
 func (p *Path) open(ctx context.Context, a string) (*link, error) {
-	l, err := dial(ctx, a, p.route, p.log)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
+	p.mu.Lock()
+	if l := p.links[a]; l != nil && l.works() {
+		p.mu.Unlock()
+		return l, nil
+	}
+	o := p.opening[a]
+	if o == nil {
+		o = &opening{done: make(chan struct{})}
+		p.opening[a] = o
+		go p.connect(a, o)
 	}
+	p.mu.Unlock()
+	select {
+	case <-o.done:
+		return o.link, o.err
+	case <-ctx.Done():
+		return nil, fmt.Errorf("%w: %s: %w", ErrNoPeer, a, ctx.Err())
+	}
+}
+
+// connect opens a link for all who wait for it.
+func (p *Path) connect(a string, o *opening) {
+	l, err := dial(context.Background(), a, p.route, p.conns)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.links[a]; old != nil {
-		old.close()
+	delete(p.opening, a)
+	if err != nil {
+		o.err = fmt.Errorf("%w: %s: %w", ErrNoPeer, a, err)
+	} else {
+		o.link, p.links[a] = l, l
 	}
-	p.links[a] = l
-	return l, nil
+	close(o.done)
 }
 
 // peer returns a link to the peer of a way.
@@ -80,16 +141,5 @@
 	}
 	a := p.peers[w-1].Address
 	p.mu.Unlock()
-	return p.linkTo(ctx, a)
-}
-
-// linkTo returns a link to the peer at an address: the open one, or else a new one.
-func (p *Path) linkTo(ctx context.Context, address string) (*link, error) {
-	p.mu.Lock()
-	l := p.links[address]
-	p.mu.Unlock()
-	if l != nil && l.works() {
-		return l, nil
-	}
-	return p.open(ctx, address)
+	return p.open(ctx, a)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,6 +23,7 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/codec"
+	"curlewsill.org/curlewsill/internal/wslink"
 )
 
 const (
@@ -91,19 +92,22 @@
 	base   string
 	route  Route
 	direct *http.Client
+	conns  *wslink.Links
 	log    *zap.Logger
 
 	mu    sync.Mutex
 	peers []Peer
-	links map[string]*link
+	// links holds the newest link to each peer, opening those that are being opened.
+	links   map[string]*link
+	opening map[string]*opening
 	// suspect and peersSuspect are until when a way is not the first choice.
 	suspect, peersSuspect time.Time
 }
 
 // New returns a path to the address base (with its scheme) whose direct calls are made
-// by the given client. Peers take its calls on the route.
-func New(base string, route Route, direct *http.Client, log *zap.Logger) *Path {
-	return &Path{base: base, route: route, direct: direct, log: log, links: map[string]*link{}}
+// by the given client. Peers take its calls on the route, over connections of the given set.
+func New(base string, route Route, direct *http.Client, conns *wslink.Links, log *zap.Logger) *Path {
+	return &Path{base: base, route: route, direct: direct, conns: conns, log: log, links: map[string]*link{}, opening: map[string]*opening{}}
 }
 
 // SetPeers takes over which peers there are.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/internal/relay"
+	"curlewsill.org/curlewsill/internal/wslink"
 )
 
 // TestScripts makes calls over paths that work or fail. A script has one line a call:
@@ -31,16 +32,29 @@
 }
 
 // way is one way of a call, scripted.
-type way struct{ mode string }
+type way struct {
+	mode string
+	// links are the connections of both hosts.
+	links *wslink.Links
+}
+
+// newLinks returns a set of links that is closed when the test ends.
+func newLinks(t *testing.T) *wslink.Links {
+	t.Helper()
+	l := relay.NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
+	t.Cleanup(l.Close)
+	return l
+}
 
 func run(t *testing.T, text string) {
-	direct, peer := &way{}, &way{}
+	links := newLinks(t)
+	direct, peer := &way{}, &way{links: links}
 	store := httptest.NewServer(http.HandlerFunc(direct.store))
 	t.Cleanup(store.Close)
 	other := httptest.NewServer(http.HandlerFunc(peer.peer))
 	t.Cleanup(other.Close)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: direct.dial}}
-	path := relay.New(store.URL, relay.RouteStore, client, zap.NewNop())
+	path := relay.New(store.URL, relay.RouteStore, client, links, zap.NewNop())
 	for i, line := range strings.Split(text, "\n") {
 		f := strings.Fields(line)
 		if len(f) == 0 || f[0] == "#" {
@@ -117,5 +131,5 @@
 	}
 	store := httptest.NewServer(http.HandlerFunc(w.store))
 	defer store.Close()
-	relay.New(store.URL, relay.RouteStore, store.Client(), zap.NewNop()).Handler().ServeHTTP(rw, r)
+	relay.New(store.URL, relay.RouteStore, store.Client(), w.links, zap.NewNop()).Handler().ServeHTTP(rw, r)
 }
--- /dev/null
+++ b/internal/relay/serve.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/wslink"
+)
+
+// Handler returns the handler of peers' calls. They are made on the direct path.
+func (p *Path) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := p.conns.Accept(w, r)
+		if err != nil {
+			p.log.Info("peer-refused", zap.Error(err))
+			return
+		}
+		defer conn.Close()
+		p.serve(r.Context(), conn)
+	})
+}
+
+// serve makes the calls that come on a peer's connection until it ends. It never waits for one of
+// them, so that pings are answered whatever is under way.
+func (p *Path) serve(ctx context.Context, conn *wslink.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	slots := make(chan struct{}, servedAtOnce)
+	taken := make(chan struct{}, servedAtOnce+servedWaiting)
+	for {
+		raw, err := conn.Read(ctx)
+		if err != nil {
+			return
+		}
+		c, err := calls.Decode(raw)
+		if err != nil {
+			p.log.Warn("peer-call-rejected", zap.Error(err))
+			return
+		}
+		select {
+		case taken <- struct{}{}:
+		default:
+			p.reply(ctx, conn, result{ID: c.ID, Status: http.StatusServiceUnavailable, Body: []byte("too many calls wait")})
+			continue
+		}
+		go func() {
+			defer func() { <-taken }()
+			p.serveCall(ctx, conn, c, slots)
+		}()
+	}
+}
+
+// serveCall makes one call for a peer when it has got a slot. A call without an answer is answered
+// with status 0.
+func (p *Path) serveCall(ctx context.Context, conn *wslink.Conn, c call, slots chan struct{}) {
+	select {
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
+	case <-ctx.Done():
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, c.Limit)
+	defer cancel()
+	res := result{ID: c.ID}
+	status, body, err := p.Make(limited, c.Method, c.Path, c.Kind, c.Body)
+	if err == nil {
+		res.Status, res.Body = status, body
+	}
+	p.reply(ctx, conn, res)
+}
+
+// reply writes the answer to a call.
+func (p *Path) reply(ctx context.Context, conn *wslink.Conn, res result) {
+	raw, err := results.Encode(res)
+	if err != nil {
+		p.log.Error("peer-answer-failed", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := conn.Write(ctx, raw); err != nil {
+		p.log.Info("peer-answer-lost", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/relay/silent_test.go
@@ -0,0 +1,164 @@
+package relay_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/faultproxy"
+	"curlewsill.org/curlewsill/internal/relay"
+)
+
+const (
+	// limit is how long a call may take that a script makes. A link that has died has to be found
+	// long before; nothing asserts by how much.
+	limit = 8 * time.Second
+	// patience is when a script that makes no progress is given up.
+	patience = 20 * time.Second
+)
+
+// TestSilent plays links that go silent for good, without a reset, while new ones work. A script
+// in testdata/silent has one command a line:
+//
+//	calls N OUTCOME       makes N calls at once through the peer; ok, or unknown
+//	silence DIRECTION     all open links carry nothing more: to-target, from-target or both
+//	open N                waits until N links are open at both ends
+//	made N                the peer has made so many calls
+//	hold | let            the peer's calls wait | go on
+//	start N | ended       begins N calls that have to be ok | waits until they have ended
+func TestSilent(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("testdata", "silent", "*.txt"))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w := newPair(t)
+			for line := range strings.Lines(string(text)) {
+				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
+					w.do(t, words)
+				}
+			}
+		})
+	}
+}
+
+// pair is a host and its peer with a proxy between them.
+type pair struct {
+	proxy *faultproxy.Proxy
+	path  *relay.Path
+	made  atomic.Int32
+	under sync.WaitGroup
+
+	mu sync.Mutex
+	// gate is closed while calls go on.
+	gate chan struct{}
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	w := &pair{gate: make(chan struct{})}
+	close(w.gate)
+	store := httptest.NewServer(http.HandlerFunc(w.store))
+	t.Cleanup(store.Close)
+	peer := relay.New(store.URL, relay.RouteStore, store.Client(), newLinks(t), zap.NewNop())
+	server := httptest.NewServer(peer.Handler())
+	t.Cleanup(server.Close)
+	proxy, err := faultproxy.New(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	w.proxy = proxy
+	w.path = relay.New("http://store", relay.RouteStore, http.DefaultClient, newLinks(t), zap.NewNop())
+	return w
+}
+
+// store answers a call of the peer.
+func (w *pair) store(_ http.ResponseWriter, r *http.Request) {
+	w.made.Add(1)
+	w.mu.Lock()
+	gate := w.gate
+	w.mu.Unlock()
+	select {
+	case <-gate:
+	case <-r.Context().Done():
+	}
+}
+
+// do carries out one command.
+func (w *pair) do(t *testing.T, words []string) {
+	t.Helper()
+	n := 0
+	if len(words) > 1 {
+		n, _ = strconv.Atoi(words[1]) // 0 for a direction
+	}
+	switch words[0] {
+	case "calls":
+		w.start(t, n, words[2])
+		w.under.Wait()
+	case "start":
+		w.start(t, n, "ok")
+	case "ended":
+		w.under.Wait()
+	case "silence":
+		w.proxy.Silence(map[string]faultproxy.Direction{
+			"to-target": faultproxy.ToTarget, "from-target": faultproxy.FromTarget, "both": faultproxy.Both,
+		}[words[1]])
+	case "open":
+		await(t, words, func() bool { return w.proxy.Open() == n })
+	case "made":
+		await(t, words, func() bool { return int(w.made.Load()) == n })
+	case "hold":
+		w.mu.Lock()
+		w.gate = make(chan struct{})
+		w.mu.Unlock()
+	case "let":
+		close(w.gate)
+	default:
+		t.Fatalf("unknown command %q", words)
+	}
+}
+
+// start begins calls and checks their outcomes.
+func (w *pair) start(t *testing.T, n int, want string) {
+	for range n {
+		w.under.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			defer cancel()
+			status, _, err := w.path.To(ctx, w.proxy.Addr(), relay.Request{Method: http.MethodPost, Path: "/", Limit: limit})
+			got := "unknown"
+			if err == nil && status == http.StatusOK {
+				got = "ok"
+			}
+			if got != want {
+				t.Errorf("a call was answered %s (%v), want %s", got, err, want)
+			}
+		})
+	}
+}
+
+// await looks until it sees what is wanted.
+func await(t *testing.T, words []string, seen func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !seen(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%v: not seen", words)
+		}
+	}
+}
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 )
@@ -43,16 +42,7 @@
 // To lets the peer at an address make a call on its direct path, and returns its answer. No other
 // way is tried. With ErrNoPeer the call was surely not sent.
 func (p *Path) To(ctx context.Context, address string, r Request) (status int, body []byte, err error) {
-	l, err := p.linkTo(ctx, address)
-	if err != nil {
-		return 0, nil, err
-	}
-	res, err := l.do(ctx, call{Method: r.Method, Path: r.Path, Kind: r.Kind, Body: r.Body, Limit: r.Limit})
-	if err != nil {
-		return 0, nil, err
-	}
-	if res.Status == 0 {
-		return 0, nil, fmt.Errorf("relay: peer %s got no answer", address)
-	}
-	return res.Status, res.Body, nil
+	choose := func(ctx context.Context) (*link, error) { return p.open(ctx, address) }
+	res, err := p.ask(ctx, choose, call{Method: r.Method, Path: r.Path, Kind: r.Kind, Body: r.Body, Limit: r.Limit})
+	return res.Status, res.Body, err
 }
--- /dev/null
+++ b/internal/wslink/conn.go
@@ -0,0 +1,233 @@
+package wslink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"go.uber.org/zap"
+)
+
+// Why a connection has ended.
+var (
+	// ErrSilent reports a peer from which nothing came in time.
+	ErrSilent = errors.New("wslink: the peer is silent")
+	// ErrIdle reports a connection that nobody has used for a while.
+	ErrIdle = errors.New("wslink: not used for a while")
+	// ErrBroken reports a connection that failed or that the peer ended.
+	ErrBroken = errors.New("wslink: the connection broke")
+	// ErrClosed reports a connection that this side has closed.
+	ErrClosed = errors.New("wslink: closed")
+)
+
+// drawnShare is the part of a quiet pause that is drawn: a quarter of a second spreads 40
+// connections by 6 ms each, and costs a third more pings at most.
+const drawnShare = 0.25
+
+// Conn is one connection. Its methods may be called at the same time, but Read only by one.
+type Conn struct {
+	ws     *websocket.Conn
+	links  *Links
+	peer   string
+	side   string
+	policy Policy
+	opened time.Time
+	// heard tells when the last byte came from the peer, or the last message or answer to a
+	// ping if bytes aren't seen; used tells when the last message was sent or came.
+	heard, used *meter
+	// uses counts those who wait on the connection.
+	uses atomic.Int32
+	// doubtful is set until the peer has answered a ping.
+	doubtful atomic.Bool
+	// kick makes watch look again.
+	kick chan struct{}
+
+	end sync.Once
+	// done is closed once the connection has ended; cause tells why from then on.
+	done  chan struct{}
+	cause error
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Cause returns why the connection has ended, or nil while it is open.
+func (c *Conn) Cause() error {
+	select {
+	case <-c.done:
+		return c.cause
+	default:
+		return nil
+	}
+}
+
+// LastHeard returns when the last byte came from the peer.
+func (c *Conn) LastHeard() time.Time { return time.Now().Add(-c.heard.ago()) }
+
+// Use notes that somebody waits on the connection until release is called: it isn't idle, and it
+// is pinged at once unless something has come from the peer lately.
+func (c *Conn) Use() (release func()) {
+	c.uses.Add(1)
+	c.look()
+	return func() {
+		c.used.touch()
+		c.uses.Add(-1)
+	}
+}
+
+// Read reads a message. It fails once the connection has ended.
+func (c *Conn) Read(ctx context.Context) ([]byte, error) {
+	_, raw, err := c.ws.Read(ctx)
+	if err != nil {
+		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
+		return nil, c.cause
+	}
+	c.heard.touch()
+	c.used.touch()
+	return raw, nil
+}
+
+// Write writes a message. When it fails, the connection ends.
+func (c *Conn) Write(ctx context.Context, raw []byte) error {
+	if err := c.ws.Write(ctx, websocket.MessageBinary, raw); err != nil {
+		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
+		return c.cause
+	}
+	c.used.touch()
+	return nil
+}
+
+// Ping asks the peer for a sign of life. It fails with ErrSilent if no byte came within the time
+// that the policy allows for it, and with ErrBroken if the connection has failed. It doesn't end
+// the connection.
+func (c *Conn) Ping(ctx context.Context) error {
+	before := c.heard.at()
+	ctx, cancel := context.WithTimeout(ctx, c.policy.Answer)
+	defer cancel()
+	err := c.ws.Ping(ctx)
+	if err == nil {
+		c.heard.touch()
+		return nil
+	}
+	if c.heard.at() != before {
+		return nil // a long message is on its way, behind which the answer waits
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", ErrSilent, err)
+	}
+	return fmt.Errorf("%w: %w", ErrBroken, err)
+}
+
+// Close ends the connection. It may be called again.
+func (c *Conn) Close() { c.finish(ErrClosed) }
+
+// finish ends the connection for a reason, unless it has ended.
+func (c *Conn) finish(cause error) {
+	c.end.Do(func() {
+		c.cause = cause
+		c.links.remove(c)
+		c.report(cause)
+		close(c.done)
+		go func() { _ = c.ws.CloseNow() }()
+		if errors.Is(cause, ErrSilent) {
+			c.links.Doubt()
+		}
+	})
+}
+
+// report logs and counts the end of a connection.
+func (c *Conn) report(cause error) {
+	fields := []zap.Field{
+		zap.String("peer", c.peer), zap.String("side", c.side), zap.Duration("age", time.Since(c.opened)),
+		zap.Duration("unheard", c.heard.ago()), zap.Duration("unused", c.used.ago()), zap.Int32("waiting", c.uses.Load()), zap.Error(cause),
+	}
+	switch {
+	case errors.Is(cause, ErrSilent):
+		c.links.silent.Add(1)
+		c.links.log.Info("link-found-dead", fields...)
+	case errors.Is(cause, ErrBroken) && !errors.Is(cause, io.EOF):
+		c.links.log.Info("link-lost", fields...)
+	default: // closed by one of the sides on purpose
+		c.links.log.Debug("link-closed", fields...)
+	}
+}
+
+// doubt makes watch ping the peer soon.
+func (c *Conn) doubt() {
+	c.doubtful.Store(true)
+	c.look()
+}
+
+// look makes watch look at the connection now.
+func (c *Conn) look() {
+	select {
+	case c.kick <- struct{}{}:
+	default: // it will look anyway
+	}
+}
+
+// watch pings the peer whenever that is due, and ends the connection when it is dead or idle.
+func (c *Conn) watch() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		wait := c.untilPing()
+		if wait <= 0 {
+			if err := c.check(); err != nil {
+				c.finish(err)
+				return
+			}
+			continue
+		}
+		left := c.untilIdle()
+		if left <= 0 {
+			c.finish(ErrIdle)
+			return
+		}
+		timer.Reset(min(wait, left))
+		select {
+		case <-c.done:
+			return
+		case <-c.kick:
+		case <-timer.C:
+		}
+	}
+}
+
+// untilPing returns how long no ping is due.
+func (c *Conn) untilPing() time.Duration {
+	due := c.policy.Quiet - time.Duration(rand.Float64()*drawnShare*float64(c.policy.Quiet))
+	if c.uses.Load() > 0 || c.doubtful.Load() {
+		due = c.policy.Waiting
+	}
+	return due - c.heard.ago()
+}
+
+// untilIdle returns how long the connection is not idle yet.
+func (c *Conn) untilIdle() time.Duration {
+	if c.policy.Idle == 0 || c.uses.Load() > 0 {
+		return c.policy.Quiet
+	}
+	return c.policy.Idle - c.used.ago()
+}
+
+// check pings the peer. A ping that ended far too late says nothing: this process itself stood
+// still, and what came meanwhile has not been read.
+func (c *Conn) check() error {
+	began := time.Now()
+	err := c.Ping(context.Background())
+	switch {
+	case err == nil:
+		c.doubtful.Store(false)
+		return nil
+	case errors.Is(err, ErrSilent) && time.Since(began) > 2*c.policy.Answer:
+		return nil
+	}
+	return err
+}
