--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -5,24 +5,26 @@
 // hears comes over connections that others opened. A neighbor that doesn't take
 // frames fast enough loses the oldest news, never the host's time: frames that find
 // no room are dropped, and the next one says everything again.
+//
+// Writes into a connection that has died without a sign succeed. So both sides ping, and the next
+// frame goes over a new connection.
 package peerlink
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/coder/websocket"
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/codec"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/peer"
 	"curlewsill.org/curlewsill/internal/ring"
+	"curlewsill.org/curlewsill/internal/wslink"
 )
 
 // Path is where a host takes connections of its peers.
@@ -43,14 +45,29 @@
 	retryMost  = 3 * time.Second
 	// idleAfter closes a connection to a host that is no longer a neighbor.
 	idleAfter = 30 * time.Second
+	// linkQuiet and linkAnswer are after which time without a word a neighbor is pinged, and how
+	// long it may take to answer. A host counts as up for 4 s without a frame: a dead connection
+	// is found after 2 s, and the next frame comes within half a second. By its size with headers,
+	// a ping and its answer take 200 bytes: four neighbors cost 0.8 kB a second.
+	linkQuiet  = time.Second
+	linkAnswer = time.Second
+	// acceptedQuiet is linkQuiet of the accepting side: five frames and two pings of the other
+	// side must be missing.
+	acceptedQuiet = 2500 * time.Millisecond
 )
 
+// policies are when connections are pinged. Frames are only sent, so that nobody waits on one.
+var policies = wslink.Policies{
+	Dialed:   wslink.Policy{Quiet: linkQuiet, Waiting: linkQuiet, Answer: linkAnswer},
+	Accepted: wslink.Policy{Quiet: acceptedQuiet, Waiting: linkQuiet, Answer: linkAnswer},
+}
+
 var frames = codec.New[peer.Frame]()
 
 // Links is the set of a host's connections. It is safe for concurrent use.
 type Links struct {
-	log  *zap.Logger
-	http *http.Client
+	log   *zap.Logger
+	conns *wslink.Links
 	// scheme is ws or wss.
 	scheme string
 	heard  func(context.Context, peer.Frame)
@@ -69,7 +86,7 @@
 		scheme = "wss"
 	}
 	return &Links{
-		log: log, http: c, scheme: scheme, heard: heard,
+		log: log, conns: wslink.New(c, policies, maxFrame, log), scheme: scheme, heard: heard,
 		address: map[id.Host]string{}, out: map[id.Host]*ring.Ring[[]byte]{},
 	}
 }
@@ -80,6 +97,9 @@
 // Dropped returns how many frames found no room.
 func (l *Links) Dropped() uint64 { return l.dropped.Load() }
 
+// Silent returns how many connections were found dead because nothing came from the peer.
+func (l *Links) Silent() uint64 { return l.conns.Silent() }
+
 // Addresses takes over where the hosts listen.
 func (l *Links) Addresses(m map[id.Host]string) {
 	l.mu.Lock()
@@ -110,10 +130,10 @@
 // write is the goroutine of one neighbor.
 func (l *Links) write(ctx context.Context, to id.Host, r *ring.Ring[[]byte]) {
 	defer l.forget(to)
-	var conn *websocket.Conn
+	var conn *wslink.Conn
 	defer func() {
 		if conn != nil {
-			_ = conn.CloseNow()
+			conn.Close()
 		}
 	}()
 	idle := time.NewTimer(idleAfter)
@@ -126,11 +146,11 @@
 		case <-idle.C:
 			return
 		case raw := <-r.C():
-			if conn == nil {
+			if conn == nil || conn.Cause() != nil {
 				conn = l.dial(ctx, to)
 			}
 			if conn != nil && !l.writeFrame(ctx, conn, raw) {
-				_ = conn.CloseNow()
+				conn.Close()
 				conn = nil
 			}
 			if conn == nil {
@@ -146,7 +166,7 @@
 	delete(l.out, to)
 }
 
-func (l *Links) dial(ctx context.Context, to id.Host) *websocket.Conn {
+func (l *Links) dial(ctx context.Context, to id.Host) *wslink.Conn {
 	l.mu.Lock()
 	address := l.address[to]
 	l.mu.Unlock()
@@ -155,23 +175,26 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, resp, err := websocket.Dial(ctx, l.scheme+"://"+address+Path, &websocket.DialOptions{HTTPClient: l.http})
-	if resp != nil && resp.Body != nil {
-		_ = resp.Body.Close()
-	}
+	conn, err := l.conns.Dial(ctx, l.scheme+"://"+address+Path)
 	if err != nil {
 		l.log.Debug("peer connection", zap.String("peer", string(to)), zap.Error(err))
 		return nil
 	}
-	// The connection is only written to. CloseRead answers pings and closes.
-	conn.CloseRead(context.WithoutCancel(ctx))
+	go drain(conn)
 	return conn
 }
 
-func (l *Links) writeFrame(ctx context.Context, conn *websocket.Conn, raw []byte) bool {
+// drain reads a connection that is only written to, until it ends: pings are answered, and nothing
+// else is expected.
+func drain(conn *wslink.Conn) {
+	_, _ = conn.Read(conn.Context()) // the cause is logged by the connection
+	conn.Close()
+}
+
+func (l *Links) writeFrame(ctx context.Context, conn *wslink.Conn, raw []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	if err := conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
+	if err := conn.Write(ctx, raw); err != nil {
 		return false
 	}
 	l.sent.Add(uint64(len(raw)))
@@ -190,18 +213,14 @@
 
 // ServeHTTP takes a connection of a peer and reads frames until it ends.
 func (l *Links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	conn, err := websocket.Accept(w, r, nil)
+	conn, err := l.conns.Accept(w, r)
 	if err != nil {
 		return
 	}
-	defer func() { _ = conn.CloseNow() }()
-	conn.SetReadLimit(maxFrame)
+	defer conn.Close()
 	for {
-		_, raw, err := conn.Read(r.Context())
+		raw, err := conn.Read(conn.Context())
 		if err != nil {
-			if websocket.CloseStatus(err) == -1 && !errors.Is(err, context.Canceled) {
-				l.log.Debug("peer connection ended", zap.Error(err))
-			}
 			return
 		}
 		l.received.Add(uint64(len(raw)))
@@ -210,6 +229,6 @@
 			l.log.Warn("peer frame not understood", zap.Error(err))
 			return
 		}
-		l.heard(r.Context(), f)
+		l.heard(conn.Context(), f) // it waits no longer than the connection lasts
 	}
 }
--- /dev/null
+++ b/internal/peerlink/silent_test.go
@@ -0,0 +1,116 @@
+package peerlink_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/peer"
+	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/internal/faultproxy"
+	"curlewsill.org/curlewsill/internal/peerlink"
+)
+
+const (
+	// every is the time between two frames.
+	every = 20 * time.Millisecond
+	// patience is when a script that makes no progress is given up.
+	patience = 20 * time.Second
+)
+
+// TestSilent plays connections that go silent for good, without a reset, while new ones work. A
+// script has one command a line:
+//
+//	beat               from now on a host sends frames to its peer
+//	heard              waits until the peer hears a frame that was sent from now on
+//	silence DIRECTION  all open connections carry nothing more: to-target, from-target or both
+//	open N             waits until N connections are open at both ends
+//	stop               the host ends
+func TestSilent(t *testing.T) {
+	scripttest.Each(t, func(t *testing.T, text string) {
+		t.Parallel()
+		w := newPair(t)
+		for line := range strings.Lines(text) {
+			if f := strings.Fields(line); len(f) > 0 && f[0] != "#" {
+				w.do(t, f)
+			}
+		}
+	})
+}
+
+// pair is a host that sends frames and the proxy before its peer.
+type pair struct {
+	links *peerlink.Links
+	proxy *faultproxy.Proxy
+	// sent and heard number the newest frame.
+	sent, heard atomic.Uint64
+	stop        context.CancelFunc
+	ctx         context.Context
+}
+
+func newPair(t *testing.T) *pair {
+	t.Helper()
+	w := &pair{}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	t.Cleanup(w.stop)
+	other := peerlink.New(zap.NewNop(), http.DefaultClient, false, func(_ context.Context, f peer.Frame) { w.heard.Store(f.Check) })
+	server := httptest.NewServer(other)
+	t.Cleanup(server.Close)
+	proxy, err := faultproxy.New(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	w.proxy = proxy
+	w.links = peerlink.New(zap.NewNop(), http.DefaultClient, false, nil)
+	w.links.Addresses(map[id.Host]string{"other": proxy.Addr()})
+	return w
+}
+
+// do carries out one command.
+func (w *pair) do(t *testing.T, f []string) {
+	t.Helper()
+	switch f[0] {
+	case "beat":
+		go w.beat()
+	case "heard":
+		from := w.sent.Load()
+		await(t, f, func() bool { return w.heard.Load() > from })
+	case "silence":
+		w.proxy.Silence(map[string]faultproxy.Direction{
+			"to-target": faultproxy.ToTarget, "from-target": faultproxy.FromTarget, "both": faultproxy.Both,
+		}[f[1]])
+	case "open":
+		await(t, f, func() bool { return strconv.Itoa(w.proxy.Open()) == f[1] })
+	case "stop":
+		w.stop()
+	default:
+		t.Fatalf("unknown command %q", f)
+	}
+}
+
+// beat sends frames until the host ends.
+func (w *pair) beat() {
+	for w.ctx.Err() == nil {
+		w.links.Send(w.ctx, "other", peer.Frame{From: "self", Check: w.sent.Add(1)})
+		time.Sleep(every)
+	}
+}
+
+// await looks until it sees what is wanted.
+func await(t *testing.T, words []string, seen func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !seen(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%v: not seen", words)
+		}
+	}
+}
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -122,6 +122,7 @@
 type Links interface {
 	Bytes() (sent, received uint64)
 	Dropped() uint64
+	Silent() uint64
 }
 
 // WatchLinks adds the metrics of the connections to peers.
@@ -140,6 +141,9 @@
 	add("curlewsill_peer_dropped_total", "Frames dropped because a peer took them too slowly.", func() float64 {
 		return float64(l.Dropped())
 	})
+	add("curlewsill_peer_links_found_dead_total", "Connections to and from peers that ended because nothing came from the peer.", func() float64 {
+		return float64(l.Silent())
+	})
 }
 
 func one(b bool) float64 {
--- a/internal/wslink/conn.go
+++ b/internal/wslink/conn.go
@@ -49,23 +49,16 @@
 	kick chan struct{}
 
 	end sync.Once
-	// done is closed once the connection has ended; cause tells why from then on.
-	done  chan struct{}
-	cause error
+	// ctx is done once the connection has ended, stop ends it for a reason.
+	ctx  context.Context
+	stop context.CancelCauseFunc
 }
 
-// Done is closed when the connection has ended.
-func (c *Conn) Done() <-chan struct{} { return c.done }
+// Context is done when the connection has ended.
+func (c *Conn) Context() context.Context { return c.ctx }
 
 // Cause returns why the connection has ended, or nil while it is open.
-func (c *Conn) Cause() error {
-	select {
-	case <-c.done:
-		return c.cause
-	default:
-		return nil
-	}
-}
+func (c *Conn) Cause() error { return context.Cause(c.ctx) }
 
 // LastHeard returns when the last byte came from the peer.
 func (c *Conn) LastHeard() time.Time { return time.Now().Add(-c.heard.ago()) }
@@ -86,7 +79,7 @@
 	_, raw, err := c.ws.Read(ctx)
 	if err != nil {
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
-		return nil, c.cause
+		return nil, c.Cause()
 	}
 	c.heard.touch()
 	c.used.touch()
@@ -97,7 +90,7 @@
 func (c *Conn) Write(ctx context.Context, raw []byte) error {
 	if err := c.ws.Write(ctx, websocket.MessageBinary, raw); err != nil {
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
-		return c.cause
+		return c.Cause()
 	}
 	c.used.touch()
 	return nil
@@ -130,10 +123,9 @@
 // finish ends the connection for a reason, unless it has ended.
 func (c *Conn) finish(cause error) {
 	c.end.Do(func() {
-		c.cause = cause
 		c.links.remove(c)
 		c.report(cause)
-		close(c.done)
+		c.stop(cause)
 		go func() { _ = c.ws.CloseNow() }()
 		if errors.Is(cause, ErrSilent) {
 			c.links.Doubt()
@@ -192,7 +184,7 @@
 		}
 		timer.Reset(min(wait, left))
 		select {
-		case <-c.done:
+		case <-c.ctx.Done():
 			return
 		case <-c.kick:
 		case <-timer.C:
--- a/internal/wslink/wslink.go
+++ b/internal/wslink/wslink.go
@@ -110,8 +110,9 @@
 	}
 	c := &Conn{
 		ws: ws, links: l, peer: peer, side: side, policy: p, opened: time.Now(),
-		heard: heard, used: newMeter(), kick: make(chan struct{}, 1), done: make(chan struct{}),
+		heard: heard, used: newMeter(), kick: make(chan struct{}, 1),
 	}
+	c.ctx, c.stop = context.WithCancelCause(context.Background())
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
