--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"curlewsill.org/curlewsill/core/catalog"
@@ -77,9 +78,13 @@
 	if errors.As(err, &tooLarge) {
 		return reply{status: http.StatusRequestEntityTooLarge, why: "the job is too large"}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return refused("the job has not come in time")
+	}
 	if err != nil {
 		return reply{status: http.StatusBadRequest, why: "the job was not received whole"}
 	}
+	f.unboundBody(c.w)
 	spec, err := platform.DecodeJob(data)
 	if err != nil {
 		return reply{status: http.StatusBadRequest, why: err.Error()}
--- a/internal/entry/checks_test.go
+++ b/internal/entry/checks_test.go
@@ -111,6 +111,9 @@
 		return 0, ""
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusGatewayTimeout {
+		s.unknown.Add(1)
+	}
 	var out struct {
 		State   string `json:"State"`
 		Pending int    `json:"Pending"`
--- /dev/null
+++ b/internal/entry/clients_internal_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/relay"
+)
+
+// behaviors are what silent clients send before they go silent. All but idle, whole and unread leave
+// out the end.
+var behaviors = map[string]string{
+	"nothing":                 "",
+	"half-header":             "GET /q/ HTTP/1.1\r\nHost: jo",
+	"half-body":               "POST /q/j HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: 100\r\n\r\n{",
+	"half-body-long-deadline": "POST /q/j HTTP/1.1\r\nHost: jobs.example\r\nDeadline-Ms: 60000\r\nContent-Length: 100\r\n\r\n{",
+	"unread":                  "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n",
+	"idle":                    "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n",
+	"whole":                   "GET /q/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n",
+}
+
+// enough is longer than any bound.
+const enough = 10 * time.Minute
+
+// TestSilentClients plays clients that go silent at each listener.
+func TestSilentClients(t *testing.T) {
+	data, err := os.ReadFile("testdata/silent/clients.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		f := strings.Fields(line)
+		if len(f) == 0 || f[0] == "#" {
+			continue
+		}
+		t.Run(f[0]+" "+f[1], func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if got := playClient(t, f[0], f[1]); got != f[2] {
+					t.Errorf("got %s, want %s", got, f[2])
+				}
+			})
+		})
+	}
+}
+
+// playClient returns after which time the host has let go of a client's connection, or good if the
+// client gets an answer and the connection is still open then.
+func playClient(t *testing.T, listener, behavior string) string {
+	h := &Host{log: zap.NewNop(), metrics: newMetrics()}
+	h.links = relay.NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
+	h.path = relay.New("http://store", relay.RouteStore, http.DefaultClient, h.links, zap.NewNop())
+	h.advicePath, h.recordsPath = h.path, h.path
+	near, far := net.Pipe()
+	ended := make(chan struct{})
+	lis := &oneConn{conn: &seenConn{Conn: far, ended: ended}, closed: make(chan struct{})}
+	s := h.newServers()[slices.Index([]string{"front", "readiness", "metrics", "peers"}, listener)]
+	go func() { _ = s.Serve(lis) }()
+	defer func() { _, _, _ = s.Close(), near.Close(), lis.Close() }()
+	began := time.Now()
+	if _, err := io.WriteString(near, behaviors[behavior]); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(near)
+	switch behavior {
+	case "idle", "whole":
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		if behavior == "whole" {
+			return "good"
+		}
+	case "unread":
+	default:
+		go func() { _, _ = io.Copy(io.Discard, reader) }()
+	}
+	select {
+	case <-ended:
+		return time.Since(began).Round(time.Second).String()
+	case <-time.After(enough):
+		return "never"
+	}
+}
+
+// oneConn is a listener with a single connection.
+type oneConn struct {
+	conn   net.Conn
+	closed chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *oneConn) Accept() (net.Conn, error) {
+	if c := l.conn; c != nil {
+		l.conn = nil
+		return c, nil
+	}
+	<-l.closed
+	return nil, net.ErrClosed
+}
+
+// Close implements net.Listener.
+func (l *oneConn) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+// Addr implements net.Listener.
+func (*oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// seenConn closes ended when it is closed.
+type seenConn struct {
+	net.Conn
+	ended chan struct{}
+}
+
+// Close implements net.Conn.
+func (c *seenConn) Close() error {
+	select {
+	case <-c.ended:
+	default:
+		close(c.ended)
+	}
+	return c.Conn.Close()
+}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -73,6 +73,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(r.Context(), began.Add(allowed(r)-answerMargin))
 	defer cancel()
+	f.boundBody(w, r, began)
 	c := &call{w: w, r: r}
 	rep := f.answer(ctx, c)
 	f.write(w, rep)
@@ -86,6 +87,24 @@
 		zap.Int("status", rep.status), zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version))
 }
 
+// boundBody bounds the time for a call's body. Without it a client that goes silent in the middle of
+// one would hold its connection, a goroutine and memory for good, and a planned stop up.
+func (f *front) boundBody(w http.ResponseWriter, r *http.Request, began time.Time) {
+	if r.ContentLength == 0 {
+		return // a time limit would end the call, because the server reads on to see its client leave
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(began.Add(min(allowed(r), bodyTimeout))); err != nil {
+		f.host.log.Error("body-not-bounded", zap.Error(err))
+	}
+}
+
+// unboundBody lifts the time limit when the body has come whole.
+func (f *front) unboundBody(w http.ResponseWriter) {
+	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
+		f.host.log.Info("client-lost", zap.Error(err))
+	}
+}
+
 // allowed returns how long a call may take.
 func allowed(r *http.Request) time.Duration {
 	if t, ok := platform.TimeAllowed(r.Header); ok {
@@ -96,6 +115,9 @@
 
 // write sends the reply. An answer that fails is logged: its client asks again.
 func (f *front) write(w http.ResponseWriter, rep reply) {
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout)); err != nil {
+		f.host.log.Info("client-lost", zap.Error(err))
+	}
 	h := w.Header()
 	if f.host.stopping.Load() {
 		h.Set("Connection", "close")
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -45,9 +45,7 @@
 		return notStored, "", false
 	}
 	_, limit := h.patience(ctx)
-	limited, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	status, why, err := h.recordsPath.To(limited, *address, relay.Request{Method: http.MethodPost, Path: "/", Body: body, Limit: limit})
+	status, why, err := h.recordsPath.To(ctx, *address, relay.Request{Method: http.MethodPost, Path: "/", Body: body, Limit: limit})
 	switch {
 	case errors.Is(err, relay.ErrNoPeer):
 		return notStored, "", false
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -38,6 +38,11 @@
 //	starts JOB N                     all workers together have started N runs of it
 //	metric HOST NAME                 the counter is served and not zero
 //	awaitmetric HOST NAME            waits until it is
+//	links                            hosts reach each other through proxies; before any host
+//	silence DIRECTION                links carry nothing more: to-target, from-target, both
+//	unknown N                        so many calls ended unknown since then
+//	half HOST JOB | letgo STATUS     a client goes silent while it submits | its host answers and
+//	                                 closes the connection
 //	gathered                         some host has appended records for others
 func TestPath(t *testing.T) {
 	scripttest.Each(t, func(t *testing.T, text string) {
@@ -120,6 +125,8 @@
 		}
 	case "submitall":
 		s.submitAll(f)
+	case "links", "silence", "unknown", "half", "letgo":
+		s.doSilent(f)
 	case "worker":
 		s.worker(s.number(f[1])).SetFault(fault(f[2]))
 	case "forget":
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,6 +18,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/entry"
+	"curlewsill.org/curlewsill/internal/faultproxy"
 	"curlewsill.org/curlewsill/internal/settings"
 	"curlewsill.org/curlewsill/platform/standin"
 )
@@ -40,6 +43,12 @@
 	// cores is the processor share of each host.
 	cores []float64
 
+	// between stands before the store; unknown counts the calls that ended unknown since links
+	// were silenced; half is the connection of a client that is silent in the middle of a call.
+	between *between
+	unknown atomic.Int32
+	half    net.Conn
+
 	// bodies holds what was submitted, by job, and key is what clients show.
 	bodies map[string]string
 	key    string
@@ -60,7 +69,8 @@
 // newSite starts a site without hosts and workers.
 func newSite(t *testing.T) *site {
 	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key"}
-	server := httptest.NewServer(s.store)
+	s.between = &between{t: t, store: s.store, proxies: map[string]*faultproxy.Proxy{}}
+	server := httptest.NewServer(s.between)
 	t.Cleanup(server.CloseClientConnections)
 	s.address = strings.TrimPrefix(server.URL, "http://")
 	s.store.Put("keyed.op", "config", []byte(configuration))
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -44,14 +44,15 @@
 	h.handOver(ctx)
 	pause(ctx, min(stopNotice, time.Until(end)/2))
 	var all sync.WaitGroup
-	for _, s := range h.servers {
+	for i, s := range h.servers {
 		all.Go(func() {
 			if err := s.Shutdown(ctx); err != nil {
-				h.log.Warn("stop-incomplete", zap.Error(err))
+				h.log.Warn("stop-incomplete", zap.String("listener", h.listeners[i].Addr().String()), zap.Error(err))
 			}
 		})
 	}
 	all.Wait()
+	h.log.Info("stop-ended", zap.Int("links", h.links.Open()))
 }
 
 // handOver gives the ownership back, so that another host claims it at once, and leaves
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -83,7 +83,8 @@
 	// waiting leads from a call's ID to where its result is waited for; nil once the
 	// link has closed.
 	waiting map[uint64]chan result
-	closed  bool
+	// closed is set once the link has ended, retired once no further calls are to use it.
+	closed, retired bool
 }
 
 // dial opens a link to a peer and begins to read it.
@@ -103,7 +104,14 @@
 func (l *link) works() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return !l.closed
+	return !l.closed && !l.retired
+}
+
+// retire leaves the link to the calls that are under way on it: the next call opens another one.
+func (l *link) retire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retired = true
 }
 
 // close ends the link and the calls under way on it. It may be called again.
@@ -172,7 +180,8 @@
 	return err
 }
 
-// do makes a call. A link on which an answer is overdue is closed.
+// do makes a call. A link on which an answer is overdue is retired: whether it is dead is for pings
+// to say, and other answers may still come.
 func (l *link) do(ctx context.Context, c call) (result, error) {
 	c.ID = l.next.Add(1)
 	raw, err := calls.Encode(c)
@@ -196,16 +205,16 @@
 			return result{}, errDied
 		}
 		if res.Status == 0 {
-			l.close() // this peer's own path fails too; the next call tries another
+			l.retire() // this peer's own path fails too; the next call tries another
 		}
 		return res, nil
 	case <-overdue.C:
-		l.close()
+		l.retire()
 		return result{}, errOverdue
 	case <-ctx.Done():
 		l.forget(c.ID)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			l.close() // the answer is overdue; the next call opens another link
+			l.retire() // the answer is overdue, though the peer lives
 		}
 		return result{}, ctx.Err()
 	}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -58,6 +58,11 @@
 
 // askOnce makes a call on a link.
 func (p *Path) askOnce(ctx context.Context, choose linkChoice, c call) (result, error) {
+	if c.patience > 0 {
+		limited, cancel := context.WithTimeout(ctx, c.patience)
+		defer cancel()
+		ctx = limited
+	}
 	l, err := choose(ctx)
 	if err != nil {
 		return result{}, err
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,8 @@
 	Body   []byte `cbor:"5,keyasint"`
 	// Limit is how long the peer may take.
 	Limit time.Duration `cbor:"6,keyasint"`
+	// patience is how long a try waits, if it isn't left to the caller's context.
+	patience time.Duration
 }
 
 // result answers a call. Status is 0 if the peer got no answer; the call may have had
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -35,14 +35,15 @@
 type Request struct {
 	Method, Path, Kind string
 	Body               []byte
-	// Limit is how long the peer may take.
+	// Limit is how long the peer may take, and how long each try waits.
 	Limit time.Duration
 }
 
 // To lets the peer at an address make a call on its direct path, and returns its answer. No other
-// way is tried. With ErrNoPeer the call was surely not sent.
+// way is tried, but a second link if the first one dies meanwhile. With ErrNoPeer the call was surely
+// not sent.
 func (p *Path) To(ctx context.Context, address string, r Request) (status int, body []byte, err error) {
 	choose := func(ctx context.Context) (*link, error) { return p.open(ctx, address) }
-	res, err := p.ask(ctx, choose, call{Method: r.Method, Path: r.Path, Kind: r.Kind, Body: r.Body, Limit: r.Limit})
+	res, err := p.ask(ctx, choose, call{Method: r.Method, Path: r.Path, Kind: r.Kind, Body: r.Body, Limit: r.Limit, patience: r.Limit})
 	return res.Status, res.Body, err
 }
