--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -62,6 +62,11 @@
 // maxKey bounds a caller's key in bytes.
 const maxKey = 200
 
+// answerTimeout bounds the time in which a caller takes its answer. One that has gone silent would
+// hold its connection, and its place among the requests under way, for good: its kernel goes on
+// answering TCP's probes. It is half the time that a request may take to come.
+const answerTimeout = 30 * time.Second
+
 // Core takes the events of requests.
 type Core interface {
 	Offer(node.Event) bool
@@ -128,6 +133,7 @@
 	ctx := e.tracer.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
 	ctx, span := e.tracer.Start(ctx, "request", oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
+	boundAnswer(w) // of a refusal, which comes at once
 	service, code, ran := e.serve(ctx, w, r)
 	span.SetAttributes(
 		attribute.String("service", string(service)),
@@ -239,6 +245,7 @@
 
 // finish writes the final answer to the caller.
 func (e *Edge) finish(w http.ResponseWriter, c *call, rep route.Reply) route.Ran {
+	boundAnswer(w)
 	if rep.Relay == 0 {
 		problem.Write(w, problem.For(rep))
 		return rep.Ran
@@ -257,6 +264,12 @@
 	return rep.Ran
 }
 
+// boundAnswer bounds the time for an answer that is written now.
+func boundAnswer(w http.ResponseWriter) {
+	// A connection without time limits, as in tests of handlers, is left as it is.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTimeout))
+}
+
 func refuse(w http.ResponseWriter, code route.Code, after time.Duration) route.Code {
 	problem.Write(w, problem.For(route.Reply{Code: code, Ran: route.RanNo, RetryAfter: after}))
 	return code
