--- /dev/null
+++ b/internal/conntrack/call.go
@@ -0,0 +1,150 @@
+package conntrack
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptrace"
+	"time"
+)
+
+// waitKey carries how long a call may wait at its other end.
+type waitKey struct{}
+
+// WithWait notes in ctx how long a call may wait at its other end for news. One that waits may be
+// ended with ErrSuspect and must be one that may be repeated.
+func WithWait(ctx context.Context, wait time.Duration) context.Context {
+	return context.WithValue(ctx, waitKey{}, wait)
+}
+
+// call is one call under way.
+type call struct {
+	transport *Transport
+	ctx       context.Context
+	end       context.CancelCauseFunc
+	began     time.Time
+	// wait is how long it may wait at its other end; known is set if the caller said so.
+	wait  time.Duration
+	known bool
+
+	// conn is the connection that it was sent on, nil before; idle is for how long that lay unused,
+	// first whether it is the first call there. Guarded by the transport's lock.
+	conn  *conn
+	idle  time.Duration
+	first bool
+	// settled is set once the call has ended.
+	settled bool
+}
+
+func newCall(ctx context.Context, t *Transport) *call {
+	c := &call{transport: t, began: time.Now()}
+	c.wait, c.known = ctx.Value(waitKey{}).(time.Duration)
+	c.ctx, c.end = context.WithCancelCause(ctx)
+	return c
+}
+
+// got notes the connection that the call goes on. A suspect one is closed: the base transport takes
+// another, since nothing was sent.
+func (c *call) got(info httptrace.GotConnInfo) {
+	x, ok := info.Conn.(*conn)
+	if !ok {
+		return
+	}
+	if c.take(x, info.IdleTime) {
+		_ = x.Close()
+	}
+}
+
+// take notes the connection that the call goes on, and reports whether that is suspect.
+func (c *call) take(x *conn, idle time.Duration) bool {
+	t := c.transport
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c.conn, c.idle, c.first = x, idle, !x.used
+	x.call = c
+	p := t.peers[x.to]
+	return p != nil && p.suspects(x)
+}
+
+// leave notes that the call has ended, and returns its connection; nil if it had none or has ended
+// before. An answer proves the connection for the time when the call left. retire is set if that
+// isn't enough to use it again.
+func (c *call) leave(answered bool) (x *conn, retire bool) {
+	t := c.transport
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.settled {
+		return nil, false
+	}
+	c.settled = true
+	x = c.conn
+	if x == nil {
+		return nil, false
+	}
+	if answered {
+		x.used = true
+		if x.proven.Before(c.began) {
+			x.proven = c.began
+		}
+	}
+	idle := x.call == c
+	if idle {
+		x.call = nil
+	}
+	p := t.peers[x.to]
+	return x, answered && idle && p != nil && p.suspects(x)
+}
+
+// answered notes that the answer was read whole.
+func (c *call) answered() {
+	x, retire := c.leave(true)
+	c.end(nil)
+	if retire {
+		_ = x.Close()
+	}
+}
+
+// failed notes that the call ended without an answer, and returns why.
+func (c *call) failed(err error) error {
+	cause := context.Cause(c.ctx)
+	x, _ := c.leave(false)
+	c.end(nil)
+	if errors.Is(cause, ErrSuspect) {
+		return cause
+	}
+	if x == nil {
+		return err
+	}
+	now := time.Now()
+	if w := why(err, now.Sub(c.began), c.wait, c.known); w != "" {
+		c.transport.suspect(x, Found{To: x.to, Age: now.Sub(x.opened), Idle: c.idle, First: c.first, Why: w})
+	}
+	return err
+}
+
+// body is an answer's body, which tells its call when it has been read.
+type body struct {
+	io.ReadCloser
+	call *call
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch err {
+	case nil:
+	case io.EOF:
+		b.call.answered()
+	default:
+		err = b.call.failed(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	err := b.ReadCloser.Close()
+	b.call.leave(false)
+	b.call.end(nil)
+	return err
+}
--- /dev/null
+++ b/internal/conntrack/conn.go
@@ -0,0 +1,38 @@
+package conntrack
+
+import (
+	"net"
+	"time"
+)
+
+// peer is what is believed of one address.
+type peer struct {
+	conns map[*conn]struct{}
+	// suspect is the time up to which connections must have been proven to be used again; zero
+	// while none is suspect.
+	suspect time.Time
+}
+
+// suspects reports whether a connection is not to be used again.
+func (p *peer) suspects(c *conn) bool { return !c.proven.After(p.suspect) }
+
+// conn is one tracked connection. Its fields below transport are guarded by the transport's lock.
+type conn struct {
+	net.Conn
+	transport *Transport
+	to        string
+	opened    time.Time
+	// proven is when the newest call left that was answered here, or when it was opened: both
+	// directions worked then.
+	proven time.Time
+	// call is the one under way; nil while the connection is idle.
+	call *call
+	// used is set once a call was answered here.
+	used bool
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.transport.forget(c)
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/conntrack/conntrack.go
@@ -0,0 +1,178 @@
+// Package conntrack is an HTTP transport that stops using connections that have gone silent.
+//
+// A path between two machines may lose all its connections at once without a reset, while new ones
+// work. Nothing but a call that gets no answer shows it, and only for the connection of that call.
+// So each such call makes the other connections to its address suspect: those that have not been
+// proven since are not used again, and calls that only wait there for news end at once. Without it
+// each of them costs the time limit of one more call: with eight to one address eight in a row.
+package conntrack
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// provenWithin is how long before a call was found unanswered another connection must have
+	// carried a call and its answer to be trusted still. The shortest limit of a call is 600 ms:
+	// whatever was silent for it was so 300 ms before its end.
+	provenWithin = 300 * time.Millisecond
+	// overdueAfter is how long an answer must be overdue when its call is given up to make others
+	// suspect: slow stores and workers answer within 300 ms.
+	overdueAfter = 400 * time.Millisecond
+)
+
+// ErrSuspect reports a waiting call that was ended because its connection became suspect. It may
+// have had its effect.
+var ErrSuspect = errors.New("conntrack: the connection is suspect")
+
+// Found is a connection that was found dead.
+type Found struct {
+	// To is the address at its other end.
+	To string
+	// Age is since when it was open, Idle how long it had lain idle before its last call.
+	Age, Idle time.Duration
+	// First is set if that call was the first one on it: new connections are silent too, as they
+	// are to a service that hangs.
+	First bool
+	// Why tells what showed it.
+	Why string
+	// Closed is how many others were closed with it because they were idle and suspect.
+	Closed int
+	// Ended is how many calls that waited for news were ended because of it.
+	Ended int
+}
+
+// Transport is an http.RoundTripper. It is safe for concurrent use.
+type Transport struct {
+	base  *http.Transport
+	found func(Found)
+
+	mu sync.Mutex
+	// peers holds the addresses with open connections, and what is believed of them.
+	peers map[string]*peer
+}
+
+// New returns a transport over base, whose connections it tracks from now on; base must not have
+// been used. found is told of each connection that was found dead and must not block.
+func New(base *http.Transport, found func(Found)) *Transport {
+	t := &Transport{base: base, found: found, peers: map[string]*peer{}}
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return t.track(c, address), nil
+	}
+	return t
+}
+
+// Open returns how many connections are open.
+func (t *Transport) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		n += len(p.conns)
+	}
+	return n
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	c := newCall(req.Context(), t)
+	trace := &httptrace.ClientTrace{GotConn: c.got}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(c.ctx, trace)))
+	if err != nil {
+		return nil, c.failed(err)
+	}
+	resp.Body = &body{ReadCloser: resp.Body, call: c}
+	return resp, nil
+}
+
+// track notes a new connection.
+func (t *Transport) track(c net.Conn, address string) *conn {
+	now := time.Now()
+	out := &conn{Conn: c, transport: t, to: address, opened: now, proven: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[address]
+	if p == nil {
+		p = &peer{conns: map[*conn]struct{}{}}
+		t.peers[address] = p
+	}
+	p.conns[out] = struct{}{}
+	return out
+}
+
+// forget drops a connection that is closed.
+func (t *Transport) forget(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[c.to]
+	if p == nil {
+		return
+	}
+	delete(p.conns, c)
+	if len(p.conns) == 0 {
+		delete(t.peers, c.to) // a connection that is opened later is proven by its opening
+	}
+}
+
+// suspect makes the connections to the address of one that was found dead suspect.
+func (t *Transport) suspect(dead *conn, f Found) {
+	closing, ending := t.markSuspects(dead)
+	for _, c := range closing {
+		_ = c.Close() // an idle one; the next call opens another
+	}
+	for _, c := range ending {
+		c.end(ErrSuspect)
+	}
+	f.Closed, f.Ended = len(closing), len(ending)
+	t.found(f)
+}
+
+// markSuspects returns the idle connections to close and the waiting calls to end. Other calls keep
+// their connection until they end.
+func (t *Transport) markSuspects(dead *conn) (closing []*conn, ending []*call) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[dead.to]
+	if p == nil {
+		return nil, nil
+	}
+	p.suspect = time.Now().Add(-provenWithin)
+	for c := range p.conns {
+		switch {
+		case c == dead || !p.suspects(c):
+		case c.call == nil:
+			closing = append(closing, c)
+		case c.call.wait > 0 && !c.call.began.After(p.suspect):
+			ending = append(ending, c.call)
+		}
+	}
+	return closing, ending
+}
+
+// why tells what showed that a call's connection is dead; empty if nothing did.
+func why(err error, waited, wait time.Duration, known bool) string {
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return "the kernel got no acknowledgement"
+	case errors.Is(err, context.DeadlineExceeded) && (!known || waited >= wait+overdueAfter):
+		return "no answer in time"
+	case errors.Is(err, context.Canceled) && known && waited >= wait+overdueAfter:
+		return "no answer when the call was given up"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/entry/deadconns.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/conntrack"
+)
+
+// peerKind says what is at the other end of a connection that this host opens.
+type peerKind string
+
+// The kinds.
+const (
+	toStore    peerKind = "store"
+	toWorkers  peerKind = "workers"
+	toAdvice   peerKind = "advice"
+	toMachines peerKind = "machines"
+)
+
+// deadConns returns what logs and counts connections of a kind that were found dead.
+func (m *metrics) deadConns(log *zap.Logger, kind peerKind) func(conntrack.Found) {
+	return func(f conntrack.Found) {
+		m.deadFound.WithLabelValues(string(kind), strconv.FormatBool(f.First)).Inc()
+		m.suspects.WithLabelValues(string(kind)).Add(float64(f.Closed + f.Ended))
+		log.Warn("connection-dead", zap.String("kind", string(kind)), zap.String("to", f.To), zap.Duration("age", f.Age),
+			zap.Duration("idle", f.Idle), zap.Bool("first", f.First), zap.String("why", f.Why),
+			zap.Int("closed", f.Closed), zap.Int("ended", f.Ended))
+	}
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -127,15 +127,19 @@
 	if err != nil {
 		return nil, err
 	}
-	path := relay.New("http://"+s.Store, relay.RouteStore, platform.NewHTTPClient(storeConns), log)
-	advicePath := relay.New("http://"+s.Advice, relay.RouteAdvice, platform.NewHTTPClient(adviceConns), log)
+	m := newMetrics()
+	client := func(kind peerKind, conns int) *http.Client {
+		return platform.NewHTTPClient(conns, m.deadConns(log, kind))
+	}
+	path := relay.New("http://"+s.Store, relay.RouteStore, client(toStore, storeConns), log)
+	advicePath := relay.New("http://"+s.Advice, relay.RouteAdvice, client(toAdvice, adviceConns), log)
 	h := &Host{
-		settings: s, log: log, metrics: newMetrics(), self: self,
+		settings: s, log: log, metrics: m, self: self,
 		path: path, advicePath: advicePath,
 		store:    platform.NewStore(s.Store, &http.Client{Transport: path}),
-		workers:  platform.NewWorkers(platform.NewHTTPClient(workerConns), log),
+		workers:  platform.NewWorkers(client(toWorkers, workerConns), log),
 		advice:   platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log),
-		machines: platform.NewMachines(s.Machines, s.Host, platform.NewHTTPClient(machineConns), log),
+		machines: platform.NewMachines(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
 		watchers: watchers{}, wake: make(chan struct{}, 1),
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -24,6 +24,8 @@
 	requests  *prometheus.HistogramVec
 	store     *prometheus.HistogramVec
 	orders    *prometheus.HistogramVec
+	// deadFound counts connections found dead, suspects those that were closed with them.
+	deadFound, suspects *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -51,7 +53,13 @@
 	m.gathered = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_gathered_records_total", Help: "Records of other hosts that this one appended for them.",
 	})
-	m.registry.MustRegister(m.gathered, m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
+	m.deadFound = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "curlewsill_connections_dead_total", Help: "Connections found dead by a call without an answer, and whether it was the first there.",
+	}, []string{"to", "first"})
+	m.suspects = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "curlewsill_connections_suspect_total", Help: "Connections given up because another one to the same address was found dead.",
+	}, []string{"to"})
+	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
 	return m
 }
 
