--- a/internal/conntrack/call.go
+++ b/internal/conntrack/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http/httptrace"
 	"time"
@@ -11,8 +10,7 @@
 // waitKey carries how long a call may wait at its other end.
 type waitKey struct{}
 
-// WithWait notes in ctx how long a call may wait at its other end for news. One that waits may be
-// ended with ErrSuspect and must be one that may be repeated.
+// WithWait notes in ctx how long a call may wait at its other end for news.
 func WithWait(ctx context.Context, wait time.Duration) context.Context {
 	return context.WithValue(ctx, waitKey{}, wait)
 }
@@ -20,8 +18,6 @@
 // call is one call under way.
 type call struct {
 	transport *Transport
-	ctx       context.Context
-	end       context.CancelCauseFunc
 	began     time.Time
 	// wait is how long it may wait at its other end; known is set if the caller said so.
 	wait  time.Duration
@@ -39,7 +35,6 @@
 func newCall(ctx context.Context, t *Transport) *call {
 	c := &call{transport: t, began: time.Now()}
 	c.wait, c.known = ctx.Value(waitKey{}).(time.Duration)
-	c.ctx, c.end = context.WithCancelCause(ctx)
 	return c
 }
 
@@ -97,29 +92,21 @@
 
 // answered notes that the answer was read whole.
 func (c *call) answered() {
-	x, retire := c.leave(true)
-	c.end(nil)
-	if retire {
+	if x, retire := c.leave(true); retire {
 		_ = x.Close()
 	}
 }
 
-// failed notes that the call ended without an answer, and returns why.
-func (c *call) failed(err error) error {
-	cause := context.Cause(c.ctx)
+// failed notes that the call ended without an answer.
+func (c *call) failed(err error) {
 	x, _ := c.leave(false)
-	c.end(nil)
-	if errors.Is(cause, ErrSuspect) {
-		return cause
-	}
 	if x == nil {
-		return err
+		return
 	}
 	now := time.Now()
 	if w := why(err, now.Sub(c.began), c.wait, c.known); w != "" {
 		c.transport.suspect(x, Found{To: x.to, Age: now.Sub(x.opened), Idle: c.idle, First: c.first, Why: w})
 	}
-	return err
 }
 
 // body is an answer's body, which tells its call when it has been read.
@@ -136,7 +123,7 @@
 	case io.EOF:
 		b.call.answered()
 	default:
-		err = b.call.failed(err)
+		b.call.failed(err)
 	}
 	return n, err
 }
@@ -145,6 +132,5 @@
 func (b *body) Close() error {
 	err := b.ReadCloser.Close()
 	b.call.leave(false)
-	b.call.end(nil)
 	return err
 }
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -3,8 +3,11 @@
 // A path between two machines may lose all its connections at once without a reset, while new ones
 // work. Nothing but a call that gets no answer shows it, and only for the connection of that call.
 // So each such call makes the other connections to its address suspect: those that have not been
-// proven since are not used again, and calls that only wait there for news end at once. Without it
-// each of them costs the time limit of one more call: with eight to one address eight in a row.
+// proven since are not used again. Without it each of them costs the time limit of one more call:
+// with eight to one address eight in a row.
+//
+// Calls under way on suspect connections are left alone. A call without an answer may as well come
+// from a service that is slow, and whoever waits there for news would ask again in vain.
 package conntrack
 
 import (
@@ -28,10 +31,6 @@
 	overdueAfter = 400 * time.Millisecond
 )
 
-// ErrSuspect reports a waiting call that was ended because its connection became suspect. It may
-// have had its effect.
-var ErrSuspect = errors.New("conntrack: the connection is suspect")
-
 // Found is a connection that was found dead.
 type Found struct {
 	// To is the address at its other end.
@@ -45,8 +44,6 @@
 	Why string
 	// Closed is how many others were closed with it because they were idle and suspect.
 	Closed int
-	// Ended is how many calls that waited for news were ended because of it.
-	Ended int
 }
 
 // Transport is an http.RoundTripper. It is safe for concurrent use.
@@ -92,9 +89,10 @@
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	c := newCall(req.Context(), t)
 	trace := &httptrace.ClientTrace{GotConn: c.got}
-	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(c.ctx, trace)))
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return nil, c.failed(err)
+		c.failed(err)
+		return nil, err
 	}
 	resp.Body = &body{ReadCloser: resp.Body, call: c}
 	return resp, nil
@@ -129,39 +127,33 @@
 	}
 }
 
-// suspect makes the connections to the address of one that was found dead suspect.
+// suspect makes the other connections to the address of one that was found dead suspect, and closes
+// those that are idle. The others are closed when their call ends.
 func (t *Transport) suspect(dead *conn, f Found) {
-	closing, ending := t.markSuspects(dead)
+	closing := t.markSuspects(dead)
 	for _, c := range closing {
-		_ = c.Close() // an idle one; the next call opens another
-	}
-	for _, c := range ending {
-		c.end(ErrSuspect)
+		_ = c.Close() // the next call opens another
 	}
-	f.Closed, f.Ended = len(closing), len(ending)
+	f.Closed = len(closing)
 	t.found(f)
 }
 
-// markSuspects returns the idle connections to close and the waiting calls to end. Other calls keep
-// their connection until they end.
-func (t *Transport) markSuspects(dead *conn) (closing []*conn, ending []*call) {
+// markSuspects returns the idle connections that are suspect.
+func (t *Transport) markSuspects(dead *conn) []*conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[dead.to]
 	if p == nil {
-		return nil, nil
+		return nil
 	}
 	p.suspect = time.Now().Add(-provenWithin)
+	var idle []*conn
 	for c := range p.conns {
-		switch {
-		case c == dead || !p.suspects(c):
-		case c.call == nil:
-			closing = append(closing, c)
-		case c.call.wait > 0 && !c.call.began.After(p.suspect):
-			ending = append(ending, c.call)
+		if c != dead && c.call == nil && p.suspects(c) {
+			idle = append(idle, c)
 		}
 	}
-	return closing, ending
+	return idle
 }
 
 // why tells what showed that a call's connection is dead; empty if nothing did.
--- a/internal/entry/deadconns.go
+++ b/internal/entry/deadconns.go
@@ -23,9 +23,9 @@
 func (m *metrics) deadConns(log *zap.Logger, kind peerKind) func(conntrack.Found) {
 	return func(f conntrack.Found) {
 		m.deadFound.WithLabelValues(string(kind), strconv.FormatBool(f.First)).Inc()
-		m.suspects.WithLabelValues(string(kind)).Add(float64(f.Closed + f.Ended))
+		m.suspects.WithLabelValues(string(kind)).Add(float64(f.Closed))
 		log.Warn("connection-dead", zap.String("kind", string(kind)), zap.String("to", f.To), zap.Duration("age", f.Age),
 			zap.Duration("idle", f.Idle), zap.Bool("first", f.First), zap.String("why", f.Why),
-			zap.Int("closed", f.Closed), zap.Int("ended", f.Ended))
+			zap.Int("closed", f.Closed))
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -57,7 +57,7 @@
 		Name: "curlewsill_connections_dead_total", Help: "Connections found dead by a call without an answer, and whether it was the first there.",
 	}, []string{"to", "first"})
 	m.suspects = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "curlewsill_connections_suspect_total", Help: "Connections given up because another one to the same address was found dead.",
+		Name: "curlewsill_connections_suspect_total", Help: "Idle connections closed because another one to the same address was found dead.",
 	}, []string{"to"})
 	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
 	return m
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/internal/faultproxy"
 )
 
 // deadline is when a script that makes no progress is given up. No script asserts how
@@ -29,6 +30,10 @@
 //	awaitstatus HOST JOB STATUS      asks until the answer has the status
 //	pending HOST N
 //	store FAULT | worker N FAULT     none, busy, lost, slow or silent
+//	proxied                          proxies stand before the store and all workers that start later
+//	silence WHAT DIRECTION           open connections to the store, workers or all carry nothing more:
+//	                                 to-target, from-target or both; new ones work
+//	rest DURATION                    lets time pass
 //	forget                           the store drops its history
 //	kill HOST | start HOST
 //	stop HOST | gone HOST            a planned stop begins | has ended
@@ -124,6 +129,29 @@
 		s.worker(s.number(f[1])).SetFault(fault(f[2]))
 	case "forget":
 		s.store.Forget()
+	default:
+		s.fault(f)
+	}
+}
+
+// silences are the directions that connections can go silent in.
+var silences = map[string]faultproxy.Direction{
+	"to-target": faultproxy.ToTarget, "from-target": faultproxy.FromTarget, "both": faultproxy.Both,
+}
+
+// fault carries out one command that silences connections, or any that asks something.
+func (s *site) fault(f []string) {
+	switch f[0] {
+	case "proxied":
+		s.proxied()
+	case "silence":
+		s.silence(f[1], silences[f[2]])
+	case "rest":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			s.t.Fatalf("line %d: %v", s.line, err)
+		}
+		time.Sleep(d)
 	default:
 		s.ask(f)
 	}
