--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -162,6 +162,11 @@
 	}
 	w.holding = false
 	w.nextHold = now.Add(renewPause)
+	w.unheard = res.Verdict == fleet.Unknown
+	if w.unheard {
+		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
+		w.nextHold = max(now, res.Sent.Add(renewPause))
+	}
 	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -45,6 +45,10 @@
 		s.d.Paced(s.now, dispatch.PaceResult{Pace: s.paces[f[1]], Verdict: verdict(s.t, f[2])})
 	case "renew":
 		s.renewed(f)
+	case "waits":
+		if got := s.waits[f[1]]; got != duration(s.t, f[2]) {
+			s.t.Errorf("the renewal of %s waits %s", f[1], got)
+		}
 	case "advisers":
 		s.d.SetAdvisers(number(s.t, f[1]))
 	case "advised":
--- a/core/dispatch/orders_test.go
+++ b/core/dispatch/orders_test.go
@@ -24,6 +24,7 @@
 		s.renews[string(x.Worker)] = x
 		s.sent[string(x.Worker)] = s.now
 		s.lines = append(s.lines, fmt.Sprintf("renew %s told %d", x.Worker, x.Told))
+		s.waits[string(x.Worker)] = x.Wait
 	}
 	for _, x := range o.Paces {
 		s.paces[x.Task.String()] = x
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -162,7 +162,7 @@
 	if len(w.runs) > 0 && (w.answered == 0 || now.Sub(w.answered) < silentAfter) {
 		o.Until = d.lease(now, w)
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.hurry(now) {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.unheard && !w.hurry(now) {
 		o.Wait = renewWait
 		if w.shared() {
 			o.Wait = sharedWait
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -31,6 +31,7 @@
 //	stop NAME VERDICT
 //	pace NAME VERDICT        the last order on that task's speed is answered
 //	renew WORKER VERDICT [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
+//	waits WORKER D           the last renewal there may wait so long
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
 //	wave N WITHIN MOST MACHINE...     the operator asks for maintenance
@@ -63,8 +64,9 @@
 	paces   map[string]dispatch.Pace
 	renews  map[string]dispatch.Renew
 	upkeeps map[string]dispatch.Upkeep
-	// sent is when the last renewal of a worker left.
-	sent map[string]unit.Instant
+	// sent is when the last renewal of a worker left, waits how long it may wait there.
+	sent  map[string]unit.Instant
+	waits map[string]time.Duration
 	// asks are the open questions to the advice service, asked when the newest one left.
 	asks  []dispatch.Ask
 	asked unit.Instant
@@ -82,7 +84,7 @@
 	s := &script{
 		t: t, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), workers: map[string]fleet.Listing{},
 		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, paces: map[string]dispatch.Pace{},
-		upkeeps: map[string]dispatch.Upkeep{}, sent: map[string]unit.Instant{},
+		upkeeps: map[string]dispatch.Upkeep{}, sent: map[string]unit.Instant{}, waits: map[string]time.Duration{},
 	}
 	s.takeOver()
 	return s
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -172,6 +172,9 @@
 	// one is due.
 	holding  bool
 	nextHold unit.Instant
+	// unheard is set if the last renewal got no answer. The next one doesn't wait for news, so that
+	// its loss shows 2 s earlier.
+	unheard bool
 	// pausedUntil keeps new tasks away.
 	pausedUntil unit.Instant
 	// refused counts connections refused since the last answer.
