--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -57,6 +57,9 @@
 		s.wave(f)
 	case "upkeep":
 		s.d.Upkept(s.now, dispatch.UpkeepResult{Upkeep: s.upkeeps[f[1]], Verdict: verdict(s.t, f[2])})
+	case "lease":
+		s.lease = duration(s.t, f[1])
+		s.takeOver()
 	case "takeover":
 		s.takeOver()
 	case "state":
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -17,7 +17,15 @@
 	// renewWait is how long a renewal may wait at the worker for news; the
 	// platform allows 2 s.
 	renewWait = 2 * time.Second
-	// sharedWait is the same on a worker where tasks that use what others leave run beside
+	// renewLimit is how long after its wait a renewal without an answer counts as lost, by the limit
+	// of the platform's client.
+	renewLimit = 800 * time.Millisecond
+	// leaseShare is the part of a lease within which a renewal must come after two were lost. The
+	// worker's clock may run 2 % off; the rest is for the way.
+	leaseShare = 0.95
+	// leastWait is how long a renewal may wait on deployments with the shortest leases.
+	leastWait = 100 * time.Millisecond
+	// sharedWait is renewWait on a worker where tasks that use what others leave run beside
 	// serving ones: the worker's figures are those of the last half second.
 	sharedWait = 500 * time.Millisecond
 	// silentAfter is how long after its last answer a worker gets no new tasks.
@@ -163,15 +171,22 @@
 		o.Until = d.lease(now, w)
 	}
 	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.unheard && !w.hurry(now) {
-		o.Wait = renewWait
+		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() {
-			o.Wait = sharedWait
+			o.Wait = min(o.Wait, sharedWait)
 		}
 	}
 	w.holding = true
 	d.orders.Renews = append(d.orders.Renews, o)
 }
 
+// renewalWait returns how long a renewal may wait for news under leases of a length: so long that
+// after one that was answered two in a row may be lost, of which the second doesn't wait.
+func renewalWait(lease time.Duration) time.Duration {
+	spare := scale(lease, leaseShare) - 2*renewLimit
+	return max(leastWait, min(renewWait, spare/2))
+}
+
 // hurry reports whether an answer is wanted at once.
 func (w *worker) hurry(now unit.Instant) bool {
 	if now < w.pausedUntil {
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -36,6 +36,7 @@
 //	advisers N               so many hosts can ask the advice service
 //	wave N WITHIN MOST MACHINE...     the operator asks for maintenance
 //	upkeep MACHINE VERDICT   the last order to take that machine down is answered
+//	lease D                  another owner starts, on a deployment with leases of at most D
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 func TestScripts(t *testing.T) {
@@ -71,6 +72,8 @@
 	asks  []dispatch.Ask
 	asked unit.Instant
 
+	// lease is the longest lease if it isn't that of config.
+	lease time.Duration
 	// lines are the orders since the last command.
 	lines []string
 }
@@ -93,7 +96,11 @@
 // takeOver starts another owner from the store's records.
 func (s *script) takeOver() {
 	s.epoch++
-	s.d = dispatch.New(config, s.epoch, s.table)
+	c := config
+	if s.lease > 0 {
+		c.MaxLease = s.lease
+	}
+	s.d = dispatch.New(c, s.epoch, s.table)
 	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
 		e := s.table.Get(j)
