--- a/internal/conntrack/conn.go
+++ b/internal/conntrack/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,12 +17,14 @@
 // suspects reports whether a connection is not to be used again.
 func (p *peer) suspects(c *conn) bool { return !c.proven.After(p.suspect) }
 
-// conn is one tracked connection. Its fields below transport are guarded by the transport's lock.
+// conn is one tracked connection. Its fields below heard are guarded by the transport's lock.
 type conn struct {
 	net.Conn
 	transport *Transport
 	to        string
 	opened    time.Time
+	// heard is how long after opened bytes came last.
+	heard atomic.Int64
 	// proven is when the newest call left that was answered here, or when it was opened: both
 	// directions worked then.
 	proven time.Time
@@ -31,6 +34,25 @@
 	used bool
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Store(int64(time.Since(c.opened)))
+	}
+	return n, err
+}
+
+// heardAt returns when bytes came last, or when the connection was opened.
+func (c *conn) heardAt() time.Time { return c.opened.Add(time.Duration(c.heard.Load())) }
+
+// vouches reports whether a connection shows that one that brought no answer hasn't gone silent
+// together with all others: it was open when bytes came there last, and has brought some since a
+// time.
+func (c *conn) vouches(dead *conn, since time.Time) bool {
+	return !c.opened.After(dead.heardAt()) && c.heardAt().After(since)
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.transport.forget(c)
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -6,6 +6,9 @@
 // proven since are not used again. Without it each of them costs the time limit of one more call:
 // with eight to one address eight in a row.
 //
+// No connection becomes suspect while bytes still come on one that is as old: the service, or the link
+// to it, is slow then, and new connections would add to that.
+//
 // Calls under way on suspect connections are left alone. A call without an answer may as well come
 // from a service that is slow, and whoever waits there for news would ask again in vain.
 package conntrack
@@ -23,8 +26,8 @@
 
 const (
 	// provenWithin is how long before a call was found unanswered another connection must have
-	// carried a call and its answer to be trusted still. The shortest limit of a call is 600 ms:
-	// whatever was silent for it was so 300 ms before its end.
+	// carried a call and its answer to be trusted still, or bytes to vouch for the others. The
+	// shortest limit of a call is 600 ms: whatever was silent for it was so 300 ms before its end.
 	provenWithin = 300 * time.Millisecond
 	// overdueAfter is how long an answer must be overdue when its call is given up to make others
 	// suspect: slow stores and workers answer within 300 ms.
@@ -130,7 +133,10 @@
 // suspect makes the other connections to the address of one that was found dead suspect, and closes
 // those that are idle. The others are closed when their call ends.
 func (t *Transport) suspect(dead *conn, f Found) {
-	closing := t.markSuspects(dead)
+	closing, silent := t.markSuspects(dead)
+	if !silent {
+		return
+	}
 	for _, c := range closing {
 		_ = c.Close() // the next call opens another
 	}
@@ -138,22 +144,29 @@
 	t.found(f)
 }
 
-// markSuspects returns the idle connections that are suspect.
-func (t *Transport) markSuspects(dead *conn) []*conn {
+// markSuspects returns the idle connections that are suspect. It reports false if bytes have come on
+// the dead one or on another that is as old: answers are slow then, as over a link that is full.
+func (t *Transport) markSuspects(dead *conn) (idle []*conn, silent bool) {
+	since := time.Now().Add(-provenWithin)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if dead.vouches(dead, since) {
+		return nil, false
+	}
 	p := t.peers[dead.to]
 	if p == nil {
-		return nil
+		return nil, true
 	}
-	p.suspect = time.Now().Add(-provenWithin)
-	var idle []*conn
 	for c := range p.conns {
-		if c != dead && c.call == nil && p.suspects(c) {
+		if c.vouches(dead, since) {
+			return nil, false
+		}
+		if c != dead && c.call == nil && !c.proven.After(since) {
 			idle = append(idle, c)
 		}
 	}
-	return idle
+	p.suspect = since
+	return idle, true
 }
 
 // why tells what showed that a call's connection is dead; empty if nothing did.
