--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -32,10 +32,12 @@
 //	stop NAME VERDICT
 //	pace NAME VERDICT        the last order on that task's speed is answered
 //	renew WORKER VERDICT [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
+//	waits WORKER D           the last renewal there may wait so long
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
 //	wave N WITHIN MOST MACHINE...     the operator asks for maintenance
 //	upkeep MACHINE VERDICT   the last order to take that machine down is answered
+//	lease D                  another owner starts, on a deployment with leases of at most D
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 func TestScripts(t *testing.T) {
@@ -66,12 +68,15 @@
 	paces   map[string]dispatch.Pace
 	renews  map[string]dispatch.Renew
 	upkeeps map[string]dispatch.Upkeep
-	// sent is when the last renewal of a worker left.
-	sent map[string]unit.Instant
+	// sent is when the last renewal of a worker left, waits how long it may wait there.
+	sent  map[string]unit.Instant
+	waits map[string]time.Duration
 	// asks are the open questions to the advice service, asked when the newest one left.
 	asks  []dispatch.Ask
 	asked unit.Instant
 
+	// lease is the longest lease if it isn't that of config.
+	lease time.Duration
 	// lines are the orders since the last command.
 	lines []string
 }
@@ -85,7 +90,7 @@
 	s := &script{
 		t: t, table: jobtable.New(), now: unit.At(time.Unix(1000, 0)), policy: policy.New(), workers: map[string]fleet.Listing{},
 		starts: map[string]dispatch.Start{}, stops: map[string]dispatch.Stop{}, renews: map[string]dispatch.Renew{}, paces: map[string]dispatch.Pace{},
-		upkeeps: map[string]dispatch.Upkeep{}, sent: map[string]unit.Instant{},
+		upkeeps: map[string]dispatch.Upkeep{}, sent: map[string]unit.Instant{}, waits: map[string]time.Duration{},
 	}
 	s.takeOver()
 	return s
@@ -94,7 +99,11 @@
 // takeOver starts another owner from the store's records.
 func (s *script) takeOver() {
 	s.epoch++
-	s.d = dispatch.New(config, s.policy, s.epoch, s.table)
+	c := config
+	if s.lease > 0 {
+		c.MaxLease = s.lease
+	}
+	s.d = dispatch.New(c, s.policy, s.epoch, s.table)
 	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
 		e := s.table.Get(j)
--- /dev/null
+++ b/internal/conntrack/conntrack.go
@@ -0,0 +1,183 @@
+// Package conntrack is an HTTP transport that stops using connections that have gone silent.
+//
+// A path between two machines may lose all its connections at once without a reset, while new ones
+// work. Nothing but a call that gets no answer shows it, and only for the connection of that call.
+// So each such call makes the other connections to its address suspect: those that have not been
+// proven since are not used again. Without it each of them costs the time limit of one more call:
+// with eight to one address eight in a row.
+//
+// No connection becomes suspect while bytes still come on one that is as old: the service, or the link
+// to it, is slow then, and new connections would add to that.
+//
+// Calls under way on suspect connections are left alone. A call without an answer may as well come
+// from a service that is slow, and whoever waits there for news would ask again in vain.
+package conntrack
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// provenWithin is how long before a call was found unanswered another connection must have
+	// carried a call and its answer to be trusted still, or bytes to vouch for the others. The
+	// shortest limit of a call is 600 ms: whatever was silent for it was so 300 ms before its end.
+	provenWithin = 300 * time.Millisecond
+	// overdueAfter is how long an answer must be overdue when its call is given up to make others
+	// suspect: slow stores and workers answer within 300 ms.
+	overdueAfter = 400 * time.Millisecond
+)
+
+// Found is a connection that was found dead.
+type Found struct {
+	// To is the address at its other end.
+	To string
+	// Age is since when it was open, Idle how long it had lain idle before its last call.
+	Age, Idle time.Duration
+	// First is set if that call was the first one on it: new connections are silent too, as they
+	// are to a service that hangs.
+	First bool
+	// Why tells what showed it.
+	Why string
+	// Closed is how many others were closed with it because they were idle and suspect.
+	Closed int
+}
+
+// Transport is an http.RoundTripper. It is safe for concurrent use.
+type Transport struct {
+	base  *http.Transport
+	found func(Found)
+
+	mu sync.Mutex
+	// peers holds the addresses with open connections, and what is believed of them.
+	peers map[string]*peer
+}
+
+// New returns a transport over base, whose connections it tracks from now on; base must not have
+// been used. found is told of each connection that was found dead and must not block.
+func New(base *http.Transport, found func(Found)) *Transport {
+	t := &Transport{base: base, found: found, peers: map[string]*peer{}}
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return t.track(c, address), nil
+	}
+	return t
+}
+
+// Open returns how many connections are open.
+func (t *Transport) Open() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		n += len(p.conns)
+	}
+	return n
+}
+
+// CloseIdleConnections closes the connections that are not in use.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	c := newCall(req.Context(), t)
+	trace := &httptrace.ClientTrace{GotConn: c.got}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		c.failed(err)
+		return nil, err
+	}
+	resp.Body = &body{ReadCloser: resp.Body, call: c}
+	return resp, nil
+}
+
+// track notes a new connection.
+func (t *Transport) track(c net.Conn, address string) *conn {
+	now := time.Now()
+	out := &conn{Conn: c, transport: t, to: address, opened: now, proven: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[address]
+	if p == nil {
+		p = &peer{conns: map[*conn]struct{}{}}
+		t.peers[address] = p
+	}
+	p.conns[out] = struct{}{}
+	return out
+}
+
+// forget drops a connection that is closed.
+func (t *Transport) forget(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[c.to]
+	if p == nil {
+		return
+	}
+	delete(p.conns, c)
+	if len(p.conns) == 0 {
+		delete(t.peers, c.to) // a connection that is opened later is proven by its opening
+	}
+}
+
+// suspect makes the other connections to the address of one that was found dead suspect, and closes
+// those that are idle. The others are closed when their call ends.
+func (t *Transport) suspect(dead *conn, f Found) {
+	closing, silent := t.markSuspects(dead)
+	if !silent {
+		return
+	}
+	for _, c := range closing {
+		_ = c.Close() // the next call opens another
+	}
+	f.Closed = len(closing)
+	t.found(f)
+}
+
+// markSuspects returns the idle connections that are suspect. It reports false if bytes have come on
+// the dead one or on another that is as old: answers are slow then, as over a link that is full.
+func (t *Transport) markSuspects(dead *conn) (idle []*conn, silent bool) {
+	since := time.Now().Add(-provenWithin)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if dead.vouches(dead, since) {
+		return nil, false
+	}
+	p := t.peers[dead.to]
+	if p == nil {
+		return nil, true
+	}
+	for c := range p.conns {
+		if c.vouches(dead, since) {
+			return nil, false
+		}
+		if c != dead && c.call == nil && !c.proven.After(since) {
+			idle = append(idle, c)
+		}
+	}
+	p.suspect = since
+	return idle, true
+}
+
+// why tells what showed that a call's connection is dead; empty if nothing did.
+func why(err error, waited, wait time.Duration, known bool) string {
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return "the kernel got no acknowledgement"
+	case errors.Is(err, context.DeadlineExceeded) && (!known || waited >= wait+overdueAfter):
+		return "no answer in time"
+	case errors.Is(err, context.Canceled) && known && waited >= wait+overdueAfter:
+		return "no answer when the call was given up"
+	}
+	return ""
+}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -29,6 +29,12 @@
 //	awaitstatus HOST JOB STATUS      asks until the answer has the status
 //	pending HOST N
 //	store FAULT | worker N FAULT     none, busy, lost, slow or silent
+//	proxied                          proxies stand before the store and all workers that start later
+//	links                            hosts reach each other through proxies; before any host
+//	silence WHAT DIRECTION           open connections to the store, workers or all of these, or the links
+//	                                 between hosts, carry nothing more: to-target, from-target or both;
+//	                                 new ones work
+//	rest DURATION                    lets time pass
 //	forget                           the store drops its history
 //	kill HOST | start HOST
 //	stop HOST | gone HOST            a planned stop begins | has ended
@@ -38,9 +44,7 @@
 //	starts JOB N                     all workers together have started N runs of it
 //	metric HOST NAME                 the counter is served and not zero
 //	awaitmetric HOST NAME            waits until it is
-//	links                            hosts reach each other through proxies; before any host
-//	silence DIRECTION                links carry nothing more: to-target, from-target, both
-//	unknown N                        so many calls ended unknown since then
+//	unknown N                        so many calls ended unknown since links were silenced
 //	half HOST JOB | letgo STATUS     a client goes silent while it submits | its host answers and
 //	                                 closes the connection
 //	gathered                         some host has appended records for others
@@ -125,7 +129,7 @@
 		}
 	case "submitall":
 		s.submitAll(f)
-	case "links", "silence", "unknown", "half", "letgo":
+	case "proxied", "links", "silence", "rest", "unknown", "half", "letgo":
 		s.doSilent(f)
 	case "worker":
 		s.worker(s.number(f[1])).SetFault(fault(f[2]))
--- a/internal/entry/links_test.go
+++ b/internal/entry/silence_test.go
@@ -73,12 +73,20 @@
 // doSilent carries out a command about connections that go silent.
 func (s *site) doSilent(f []string) {
 	switch f[0] {
+	case "proxied":
+		s.proxied()
+	case "rest":
+		s.rest(f[1])
 	case "links":
 		s.between.mu.Lock()
 		s.between.on = true
 		s.between.mu.Unlock()
 	case "silence":
-		s.silence(f[1])
+		if f[1] == "links" {
+			s.silenceLinks(silences[f[2]])
+			return
+		}
+		s.silence(f[1], silences[f[2]])
 	case "unknown":
 		if got := int(s.unknown.Load()); got != s.number(f[1]) {
 			s.failf("%d calls ended unknown", got)
@@ -90,15 +98,60 @@
 	}
 }
 
-// silence makes all open links between hosts carry nothing more. It fails if there is none.
-func (s *site) silence(d string) {
+// proxiedLease is the longest lease behind proxies, as on the users' platform.
+const proxiedLease = 6 * time.Second
+
+// proxied puts a proxy before the store, and from now on before workers.
+func (s *site) proxied() {
+	s.lease = proxiedLease
+	s.proxies = map[string][]*faultproxy.Proxy{}
+	s.address = s.through("store", s.address)
+}
+
+// through returns the address of a proxy before an address, or that itself if there are no proxies.
+func (s *site) through(kind, address string) string {
+	if s.proxies == nil {
+		return address
+	}
+	p, err := faultproxy.New(address)
+	if err != nil {
+		s.t.Error(err)
+		return address
+	}
+	s.t.Cleanup(func() { _ = p.Close() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proxies[kind] = append(s.proxies[kind], p)
+	return p.Addr()
+}
+
+// silences are the directions that connections can go silent in.
+var silences = map[string]faultproxy.Direction{
+	"to-target": faultproxy.ToTarget, "from-target": faultproxy.FromTarget, "both": faultproxy.Both,
+}
+
+// silence makes the open connections to the store, the workers or all silent.
+func (s *site) silence(kind string, d faultproxy.Direction) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, proxies := range s.proxies {
+		for _, p := range proxies {
+			if kind == "all" || kind == k {
+				p.Silence(d)
+			}
+		}
+	}
+}
+
+// silenceLinks makes all open links between hosts silent. It fails if there is none.
+func (s *site) silenceLinks(d faultproxy.Direction) {
 	b := s.between
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	open := 0
 	for _, p := range b.proxies {
 		open += p.Open()
-		p.Silence(map[string]faultproxy.Direction{"to-target": faultproxy.ToTarget, "from-target": faultproxy.FromTarget, "both": faultproxy.Both}[d])
+		p.Silence(d)
 	}
 	if open == 0 {
 		s.failf("no link is open")
@@ -106,6 +159,15 @@
 	s.unknown.Store(0)
 }
 
+// rest lets time pass.
+func (s *site) rest(text string) {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		s.t.Fatalf("line %d: %v", s.line, err)
+	}
+	time.Sleep(d)
+}
+
 // halfCall makes a client go silent in the middle of a call's body.
 func (s *site) halfCall(host int, job string) {
 	c, err := net.Dial("tcp", s.hosts[host].Callers())
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -33,6 +33,11 @@
 	// machines is the address of the service that takes machines down, taken what it did.
 	machines string
 	taken    *standin.Machines
+	// lease is the longest lease of a worker.
+	lease time.Duration
+	// proxies stand before the store and before each worker, by what is behind them; nil unless the
+	// script asks for them.
+	proxies map[string][]*faultproxy.Proxy
 	// mu guards the elements of workers.
 	mu      sync.Mutex
 	workers []*standin.Worker
@@ -69,7 +74,7 @@
 
 // newSite starts a site without hosts and workers.
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key"}
+	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key", lease: 2 * time.Second}
 	s.between = &between{t: t, store: s.store, proxies: map[string]*faultproxy.Proxy{}}
 	server := httptest.NewServer(s.between)
 	t.Cleanup(server.CloseClientConnections)
@@ -95,7 +100,7 @@
 		Memory: 512 * unit.MiB, Cores: s.cores[n], Link: 1000, Grace: 3 * time.Second,
 		Policy: policy.New(),
 		Workers: dispatch.Config{
-			MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
+			MaxLease: s.lease, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
 			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
 		},
 	}, zap.NewNop())
@@ -139,7 +144,7 @@
 	s.mu.Lock()
 	s.workers[n] = w
 	s.mu.Unlock()
-	s.store.PutWorker(name, strings.TrimPrefix(server.URL, "http://"))
+	s.store.PutWorker(name, s.through("workers", strings.TrimPrefix(server.URL, "http://")))
 }
 
 // worker returns the present life of a machine's worker. Orders about machines come from
