--- a/core/election/election.go
+++ b/core/election/election.go
@@ -3,7 +3,8 @@
 //
 // The platform's store keeps the group of live hosts and drops a host that is silent.
 // The owner is whoever wrote the newest claim. A host claims when the owner is missing
-// from the group in several looks in a row; hosts claim one after the other, the ablest
+// from the group in several looks in a row, or when most of the first hosts in rank get no answer
+// from it to questions of their own; hosts claim one after the other, the ablest
 // first and equal ones by a rank that they all agree on, and the store refuses a claim whose
 // epoch is below one that it has seen. A claim too many is harmless: it costs one change of owner.
 package election
@@ -70,8 +71,13 @@
 	ablerSince unit.Instant
 	// owned is when this host last became the owner; 0 before.
 	owned unit.Instant
+	// silence is what this host's own questions to the owner tell.
+	silence silence
 }
 
+// rankKey is what equally able hosts are ranked for.
+const rankKey = "owner"
+
 // New returns the election of a host.
 func New(self Member) *Election { return &Election{self: self} }
 
@@ -105,7 +111,10 @@
 // Claimed notes that some host has claimed. It is taken to live until looks miss it: without
 // that, all hosts that have missed the former owner go on to claim, a hundred times within 0.1 s
 // on 41 hosts that come back together.
-func (e *Election) Claimed(now unit.Instant) { e.missed, e.since, e.claimed = 0, now, now }
+func (e *Election) Claimed(now unit.Instant) {
+	e.missed, e.since, e.claimed = 0, now, now
+	e.silence = silence{}
+}
 
 // Owned notes that this host has become the owner.
 func (e *Election) Owned(now unit.Instant) { e.owned = now }
@@ -125,13 +134,16 @@
 
 // Claim reports whether the host is to claim now.
 func (e *Election) Claim(now unit.Instant) bool {
-	if e.missed < missedLooks || now.Sub(e.looked) > fresh || !contains(e.members, e.self.Host) {
+	if now.Sub(e.looked) > fresh || !contains(e.members, e.self.Host) {
 		return false
 	}
 	if e.claimed != 0 && now.Sub(e.claimed) < settle {
 		return false
 	}
-	return now.Sub(e.since) >= time.Duration(e.place())*stagger
+	if e.replaces(now) {
+		return true
+	}
+	return e.missed >= missedLooks && now.Sub(e.since) >= time.Duration(e.place())*stagger
 }
 
 // place returns how many members claim before this host: all that are abler, and those as able
@@ -147,7 +159,7 @@
 			equals = append(equals, m.Host)
 		}
 	}
-	return before + rank.Of(e.self.Host, "owner", equals)
+	return before + rank.Of(e.self.Host, rankKey, equals)
 }
 
 // Standby reports whether this host is among the first that would claim. A host that
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -1,6 +1,8 @@
 package election_test
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,6 +24,12 @@
 //	claimed TIME                 a new claim is in the store
 //	claim TIME true|false        checks whether the host claims
 //	standby true|false           checks whether it is among the first to claim
+//	heard TIME OWNER             the owner has answered a question of this host
+//	gone OWNER                   nobody listens at the owner's address
+//	misses TIME OWNER true|false    checks whether this host misses the owner
+//	witness TIME OWNER true|false   checks what it answers to another watcher
+//	agreed TIME OWNER OTHERS true|false  so many other watchers miss the owner; checks whether it is taken for dead
+//	watchers OWNER HOST...       checks who asks the owner
 func TestScripts(t *testing.T) {
 	scripttest.Each(t, run)
 }
@@ -51,11 +59,45 @@
 		case "standby":
 			expect(t, i, l, e.Standby(), f[1])
 		default:
-			t.Fatalf("line %d: unknown command %q", i+1, f[0])
+			silence(t, e, i, f)
 		}
 	}
 }
 
+// silence plays the commands about an owner that doesn't answer.
+func silence(t *testing.T, e *election.Election, i int, f []string) {
+	line := strings.Join(f, " ")
+	switch f[0] {
+	case "heard":
+		e.Heard(at(t, f[1]), id.Host(f[2]))
+	case "gone":
+		e.Gone(id.Host(f[1]))
+	case "misses":
+		expect(t, i, line, e.Misses(at(t, f[1]), id.Host(f[2])), f[3])
+	case "witness":
+		expect(t, i, line, e.Witness(at(t, f[1]), id.Host(f[2])), f[3])
+	case "agreed":
+		n, err := strconv.Atoi(f[3])
+		if err != nil {
+			t.Fatal(err)
+		}
+		expect(t, i, line, e.Agreed(at(t, f[1]), id.Host(f[2]), n), f[4])
+	case "watchers":
+		got := e.Watchers(id.Host(f[1]))
+		expect(t, i, line+fmt.Sprintf(" (%v)", got), slices.Equal(got, hosts(f[2:])), "true")
+	default:
+		t.Fatalf("line %d: unknown command %q", i+1, f[0])
+	}
+}
+
+func hosts(names []string) []id.Host {
+	var out []id.Host
+	for _, n := range names {
+		out = append(out, id.Host(n))
+	}
+	return out
+}
+
 func members(t *testing.T, names []string) []election.Member {
 	var out []election.Member
 	for _, n := range names {
--- a/core/rank/rank.go
+++ b/core/rank/rank.go
@@ -25,6 +25,11 @@
 	return n
 }
 
+// Compare orders two hosts as Of does for a key: the one that comes first is the lesser one.
+func Compare(a, b id.Host, key string) int {
+	return cmp.Or(cmp.Compare(score(b, key), score(a, key)), cmp.Compare(a, b))
+}
+
 // Neighbors returns up to n hosts for self on a ring in the order of a hash: those 1,
 // 2, 4 and so on places further, and then any others. Every host has as many however
 // many there are, and news reach all within a number of hops that grows with the
--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -22,6 +22,8 @@
 
 // decide applies events and passes over the state until ctx is done.
 func (h *Host) decide(ctx context.Context) {
+	h.deciding.Store(true)
+	defer h.deciding.Store(false)
 	timer := time.NewTimer(idleEvery)
 	defer timer.Stop()
 	next := h.now()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -63,10 +63,16 @@
 	// if that isn't known or is this host.
 	recordsPath *relay.Path
 	gatherer    atomic.Pointer[string]
-	store       *platform.Store
-	workers     *platform.Workers
-	advice      *platform.Advice
-	machines    *platform.Machines
+	// watchPath leads to what peers tell of the owner; watched is the owner if this host is to
+	// ask whether it lives, else nil.
+	watchPath *relay.Path
+	watched   atomic.Pointer[watched]
+	// deciding is set while the deciding goroutine runs.
+	deciding atomic.Bool
+	store    *platform.Store
+	workers  *platform.Workers
+	advice   *platform.Advice
+	machines *platform.Machines
 	// self is unique for this life of the process.
 	self   id.Host
 	events *ring.Ring[event]
@@ -141,6 +147,7 @@
 		watchers: watchers{}, wake: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, log)
+	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, log)
 	h.room.Store(fewMembers)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
@@ -183,6 +190,7 @@
 	go h.readJobs(ctx)
 	go h.readOperator(ctx)
 	go h.keepMembership(ctx)
+	go h.watchOwner(ctx)
 	go h.decide(ctx)
 	select {
 	case <-ctx.Done():
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -44,6 +44,7 @@
 	mux.Handle(string(relay.RouteStore), h.path.Handler())
 	mux.Handle(string(relay.RouteAdvice), h.advicePath.Handler())
 	mux.Handle(string(relay.RouteRecords), h.recordsPath.Handler())
+	mux.Handle(string(relay.RouteWatch), h.watchPath.Handler())
 	return mux
 }
 
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -103,10 +103,12 @@
 			h.path.SetPeers(peers)
 			h.advicePath.SetPeers(peers)
 			h.recordsPath.SetPeers(peers)
+			h.watchPath.SetPeers(peers)
 			suspects, _ := ask(ctx, h, func(now unit.Instant) bool {
 				h.election.Look(now, members, h.table.Owner().Host)
 				h.standby.Store(h.election.Standby())
 				h.findGatherer(addresses)
+				h.findWatched(addresses)
 				return h.election.Suspects()
 			})
 			if suspects {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -21,9 +21,11 @@
 	decisions *prometheus.CounterVec
 	faults    prometheus.Counter
 	gathered  prometheus.Counter
-	requests  *prometheus.HistogramVec
-	store     *prometheus.HistogramVec
-	orders    *prometheus.HistogramVec
+	// heard counts the owner's answers to this host's questions.
+	heard    prometheus.Counter
+	requests *prometheus.HistogramVec
+	store    *prometheus.HistogramVec
+	orders   *prometheus.HistogramVec
 }
 
 func newMetrics() *metrics {
@@ -51,7 +53,10 @@
 	m.gathered = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_gathered_records_total", Help: "Records of other hosts that this one appended for them.",
 	})
-	m.registry.MustRegister(m.gathered, m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
+	m.heard = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_owner_answers_total", Help: "Answers of the owner to this host's questions whether it lives.",
+	})
+	m.registry.MustRegister(m.gathered, m.heard, m.takeovers, m.faults, m.decisions, m.requests, m.store, m.orders, owning)
 	return m
 }
 
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -30,6 +30,7 @@
 //	pending HOST N
 //	store FAULT | worker N FAULT     none, busy, lost, slow or silent
 //	forget                           the store drops its history
+//	keepmembers                      the store's group shows dead hosts for ever
 //	kill HOST | start HOST
 //	stop HOST | gone HOST            a planned stop begins | has ended
 //	config VERSION KEY               the operator writes a configuration with another key
@@ -122,6 +123,8 @@
 		s.submitAll(f)
 	case "worker":
 		s.worker(s.number(f[1])).SetFault(fault(f[2]))
+	case "keepmembers":
+		s.store.KeepMembers()
 	case "forget":
 		s.store.Forget()
 	default:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	RouteAdvice Route = "/v1/relay/advice"
 	// RouteRecords leads to the peer's own writer.
 	RouteRecords Route = "/v1/records"
+	// RouteWatch leads to what the peer knows of the owner.
+	RouteWatch Route = "/v1/watch"
 )
 
 // Path is an http.RoundTripper to one address over the direct way and over peers. It
