--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -37,6 +37,16 @@
 	return vacant || h.election.Claim(now)
 }
 
+// noteFormerLife notes that the ownership is vacant if the owner is an earlier life of this host: that
+// process has surely ended. The store would show it until its time to live is over, 0.8 s after 301
+// hosts came back.
+func (h *Host) noteFormerLife() {
+	o := h.table.Owner()
+	if o.Host != h.self && machineOf(o.Host) == h.settings.Host {
+		h.lost = o.Epoch
+	}
+}
+
 // prepareClaim reads what others have written lately, and then claims if that is still due.
 // Without it hosts that have not heard of each other's claims take the ownership in turns: 50
 // claims within 0.5 s by two hosts of 41.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,7 +164,18 @@
 	if _, err := rand.Read(draw[:]); err != nil {
 		return "", fmt.Errorf("entry: %w", err)
 	}
-	return id.Host(fmt.Sprintf("%s#%08x", host, binary.BigEndian.Uint32(draw[:]))), nil
+	return id.Host(fmt.Sprintf("%s%s%08x", host, lifeMark, binary.BigEndian.Uint32(draw[:]))), nil
+}
+
+// lifeMark stands between the name of a host's machine and the draw of its life.
+const lifeMark = "#"
+
+// machineOf returns the name that all lives of a host share.
+func machineOf(life id.Host) id.Host {
+	if i := strings.LastIndex(string(life), lifeMark); i >= 0 {
+		return life[:i]
+	}
+	return life
 }
 
 // now is the time by a clock that never jumps.
