--- a/core/election/election.go
+++ b/core/election/election.go
@@ -83,6 +83,9 @@
 
 // Look takes in the members of the group and who the owner is by the newest claim.
 func (e *Election) Look(now unit.Instant, members []Member, owner id.Host) {
+	if now.Sub(e.looked) > fresh {
+		e.silence.agreed = 0 // this host may have been cut off itself
+	}
 	e.members, e.looked = members, now
 	e.lookForAbler(now)
 	if owner != "" && contains(members, owner) {
