--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -25,6 +25,7 @@
 //	claim TIME true|false        checks whether the host claims
 //	standby true|false           checks whether it is among the first to claim
 //	heard TIME OWNER             the owner has answered a question of this host
+//	unanswered OWNER             a question of this host got no answer
 //	gone OWNER                   nobody listens at the owner's address
 //	misses TIME OWNER true|false    checks whether this host misses the owner
 //	witness TIME OWNER true|false   checks what it answers to another watcher
@@ -70,6 +71,8 @@
 	switch f[0] {
 	case "heard":
 		e.Heard(at(t, f[1]), id.Host(f[2]))
+	case "unanswered":
+		e.Unanswered(id.Host(f[1]))
 	case "gone":
 		e.Gone(id.Host(f[1]))
 	case "misses":
--- a/core/election/silence.go
+++ b/core/election/silence.go
@@ -19,6 +19,10 @@
 	// silentAfter is for how long the owner must have answered nothing for a host to miss it: two
 	// questions, which hosts ask every 120 ms, and some time for the second one's answer.
 	silentAfter = 250 * time.Millisecond
+	// fewestUnanswered is how many questions in a row must have gone unanswered as well. The first one
+	// may have gone on a link that has died without a sign; it is retired then, and the second one
+	// goes on a new link.
+	fewestUnanswered = 2
 	// witnessAfter is the same for a host that is asked by one that misses the owner. It may have
 	// asked a little later than that one.
 	witnessAfter = 150 * time.Millisecond
@@ -33,6 +37,8 @@
 	// owner is whom the rest is about; it has answered at least once, at heard last.
 	owner id.Host
 	heard unit.Instant
+	// unanswered counts the questions without an answer since then.
+	unanswered int
 	// gone is set while nobody listens at the owner's address, or another life of the host does.
 	gone bool
 	// agreed is since when most of the watchers miss the owner; 0 if they don't.
@@ -41,7 +47,10 @@
 
 // misses reports whether the owner has answered nothing for a time.
 func (s *silence) misses(now unit.Instant, owner id.Host, after time.Duration) bool {
-	return owner != "" && s.owner == owner && (s.gone || now.Sub(s.heard) >= after)
+	if owner == "" || s.owner != owner {
+		return false
+	}
+	return s.gone || s.unanswered >= fewestUnanswered && now.Sub(s.heard) >= after
 }
 
 // Watchers returns who asks the owner whether it lives: the first hosts in rank without itself.
@@ -63,6 +72,13 @@
 	e.silence = silence{owner: owner, heard: now}
 }
 
+// Unanswered notes that a question to the owner got no answer in time.
+func (e *Election) Unanswered(owner id.Host) {
+	if e.silence.owner == owner {
+		e.silence.unanswered++
+	}
+}
+
 // Gone notes that nobody listens at the owner's address, or another life of its host does.
 func (e *Election) Gone(owner id.Host) {
 	if e.silence.owner == owner {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -30,7 +30,9 @@
 	askSoon  = 40 * time.Millisecond
 	// askWait is how long the owner may take to answer. The longest way on the users' sites is a
 	// few milliseconds; an owner that is busy answers within some 50 ms.
-	askWait = 200 * time.Millisecond
+	askWait = 150 * time.Millisecond
+	// askAgainWait is the same for a question after one without an answer, which goes on a new link.
+	askAgainWait = 100 * time.Millisecond
 	// witnessWait is how long the other watchers may take. One that is dead too doesn't answer.
 	witnessWait = 100 * time.Millisecond
 	// watchLook is the pause of a host that doesn't watch, until it looks whether it is to.
@@ -89,24 +91,25 @@
 
 // watchOwner asks the owner whether it lives while this host is one of its watchers.
 func (h *Host) watchOwner(ctx context.Context) {
-	wait := watchLook
+	wait, limit := watchLook, askWait
 	for pause(ctx, wait) {
 		w := h.watched.Load()
 		if w == nil || h.stopping.Load() {
 			wait = watchLook
 			continue
 		}
-		wait = askEvery
-		if !h.askOwner(ctx, w) {
-			wait = askSoon
+		if h.askOwner(ctx, w, limit) {
+			wait, limit = askEvery, askWait
+		} else {
+			wait, limit = askSoon, askAgainWait
 		}
 	}
 }
 
 // askOwner asks the owner once, and the other watchers if it is missed. It reports whether the owner
-// has answered.
-func (h *Host) askOwner(ctx context.Context, w *watched) bool {
-	answer, err := h.askPeer(ctx, w.address, w.owner, askWait)
+// has answered within the limit.
+func (h *Host) askOwner(ctx context.Context, w *watched, limit time.Duration) bool {
+	answer, err := h.askPeer(ctx, w.address, w.owner, limit)
 	switch {
 	case err == nil && answer.Host == w.owner:
 		h.metrics.heard.Inc()
@@ -114,6 +117,8 @@
 		return true
 	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
 		h.post(ctx, func(unit.Instant) { h.election.Gone(w.owner) })
+	default:
+		h.post(ctx, func(unit.Instant) { h.election.Unanswered(w.owner) })
 	}
 	missed, ok := ask(ctx, h, func(now unit.Instant) bool { return h.election.Misses(now, w.owner) })
 	if !ok || !missed {
