--- a/cmd/curlewsilld/cmd/process_test.go
+++ b/cmd/curlewsilld/cmd/process_test.go
@@ -81,7 +81,7 @@
 	}
 	x := &process{cmd: exec.Command(os.Args[0], "--config", file)}
 	x.cmd.Env = append(os.Environ(), runMain+"=1")
-	out, err := x.cmd.StderrPipe()
+	out, err := x.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/curlewsilld/cmd/root.go
+++ b/cmd/curlewsilld/cmd/root.go
@@ -89,11 +89,12 @@
 // run serves until the first SIGTERM or SIGINT has led to a planned stop, or a second
 // one ends the process at once.
 func run(s settings.Settings) error {
-	log, err := logging.New(s.LogLevel, s.LogFormat)
+	stream, err := logging.NewStream(os.Stdout, s.LogLevel, logging.Format(s.LogFormat))
 	if err != nil {
 		return err
 	}
-	defer func() { _ = log.Sync() }()
+	defer stream.Flush()
+	log := stream.Logger
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d, err := daemon.New(ctx, s, log)
--- a/cmd/curlewsilld/cmd/site.go
+++ b/cmd/curlewsilld/cmd/site.go
@@ -47,7 +47,7 @@
 
 // runSite serves until a planned stop has ended. SIGHUP reads the settings again.
 func runSite(file string, s settings.Site) error {
-	log, err := logging.NewStream(os.Stdout, s.LogLevel)
+	log, err := logging.NewStream(os.Stdout, s.LogLevel, logging.JSON)
 	if err != nil {
 		return err
 	}
--- a/internal/logging/stream.go
+++ b/internal/logging/stream.go
@@ -1,3 +1,4 @@
+// Package logging makes the process's own log.
 package logging
 
 import (
@@ -37,16 +38,33 @@
 	taken, written atomic.Uint64
 }
 
-// NewStream returns a logger of JSON lines to out.
-func NewStream(out io.Writer, level string) (*Stream, error) {
+// Format is how a line is written.
+type Format string
+
+// The formats. Console is for people.
+const (
+	JSON    Format = "json"
+	Console Format = "console"
+)
+
+// encoder returns what writes lines in the format.
+func (f Format) encoder() zapcore.Encoder {
+	c := zap.NewProductionEncoderConfig()
+	c.EncodeTime = zapcore.ISO8601TimeEncoder
+	if f == Console {
+		return zapcore.NewConsoleEncoder(c)
+	}
+	return zapcore.NewJSONEncoder(c)
+}
+
+// NewStream returns a logger of lines to out. Level is debug, info, warn or error.
+func NewStream(out io.Writer, level string, format Format) (*Stream, error) {
 	l, err := zapcore.ParseLevel(level)
 	if err != nil {
 		return nil, fmt.Errorf("logging: %w", err)
 	}
 	s := &Stream{lines: ring.New[[]byte](streamLines)}
-	enc := zap.NewProductionEncoderConfig()
-	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), s, l)
+	core := zapcore.NewCore(format.encoder(), s, l)
 	s.Logger = zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen))
 	go s.copy(out)
 	return s, nil
--- a/internal/logging/stream_test.go
+++ b/internal/logging/stream_test.go
@@ -34,9 +34,15 @@
 // TestStuckReader logs more than fits while nobody reads: no call waits, and the lines
 // that were lost are told once somebody reads again.
 func TestStuckReader(t *testing.T) {
+	for _, f := range []logging.Format{logging.JSON, logging.Console} {
+		t.Run(string(f), func(t *testing.T) { stuckReader(t, f) })
+	}
+}
+
+func stuckReader(t *testing.T, f logging.Format) {
 	const lines = 20000
 	out := &stuck{free: make(chan struct{})}
-	log, err := logging.NewStream(out, "info")
+	log, err := logging.NewStream(out, "info", f)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -53,7 +59,7 @@
 
 // TestLevel refuses a level that there isn't.
 func TestLevel(t *testing.T) {
-	if _, err := logging.NewStream(&stuck{}, "loud"); err == nil {
+	if _, err := logging.NewStream(&stuck{}, "loud", logging.JSON); err == nil {
 		t.Error("the level was taken")
 	}
 }
