--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -54,7 +54,10 @@
 	c.possible = c.step.notRefused(p.with(c.step.step.Label))
 	fits := c.elsewhere(now, c.step.permitted(now, c.possible))
 	if d.heldBack(now, c, p, fits) {
-		return false
+		if !d.idle(now, c, p, fits) {
+			return false
+		}
+		c.waiting = c.waiting[:1]
 	}
 	if d.useClaim(now, c, fits) || d.tryPlace(now, c, p, fits) {
 		return true
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -79,6 +79,14 @@
 	return !d.mayOpen(now, c, p, fits)
 }
 
+// idle reports whether a job that is held back has to start a task all the same: nothing of it has
+// run for a while, though under half of the service's capacity is in use and there is room for two.
+// The platform counts a job as lost that waits 3 s then.
+func (d *Dispatcher) idle(now unit.Instant, c candidate, p *pool, fits []*worker) bool {
+	s := c.step
+	return !s.job.busy() && s.waitedFor(now, roomyWait) && p.usage < farUsage && s.roomFor(fits, 2)
+}
+
 // inUse leaves out the empty workers.
 func inUse(workers []*worker) []*worker {
 	out := workers[:0:0]
