--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -51,7 +51,8 @@
 	again, errAgain := p.askOnce(ctx, choose, c)
 	p.log.Info("peer-call-again", zap.String("path", c.Path), zap.Int("status", again.Status), zap.Error(errAgain))
 	if errAgain != nil || again.Status == http.StatusServiceUnavailable || again.Status == http.StatusTooManyRequests {
-		return result{}, err
+		// What the second try's error says of the call's effect doesn't hold for the first.
+		return result{}, fmt.Errorf("%w; once more: status %d, %v", err, again.Status, errAgain)
 	}
 	return again, nil
 }
--- a/internal/wslink/conn.go
+++ b/internal/wslink/conn.go
@@ -171,10 +171,11 @@
 	for {
 		wait := c.untilPing()
 		if wait <= 0 {
-			if err := c.check(); err != nil {
+			if err := c.Ping(context.Background()); err != nil {
 				c.finish(err)
 				return
 			}
+			c.doubtful.Store(false)
 			continue
 		}
 		left := c.untilIdle()
@@ -208,18 +209,3 @@
 	}
 	return c.policy.Idle - c.used.ago()
 }
-
-// check pings the peer. A ping that ended far too late says nothing: this process itself stood
-// still, and what came meanwhile has not been read.
-func (c *Conn) check() error {
-	began := time.Now()
-	err := c.Ping(context.Background())
-	switch {
-	case err == nil:
-		c.doubtful.Store(false)
-		return nil
-	case errors.Is(err, ErrSilent) && time.Since(began) > 2*c.policy.Answer:
-		return nil
-	}
-	return err
-}
