--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 		return p.by(req, w)
 	}
 	directFirst, usePeers := p.firstWay()
+	var arriving atomic.Bool
+	req = req.WithContext(WithArrival(req.Context(), func() { arriving.Store(true) }))
 	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: usePeers, spareDirect: !directFirst}
 	r.begin(directFirst)
 	timer := time.NewTimer(r.wait + hedgeAfter)
@@ -50,7 +53,9 @@
 	for {
 		select {
 		case <-timer.C:
-			r.beginSpare()
+			if !arriving.Load() { // a second copy would share a slow link with the first
+				r.beginSpare()
+			}
 		case o := <-r.out:
 			r.under--
 			p.learn(o)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"sync"
 	"time"
@@ -177,7 +178,7 @@
 
 // Make makes a call on the direct path and reads its answer whole.
 func (p *Path) Make(ctx context.Context, method, path, kind string, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, p.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(traced(ctx), method, p.base+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
@@ -216,6 +217,31 @@
 	}
 }
 
+// arrivalKey carries what is to be called when an answer begins to arrive.
+type arrivalKey struct{}
+
+// WithArrival notes in ctx what is to be called when the answer to a call on the direct way begins to
+// arrive.
+func WithArrival(ctx context.Context, arrives func()) context.Context {
+	if outer, ok := ctx.Value(arrivalKey{}).(func()); ok {
+		inner := arrives
+		arrives = func() {
+			inner()
+			outer()
+		}
+	}
+	return context.WithValue(ctx, arrivalKey{}, arrives)
+}
+
+// traced lets what WithArrival has noted be called.
+func traced(ctx context.Context) context.Context {
+	arrives, ok := ctx.Value(arrivalKey{}).(func())
+	if !ok {
+		return ctx
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: arrives})
+}
+
 // waitKey carries how long a call may wait at its other end.
 type waitKey struct{}
 
