--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -54,6 +54,9 @@
 	h.claiming = true
 	go func() {
 		read := h.catchUp(ctx)
+		if !read {
+			pause(ctx, retryLeast+rand.N(retryLeast)) // a store that refuses at once would be asked on every pass
+		}
 		h.post(ctx, func(now unit.Instant) {
 			if !read || !h.mayClaim(now) {
 				h.claiming = false
--- a/internal/entry/claim_internal_test.go
+++ b/internal/entry/claim_internal_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -53,6 +54,34 @@
 	}
 }
 
+// TestClaimsPause checks that a host that is due to claim doesn't call a store that refuses again and
+// again without a pause.
+//
+// Symptom: hundreds of calls to a store that turns one host away. Sequence: the host is due to claim,
+// its read is refused at once, and the next pass, 5 ms later, begins anew. Cause: nothing paused after
+// a read that failed. Figures: 642 such reads in a day of 34 s with 8 hosts, 7,554 calls in all.
+func TestClaimsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &storeAnswer{status: http.StatusServiceUnavailable}
+		h := &Host{
+			log: zap.NewNop(), metrics: newMetrics(), self: "a#1", table: jobtable.New(), events: ring.New[event](events), start: time.Now(),
+			store: platform.NewStore("store", &http.Client{Transport: store}), loaded: true,
+			election: election.New(election.Member{Host: "a#1", Ability: 100}),
+		}
+		h.election.Look(h.now(), []election.Member{{Host: "a#1", Ability: 100}}, "gone#1")
+		h.election.Look(h.now(), []election.Member{{Host: "a#1", Ability: 100}}, "gone#1")
+		go h.decide(ctx)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if got, most := store.tries(), int(time.Second/retryLeast); got > most || got < 2 {
+			t.Errorf("%d reads within 1s, want 2 to %d", got, most)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // TestYield checks that an owner that hands over to an abler host doesn't claim again while the
 // store hasn't answered, though nobody owns the scheduling then.
 func TestYield(t *testing.T) {
