--- a/internal/relay/race_internal_test.go
+++ b/internal/relay/race_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -35,7 +36,9 @@
 		{2 * hedgeAfter, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
-			p := New("http://store", RouteStore, &http.Client{Transport: slowBody{c.begins}}, zap.NewNop())
+			links := NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
+			defer links.Close()
+			p := New("http://store", RouteStore, &http.Client{Transport: slowBody{c.begins}}, links, zap.NewNop())
 			p.SetPeers([]Peer{{Address: "no address"}})
 			req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://store/x", nil)
 			if err != nil {
