--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -16,16 +16,16 @@
 			scale := float64(workers) / 350
 			for range 8 {
 				w.arrive(scale)
-				w.run(time.Second)
+				w.Run(time.Second)
 			}
-			before := w.starts
+			before := w.Tally().Starts
 			b.ReportAllocs()
 			b.ResetTimer()
 			for range b.N {
 				w.arrive(scale)
-				w.run(time.Second)
+				w.Run(time.Second)
 			}
-			b.ReportMetric(float64(w.starts-before)/float64(b.N), "starts/op")
+			b.ReportMetric(float64(w.Tally().Starts-before)/float64(b.N), "starts/op")
 		})
 	}
 }
@@ -38,20 +38,21 @@
 		for _, waiting := range []int{0, 1000, 10000} {
 			b.Run(fmt.Sprintf("workers=%d/waiting=%d", workers, waiting), func(b *testing.B) {
 				w := newWorld(b, workers, 0)
-				w.run(time.Second)
+				w.Run(time.Second)
 				for range workers {
 					w.submit(1, 1, 8, time.Hour)
 				}
-				w.run(time.Second)
+				w.Run(time.Second)
 				for range waiting / 40 {
 					w.submit(2, 40, 1, time.Hour)
 				}
-				w.run(100 * time.Millisecond)
+				w.Run(100 * time.Millisecond)
 				b.ReportAllocs()
 				b.ResetTimer()
+				now, d := w.Now(), w.Dispatcher()
 				for range b.N {
-					w.now = w.now.Add(worldStep)
-					w.d.Pass(w.now, w.now)
+					now = now.Add(worldStep)
+					d.Pass(now, now)
 				}
 			})
 		}
--- /dev/null
+++ b/core/world/check_internal_test.go
@@ -0,0 +1,147 @@
+package world
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+)
+
+// TestChecks gives orders that no right owner gives, and each must be found. A case in
+// testdata/checks.txt begins with its name in brackets:
+//
+//	job [count=N] [attempts=N] [gang] [twosteps] [fails]    the job, whose tasks take 1 s and a whole worker
+//	start WORKER STEP INDEX RUN       an order that leaves at once
+//	told WORKER                       the owner takes note of all ends of a worker
+//	run D
+//	shown STATE                       the job is shown with an outcome
+//	want TEXT                         a violation with that text was found, and no other; "nothing" for none
+func TestChecks(t *testing.T) {
+	data, err := os.ReadFile("testdata/checks.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range strings.Split("\n"+string(data), "\n[")[1:] {
+		name, text, _ := strings.Cut(c, "]\n")
+		t.Run(name, func(t *testing.T) {
+			p := newChecked(t)
+			for _, l := range strings.Split(text, "\n") {
+				if l = strings.TrimSpace(l); l != "" {
+					p.do(strings.Fields(l))
+				}
+			}
+		})
+	}
+}
+
+// checked is a world that is given orders by hand.
+type checked struct {
+	t *testing.T
+	w *World
+	s *submitted
+}
+
+func newChecked(t *testing.T) *checked {
+	s := Setup{
+		Make: func(e id.Epoch, table *jobtable.Table) *dispatch.Dispatcher {
+			return dispatch.New(dispatch.Config{MaxLease: time.Hour}, e, table)
+		},
+		Hosts: []Host{{ID: "h", Cores: 1}},
+		Times: Times{Whole: 3 * time.Second, IdleEvery: time.Hour},
+	}
+	for _, name := range []id.Worker{"w0", "w1", "w2"} {
+		s.Workers = append(s.Workers, Worker{ID: name, Speed: 1, Capacity: job.Resources{Accelerators: 8}})
+	}
+	w, err := New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.owner.end() // it would stop what it hasn't ordered
+	return &checked{t: t, w: w}
+}
+
+// do carries out one line.
+func (c *checked) do(f []string) {
+	switch f[0] {
+	case "job":
+		c.addJob(f)
+	case "start":
+		m := c.w.byLife[id.Worker(f[1])]
+		task := job.Task{Job: "j", Step: c.number(f[2]), Index: c.number(f[3])}
+		m.start(dispatch.Start{Task: task, Run: job.Run(c.number(f[4])), Until: fleet.Clock(time.Hour)})
+	case "told":
+		m := c.w.byLife[id.Worker(f[1])]
+		m.renew(dispatch.Renew{Told: m.seq, Until: fleet.Clock(time.Hour)}, func(fleet.Report) {})
+	case "run":
+		d, err := time.ParseDuration(f[1])
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.w.Run(d)
+	case "shown":
+		c.w.finish(c.s, State(f[1]))
+	case "want":
+		c.want(strings.Join(f[1:], " "))
+	default:
+		c.t.Fatalf("unknown command %q", f[0])
+	}
+}
+
+// want compares what was found.
+func (c *checked) want(text string) {
+	got := c.w.Violations()
+	if text == "nothing" && len(got) == 0 {
+		return
+	}
+	if len(got) != 1 || !strings.Contains(got[0], text) {
+		c.t.Errorf("got %q, want %q", got, text)
+	}
+}
+
+// addJob makes the job known to the workers, but not to the owner.
+func (c *checked) addJob(f []string) {
+	step := job.Step{Count: 1, Need: job.Resources{Accelerators: 8}}
+	spec := job.Spec{MaxAttempts: 3}
+	fails, steps := 0.0, 1
+	for _, x := range f[1:] {
+		key, v, _ := strings.Cut(x, "=")
+		switch key {
+		case "count":
+			step.Count = c.number(v)
+		case "attempts":
+			spec.MaxAttempts = c.number(v)
+		case "gang":
+			step.Gang = true
+		case "fails":
+			fails = 1
+		case "twosteps":
+			steps = 2
+		}
+	}
+	for i := range steps {
+		if i > 0 {
+			step.DependsOn = []int{0}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	c.s = &submitted{Job: Job{Name: "j", Spec: spec, FailShare: fails}, at: c.w.now, state: Open, ledger: map[job.Task]*taskLedger{}}
+	for range spec.Width() {
+		c.s.Takes = append(c.s.Takes, time.Second)
+	}
+	c.w.jobs["j"] = c.s
+}
+
+func (c *checked) number(s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return n
+}
--- /dev/null
+++ b/core/world/fault.go
@@ -0,0 +1,130 @@
+package world
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// ErrFault reports a fault of an unknown kind.
+var ErrFault = errors.New("world: no such fault")
+
+// FaultKind says what goes wrong.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	// Kill ends workers at once; they are back as another life after Lasts.
+	Kill FaultKind = "kill"
+	// Silence cuts workers off; what runs there goes on until its lease ends.
+	Silence FaultKind = "silence"
+	// Drain announces that workers leave after Lasts; they are back as long after that again.
+	Drain FaultKind = "drain"
+	// Fail lets all fail that workers start.
+	Fail FaultKind = "fail"
+	// Slow makes what workers begin slower by Factor.
+	Slow FaultKind = "slow"
+	// Late lets a part of the orders get no answer; each is carried out Factor seconds later.
+	Late FaultKind = "late"
+	// StoreDown takes the store away.
+	StoreDown FaultKind = "store-down"
+	// StoreSlow makes appends slower by Factor.
+	StoreSlow FaultKind = "store-slow"
+	// KillOwner ends the owner's host, KillHosts a part of all; they are back after Lasts.
+	KillOwner FaultKind = "kill-owner"
+	KillHosts FaultKind = "kill-hosts"
+)
+
+// FaultKinds returns all kinds.
+func FaultKinds() []FaultKind {
+	return []FaultKind{Kill, Silence, Drain, Fail, Slow, Late, StoreDown, StoreSlow, KillOwner, KillHosts}
+}
+
+// Fault is something that goes wrong.
+type Fault struct {
+	Kind FaultKind
+	// Share is the part of the workers, hosts or orders that it concerns, from 0 to 1.
+	Share float64
+	Lasts time.Duration
+	// Factor is for Slow, Late and StoreSlow.
+	Factor float64
+}
+
+// lateOrders says which orders are late.
+type lateOrders struct {
+	until unit.Instant
+	share float64
+	by    time.Duration
+	// sent numbers the orders.
+	sent int
+}
+
+// delay returns by how much an order is late; 0 if it isn't.
+func (l *lateOrders) delay(w *World, t dispatch.Target) time.Duration {
+	if w.now >= l.until {
+		return 0
+	}
+	l.sent++
+	if w.chance("late", t.Worker, l.sent) >= l.share {
+		return 0
+	}
+	return l.by
+}
+
+// Strike lets a fault begin now.
+func (w *World) Strike(f Fault) error {
+	until := w.now.Add(f.Lasts)
+	switch f.Kind {
+	case Kill:
+		w.each(f, func(m *machine) { m.die(f.Lasts) })
+	case Silence:
+		w.each(f, func(m *machine) { m.silentUntil = until })
+	case Drain:
+		w.each(f, func(m *machine) { m.drain(f.Lasts, f.Lasts) })
+	case Fail:
+		w.each(f, func(m *machine) { m.failsUntil = until })
+	case Slow:
+		w.each(f, func(m *machine) { m.slowUntil, m.slowBy = until, max(1, f.Factor) })
+	case Late:
+		w.late = lateOrders{until: until, share: f.Share, by: stretch(time.Second, f.Factor)}
+	case StoreDown:
+		w.store.up = max(w.store.up, until)
+	case StoreSlow:
+		w.store.slow = max(1, f.Factor)
+		w.Plan(f.Lasts, func() { w.store.slow = 1 })
+	case KillOwner:
+		if w.owner != nil {
+			w.owner.host.kill(f.Lasts)
+		}
+	case KillHosts:
+		for _, i := range w.chosen(f, len(w.hosts)) {
+			w.hosts[i].kill(f.Lasts)
+		}
+	default:
+		return fmt.Errorf("%w: %q", ErrFault, f.Kind)
+	}
+	return nil
+}
+
+// each does something to the workers that a fault concerns.
+func (w *World) each(f Fault, do func(*machine)) {
+	for _, i := range w.chosen(f, len(w.machines)) {
+		do(w.machines[i])
+	}
+}
+
+// chosen returns which of n a fault concerns, in order; they depend on the seed, the kind and the
+// time alone.
+func (w *World) chosen(f Fault, n int) []int {
+	some := min(n, int(math.Round(f.Share*float64(n))))
+	stream := uint64(w.chance("fault", f.Kind, w.now) * math.MaxUint32)
+	out := rand.New(rand.NewPCG(w.setup.Seed, stream)).Perm(n)[:some]
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/core/world/gang.go
@@ -0,0 +1,101 @@
+package world
+
+import (
+	"fmt"
+	"time"
+
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+)
+
+// gangKey names one step of a round of a job.
+type gangKey struct {
+	job         id.Job
+	round, step int
+}
+
+// gang is one run of a step whose tasks run all together or not at all.
+type gang struct {
+	number  job.Run
+	members []*run
+	// whole is set once all members are there; spoilt once one of them has gone.
+	whole, spoilt bool
+}
+
+// join takes a run into its gang, and lets the gang work once it is whole.
+func (w *World) join(r *run) {
+	key := gangKey{job: r.task.Job, round: r.task.Round, step: r.task.Step}
+	g := w.gangs[key]
+	if g == nil || g.number != r.number {
+		if g != nil && g.live() > 0 {
+			w.violated(fmt.Sprintf("%s: run %d begins while members of run %d are there", r.task, r.number, g.number))
+		}
+		g = &gang{number: r.number}
+		w.gangs[key] = g
+	}
+	r.gang = g
+	g.members = append(g.members, r)
+	if !g.spoilt && len(g.members) == r.step.Count {
+		g.open(w)
+		return
+	}
+	w.Plan(w.setup.Times.Whole, func() {
+		if !r.gone && !g.whole {
+			r.finish(fleet.EndAlone)
+		}
+	})
+}
+
+// live returns how many members are there.
+func (g *gang) live() int {
+	n := 0
+	for _, r := range g.members {
+		if !r.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// open lets all members work. The slowest decides when they end.
+func (g *gang) open(w *World) {
+	g.whole = true
+	var longest time.Duration
+	for _, r := range g.members {
+		r.work(w.now)
+		longest = max(longest, r.left())
+	}
+	for _, r := range g.members {
+		if !r.step.LongRunning {
+			r.plan(longest)
+		}
+	}
+}
+
+// done ends all members with success. The first of them that comes to its end stands for all,
+// because they end at the same time unless one has failed before.
+func (g *gang) done() {
+	for _, r := range g.members {
+		if !r.gone {
+			r.finish(fleet.EndDone)
+		}
+	}
+}
+
+// breaks ends the other members of a gang of which one has gone. Before it was whole, they go
+// on to wait.
+func (g *gang) breaks() {
+	if g.spoilt {
+		return
+	}
+	g.spoilt = true
+	if !g.whole {
+		return
+	}
+	for _, r := range g.members {
+		if !r.gone {
+			r.finish(fleet.EndBroken)
+		}
+	}
+}
--- /dev/null
+++ b/core/world/long_test.go
@@ -0,0 +1,101 @@
+package world_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/world"
+)
+
+var (
+	longSeconds = flag.Int("seconds", 60, "seconds of virtual time of each seed of the long run, faults not counted in")
+	longSeed    = flag.Uint64("seed", 1, "first seed of the long run")
+	longSeeds   = flag.Uint64("seeds", 4, "how many seeds the long run plays")
+)
+
+// TestLong plays random jobs and faults and checks what must hold whatever happens, and that every
+// job has its outcome once the faults have ended. A longer run:
+//
+//	go test ./core/world -run Long -args -seconds 36000 -seed 7 -seeds 1
+func TestLong(t *testing.T) {
+	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := playLong(t, seed, time.Duration(*longSeconds)*time.Second)
+			for _, v := range w.Violations() {
+				t.Error(v)
+			}
+			for _, o := range w.Outcomes() {
+				if o.State == world.Open {
+					t.Errorf("job %s of %s is %s", o.Name, o.At, o.State)
+				}
+			}
+			t.Logf("%+v, %d workers suspended, %d jobs", w.Tally(), w.Decided(dispatch.EventWorkerSuspended), len(w.Outcomes()))
+		})
+	}
+}
+
+// playLong plays a site of 24 workers and 5 hosts for a time, and then without faults until all
+// should have ended.
+func playLong(t *testing.T, seed uint64, length time.Duration) *world.World {
+	random := rand.New(rand.NewPCG(seed, 0))
+	s := setup(24, 5, 0.2+random.Float64())
+	s.Seed, s.Times.Drift = seed, 0.02
+	s.Costs = world.Costs{Pass: 50 * time.Microsecond, Event: 20 * time.Microsecond, Order: 200 * time.Microsecond}
+	for i := range s.Workers {
+		s.Workers[i].Speed = 0.7 + 0.6*random.Float64()
+	}
+	w, err := world.New(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Run(time.Second)
+	for n, end := 0, w.Now().Add(length); w.Now() < end; n++ {
+		if err := w.Submit(newJob(fmt.Sprintf("j%06d", n), randomJob(random))); err != nil {
+			t.Fatal(err)
+		}
+		if random.IntN(12) == 0 {
+			if err := w.Strike(randomFault(random)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.Run(time.Duration(random.ExpFloat64() * float64(700*time.Millisecond)))
+	}
+	w.Run(5 * time.Minute)
+	return w
+}
+
+// randomJob returns the words of a random job.
+func randomJob(random *rand.Rand) words {
+	takes := time.Duration(50+random.IntN(6000)) * time.Millisecond
+	o := words{
+		fmt.Sprintf("count=%d", 1+random.IntN(12)), fmt.Sprintf("gpus=%d", 1<<random.IntN(4)), "takes=" + takes.String(),
+		"estimate=" + (takes / time.Duration(1+random.IntN(3))).String(), fmt.Sprintf("priority=%d", random.IntN(3)), "attempts=4",
+	}
+	for _, x := range []struct {
+		word string
+		one  int
+	}{{"gang", 3}, {"saves", 2}, {"twosteps", 5}, {"fails=0.05", 3}, {"cancel=1.5s", 15}} {
+		if random.IntN(x.one) == 0 {
+			o = append(o, x.word)
+		}
+	}
+	if random.IntN(30) == 0 {
+		o = slices.Insert(o, 0, "fails=1")
+	}
+	return o
+}
+
+// randomFault returns a random fault. All faults end.
+func randomFault(random *rand.Rand) world.Fault {
+	kinds := world.FaultKinds()
+	return world.Fault{
+		Kind: kinds[random.IntN(len(kinds))], Share: 0.05 + 0.4*random.Float64(),
+		Lasts: time.Duration(500+random.IntN(20000)) * time.Millisecond, Factor: 1 + 20*random.Float64()*random.Float64(),
+	}
+}
--- /dev/null
+++ b/core/world/machine.go
@@ -0,0 +1,278 @@
+package world
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// clockLead is what a worker's clock shows when the world begins: it must not be 0.
+const clockLead = 100 * time.Second
+
+// machine is one worker of the site through all its lives.
+type machine struct {
+	Worker
+	world *World
+	// life counts its starts; name is the id of the present life.
+	life int
+	name id.Worker
+	up   bool
+	// runs holds what runs, in the order of its starts.
+	runs []*run
+	used job.Resources
+	// ends holds the ends that the owner has not taken note of.
+	ends    []end
+	seq     uint64
+	highest map[job.Task]job.Run
+	// rate is how fast its clock is, by ours.
+	rate  float64
+	until fleet.Clock
+	epoch id.Epoch
+	// held answers the renewal that waits for an end; nil if none does.
+	held func()
+	// silentUntil is until when it hears and says nothing, failsUntil until when all that it
+	// starts fails, slowUntil until when it works slowBy times slower.
+	silentUntil, failsUntil, slowUntil unit.Instant
+	slowBy                             float64
+}
+
+// end is one end that a worker lists.
+type end struct {
+	fleet.End
+	job *submitted
+	at  unit.Instant
+	// lapsed is set once the worker's lease has run out since: the owner may have given the
+	// run up, and taking note of its end comes too late to bind it.
+	lapsed bool
+}
+
+// addMachine adds a worker, which is up and idle.
+func (w *World) addMachine(i int, x Worker) {
+	m := &machine{Worker: x, world: w, rate: 1 - w.setup.Times.Drift*w.chance("clock", i)}
+	w.machines = append(w.machines, m)
+	m.begin()
+	w.listed = append(w.listed, m.listing())
+}
+
+// begin starts a life of the worker.
+func (m *machine) begin() {
+	m.life++
+	m.name = m.ID
+	if m.life > 1 {
+		m.name = id.Worker(fmt.Sprintf("%s.%d", m.ID, m.life))
+	}
+	m.up, m.epoch, m.until = true, 0, 0
+	m.ends, m.seq, m.highest = nil, 0, map[job.Task]job.Run{}
+	m.world.byLife[m.name] = m
+}
+
+// listing is the worker's entry in the platform's list.
+func (m *machine) listing() fleet.Listing {
+	return fleet.Listing{
+		ID: m.name, Machine: id.Machine(m.ID), Address: string(m.ID), Service: m.Service, Domain: m.Domain, Rack: m.Rack,
+		Labels: []string{string(m.Rack)}, Capacity: m.Capacity, Clock: m.clock(),
+	}
+}
+
+// carries reports whether the worker has a label; every worker has the empty one.
+func (m *machine) carries(label string) bool { return label == "" || label == string(m.Rack) }
+
+// list changes the platform's list, of which the owner hears later.
+func (w *World) list(l fleet.Listing) {
+	at := slices.IndexFunc(w.listed, func(o fleet.Listing) bool { return o.ID == l.ID })
+	if at >= 0 {
+		w.listed[at] = l
+	} else {
+		w.listed = append(w.listed, l)
+	}
+	w.Plan(w.setup.Times.Listing, func() {
+		if w.owner != nil {
+			w.owner.take(func(o *owner) { o.core.List(w.now, l) })
+		}
+	})
+}
+
+// unlist drops a life from the platform's list, of which the owner hears later.
+func (w *World) unlist(name id.Worker) {
+	w.listed = slices.DeleteFunc(w.listed, func(l fleet.Listing) bool { return l.ID == name })
+	w.Plan(w.setup.Times.Listing, func() {
+		if w.owner != nil {
+			w.owner.take(func(o *owner) { o.core.Unlist(w.now, name) })
+		}
+	})
+}
+
+// clock is what the worker's clock shows.
+func (m *machine) clock() fleet.Clock {
+	return fleet.Clock(stretch(m.world.now.Sub(Begin), m.rate) + clockLead)
+}
+
+// silent reports whether the worker hears and says nothing.
+func (m *machine) silent() bool { return m.world.now < m.silentUntil }
+
+// meet says what becomes of an order as far as the worker itself goes: Carried if it listens.
+func (m *machine) meet(t dispatch.Target) fleet.Verdict {
+	switch {
+	case !m.up:
+		return fleet.Unreachable
+	case m.name != t.Worker:
+		return fleet.Replaced
+	case t.Epoch < m.epoch:
+		return fleet.Fenced
+	}
+	m.epoch = t.Epoch
+	return fleet.Carried
+}
+
+// start begins a run.
+func (m *machine) start(o dispatch.Start) fleet.Verdict {
+	r := m.find(o.Task)
+	switch {
+	case o.Until <= m.clock():
+		return fleet.Expired
+	case r != nil && r.number == o.Run:
+		return fleet.Carried
+	case o.Run <= m.highest[o.Task]:
+		return fleet.Stale
+	}
+	w := m.world
+	s := w.jobs[o.Task.Job]
+	if s == nil {
+		w.violated(fmt.Sprintf("%s was started, which nobody handed in", o.Task))
+		return fleet.Invalid
+	}
+	need := s.Spec.Steps[o.Task.Step].Reserved()
+	if !need.Fits(m.Capacity.Sub(m.used)) {
+		w.violated(fmt.Sprintf("%s takes %s past its capacity", o.Task, m.name))
+		return fleet.NoRoom
+	}
+	w.checkStart(s, o)
+	m.highest[o.Task] = o.Run
+	m.lease(o.Until)
+	m.begins(s, o, need)
+	return fleet.Carried
+}
+
+// stop ends a run, or keeps one from starting.
+func (m *machine) stop(o dispatch.Stop) fleet.Verdict {
+	if r := m.find(o.Task); r != nil && r.number == o.Run {
+		r.finish(fleet.EndStopped)
+	}
+	m.highest[o.Task] = max(m.highest[o.Task], o.Run)
+	return fleet.Carried
+}
+
+// find returns the run of a task, or nil.
+func (m *machine) find(t job.Task) *run {
+	for _, r := range m.runs {
+		if r.task == t {
+			return r
+		}
+	}
+	return nil
+}
+
+// lease makes all that runs last until a time, and ends it then.
+func (m *machine) lease(until fleet.Clock) {
+	if until <= m.until {
+		return
+	}
+	m.until = until
+	life := m.life
+	m.world.Plan(stretch(time.Duration(until-m.clock()), 1/m.rate)+1, func() {
+		if m.until != until || m.life != life || !m.up {
+			return
+		}
+		for i := range m.ends {
+			m.ends[i].lapsed = true
+		}
+		m.endAll(fleet.EndLapsed)
+	})
+}
+
+// endAll ends all that runs.
+func (m *machine) endAll(how fleet.How) {
+	for len(m.runs) > 0 {
+		m.runs[0].finish(how)
+	}
+}
+
+// renew takes a renewal and answers it at an end, or after the time that it may wait.
+func (m *machine) renew(o dispatch.Renew, answer func(fleet.Report)) {
+	m.lease(o.Until)
+	for len(m.ends) > 0 && m.ends[0].Seq <= o.Told {
+		m.world.noted(m.ends[0])
+		m.ends = m.ends[1:]
+	}
+	life, answered := m.life, false
+	report := func() {
+		if answered || m.life != life || !m.up {
+			return
+		}
+		answered, m.held = true, nil
+		answer(m.report())
+	}
+	if o.Wait == 0 || len(m.ends) > 0 {
+		report()
+		return
+	}
+	m.held = report
+	m.world.Plan(o.Wait, report)
+}
+
+// report is what the worker says of itself.
+func (m *machine) report() fleet.Report {
+	rep := fleet.Report{Clock: m.clock()}
+	for _, r := range m.runs {
+		rep.Running = append(rep.Running, fleet.Running{Task: r.task, Run: r.number, Percent: r.percent(), Checkpoint: r.checkpoint()})
+	}
+	for _, e := range m.ends {
+		rep.Ended = append(rep.Ended, e.End)
+	}
+	return rep
+}
+
+// die ends the worker's life: what ran there is gone, and nobody says how. It comes back after
+// some time, or never if that is 0.
+func (m *machine) die(down time.Duration) {
+	if !m.up {
+		return
+	}
+	w := m.world
+	m.up = false
+	for len(m.runs) > 0 {
+		m.runs[0].vanish()
+	}
+	m.held = nil
+	old := m.name
+	w.Plan(w.setup.Times.MemberTTL, func() { w.unlist(old) })
+	if down > 0 {
+		w.Plan(down, func() {
+			m.begin()
+			w.list(m.listing())
+		})
+	}
+}
+
+// drain announces that the worker leaves, lets it leave then, and brings it back after a while, or
+// never if that is 0.
+func (m *machine) drain(remaining, back time.Duration) {
+	if !m.up {
+		return
+	}
+	l := m.listing()
+	l.Draining, l.Remaining = true, remaining
+	m.world.list(l)
+	life := m.life
+	m.world.Plan(remaining, func() {
+		if m.life == life {
+			m.die(back)
+		}
+	})
+}
--- /dev/null
+++ b/core/world/owner.go
@@ -0,0 +1,327 @@
+package world
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// owner is the host that schedules. Its processor does one duty after the other.
+type owner struct {
+	world *World
+	host  *host
+	epoch id.Epoch
+	core  *dispatch.Dispatcher
+	// ended is set once another host is the owner, or none.
+	ended bool
+	// duties wait for the processor, which is busy while one is under way.
+	duties []duty
+	busy   bool
+	// next is when the next pass may begin, planned when one is planned for; 0 for none.
+	next, planned unit.Instant
+	writing       bool
+}
+
+// duty is something that the processor does.
+type duty struct {
+	// begin does what is done with the state as it is then, and returns what it takes of a
+	// whole core; end does what follows. Either may be nil.
+	begin func() time.Duration
+	cost  time.Duration
+	end   func()
+	since unit.Instant
+}
+
+// takeOver makes a host the owner. It begins with what the store has.
+func (w *World) takeOver(h *host, epoch id.Epoch) {
+	if w.owner != nil {
+		w.owner.end()
+	}
+	o := &owner{world: w, host: h, epoch: epoch, core: w.setup.Make(epoch, w.table), next: w.now}
+	w.owner = o
+	h.election.Owned(w.now)
+	for _, g := range w.setup.Guarantees {
+		o.core.Guarantee(g.Customer, g.Accelerators)
+	}
+	for _, s := range w.order {
+		o.learn(s.Name)
+	}
+	for _, l := range w.listed {
+		o.core.List(w.now, l)
+	}
+	o.wake(0)
+}
+
+// end takes the ownership from the host: what its processor was to do isn't done.
+func (o *owner) end() {
+	o.ended, o.duties, o.host.lost = true, nil, o.epoch
+	if o.world.owner == o {
+		o.world.owner = nil
+	}
+}
+
+// learn takes in what the store says of a job.
+func (o *owner) learn(name id.Job) {
+	e := o.world.table.Get(name)
+	if e == nil || e.Spec == nil {
+		return
+	}
+	now := o.world.now
+	o.core.AddJob(now, name, e.Spec, e.Progress, e.Cancelled)
+	if e.Cancelled {
+		o.core.CancelJob(now, name)
+	}
+}
+
+// take takes in one event when the processor comes to it; a pass follows.
+func (o *owner) take(event func(*owner)) {
+	o.do(duty{cost: o.world.setup.Costs.Event, end: func() {
+		event(o)
+		o.wake(0)
+	}})
+}
+
+// do puts a duty into the queue of the processor.
+func (o *owner) do(d duty) {
+	if o.ended {
+		return
+	}
+	d.since = o.world.now
+	o.duties = append(o.duties, d)
+	if !o.busy {
+		o.step()
+	}
+}
+
+// step begins the next duty. Those that take no time are done at once, one after the other.
+func (o *owner) step() {
+	w := o.world
+	o.busy = true
+	for len(o.duties) > 0 && !o.ended {
+		d := o.duties[0]
+		o.duties = o.duties[1:]
+		w.tally.waited(w.now.Sub(d.since))
+		cost := d.cost
+		if d.begin != nil {
+			cost += d.begin()
+		}
+		w.tally.Owned += cost
+		if takes := stretch(cost, 1/o.host.Cores); takes > 0 {
+			w.Plan(takes, func() { o.finish(d) })
+			return
+		}
+		if d.end != nil {
+			d.end()
+		}
+	}
+	o.busy = false
+}
+
+// finish ends a duty that has taken time.
+func (o *owner) finish(d duty) {
+	if o.ended {
+		return
+	}
+	if d.end != nil {
+		d.end()
+	}
+	o.step()
+}
+
+// wake plans a pass after a time, but not before one is due.
+func (o *owner) wake(after time.Duration) {
+	w := o.world
+	at := max(w.now.Add(after), o.next)
+	if o.planned != 0 && o.planned <= at {
+		return
+	}
+	o.planned = at
+	w.agenda.Plan(at, func() {
+		if o.planned != at || o.ended {
+			return
+		}
+		o.planned = 0
+		o.pass()
+	})
+}
+
+// pass lets the processor decide what is due.
+func (o *owner) pass() {
+	w := o.world
+	var began unit.Instant
+	o.do(duty{
+		begin: func() time.Duration {
+			began = w.now
+			w.tally.Passes++
+			o.core.Pass(began, began)
+			return o.passCost()
+		},
+		end: func() {
+			o.next = max(began.Add(w.setup.Times.PassEvery), w.now.Add(stretch(w.now.Sub(began), w.setup.Times.PassShare)))
+			o.flush()
+			o.handOut()
+			o.notes()
+			o.wake(w.setup.Times.IdleEvery)
+		},
+	})
+}
+
+// passCost returns what a pass takes of a whole core.
+func (o *owner) passCost() time.Duration {
+	w, c := o.world, o.world.setup.Costs
+	if c.Pass == 0 && c.Worker == 0 && c.Task == 0 {
+		return 0
+	}
+	return c.Pass + c.Worker*time.Duration(len(w.machines)) + c.Task*time.Duration(w.openTasks())
+}
+
+// notes counts what was decided. An owner that a worker has fenced gives up.
+func (o *owner) notes() {
+	w := o.world
+	for _, n := range o.core.Notes() {
+		w.events[n.Event]++
+		if n.Event == dispatch.EventViolated {
+			w.violated("the owner found: " + n.Why)
+		}
+	}
+	if o.core.Fenced() {
+		o.end()
+	}
+}
+
+// flush writes what has to be in the store.
+func (o *owner) flush() {
+	w := o.world
+	if o.writing || o.ended {
+		return
+	}
+	b, some, err := o.core.Flush()
+	if err != nil {
+		w.violated("no records: " + err.Error())
+		return
+	}
+	if !some {
+		return
+	}
+	if len(b.Records) == 0 {
+		o.core.Committed(w.now, b)
+		return
+	}
+	o.writing = true
+	w.store.append(o.epoch, b.Records, func(taken bool) {
+		if !taken {
+			o.end()
+			return
+		}
+		o.take(func(*owner) {
+			o.writing = false
+			o.core.Committed(w.now, b)
+			o.handOut()
+			o.flush()
+		})
+	})
+}
+
+// handOut sends what was decided.
+func (o *owner) handOut() {
+	orders := o.core.Take()
+	for _, x := range orders.Starts {
+		o.order(x.Target, func(m *machine) fleet.Verdict { return m.start(x) }, func(v fleet.Verdict, c fleet.Clock) {
+			o.core.Started(o.world.now, dispatch.StartResult{Start: x, Verdict: v, Clock: c})
+		})
+	}
+	for _, x := range orders.Stops {
+		o.order(x.Target, func(m *machine) fleet.Verdict { return m.stop(x) }, func(v fleet.Verdict, c fleet.Clock) {
+			o.core.Stopped(o.world.now, dispatch.StopResult{Stop: x, Verdict: v, Clock: c})
+		})
+	}
+	for _, x := range orders.Paces {
+		o.order(x.Target, func(*machine) fleet.Verdict { return fleet.Carried }, func(v fleet.Verdict, c fleet.Clock) {
+			o.core.Paced(o.world.now, dispatch.PaceResult{Pace: x, Verdict: v, Clock: c})
+		})
+	}
+	for _, x := range orders.Renews {
+		o.send(func() { o.renew(x) })
+	}
+}
+
+// send lets an order leave when the processor and the link have come to it.
+func (o *owner) send(leave func()) {
+	w := o.world
+	o.do(duty{cost: w.setup.Costs.Order, end: func() {
+		w.link = max(w.link, w.now).Add(w.setup.Times.Gap)
+		w.agenda.Plan(w.link, leave)
+	}})
+}
+
+// order carries one order out and takes its answer in. One that comes too late is lost.
+func (o *owner) order(t dispatch.Target, carry func(*machine) fleet.Verdict, answered func(fleet.Verdict, fleet.Clock)) {
+	w := o.world
+	half := w.setup.Times.Trip / 2
+	decided := w.now
+	o.send(func() {
+		m := w.byLife[t.Worker]
+		answer := func(v fleet.Verdict, after time.Duration) {
+			w.Plan(after, func() { o.take(func(*owner) { answered(v, m.clock()) }) })
+		}
+		give := func() {
+			v := m.meet(t)
+			if v == fleet.Carried {
+				v = carry(m)
+			}
+			late := w.now.Add(half).Sub(decided) > w.setup.Times.Timeout
+			if m.silent() || late {
+				answer(fleet.Unknown, half)
+				return
+			}
+			answer(v, half)
+		}
+		switch by := w.late.delay(w, t); {
+		case m.silent():
+			answer(fleet.Unknown, w.setup.Times.Timeout)
+		case by > 0:
+			answer(fleet.Unknown, w.setup.Times.Timeout)
+			w.Plan(by, func() {
+				if m.meet(t) == fleet.Carried {
+					carry(m)
+				}
+			})
+		default:
+			w.Plan(half, give)
+		}
+	})
+}
+
+// renew carries one renewal out.
+func (o *owner) renew(x dispatch.Renew) {
+	w := o.world
+	m := w.byLife[x.Worker]
+	sent, half := w.now, w.setup.Times.Trip/2
+	answer := func(v fleet.Verdict, rep fleet.Report, after time.Duration) {
+		w.Plan(after, func() {
+			o.take(func(*owner) {
+				o.core.Renewed(w.now, dispatch.RenewResult{Renew: x, Sent: sent, Verdict: v, Report: rep})
+			})
+		})
+	}
+	if m.silent() {
+		answer(fleet.Unknown, fleet.Report{}, x.Wait+w.setup.Times.Timeout)
+		return
+	}
+	w.Plan(half, func() {
+		if v := m.meet(x.Target); v != fleet.Carried {
+			answer(v, fleet.Report{Clock: m.clock()}, half)
+			return
+		}
+		m.renew(x, func(rep fleet.Report) {
+			if m.silent() {
+				answer(fleet.Unknown, fleet.Report{}, w.setup.Times.Timeout)
+				return
+			}
+			answer(fleet.Carried, rep, half)
+		})
+	})
+}
--- /dev/null
+++ b/core/world/run.go
@@ -0,0 +1,192 @@
+package world
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// failsAtOnce is after which time a run fails on a worker that fails all it starts.
+const failsAtOnce = 50 * time.Millisecond
+
+// run is one run on a worker.
+type run struct {
+	machine *machine
+	job     *submitted
+	step    *job.Step
+	task    job.Task
+	number  job.Run
+	need    job.Resources
+	// gang is nil for a task that is no member of one.
+	gang *gang
+	// saved is the work that an earlier run had saved, whole the work of the task, both as time
+	// on a worker of speed 1.
+	saved, whole time.Duration
+	// speed is how much of that is done in a second, from when the run began to work.
+	speed float64
+	// began is when it began to work; 0 while its gang isn't whole.
+	began unit.Instant
+	gone  bool
+}
+
+// begins takes a run into the worker.
+func (m *machine) begins(s *submitted, o dispatch.Start, need job.Resources) {
+	w := m.world
+	at, _ := s.Spec.Index(o.Task)
+	r := &run{machine: m, job: s, step: &s.Spec.Steps[o.Task.Step], task: o.Task, number: o.Run, need: need, whole: s.Takes[at]}
+	if r.step.Checkpointing && o.Checkpoint != "" {
+		if d, err := time.ParseDuration(o.Checkpoint); err == nil {
+			r.saved = d
+		}
+	}
+	m.runs = append(m.runs, r)
+	m.used = m.used.Add(need)
+	l := s.ledgerOf(o.Task)
+	l.live++
+	l.lastStart = w.now
+	s.noteStart(w.now)
+	w.tally.Starts++
+	if r.step.Gang {
+		w.join(r)
+		return
+	}
+	r.work(w.now)
+}
+
+// work lets the run begin to work.
+func (r *run) work(now unit.Instant) {
+	r.began, r.speed = now, r.machine.Speed
+	if now < r.machine.slowUntil {
+		r.speed /= r.machine.slowBy
+	}
+	if r.step.LongRunning {
+		return
+	}
+	if r.gang == nil {
+		r.plan(r.left())
+	}
+}
+
+// left returns how long the rest of the task takes.
+func (r *run) left() time.Duration { return stretch(r.whole-r.saved, 1/r.speed) }
+
+// plan lets the run end after a time, or fail before.
+func (r *run) plan(after time.Duration) {
+	w := r.machine.world
+	how := fleet.EndDone
+	if w.chance("fail", r.task, r.number) < r.job.FailShare {
+		how, after = fleet.EndFailed, stretch(after, w.chance("when", r.task, r.number))
+	}
+	if w.now < r.machine.failsUntil {
+		how, after = fleet.EndFailed, min(after, failsAtOnce)
+	}
+	w.Plan(after, func() {
+		if r.gone {
+			return
+		}
+		if how == fleet.EndDone && r.gang != nil {
+			r.gang.done()
+			return
+		}
+		r.finish(how)
+	})
+}
+
+// worked returns the work that the run has done, what an earlier one had saved included.
+func (r *run) worked() time.Duration {
+	if r.began == 0 {
+		return r.saved
+	}
+	return min(r.whole, r.saved+stretch(r.machine.world.now.Sub(r.began), r.speed))
+}
+
+// checkpoint returns the newest checkpoint; empty if there is none.
+func (r *run) checkpoint() string {
+	every := r.machine.world.setup.SaveEvery
+	if !r.step.Checkpointing || every == 0 {
+		return ""
+	}
+	return r.worked().Truncate(every).String()
+}
+
+// percent returns how much of the task is done.
+func (r *run) percent() int {
+	if r.whole == 0 {
+		return 0
+	}
+	return int(100 * r.worked() / r.whole)
+}
+
+// finish ends the run and lists its end.
+func (r *run) finish(how fleet.How) {
+	m, w := r.machine, r.machine.world
+	r.leave(how == fleet.EndDone)
+	l := r.job.ledgerOf(r.task)
+	switch {
+	case how == fleet.EndFailed:
+		l.failures++
+	case how == fleet.EndDone && !l.done:
+		l.done = true
+		r.job.doneTasks++
+	}
+	w.tally.count(how)
+	e := fleet.End{Task: r.task, Run: r.number, How: how}
+	if how != fleet.EndDone {
+		e.Checkpoint = r.checkpoint()
+	}
+	m.seq++
+	e.Seq = m.seq
+	m.ends = append(m.ends, end{End: e, job: r.job, at: w.now})
+	if m.held != nil {
+		m.held()
+	}
+	if r.gang != nil && how != fleet.EndDone {
+		r.gang.breaks()
+	}
+}
+
+// vanish ends the run without a word.
+func (r *run) vanish() {
+	r.leave(false)
+	r.machine.world.tally.Vanished++
+	if r.gang != nil {
+		r.gang.breaks()
+	}
+}
+
+// leave frees the run's room and counts the work that is lost.
+func (r *run) leave(done bool) {
+	m, w := r.machine, r.machine.world
+	for i, o := range m.runs {
+		if o == r {
+			m.runs = append(m.runs[:i:i], m.runs[i+1:]...)
+			break
+		}
+	}
+	r.gone = true
+	m.used = m.used.Sub(r.need)
+	r.job.ledgerOf(r.task).live--
+	cores := coresOf(r.need)
+	if done {
+		w.tally.Useful += cores * stretch(r.whole-r.saved, 1/r.speed).Seconds()
+		return
+	}
+	kept := time.Duration(0)
+	if every := w.setup.SaveEvery; r.step.Checkpointing && every > 0 {
+		kept = r.worked().Truncate(every)
+	}
+	if r.began != 0 {
+		w.tally.Wasted += cores * stretch(r.worked()-max(kept, r.saved), 1/r.speed).Seconds()
+	}
+}
+
+// acceleratorCores is how many cores an accelerator counts for, by the platform's prices.
+const acceleratorCores = 8
+
+// coresOf returns the weight of resources in cores.
+func coresOf(r job.Resources) float64 {
+	return float64(r.CPU)/1000 + acceleratorCores*float64(r.Accelerators)
+}
--- /dev/null
+++ b/core/world/script_test.go
@@ -0,0 +1,223 @@
+package world_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/core/world"
+)
+
+// TestScripts plays the scripts in testdata/script. A line is a command:
+//
+//	site [workers=N] [speed=X] [hosts=N] [cores=X] [drift=X] [order=D] [pass=D]    what the world begins with
+//	job NAME [count=N] [gpus=N] [takes=D] [estimate=D] [priority=N] [attempts=N] [gang] [saves] [twosteps] [fails=X] [cancel=D]
+//	strike KIND [share=X] [lasts=D] [factor=X]
+//	run D
+//	state NAME STATE [by=D]            the job has that outcome, within a time
+//	count FIELD [least=N] [most=N]     a field of the tally lies within bounds
+//	decided EVENT [least=N] [most=N]
+//	violations N
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/script/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			data, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := player{t: t}
+			for i, l := range strings.Split(string(data), "\n") {
+				if l = strings.TrimSpace(l); l != "" && !strings.HasPrefix(l, "#") {
+					p.at = fmt.Sprintf("line %d: %s", i+1, l)
+					p.do(strings.Fields(l))
+				}
+			}
+		})
+	}
+}
+
+// player plays one script.
+type player struct {
+	t  *testing.T
+	at string
+	w  *world.World
+}
+
+// do carries out one command.
+func (p *player) do(f []string) {
+	o := words(f)
+	switch f[0] {
+	case "site":
+		p.site(o)
+	case "job":
+		p.must(p.w.Submit(newJob(f[1], o)))
+	case "strike":
+		p.must(p.w.Strike(world.Fault{
+			Kind: world.FaultKind(f[1]), Share: o.number("share", 1), Lasts: o.duration("lasts", 0), Factor: o.number("factor", 1),
+		}))
+	case "run":
+		d, err := time.ParseDuration(f[1])
+		p.must(err)
+		p.w.Run(d)
+	case "state":
+		p.state(f[1], world.State(f[2]), o.duration("by", time.Hour))
+	case "count":
+		v := reflect.ValueOf(p.w.Tally()).FieldByName(f[1])
+		if !v.IsValid() {
+			p.t.Fatalf("%s: no such field", p.at)
+		}
+		p.within(int(v.Int()), o)
+	case "decided":
+		p.within(p.w.Decided(dispatch.Event(f[1])), o)
+	case "violations":
+		if got := p.w.Violations(); strconv.Itoa(len(got)) != f[1] {
+			p.t.Errorf("%s: %q", p.at, got)
+		}
+	default:
+		p.t.Fatalf("%s: unknown command", p.at)
+	}
+}
+
+// must fails on an error.
+func (p *player) must(err error) {
+	if err != nil {
+		p.t.Fatalf("%s: %v", p.at, err)
+	}
+}
+
+// within compares a count with its bounds.
+func (p *player) within(got int, o words) {
+	if got < int(o.number("least", 0)) || got > int(o.number("most", 1e18)) {
+		p.t.Errorf("%s: got %d", p.at, got)
+	}
+}
+
+// state compares a job's outcome.
+func (p *player) state(name string, want world.State, by time.Duration) {
+	for _, o := range p.w.Outcomes() {
+		if o.Name == id.Job(name) && (o.State != want || o.Took > by) {
+			p.t.Errorf("%s: %s after %s", p.at, o.State, o.Took)
+		}
+	}
+}
+
+// site begins the world.
+func (p *player) site(o words) {
+	s := setup(int(o.number("workers", 8)), int(o.number("hosts", 1)), o.number("cores", 1))
+	s.Times.Drift = o.number("drift", 0)
+	s.Costs = world.Costs{Pass: o.duration("pass", 0), Order: o.duration("order", 0)}
+	for i := range s.Workers {
+		s.Workers[i].Speed = o.number("speed", 1)
+	}
+	w, err := world.New(s)
+	p.must(err)
+	p.w = w
+}
+
+// config holds the bounds of the dispatcher under test.
+var config = dispatch.Config{
+	MaxLease: 10 * time.Second, StopTime: 900 * time.Millisecond, SaveEvery: time.Second, KeepEnded: 2 * time.Minute,
+	Handover: 3 * time.Second, Away: 2 * time.Second,
+}
+
+// setup returns a site of workers with 8 accelerators, 4 to a rack.
+func setup(workers, hosts int, cores float64) world.Setup {
+	s := world.Setup{
+		Make:      func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher { return dispatch.New(config, e, t) },
+		SaveEvery: config.SaveEvery, Seed: 7,
+		Times: world.Times{
+			Trip: 4 * time.Millisecond, Append: 8 * time.Millisecond, AppendGap: time.Millisecond, Read: 5 * time.Millisecond,
+			Timeout: 800 * time.Millisecond, PassEvery: 5 * time.Millisecond, IdleEvery: 200 * time.Millisecond, PassShare: 3,
+			Listing: 800 * time.Millisecond, Whole: 3 * time.Second, Look: 500 * time.Millisecond, MemberTTL: time.Second,
+		},
+	}
+	for i := range hosts {
+		s.Hosts = append(s.Hosts, world.Host{ID: id.Host(fmt.Sprintf("host-%d", i)), Cores: cores})
+	}
+	for i := range workers {
+		s.Workers = append(s.Workers, world.Worker{
+			ID: id.Worker(fmt.Sprintf("w-%03d", i)), Service: "svc", Rack: id.Rack(fmt.Sprintf("r%02d", i/4)), Speed: 1,
+			Capacity: job.Resources{CPU: 32000, Memory: 128 * unit.GiB, Accelerators: 8},
+		})
+	}
+	return s
+}
+
+// newJob returns a job by the words of its line.
+func newJob(name string, o words) world.Job {
+	takes := o.duration("takes", time.Second)
+	step := job.Step{
+		Count: int(o.number("count", 1)), Estimate: o.duration("estimate", takes), Gang: o.has("gang"), Checkpointing: o.has("saves"),
+		Need: job.Resources{CPU: 1000, Memory: unit.GiB, Accelerators: int(o.number("gpus", 1))},
+	}
+	j := world.Job{
+		Name: id.Job(name), FailShare: o.number("fails", 0), CancelAfter: o.duration("cancel", 0), Kind: "k",
+		Spec: job.Spec{
+			Customer: "c", Queue: "q", Service: "svc", Priority: int(o.number("priority", 1)), MaxAttempts: int(o.number("attempts", 3)),
+			Stretch: 3, Target: time.Second, Steps: []job.Step{step},
+		},
+	}
+	if o.has("twosteps") {
+		second := step
+		second.DependsOn = []int{0}
+		j.Spec.Steps = append(j.Spec.Steps, second)
+	}
+	for range j.Spec.Width() {
+		j.Takes = append(j.Takes, takes)
+	}
+	return j
+}
+
+// words are the words of a line: NAME or NAME=VALUE.
+type words []string
+
+func (o words) has(name string) bool { return slices.Contains(o, name) }
+
+// text returns the value of a name.
+func (o words) text(name string) (string, bool) {
+	for _, w := range o {
+		if v, ok := strings.CutPrefix(w, name+"="); ok {
+			return v, true
+		}
+	}
+	return "", false
+}
+
+func (o words) number(name string, def float64) float64 {
+	v, ok := o.text(name)
+	if !ok {
+		return def
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+func (o words) duration(name string, def time.Duration) time.Duration {
+	v, ok := o.text(name)
+	if !ok {
+		return def
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
--- /dev/null
+++ b/core/world/store.go
@@ -0,0 +1,62 @@
+package world
+
+import (
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// store is the platform's metadata store. It takes the appends in turn.
+type store struct {
+	world *World
+	// free is when it can take the next append, up when it is there again.
+	free, up unit.Instant
+	// slow times the usual time is how long an append takes.
+	slow float64
+	// fence is the highest epoch that it has seen.
+	fence id.Epoch
+}
+
+// append puts records into the store and calls done, with false if the epoch is below one that
+// the store has seen. Epoch 0 is for records of clients' calls. An append that meets a store
+// that is away is repeated until it is taken.
+func (s *store) append(e id.Epoch, recs []jobtable.Record, done func(bool)) {
+	w := s.world
+	t := w.setup.Times
+	begin := max(w.now, s.free, s.up)
+	s.free = begin.Add(stretch(t.AppendGap, s.slow))
+	w.agenda.Plan(begin.Add(stretch(t.Append, s.slow)), func() {
+		if e != 0 && e < s.fence {
+			done(false)
+			return
+		}
+		s.fence = max(s.fence, e)
+		for _, r := range recs {
+			w.apply(r)
+		}
+		done(true)
+	})
+}
+
+// apply takes one record in and notes the end of a job.
+func (w *World) apply(r jobtable.Record) {
+	name, err := w.table.Apply(r)
+	if err != nil {
+		w.violated("the store refused a record: " + err.Error())
+		return
+	}
+	e, s := w.table.Get(name), w.jobs[name]
+	if e == nil || s == nil || s.state != Open {
+		return
+	}
+	switch e.Progress.Outcome {
+	case job.Completed:
+		w.finish(s, Completed)
+	case job.Failed:
+		w.finish(s, Failed)
+	case job.Cancelled:
+		w.finish(s, Cancelled)
+	case job.Open:
+	}
+}
