--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -10,6 +10,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/world"
 )
@@ -42,7 +43,7 @@
 // other, each after the time that sending one takes.
 func newWorld(tb testing.TB, workers int, sending time.Duration) *load {
 	s := world.Setup{
-		Make:  func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher { return dispatch.New(config, e, t) },
+		Make:  func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher { return dispatch.New(config, policy.New(), e, t) },
 		Hosts: []world.Host{{ID: "host", Cores: 1}},
 		Times: world.Times{
 			Trip: worldTrip, Gap: sending, Append: worldWrite, Timeout: worldTimeout, PassEvery: worldStep, IdleEvery: worldStep,
--- a/core/world/check_internal_test.go
+++ b/core/world/check_internal_test.go
@@ -12,6 +12,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 )
 
 // TestChecks gives orders that no right owner gives, and each must be found. A case in
@@ -51,7 +52,7 @@
 func newChecked(t *testing.T) *checked {
 	s := Setup{
 		Make: func(e id.Epoch, table *jobtable.Table) *dispatch.Dispatcher {
-			return dispatch.New(dispatch.Config{MaxLease: time.Hour}, e, table)
+			return dispatch.New(dispatch.Config{MaxLease: time.Hour}, policy.New(), e, table)
 		},
 		Hosts: []Host{{ID: "h", Cores: 1}},
 		Times: Times{Whole: 3 * time.Second, IdleEvery: time.Hour},
