--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -81,11 +81,15 @@
 	}
 }
 
+// mostAccelerators bounds what a line may ask for. A job that no site has room for is a job like
+// others: it is refused and counted, so that one of them doesn't keep a trace from being played.
+const mostAccelerators = 1_000_000
+
 // Errors of single fields.
 var (
 	errSeconds = errors.New("want seconds")
 	errKind    = errors.New("want submit, guarantee_used, cancel, worker_down or worker_up")
-	errSize    = errors.New("want 1 to 64 accelerators")
+	errSize    = fmt.Errorf("want 1 to %d accelerators", mostAccelerators)
 	errFlag    = errors.New("want flags urgent, once, preemptible or bad, joined by +")
 	errName    = errors.New("want a job or worker")
 )
@@ -106,7 +110,7 @@
 	default:
 		return e, fmt.Errorf("event: %q: %w", f[1], errKind)
 	}
-	if e.Accelerators, err = strconv.Atoi(f[4]); err != nil || e.Accelerators < 1 || e.Accelerators > 64 {
+	if e.Accelerators, err = strconv.Atoi(f[4]); err != nil || e.Accelerators < 1 || e.Accelerators > mostAccelerators {
 		return e, fmt.Errorf("accelerators: %q: %w", f[4], errSize)
 	}
 	if e.Run, err = seconds(f[5]); err != nil {
