--- a/cmd/curlewsill/cmd/commands.go
+++ b/cmd/curlewsill/cmd/commands.go
@@ -1,7 +1,10 @@
 package cmd
 
 // commands lists the subcommands in the order of the help.
-func commands(e *env) []command {
+func commands(e *env) []command { return append(operating(e), trying(e)...) }
+
+// operating lists those that work with a system.
+func operating(e *env) []command {
 	return []command{
 		{
 			"plan", "Show what an intent would change",
@@ -39,11 +42,23 @@
 				Submit: jobsSubmitCmd{env: e}, List: jobsListCmd{env: e}, Show: jobsShowCmd{env: e}, Cancel: jobsCancelCmd{env: e},
 			},
 		},
+	}
+}
+
+// trying lists those that play, try and explain one, and those about the program itself.
+func trying(e *env) []command {
+	return []command{
 		{
 			"replay", "Compare placement policies on a trace",
 			"Replays a recorded or generated list of events with fake workers and a virtual clock.",
 			&replayCmd{env: e},
 		},
+		{
+			"experiment", "Compare policies on a model of a site",
+			"Plays a site in virtual time under the owner's own decisions, each policy with the same seeds, and compares them. " +
+				"Progress goes to standard error. On an interrupt it prints what was played until then.",
+			&experimentCmd{env: e},
+		},
 		{
 			"load", "Send requests at a steady rate and check the answers",
 			"Sends requests to entry hosts, open loop, and compares the answers with the ledger of the stand-in backend servers.",
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -43,7 +43,9 @@
 // other, each after the time that sending one takes.
 func newWorld(tb testing.TB, workers int, sending time.Duration) *load {
 	s := world.Setup{
-		Make:  func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher { return dispatch.New(config, policy.New(), e, t) },
+		Make: func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher {
+			return dispatch.New(config, policy.New(), e, t)
+		},
 		Hosts: []world.Host{{ID: "host", Cores: 1}},
 		Times: world.Times{
 			Trip: worldTrip, Gap: sending, Append: worldWrite, Timeout: worldTimeout, PassEvery: worldStep, IdleEvery: worldStep,
--- a/core/world/fault.go
+++ b/core/world/fault.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -112,6 +113,32 @@
 	return nil
 }
 
+// Down ends a worker's life, Up begins another one. They do nothing for a worker that is so
+// already, or isn't there.
+func (w *World) Down(name id.Worker) {
+	if m := w.machineOf(name); m != nil {
+		m.die(0)
+	}
+}
+
+// Up is described with Down.
+func (w *World) Up(name id.Worker) {
+	if m := w.machineOf(name); m != nil && !m.up {
+		m.begin()
+		w.list(m.listing())
+	}
+}
+
+// machineOf returns a worker of the setup, or nil.
+func (w *World) machineOf(name id.Worker) *machine {
+	for _, m := range w.machines {
+		if m.ID == name {
+			return m
+		}
+	}
+	return nil
+}
+
 // each does something to the workers that a fault concerns.
 func (w *World) each(f Fault, do func(*machine)) {
 	for _, i := range w.chosen(f, len(w.machines)) {
--- a/core/world/gang.go
+++ b/core/world/gang.go
@@ -58,6 +58,16 @@
 	return n
 }
 
+// spread reports whether the members are in several racks.
+func (g *gang) spread() bool {
+	for _, r := range g.members {
+		if r.machine.Rack != g.members[0].machine.Rack {
+			return true
+		}
+	}
+	return false
+}
+
 // open lets all members work. The slowest decides when they end.
 func (g *gang) open(w *World) {
 	g.whole = true
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -253,9 +253,12 @@
 	old := m.name
 	w.Plan(w.setup.Times.MemberTTL, func() { w.unlist(old) })
 	if down > 0 {
+		life := m.life
 		w.Plan(down, func() {
-			m.begin()
-			w.list(m.listing())
+			if m.life == life {
+				m.begin()
+				w.list(m.listing())
+			}
 		})
 	}
 }
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -110,6 +110,7 @@
 		}
 		w.tally.Owned += cost
 		if takes := stretch(cost, 1/o.host.Cores); takes > 0 {
+			w.tally.OwnedTime += takes
 			w.Plan(takes, func() { o.finish(d) })
 			return
 		}
--- a/core/world/run.go
+++ b/core/world/run.go
@@ -62,6 +62,9 @@
 	if now < r.machine.slowUntil {
 		r.speed /= r.machine.slowBy
 	}
+	if far := r.machine.world.setup.Far; far > 0 && r.far() {
+		r.speed /= far
+	}
 	if r.step.LongRunning {
 		return
 	}
@@ -70,6 +73,14 @@
 	}
 }
 
+// far reports whether the run is where it is slow.
+func (r *run) far() bool {
+	if r.step.DataRack != "" && !r.machine.carries(r.step.DataRack) {
+		return true
+	}
+	return r.step.SameRack && r.gang != nil && r.gang.spread()
+}
+
 // left returns how long the rest of the task takes.
 func (r *run) left() time.Duration { return stretch(r.whole-r.saved, 1/r.speed) }
 
--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -139,7 +139,9 @@
 // setup returns a site of workers with 8 accelerators, 4 to a rack.
 func setup(workers, hosts int, cores float64) world.Setup {
 	s := world.Setup{
-		Make:      func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher { return dispatch.New(config, policy.New(), e, t) },
+		Make: func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher {
+			return dispatch.New(config, policy.New(), e, t)
+		},
 		SaveEvery: config.SaveEvery, Seed: 7,
 		Times: world.Times{
 			Trip: 4 * time.Millisecond, Append: 8 * time.Millisecond, AppendGap: time.Millisecond, Read: 5 * time.Millisecond,
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -24,6 +24,9 @@
 	Times      Times
 	// SaveEvery is how much work lies between two checkpoints of a task that saves.
 	SaveEvery time.Duration
+	// Far times the usual time is what a task takes away from its data's rack, or in a gang that
+	// asks for one rack and has several; 0 stands for 1.
+	Far float64
 	// Seed decides failures, clocks and which orders are late.
 	Seed uint64
 }
--- a/core/world/tally.go
+++ b/core/world/tally.go
@@ -122,10 +122,10 @@
 	Useful, Wasted float64
 	// Passes counts the owners' passes, Claims the changes of owner.
 	Passes, Claims int
-	// Owned is the work of the owners' processors on whole cores, LongestWait how long something
-	// waited for them at most.
-	Owned, LongestWait time.Duration
-	Violations         int
+	// Owned is the work of the owners' processors on whole cores, OwnedTime how long they were
+	// busy, LongestWait how long something waited for them at most.
+	Owned, OwnedTime, LongestWait time.Duration
+	Violations                    int
 }
 
 // count notes how a run has ended.
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -156,6 +156,13 @@
 	return nil
 }
 
+// Cancel hands in the cancellation of a job; one that nobody handed in is left out.
+func (w *World) Cancel(name id.Job) {
+	if s := w.jobs[name]; s != nil {
+		w.cancel(s)
+	}
+}
+
 // cancel hands in the cancellation of a job that has not ended.
 func (w *World) cancel(s *submitted) {
 	if s.state != Open {
--- /dev/null
+++ b/internal/experiment/arrive/trace.go
@@ -0,0 +1,63 @@
+package arrive
+
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/world"
+	"curlewsill.org/curlewsill/internal/experiment/setup"
+	"curlewsill.org/curlewsill/internal/replay"
+)
+
+// FromTrace returns the events of a trace, in its order. A job that asks for more accelerators than
+// a worker has becomes a gang of whole workers.
+func FromTrace(s *setup.Setup, trace []replay.Event) []Event {
+	whole := 1
+	for _, w := range s.World.Workers {
+		whole = max(whole, w.Capacity.Accelerators)
+	}
+	var out []Event
+	for _, e := range trace {
+		x := Event{At: e.At}
+		switch e.Kind {
+		case replay.Submit, replay.GuaranteeUsed:
+			x.Job = traced(s, e, whole)
+		case replay.Cancel:
+			x.Cancel = e.Job
+		case replay.WorkerDown:
+			x.Down = id.Worker(e.Job)
+		case replay.WorkerUp:
+			x.Up = id.Worker(e.Job)
+		}
+		out = append(out, x)
+	}
+	return out
+}
+
+// traced returns a job of a trace.
+func traced(s *setup.Setup, e replay.Event, whole int) *world.Job {
+	k := s.Kind(s.TraceKind)
+	if e.Urgent {
+		k = s.Kind(s.UrgentKind)
+	}
+	count := (e.Accelerators + whole - 1) / whole
+	step := job.Step{
+		Count: count, Gang: count > 1, SameRack: count > 1, Checkpointing: k.Saves > 0, Estimate: max(time.Millisecond, e.Declared),
+		Need: job.Resources{CPU: k.Cores, Memory: k.Memory, Accelerators: min(e.Accelerators, whole)},
+	}
+	j := &world.Job{
+		Name: e.Job, Kind: k.Name, FailShare: k.Fails,
+		Spec: job.Spec{
+			Customer: e.Customer, Queue: id.Queue(k.Name), Service: setup.Service, Priority: k.Priority, MaxAttempts: k.Attempts,
+			Stretch: k.Stretch, Target: k.Target, Steps: []job.Step{step},
+		},
+	}
+	if e.Bad {
+		j.FailShare = 1
+	}
+	for range count {
+		j.Takes = append(j.Takes, max(time.Millisecond, e.Run))
+	}
+	return j
+}
--- /dev/null
+++ b/internal/experiment/batch/batch_test.go
@@ -0,0 +1,100 @@
+package batch_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"testing"
+
+	"curlewsill.org/curlewsill/internal/experiment/batch"
+	"curlewsill.org/curlewsill/internal/experiment/result"
+	"curlewsill.org/curlewsill/internal/experiment/setup"
+)
+
+// run plays the small experiment of testdata.
+func run(ctx context.Context, t *testing.T, processors int, progress io.Writer) *result.Report {
+	t.Helper()
+	s, err := setup.Load("testdata/site.ini", "testdata/small.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := batch.New(s, progress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := b.Run(ctx, processors)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestSame plays an experiment twice, on one processor and on three: the results are the same to
+// the byte, and nothing broke.
+func TestSame(t *testing.T) {
+	var texts [][]byte
+	for _, processors := range []int{1, 3} {
+		r := run(t.Context(), t, processors, io.Discard)
+		for _, x := range r.Runs {
+			for _, v := range x.Violations {
+				t.Errorf("policy %s seed %d: %s", x.Policy, x.Seed, v)
+			}
+		}
+		text, err := json.Marshal(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		texts = append(texts, text)
+	}
+	if !bytes.Equal(texts[0], texts[1]) {
+		t.Errorf("two runs differ:\n%s\n%s", texts[0], texts[1])
+	}
+}
+
+// TestResult checks what the small experiment must show: the giants are refused and counted, the
+// same jobs come under each policy, urgent work is worse off without preemption, and an owner with
+// a fiftieth of a core is behind.
+func TestResult(t *testing.T) {
+	r := run(t.Context(), t, 2, io.Discard)
+	if len(r.Runs) != 6 || r.Partial {
+		t.Fatalf("%d runs, partial %t", len(r.Runs), r.Partial)
+	}
+	for _, x := range r.Runs {
+		giants, first := x.Kinds[2], r.Runs[0]
+		if giants.Arrived == 0 || giants.Refused != giants.Arrived {
+			t.Errorf("%d of %d giants were refused", giants.Refused, giants.Arrived)
+		}
+		if x.Seed == first.Seed && x.Kinds[0].Arrived != first.Kinds[0].Arrived {
+			t.Errorf("policy %s met %d urgent jobs, %s %d", x.Policy, x.Kinds[0].Arrived, first.Policy, first.Kinds[0].Arrived)
+		}
+	}
+	if d := result.Of(r.Differences, "no-preemption", "urgent worth"); d.Seeds != 2 || d.Mean >= 0 {
+		t.Errorf("urgent work without preemption: %+v", d)
+	}
+	slow, usual := result.Of(r.Means, "slow-owner", "owner_busy"), result.Of(r.Means, "all", "owner_busy")
+	if slow.Mean < 5*usual.Mean {
+		t.Errorf("the slow owner is busy for %.3f of the time, the usual one for %.3f", slow.Mean, usual.Mean)
+	}
+}
+
+// ender ends a run when the first play has ended.
+type ender struct{ cancel context.CancelFunc }
+
+func (e ender) Write(p []byte) (int, error) {
+	e.cancel()
+	return len(p), nil
+}
+
+// TestEnds ends an experiment early: what was whole by then is reported, and said to be partial.
+func TestEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	r := run(ctx, t, 1, ender{cancel: cancel})
+	if len(r.Runs) != 1 || !r.Partial {
+		t.Errorf("%d runs, partial %t", len(r.Runs), r.Partial)
+	}
+	if m := result.Of(r.Means, "all", "worth"); m.Seeds != 1 {
+		t.Errorf("the mean is over %d seeds", m.Seeds)
+	}
+}
--- /dev/null
+++ b/internal/experiment/chart/chart.go
@@ -0,0 +1,147 @@
+// Package chart draws the result of an experiment as SVG.
+package chart
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"curlewsill.org/curlewsill/core/world"
+	"curlewsill.org/curlewsill/internal/experiment/result"
+)
+
+// The size of a chart, and of its bars.
+const (
+	width  = 25 * vg.Centimeter
+	height = 12 * vg.Centimeter
+	bar    = 1.2 * vg.Centimeter
+)
+
+// Draw draws the charts into a folder that is there: completion times of each kind, use and
+// fragmentation over time, and worth by policy. A report without runs has none.
+func Draw(dir string, r *result.Report) error {
+	if len(r.Runs) == 0 {
+		return nil
+	}
+	for i, k := range r.Runs[0].Kinds {
+		if err := completion(filepath.Join(dir, "completion-"+k.Kind+".svg"), r, i); err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+	}
+	for _, c := range []struct {
+		name, label string
+		value       func(world.Sample) float64
+	}{
+		{"use", "share of accelerators", func(s world.Sample) float64 { return s.Use }},
+		{"fragmentation", "share of free accelerators", func(s world.Sample) float64 { return s.Fragmentation }},
+		{"waiting", "tasks", func(s world.Sample) float64 { return float64(s.Waiting) }},
+	} {
+		if err := overTime(filepath.Join(dir, c.name+".svg"), c.name, c.label, r, c.value); err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+	}
+	if err := worth(filepath.Join(dir, "worth.svg"), r); err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	return nil
+}
+
+// completion draws how much of a kind's jobs was completed after which time.
+func completion(file string, r *result.Report, kind int) error {
+	p := plot.New()
+	p.Title.Text = "completion of " + r.Runs[0].Kinds[kind].Kind
+	p.X.Label.Text, p.Y.Label.Text = "seconds from handing in", "share of the jobs that are owed"
+	var lines []any
+	for _, name := range r.Policies {
+		var took []float64
+		owed := 0
+		for _, run := range r.Runs {
+			if run.Policy == name {
+				k := run.Kinds[kind]
+				took = append(took, k.Took...)
+				owed += k.Arrived - k.Refused - k.Cancelled
+			}
+		}
+		if len(took) > 0 {
+			lines = append(lines, name, shares(took, owed))
+		}
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(width, height, file)
+}
+
+// overTime draws the mean of a sampled value over the seeds.
+func overTime(file, title, label string, r *result.Report, value func(world.Sample) float64) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, "seconds", label
+	var lines []any
+	for _, name := range r.Policies {
+		if xy := meanOverTime(r, name, value); len(xy) > 0 {
+			lines = append(lines, name, xy)
+		}
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(width, height, file)
+}
+
+// worth draws the worth of each policy with its standard error.
+func worth(file string, r *result.Report) error {
+	p := plot.New()
+	p.Title.Text, p.Y.Label.Text = "worth, with its standard error", "share of what could be earned"
+	var points errorPoints
+	values := make(plotter.Values, 0, len(r.Policies))
+	for i, name := range r.Policies {
+		m := result.Of(r.Means, name, "worth")
+		values = append(values, m.Mean)
+		points.XYs = append(points.XYs, plotter.XY{X: float64(i), Y: m.Mean})
+		points.YErrors = append(points.YErrors, struct{ Low, High float64 }{m.StdErr, m.StdErr})
+	}
+	bars, err := plotter.NewBarChart(values, bar)
+	if err != nil {
+		return err
+	}
+	bars.Color = plotutil.Color(0)
+	whiskers, err := plotter.NewYErrorBars(points)
+	if err != nil {
+		return err
+	}
+	p.Add(bars, whiskers)
+	p.NominalX(r.Policies...)
+	return p.Save(width, height, file)
+}
+
+// errorPoints are points with a standard error each.
+type errorPoints struct {
+	plotter.XYs
+	plotter.YErrors
+}
+
+// meanOverTime returns the mean of a sampled value over a policy's runs.
+func meanOverTime(r *result.Report, policy string, value func(world.Sample) float64) plotter.XYs {
+	var out plotter.XYs
+	n := 0
+	for _, run := range r.Runs {
+		if run.Policy != policy {
+			continue
+		}
+		n++
+		for i, s := range run.Samples {
+			if i == len(out) {
+				out = append(out, plotter.XY{X: s.At.Seconds()})
+			}
+			out[i].Y += value(s)
+		}
+	}
+	for i := range out {
+		out[i].Y /= float64(n)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/experiment/chart/chart_test.go
@@ -0,0 +1,56 @@
+package chart_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/core/world"
+	"curlewsill.org/curlewsill/internal/experiment/chart"
+	"curlewsill.org/curlewsill/internal/experiment/result"
+)
+
+// TestDraw draws a report twice: all charts are there, and the same to the byte.
+func TestDraw(t *testing.T) {
+	r := &result.Report{
+		Policies: []string{"a", "b", "none"},
+		Runs: []result.Run{
+			{Policy: "a", Seed: 1, Worth: 0.5, Samples: samples(), Kinds: []result.Kind{{Kind: "k", Arrived: 3, Took: []float64{1, 2, 3}}}},
+			{Policy: "b", Seed: 1, Worth: 0.7, Samples: samples(), Kinds: []result.Kind{{Kind: "k", Arrived: 3}}},
+		},
+	}
+	r.Sum()
+	dirs := []string{t.TempDir(), t.TempDir()}
+	for _, d := range dirs {
+		if err := chart.Draw(d, r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"completion-k.svg", "use.svg", "fragmentation.svg", "waiting.svg", "worth.svg"} {
+		a, err := os.ReadFile(filepath.Join(dirs[0], name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := os.ReadFile(filepath.Join(dirs[1], name))
+		if err != nil || !bytes.Equal(a, b) || !bytes.Contains(a, []byte("<svg")) {
+			t.Errorf("%s: %d and %d bytes, %v", name, len(a), len(b), err)
+		}
+	}
+}
+
+// TestNothing draws nothing of a report without runs.
+func TestNothing(t *testing.T) {
+	d := t.TempDir()
+	if err := chart.Draw(d, &result.Report{Policies: []string{"a"}}); err != nil {
+		t.Fatal(err)
+	}
+	if files, _ := os.ReadDir(d); len(files) != 0 {
+		t.Errorf("%d files", len(files))
+	}
+}
+
+func samples() []world.Sample {
+	return []world.Sample{{At: time.Second, Use: 0.5}, {At: 2 * time.Second, Use: 0.7, Fragmentation: 0.2, Waiting: 4}}
+}
--- /dev/null
+++ b/internal/experiment/play/play.go
@@ -0,0 +1,114 @@
+// Package play plays one policy with one seed.
+package play
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/world"
+	"curlewsill.org/curlewsill/internal/experiment/arrive"
+	"curlewsill.org/curlewsill/internal/experiment/result"
+	"curlewsill.org/curlewsill/internal/experiment/setup"
+)
+
+// Play plays the events with a policy. It returns ctx's error if that is done before the end.
+func Play(ctx context.Context, s *setup.Setup, p *setup.Policy, seed uint64, events []arrive.Event) (result.Run, error) {
+	w, err := world.New(begin(s, p, seed))
+	if err != nil {
+		return result.Run{}, err
+	}
+	out := result.Run{Policy: p.Name, Seed: seed, Violations: []string{}}
+	length := s.Length
+	if n := len(events); n > 0 {
+		length = max(length, events[n-1].At)
+	}
+	for _, e := range events {
+		w.Plan(e.At, func() {
+			if err := happen(w, e); err != nil && !errors.Is(err, world.ErrNeverFits) {
+				out.Violations = append(out.Violations, err.Error())
+			}
+		})
+	}
+	for at := time.Duration(0); at < length+s.Settle; at += s.Sample {
+		if err := ctx.Err(); err != nil {
+			return out, err
+		}
+		w.Run(s.Sample)
+		out.Samples = append(out.Samples, w.Sample())
+	}
+	sum(&out, w, s, length)
+	return out, nil
+}
+
+// begin returns what the world begins with.
+func begin(s *setup.Setup, p *setup.Policy, seed uint64) world.Setup {
+	bounds := s.Bounds
+	if p.MaxLease > 0 {
+		bounds.MaxLease = p.MaxLease
+	}
+	out := s.World
+	out.Seed = seed
+	out.Hosts = slices.Clone(out.Hosts)
+	for i := range out.Hosts {
+		if p.Cores > 0 {
+			out.Hosts[i].Cores = p.Cores
+		}
+	}
+	out.Make = func(e id.Epoch, t *jobtable.Table) *dispatch.Dispatcher {
+		return dispatch.New(bounds, p.Switches, e, t)
+	}
+	return out
+}
+
+// happen lets one event happen. A worker that isn't there is left out.
+func happen(w *world.World, e arrive.Event) error {
+	switch {
+	case e.Job != nil:
+		return w.Submit(*e.Job)
+	case e.Fault != nil:
+		return w.Strike(*e.Fault)
+	case e.Cancel != "":
+		w.Cancel(e.Cancel)
+	case e.Down != "":
+		w.Down(e.Down)
+	case e.Up != "":
+		w.Up(e.Up)
+	default:
+		return fmt.Errorf("play: %w", errEmpty)
+	}
+	return nil
+}
+
+// errEmpty reports an event of nothing.
+var errEmpty = errors.New("an empty event")
+
+// sum adds a run up.
+func sum(out *result.Run, w *world.World, s *setup.Setup, length time.Duration) {
+	t := w.Tally()
+	out.Starts, out.Stopped, out.Broken, out.Lapsed = t.Starts, t.Stopped, t.Broken, t.Lapsed
+	out.Passes, out.Claims, out.OwnerWait = t.Passes, t.Claims, t.LongestWait.Seconds()
+	out.OwnerBusy = t.OwnedTime.Seconds() / w.Now().Sub(world.Begin).Seconds()
+	if all := t.Useful + t.Wasted; all > 0 {
+		out.Wasted = t.Wasted / all
+	}
+	out.Violations = append(out.Violations, w.Violations()...)
+	n := 0.0
+	for _, x := range out.Samples {
+		if x.At > length {
+			break
+		}
+		out.Use += x.Use
+		out.Fragmentation += x.Fragmentation
+		n++
+	}
+	if n > 0 {
+		out.Use, out.Fragmentation = out.Use/n, out.Fragmentation/n
+	}
+	earn(out, w.Outcomes(), s, t)
+}
--- /dev/null
+++ b/internal/experiment/setup/setup_test.go
@@ -0,0 +1,51 @@
+package setup_test
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"curlewsill.org/curlewsill/internal/experiment/setup"
+)
+
+// TestFiles reads the experiments in testdata. The file "want" of each has a line for each fault
+// that must be told, in their order; a file without lines is in order.
+func TestFiles(t *testing.T) {
+	names, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(names) == 0 {
+		t.Fatal("no files", err)
+	}
+	for _, name := range names {
+		t.Run(filepath.Base(name), func(t *testing.T) {
+			a, err := txtar.ParseFile(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			files := map[string]string{}
+			for _, f := range a.Files {
+				files[f.Name] = string(f.Data)
+			}
+			_, err = setup.Parse("site.ini", []byte(files["site.ini"]), "experiment.ini", []byte(files["experiment.ini"]))
+			got := ""
+			if err != nil {
+				got = err.Error()
+			}
+			if strings.TrimSpace(got) != strings.TrimSpace(files["want"]) {
+				t.Errorf("got\n%s\nwant\n%s", got, files["want"])
+			}
+		})
+	}
+}
+
+// TestExample reads the experiment that is shipped.
+func TestExample(t *testing.T) {
+	s, err := setup.Load("../../../examples/delta-north/site.ini", "../../../examples/experiments/mixed.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(s.World.Workers) != 50 || len(s.Kinds) != 3 || len(s.Policies) != 3 || len(s.World.Guarantees) == 0 {
+		t.Errorf("%d workers, %d kinds, %d policies, %d guarantees", len(s.World.Workers), len(s.Kinds), len(s.Policies), len(s.World.Guarantees))
+	}
+}
