--- a/cmd/curlewsill/cmd/experiment.go
+++ b/cmd/curlewsill/cmd/experiment.go
@@ -88,6 +88,10 @@
 	for _, p := range r.Policies {
 		fmt.Fprintf(w, "%s\t%d\t", p, result.Of(r.Means, p, "worth").Seeds)
 		for _, c := range columns {
+			if result.Of(r.Means, p, c).Seeds == 0 {
+				fmt.Fprint(w, "-\t")
+				continue
+			}
 			fmt.Fprintf(w, "%.4g\t", result.Of(r.Means, p, c).Mean)
 		}
 		fmt.Fprintln(w)
@@ -133,6 +137,10 @@
 		fmt.Fprintf(w, "%s\t", d.Measure)
 		for _, p := range r.Policies[1:] {
 			x := result.Of(r.Differences, p, d.Measure)
+			if x.Seeds == 0 {
+				fmt.Fprint(w, "-\t")
+				continue
+			}
 			fmt.Fprintf(w, "%+.4g +- %.2g (%d)\t", x.Mean, x.StdErr, x.Seeds)
 		}
 		fmt.Fprintln(w)
--- a/core/world/fault.go
+++ b/core/world/fault.go
@@ -29,6 +29,8 @@
 	Drain FaultKind = "drain"
 	// Fail lets all fail that workers start.
 	Fail FaultKind = "fail"
+	// Busy lets workers refuse all orders to start.
+	Busy FaultKind = "busy"
 	// Slow makes what workers begin slower by Factor.
 	Slow FaultKind = "slow"
 	// Late lets a part of the orders get no answer; each is carried out Factor seconds later.
@@ -44,7 +46,7 @@
 
 // FaultKinds returns all kinds.
 func FaultKinds() []FaultKind {
-	return []FaultKind{Kill, Silence, Drain, Fail, Slow, Late, StoreDown, StoreSlow, KillOwner, KillHosts}
+	return []FaultKind{Kill, Silence, Drain, Fail, Busy, Slow, Late, StoreDown, StoreSlow, KillOwner, KillHosts}
 }
 
 // Fault is something that goes wrong.
@@ -90,6 +92,8 @@
 		w.each(f, func(m *machine) { m.drain(f.Lasts, f.Lasts) })
 	case Fail:
 		w.each(f, func(m *machine) { m.failsUntil = until })
+	case Busy:
+		w.each(f, func(m *machine) { m.busyUntil = until })
 	case Slow:
 		w.each(f, func(m *machine) { m.slowUntil, m.slowBy = until, max(1, f.Factor) })
 	case Late:
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -73,6 +73,9 @@
 // randomJob returns the words of a random job.
 func randomJob(random *rand.Rand) words {
 	takes := time.Duration(50+random.IntN(6000)) * time.Millisecond
+	if random.IntN(15) == 0 {
+		takes *= 4 // longer than a lease
+	}
 	o := words{
 		fmt.Sprintf("count=%d", 1+random.IntN(12)), fmt.Sprintf("gpus=%d", 1<<random.IntN(4)), "takes=" + takes.String(),
 		"estimate=" + (takes / time.Duration(1+random.IntN(3))).String(), fmt.Sprintf("priority=%d", random.IntN(3)), "attempts=4",
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -37,9 +37,10 @@
 	// held answers the renewal that waits for an end; nil if none does.
 	held func()
 	// silentUntil is until when it hears and says nothing, failsUntil until when all that it
-	// starts fails, slowUntil until when it works slowBy times slower.
-	silentUntil, failsUntil, slowUntil unit.Instant
-	slowBy                             float64
+	// starts fails, busyUntil until when it refuses to start anything, slowUntil until when it
+	// works slowBy times slower.
+	silentUntil, failsUntil, busyUntil, slowUntil unit.Instant
+	slowBy                                        float64
 }
 
 // end is one end that a worker lists.
@@ -140,6 +141,8 @@
 		return fleet.Carried
 	case o.Run <= m.highest[o.Task]:
 		return fleet.Stale
+	case m.world.now < m.busyUntil:
+		return fleet.Busy
 	}
 	w := m.world
 	s := w.jobs[o.Task.Job]
