--- a/cmd/curlewsill/cmd/experiment.go
+++ b/cmd/curlewsill/cmd/experiment.go
@@ -22,7 +22,8 @@
 	Site       string `long:"site" required:"yes" value-name:"FILE" description:"site to model (INI)"`
 	Experiment string `long:"experiment" required:"yes" value-name:"FILE" description:"what comes, what fails and which policies to compare (INI)"`
 	Processors int    `long:"processors" default:"1" value-name:"N" description:"how many seeds and policies are played at a time"`
-	Charts     string `long:"charts" value-name:"DIR" description:"draw charts into a folder (SVG)"`
+	Charts     string `long:"charts" value-name:"DIR" description:"draw charts into a folder"`
+	Format     string `long:"chart-format" default:"svg" choice:"svg" choice:"png" description:"format of the charts"`
 }
 
 // Execute implements flags.Commander.
@@ -51,7 +52,7 @@
 		fmt.Fprintln(c.env.stderr, "ended early: what follows is of the plays that were whole")
 	}
 	if c.Charts != "" {
-		if err := chart.Draw(c.Charts, r); err != nil {
+		if err := chart.Draw(c.Charts, chart.Format(c.Format), r); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/experiment/arrive/arrive_test.go
@@ -0,0 +1,102 @@
+package arrive_test
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/internal/experiment/arrive"
+	"curlewsill.org/curlewsill/internal/experiment/setup"
+	"curlewsill.org/curlewsill/internal/replay"
+)
+
+func load(t *testing.T) *setup.Setup {
+	t.Helper()
+	s, err := setup.Load("testdata/site.ini", "testdata/experiment.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// TestDraw checks what is drawn against what was asked for: 2 jobs a second for 1,000 s, three times
+// as many for 100 s of them, with the means, bounds and shares of their kind.
+func TestDraw(t *testing.T) {
+	s := load(t)
+	events := arrive.Draw(s, 5)
+	var jobs, burst, gangs, tasks, faults float64
+	var run, last time.Duration
+	for _, e := range events {
+		if e.At < last {
+			t.Fatalf("%s comes after %s", e.At, last)
+		}
+		last = e.At
+		if e.Fault != nil {
+			faults++
+			continue
+		}
+		jobs++
+		if e.At >= 200*time.Second && e.At < 300*time.Second {
+			burst++
+		}
+		step := e.Job.Spec.Steps[0]
+		if step.Gang {
+			gangs++
+		}
+		tasks += float64(step.Count)
+		run += e.Job.Takes[0]
+		if step.Count > 12 || step.Count < 1 || e.Job.Takes[0] > 8*time.Second || len(e.Job.Takes) != step.Count {
+			t.Errorf("%+v", e.Job)
+		}
+	}
+	for _, x := range []struct {
+		what           string
+		got, want, off float64
+	}{
+		{"jobs", jobs, 2400, 0.1},
+		{"jobs of the burst", burst, 600, 0.15},
+		{"share of gangs", gangs / jobs, 0.25, 0.1},
+		{"tasks", tasks / jobs, 4, 0.1},
+		{"run time", run.Seconds() / jobs, 2, 0.1},
+		{"faults", faults, 1, 0},
+	} {
+		if math.Abs(x.got-x.want) > x.off*x.want {
+			t.Errorf("%s: %g, want about %g", x.what, x.got, x.want)
+		}
+	}
+}
+
+// TestSame checks that a seed gives the same jobs each time, and another seed others.
+func TestSame(t *testing.T) {
+	s := load(t)
+	a, b, c := arrive.Draw(s, 5), arrive.Draw(s, 5), arrive.Draw(s, 6)
+	if !reflect.DeepEqual(a, b) {
+		t.Error("two draws of a seed differ")
+	}
+	if reflect.DeepEqual(a, c) {
+		t.Error("two seeds draw the same")
+	}
+}
+
+// TestTrace turns lines of a trace into events: a job beyond one worker is a gang of whole ones.
+func TestTrace(t *testing.T) {
+	s := load(t)
+	events := arrive.FromTrace(s, []replay.Event{
+		{At: 1, Kind: replay.Submit, Job: "a", Customer: "a", Accelerators: 3, Run: time.Minute, Declared: time.Second},
+		{At: 2, Kind: replay.Submit, Job: "b", Customer: "a", Accelerators: 20, Run: time.Minute, Urgent: true, Bad: true},
+		{At: 3, Kind: replay.Cancel, Job: "a"},
+		{At: 4, Kind: replay.WorkerDown, Job: "r-w0"},
+		{At: 5, Kind: replay.WorkerUp, Job: "r-w0"},
+	})
+	a, b := events[0].Job, events[1].Job
+	if one := a.Spec.Steps[0]; one.Count != 1 || one.Gang || one.Need.Accelerators != 3 || one.Estimate != time.Second || a.Kind != "k" {
+		t.Errorf("%+v", a)
+	}
+	if gang := b.Spec.Steps[0]; gang.Count != 3 || !gang.Gang || gang.Need.Accelerators != 8 || b.FailShare != 1 || b.Kind != "urgent" {
+		t.Errorf("%+v", b)
+	}
+	if events[2].Cancel != "a" || events[3].Down != "r-w0" || events[4].Up != "r-w0" {
+		t.Errorf("%+v", events[2:])
+	}
+}
--- a/internal/experiment/chart/chart.go
+++ b/internal/experiment/chart/chart.go
@@ -1,4 +1,4 @@
-// Package chart draws the result of an experiment as SVG.
+// Package chart draws the result of an experiment.
 package chart
 
 import (
@@ -21,14 +21,24 @@
 	bar    = 1.2 * vg.Centimeter
 )
 
+// Format is the file format of a chart, and the ending of its file's name.
+type Format string
+
+// The formats.
+const (
+	SVG Format = "svg"
+	PNG Format = "png"
+)
+
 // Draw draws the charts into a folder that is there: completion times of each kind, use and
 // fragmentation over time, and worth by policy. A report without runs has none.
-func Draw(dir string, r *result.Report) error {
+func Draw(dir string, as Format, r *result.Report) error {
 	if len(r.Runs) == 0 {
 		return nil
 	}
+	file := func(name string) string { return filepath.Join(dir, name+"."+string(as)) }
 	for i, k := range r.Runs[0].Kinds {
-		if err := completion(filepath.Join(dir, "completion-"+k.Kind+".svg"), r, i); err != nil {
+		if err := completion(file("completion-"+k.Kind), r, i); err != nil {
 			return fmt.Errorf("chart: %w", err)
 		}
 	}
@@ -40,11 +50,11 @@
 		{"fragmentation", "share of free accelerators", func(s world.Sample) float64 { return s.Fragmentation }},
 		{"waiting", "tasks", func(s world.Sample) float64 { return float64(s.Waiting) }},
 	} {
-		if err := overTime(filepath.Join(dir, c.name+".svg"), c.name, c.label, r, c.value); err != nil {
+		if err := overTime(file(c.name), c.name, c.label, r, c.value); err != nil {
 			return fmt.Errorf("chart: %w", err)
 		}
 	}
-	if err := worth(filepath.Join(dir, "worth.svg"), r); err != nil {
+	if err := worth(file("worth"), r); err != nil {
 		return fmt.Errorf("chart: %w", err)
 	}
 	return nil
--- a/internal/experiment/chart/chart_test.go
+++ b/internal/experiment/chart/chart_test.go
@@ -12,8 +12,18 @@
 	"curlewsill.org/curlewsill/internal/experiment/result"
 )
 
-// TestDraw draws a report twice: all charts are there, and the same to the byte.
+// TestDraw draws a report twice in each format: all charts are there, and the same to the byte.
 func TestDraw(t *testing.T) {
+	for _, x := range []struct {
+		as    chart.Format
+		magic string
+	}{{chart.SVG, "<svg"}, {chart.PNG, "\x89PNG"}} {
+		t.Run(string(x.as), func(t *testing.T) { drawTwice(t, x.as, x.magic) })
+	}
+}
+
+func drawTwice(t *testing.T, as chart.Format, magic string) {
+	t.Helper()
 	r := &result.Report{
 		Policies: []string{"a", "b", "none"},
 		Runs: []result.Run{
@@ -24,17 +34,18 @@
 	r.Sum()
 	dirs := []string{t.TempDir(), t.TempDir()}
 	for _, d := range dirs {
-		if err := chart.Draw(d, r); err != nil {
+		if err := chart.Draw(d, as, r); err != nil {
 			t.Fatal(err)
 		}
 	}
-	for _, name := range []string{"completion-k.svg", "use.svg", "fragmentation.svg", "waiting.svg", "worth.svg"} {
+	for _, name := range []string{"completion-k", "use", "fragmentation", "waiting", "worth"} {
+		name += "." + string(as)
 		a, err := os.ReadFile(filepath.Join(dirs[0], name))
 		if err != nil {
 			t.Fatal(err)
 		}
 		b, err := os.ReadFile(filepath.Join(dirs[1], name))
-		if err != nil || !bytes.Equal(a, b) || !bytes.Contains(a, []byte("<svg")) {
+		if err != nil || !bytes.Equal(a, b) || !bytes.Contains(a, []byte(magic)) {
 			t.Errorf("%s: %d and %d bytes, %v", name, len(a), len(b), err)
 		}
 	}
@@ -43,7 +54,7 @@
 // TestNothing draws nothing of a report without runs.
 func TestNothing(t *testing.T) {
 	d := t.TempDir()
-	if err := chart.Draw(d, &result.Report{Policies: []string{"a"}}); err != nil {
+	if err := chart.Draw(d, chart.SVG, &result.Report{Policies: []string{"a"}}); err != nil {
 		t.Fatal(err)
 	}
 	if files, _ := os.ReadDir(d); len(files) != 0 {
