--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -46,6 +46,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := setup(24, 5, 0.2+random.Float64())
 	s.Seed, s.Times.Drift = seed, 0.02
+	s.Times.Stop, s.Times.Restore = time.Duration(random.IntN(900))*time.Millisecond, 250*time.Millisecond
 	s.Costs = world.Costs{Pass: 50 * time.Microsecond, Event: 20 * time.Microsecond, Order: 200 * time.Microsecond}
 	for i := range s.Workers {
 		s.Workers[i].Speed = 0.7 + 0.6*random.Float64()
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -165,7 +165,7 @@
 // stop ends a run, or keeps one from starting.
 func (m *machine) stop(o dispatch.Stop) fleet.Verdict {
 	if r := m.find(o.Task); r != nil && r.number == o.Run {
-		r.finish(fleet.EndStopped)
+		r.stop()
 	}
 	m.highest[o.Task] = max(m.highest[o.Task], o.Run)
 	return fleet.Carried
--- a/core/world/run.go
+++ b/core/world/run.go
@@ -29,7 +29,8 @@
 	speed float64
 	// began is when it began to work; 0 while its gang isn't whole.
 	began unit.Instant
-	gone  bool
+	// stopping is set once it was ordered to stop, gone once it takes no room any more.
+	stopping, gone bool
 }
 
 // begins takes a run into the worker.
@@ -81,8 +82,16 @@
 	return r.step.SameRack && r.gang != nil && r.gang.spread()
 }
 
-// left returns how long the rest of the task takes.
-func (r *run) left() time.Duration { return stretch(r.whole-r.saved, 1/r.speed) }
+// left returns how long the rest of the task takes from its beginning on.
+func (r *run) left() time.Duration { return r.restore() + stretch(r.whole-r.saved, 1/r.speed) }
+
+// restore returns how long the run takes to go on from its checkpoint.
+func (r *run) restore() time.Duration {
+	if r.saved == 0 {
+		return 0
+	}
+	return r.machine.world.setup.Times.Restore
+}
 
 // plan lets the run end after a time, or fail before.
 func (r *run) plan(after time.Duration) {
@@ -111,7 +120,8 @@
 	if r.began == 0 {
 		return r.saved
 	}
-	return min(r.whole, r.saved+stretch(r.machine.world.now.Sub(r.began), r.speed))
+	worked := max(0, r.machine.world.now.Sub(r.began)-r.restore())
+	return min(r.whole, r.saved+stretch(worked, r.speed))
 }
 
 // checkpoint returns the newest checkpoint; empty if there is none.
@@ -159,6 +169,23 @@
 	}
 }
 
+// stop ends the run when the time that a stop takes is over. It works on until then.
+func (r *run) stop() {
+	w := r.machine.world
+	switch {
+	case r.stopping:
+	case w.setup.Times.Stop == 0:
+		r.finish(fleet.EndStopped)
+	default:
+		r.stopping = true
+		w.Plan(w.setup.Times.Stop, func() {
+			if !r.gone {
+				r.finish(fleet.EndStopped)
+			}
+		})
+	}
+}
+
 // vanish ends the run without a word.
 func (r *run) vanish() {
 	r.leave(false)
--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -22,7 +22,7 @@
 
 // TestScripts plays the scripts in testdata/script. A line is a command:
 //
-//	site [workers=N] [speed=X] [hosts=N] [cores=X] [drift=X] [order=D] [pass=D]    what the world begins with
+//	site [workers=N] [speed=X] [hosts=N] [cores=X] [drift=X] [stop=D] [order=D] [pass=D]    what the world begins with
 //	job NAME [count=N] [gpus=N] [takes=D] [estimate=D] [priority=N] [attempts=N] [gang] [saves] [twosteps] [fails=X] [cancel=D]
 //	strike KIND [share=X] [lasts=D] [factor=X]
 //	run D
@@ -120,7 +120,7 @@
 // site begins the world.
 func (p *player) site(o words) {
 	s := setup(int(o.number("workers", 8)), int(o.number("hosts", 1)), o.number("cores", 1))
-	s.Times.Drift = o.number("drift", 0)
+	s.Times.Drift, s.Times.Stop = o.number("drift", 0), o.duration("stop", 0)
 	s.Costs = world.Costs{Pass: o.duration("pass", 0), Order: o.duration("order", 0)}
 	for i := range s.Workers {
 		s.Workers[i].Speed = o.number("speed", 1)
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -86,6 +86,9 @@
 	Listing time.Duration
 	// Whole is how long the members of a gang wait for the others.
 	Whole time.Duration
+	// Stop is how long a task holds its room after an order to stop, Restore how long one takes to
+	// go on from a checkpoint.
+	Stop, Restore time.Duration
 	// Look is the time between two looks at the group of hosts, MemberTTL how long the store
 	// still lists a host that is silent.
 	Look, MemberTTL time.Duration
--- a/internal/experiment/setup/setup.go
+++ b/internal/experiment/setup/setup.go
@@ -173,6 +173,7 @@
 	s.Prices = Prices{Waste: p.Number("waste", 0, 0, maxFactor), Start: p.Number("start", 0, 0, maxFactor)}
 	s.World = readWorld(f, c)
 	s.World.SaveEvery = s.Bounds.SaveEvery
+	s.World.Times.Stop = f.Section("workers").Duration("stop", s.Bounds.StopTime, 0, time.Minute)
 	for _, k := range f.Sections("kind") {
 		s.Kinds = append(s.Kinds, readKind(k, c))
 	}
--- a/internal/experiment/setup/world.go
+++ b/internal/experiment/setup/world.go
@@ -38,6 +38,7 @@
 	passShare = 3
 	look      = 500 * time.Millisecond
 	memberTTL = time.Second
+	restore   = 250 * time.Millisecond
 	drift     = 0.02
 	far       = 3
 )
@@ -69,6 +70,7 @@
 			Listing:   network.Duration("listing", listing, 0, time.Hour),
 			Look:      hosts.Duration("look", look, time.Millisecond, time.Hour),
 			Whole:     workers.Duration("gang_wait", whole, time.Millisecond, time.Hour),
+			Restore:   workers.Duration("restore", restore, 0, time.Minute),
 			Drift:     workers.Number("drift", drift, 0, drift),
 		},
 		Far: workers.Number("far", far, 1, maxFactor),
