--- a/core/dispatch/starved_test.go
+++ b/core/dispatch/starved_test.go
@@ -26,9 +26,8 @@
 	)
 	for _, trip := range []time.Duration{worldTrip, 300 * time.Millisecond} {
 		t.Run(trip.String(), func(t *testing.T) {
-			w := newWorld(t, workers, 0)
-			w.trip = trip
-			w.run(2 * time.Second)
+			w := newFarWorld(t, workers, 0, trip)
+			w.Run(2 * time.Second)
 			for range 5 {
 				w.urgentSecond(urgentASecond)
 			}
@@ -39,10 +38,10 @@
 			for range limit {
 				w.urgentSecond(urgentASecond)
 			}
-			if got := w.doneOf(inGang); got != gang {
+			if got := w.DoneOf(jobName(inGang)); got != gang {
 				t.Errorf("%d of the %d members of the gang have ended after %d s", got, gang, limit)
 			}
-			if got := w.doneOf(after); got != behind {
+			if got := w.DoneOf(jobName(after)); got != behind {
 				t.Errorf("%d of the %d tasks behind it have ended after %d s", got, behind, limit)
 			}
 		})
@@ -50,16 +49,16 @@
 }
 
 // urgentSecond lets a second pass in which so many urgent tasks come, evenly spread.
-func (w *world) urgentSecond(n int) {
+func (l *load) urgentSecond(n int) {
 	for i := range n {
-		w.plan(time.Duration(i)*time.Second/time.Duration(n), func() { w.submit(0, 1, 1, 500*time.Millisecond) })
+		l.Plan(time.Duration(i)*time.Second/time.Duration(n), func() { l.submit(0, 1, 1, 500*time.Millisecond) })
 	}
-	w.run(time.Second)
+	l.Run(time.Second)
 }
 
 // submitGang hands in a job of one gang.
-func (w *world) submitGang(priority, count, gpus int, takes time.Duration) {
-	w.submitStep(priority, takes, job.Step{
+func (l *load) submitGang(priority, count, gpus int, takes time.Duration) {
+	l.submitStep(priority, takes, job.Step{
 		Count: count, Gang: true, Estimate: takes, Need: job.Resources{CPU: 1000 * job.MilliCPU(gpus), Memory: unit.GiB, Accelerators: gpus},
 	})
 }
--- a/core/dispatch/unanswered_test.go
+++ b/core/dispatch/unanswered_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"curlewsill.org/curlewsill/core/world"
 )
 
 // TestStartsThatAreNeverAnswered guards against tasks that are bound to a worker which never takes them.
@@ -15,13 +17,15 @@
 // Settled by: 8 of 80 tasks, placed on one of ten workers, have not ended after 60 s and not after 120 s.
 func TestStartsThatAreNeverAnswered(t *testing.T) {
 	w := newWorld(t, 10, 0)
-	w.run(time.Second)
-	w.order[0].mute = true
+	w.Run(time.Second)
+	if err := w.Strike(world.Fault{Kind: world.Mute, Share: 0.1, Lasts: time.Hour}); err != nil {
+		t.Fatal(err)
+	}
 	for range 10 {
 		w.submit(1, 8, 1, time.Second)
 	}
-	w.run(30 * time.Second)
-	if w.ended != w.accepted {
-		t.Errorf("%d of %d tasks have ended", w.ended, w.accepted)
+	w.Run(30 * time.Second)
+	if w.Tally().Done != w.accepted {
+		t.Errorf("%d of %d tasks have ended", w.Tally().Done, w.accepted)
 	}
 }
