--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -200,7 +200,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer h.close()
-	h.log.Info("started", zap.String("host", string(h.self)), zap.String("callers", h.settings.Callers), zap.String("store", h.settings.Store))
+	h.log.Info("started", zap.String("host", string(h.self)), zap.String("callers", h.Callers()),
+		zap.String("readiness", h.listeners[1].Addr().String()), zap.String("peers", h.peers), zap.String("store", h.settings.Store))
 	for i, s := range h.servers {
 		go func() {
 			if err := s.Serve(h.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
--- /dev/null
+++ b/soak/judge_call_test.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// seeCall checks a call and its answer.
+func (j *judge) seeCall(e event) {
+	if e.Kind == sent {
+		j.calls[e.Call] = e
+		j.sent(e)
+		return
+	}
+	s := j.calls[e.Call]
+	delete(j.calls, e.Call)
+	e.Method, e.Job, e.Key = s.Method, s.Job, s.Key
+	x := j.jobs[e.Job]
+	switch e.Method {
+	case http.MethodPost:
+		j.submitted(e, x)
+	case http.MethodGet:
+		j.shown(e, s, x)
+	case http.MethodDelete:
+		// A 410 to a cancel acknowledges it only if the job was accepted before.
+		if x.cancelledAt == 0 && (e.Status == http.StatusOK || e.Status == http.StatusGone && x.acceptedAt > 0) {
+			x.cancelledAt = e.At
+		}
+	}
+	j.checkConfig(e, s.At)
+	if e.Status == 0 && e.How != "deadline" && e.Took > patience*lossSlack && j.calm(s.At, e.Host, "store", "workers") {
+		j.fail("broken", "%s of %s at %s was cut after %v: %s", e.Method, e.Job, e.Host, e.Took, e.How)
+	}
+}
+
+// sent notes what callers ask for.
+func (j *judge) sent(e event) {
+	x := j.jobs[e.Job]
+	switch e.Method {
+	case http.MethodPost:
+		if x == nil {
+			x = &jobSeen{text: e.Text, steps: e.Steps}
+			j.jobs[e.Job] = x
+		}
+		x.open++
+	case http.MethodDelete:
+		if x.cancelSent == 0 {
+			x.cancelSent = e.At
+		}
+	}
+}
+
+// submitted notes what became of an attempt to hand a job in.
+func (j *judge) submitted(e event, x *jobSeen) {
+	x.open--
+	switch e.Status {
+	case http.StatusOK, http.StatusCreated, http.StatusAccepted:
+		if x.acceptedAt == 0 {
+			x.acceptedAt = e.At
+		}
+	case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+		x.unknown++
+	default:
+		x.refused++
+		j.checkRefused(e.Job, x)
+	}
+}
+
+// shown checks the state that a job is shown in.
+func (j *judge) shown(e, s event, x *jobSeen) {
+	switch {
+	case e.Status == http.StatusGone:
+		x.state = "410"
+		late := x.acceptedAt > 0 && s.At > x.acceptedAt+patience*visible
+		if late && x.cancelSent == 0 && j.calm(s.At, e.Host, "store") {
+			j.fail("lost", "%s was accepted at %v and %s doesn't know it", e.Job, x.acceptedAt, e.Host)
+		}
+		return
+	case e.Status != http.StatusOK:
+		return
+	}
+	x.state = e.State
+	switch e.State {
+	case "completed":
+		for i, step := range x.steps {
+			if !j.done(e.Job, i, step) {
+				j.fail("truth", "%s is shown as completed while step %d isn't done", e.Job, i)
+			}
+		}
+	case "failed":
+		if !j.spent(e.Job, x) {
+			j.fail("truth", "%s is shown as failed although no task has failed %d times", e.Job, maxAttempts)
+		}
+	case "cancelled":
+		if x.cancelSent == 0 {
+			j.fail("truth", "%s is shown as cancelled and nobody asked for that", e.Job)
+		}
+	}
+}
+
+// spent reports whether some task of a job has failed as often as it may.
+func (j *judge) spent(name string, x *jobSeen) bool {
+	for i, step := range x.steps {
+		all := 0
+		for n := range step.Count {
+			f := j.failures(j.task(name+".0."+strconv.Itoa(i)+"."+strconv.Itoa(n)), false)
+			all += f
+			if f >= maxAttempts || step.Gang && all >= maxAttempts {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkConfig checks the versions that an answer shows: one that has the call's key, or one that
+// hasn't.
+func (j *judge) checkConfig(e event, sentAt time.Duration) {
+	known := e.Status == http.StatusOK || e.Status == http.StatusGone
+	if !known && e.Status != http.StatusUnauthorized {
+		return // refused before or for other reasons
+	}
+	h := j.hosts[e.Host]
+	if h == nil {
+		h = &hostSeen{}
+		j.hosts[e.Host] = h
+	}
+	oldest, newest := 0, 0 // of the versions since low that answer so
+	for _, c := range j.configs {
+		if slices.Contains(c.Keys, e.Key) != known || c.Version < h.low {
+			continue
+		}
+		newest = c.Version
+		if oldest == 0 {
+			oldest = c.Version
+		}
+	}
+	if newest == 0 && h.low > 0 && sentAt > h.lowAt {
+		j.fail("config", "%s has shown version %d and answers %d to %s as none since does", e.Host, h.low, e.Status, e.Key)
+		return
+	}
+	if must := j.inForce(sentAt); newest < must && j.calm(sentAt, e.Host, "store") {
+		j.fail("config", "%s answers %d to %s as only version %d does, and %d is in force", e.Host, e.Status, e.Key, newest, must)
+	}
+	if oldest > h.low {
+		h.low, h.lowAt = oldest, e.At
+	}
+}
+
+// inForce returns the newest version that hosts in touch must have.
+func (j *judge) inForce(at time.Duration) int {
+	v := 0
+	for _, c := range j.configs {
+		if at > c.At+patience*configTime {
+			v = c.Version
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,182 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// judge holds what was seen against the promises of the pages. It knows nothing of the hosts but what
+// callers, workers and the operator see, and the ends of processes.
+type judge struct {
+	now     time.Duration
+	jobs    map[string]*jobSeen
+	tasks   map[string]*taskSeen
+	workers map[string]*workerSeen
+	hosts   map[string]*hostSeen
+	calls   map[int]event
+	// configs holds the versions in order.
+	configs []event
+	// faults counts the open faults of each kind of target, ceasedAt is when the last one ended.
+	faults   map[string]int
+	ceasedAt map[string]time.Duration
+	// fences counts the refused orders of a fence on a worker, since when.
+	fences map[string]*refusedFence
+	broken []violation
+}
+
+// violation is a promise that was broken.
+type violation struct {
+	Check, Detail string
+	At            time.Duration
+}
+
+func (v violation) String() string {
+	return fmt.Sprintf("%s at %v: %s", v.Check, v.At.Round(time.Millisecond), v.Detail)
+}
+
+// jobSeen is what callers know of a job.
+type jobSeen struct {
+	text  string
+	steps []standin.Step
+	// open counts attempts under way, unknown those without an answer, refused those refused.
+	open, unknown, refused int
+	acceptedAt             time.Duration
+	// cancelSent is when a cancel left first, cancelledAt when one was acknowledged.
+	cancelSent, cancelledAt time.Duration
+	started                 bool
+	state                   string
+}
+
+// runSeen is one run of a task.
+type runSeen struct {
+	worker     string
+	number     int
+	start, end time.Duration // end is 0 while it runs
+	how        string
+	noted      bool
+	// against is a run that seems to be on another worker at once, until its end is told.
+	against *runSeen
+}
+
+// taskSeen is the runs of a task, in the order in which they were told.
+type taskSeen struct{ runs []*runSeen }
+
+// workerSeen is one life of a worker.
+type workerSeen struct {
+	running  int
+	epoch    uint64
+	drainsAt time.Duration
+	gone     bool
+}
+
+// hostSeen is one life of a host. low is the newest version that it has shown, since when.
+type hostSeen struct {
+	low   int
+	lowAt time.Duration
+}
+
+type refusedFence struct {
+	first time.Duration
+	later int
+}
+
+func newJudge() *judge {
+	return &judge{
+		jobs: map[string]*jobSeen{}, tasks: map[string]*taskSeen{}, workers: map[string]*workerSeen{}, hosts: map[string]*hostSeen{},
+		calls: map[int]event{}, faults: map[string]int{}, ceasedAt: map[string]time.Duration{}, fences: map[string]*refusedFence{},
+	}
+}
+
+// fail notes a broken promise.
+func (j *judge) fail(check, format string, args ...any) {
+	j.broken = append(j.broken, violation{check, fmt.Sprintf(format, args...), j.now})
+}
+
+// see takes in an event.
+func (j *judge) see(e event) {
+	j.now = max(j.now, e.At)
+	switch string(e.Kind) {
+	case standin.SeenStart, standin.SeenEnd, standin.SeenNoted, standin.SeenGone, standin.SeenFenced, string(draining):
+		j.seeWorker(e)
+	case string(sent), string(answered):
+		j.seeCall(e)
+	case string(config):
+		j.configs = append(j.configs, e)
+	case string(began):
+		j.faults[e.What]++
+	case string(ceased):
+		j.faults[e.What]--
+		j.ceasedAt[e.What] = e.At
+	case string(exited), string(logged), string(usage):
+		j.seeProcess(e)
+	case string(settled):
+		j.settle()
+	}
+}
+
+// calm reports whether none of the targets had a fault for a while before a time.
+func (j *judge) calm(at time.Duration, targets ...string) bool {
+	for _, t := range targets {
+		ended, struck := j.ceasedAt[t]
+		if j.faults[t] > 0 || struck && at < ended+contact {
+			return false
+		}
+	}
+	return true
+}
+
+// allCalm reports whether nothing at all had a fault for a while.
+func (j *judge) allCalm() bool {
+	for t := range j.faults {
+		if !j.calm(j.now, t) {
+			return false
+		}
+	}
+	return true
+}
+
+// seeProcess checks how processes end and what they hold.
+func (j *judge) seeProcess(e event) {
+	switch e.Kind {
+	case exited:
+		if !e.Planned && !e.Killed {
+			j.fail("died", "%s ended by itself with code %d", e.Host, e.Status)
+		}
+		if e.Planned && !e.Killed && (e.Status != 0 || e.Took > patience*grace) {
+			j.fail("stop", "%s ended with code %d %v after SIGTERM", e.Host, e.Status, e.Took)
+		}
+	case logged:
+		j.fail("assertion", "%s: %s", e.Host, e.Text)
+	case usage:
+		if e.Count > mostFiles || e.Bytes > memoryLimit {
+			j.fail("bounded", "%s holds %d descriptors and %d bytes", e.Host, e.Count, e.Bytes)
+		}
+	}
+}
+
+// settle checks what must be so once everything has come to rest.
+func (j *judge) settle() {
+	for name, x := range j.jobs {
+		accepted := x.acceptedAt > 0
+		switch {
+		case accepted && x.cancelSent == 0 && x.state != "completed" && x.state != "failed":
+			j.fail("lost", "%s was accepted at %v and is %q at the end", name, x.acceptedAt, x.state)
+		case x.cancelledAt > 0 && x.state != "completed" && x.state != "failed" && x.state != "cancelled" && x.state != "410":
+			j.fail("cancel", "%s was cancelled at %v and is %q at the end", name, x.cancelledAt, x.state)
+		}
+	}
+	for name, t := range j.tasks {
+		for _, r := range t.runs {
+			if r.against != nil {
+				j.fail("twice", "%s runs %d on %s and %d on %s never ended", name, r.number, r.worker, r.against.number, r.against.worker)
+			}
+			if r.end == 0 {
+				j.fail("rest", "%s run %d is on %s after everything has ended", name, r.number, r.worker)
+			}
+		}
+	}
+	slices.SortFunc(j.broken, func(a, b violation) int { return int(a.At - b.At) })
+}
--- /dev/null
+++ b/soak/site_test.go
@@ -0,0 +1,250 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/internal/faultproxy"
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// site is a whole site: the stand-ins in this process, hosts as processes of their own, and a proxy
+// before everything that a host or caller connects to.
+type site struct {
+	t *testing.T
+	// dir holds the settings, the hosts' logs, the plan and the events.
+	dir   string
+	began time.Time
+	store *standin.Store
+	// address is where the store listens, behind the handler that puts proxies between hosts.
+	address string
+	gangs   *standin.Gangs
+
+	mu      sync.Mutex
+	judge   *judge
+	events  *json.Encoder
+	links   map[string]*faultproxy.Proxy
+	hosts   []*host
+	workers []*worker
+	// version is the newest configuration's.
+	version int
+	lives   int
+	random  *rand.Rand
+}
+
+// work is what the jobs' texts do.
+var work = map[string]standin.Work{
+	"short": {Time: 40 * time.Millisecond}, "middle": {Time: 400 * time.Millisecond}, "long": {Time: 2 * time.Second},
+	"flaky": {Time: failTime, FailsFirst: true}, "fails": {Time: failTime, Fails: true},
+	"gang": {Time: 400 * time.Millisecond, Members: gangMembers},
+}
+
+// failTime is how long a task runs before it fails by its own fault: longer than what the owner takes
+// for a worker's fault, which keeps all tasks away from the worker for seconds.
+const failTime = 450 * time.Millisecond
+
+// gangMembers is the size of the gangs.
+const gangMembers = 3
+
+// newSite starts the stand-ins, the workers and the hosts of a plan.
+func newSite(t *testing.T, p plan, dir string) *site {
+	s := &site{
+		t: t, dir: dir, began: time.Now(), store: standin.NewStore(), gangs: standin.NewGangs(), judge: newJudge(),
+		links: map[string]*faultproxy.Proxy{}, random: rand.New(rand.NewPCG(p.seed, 2)),
+	}
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "plan.txt"), []byte(p.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.Create(filepath.Join(dir, "events.jsonl"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.Close() })
+	s.events = json.NewEncoder(f)
+	address, stop, err := standin.Listen(http.HandlerFunc(s.serveStore))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	s.address = address
+	s.configure()
+	for i := range p.workers {
+		s.workers = append(s.workers, &worker{site: s, number: i})
+		s.workers[i].start()
+	}
+	for i := range p.hosts {
+		s.hosts = append(s.hosts, &host{site: s, number: i, name: fmt.Sprintf("host-%d", i)})
+		s.hosts[i].start()
+	}
+	return s
+}
+
+// tell hands an event to the judge and to the file of events.
+func (s *site) tell(e event) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.At == 0 {
+		e.At = time.Since(s.began)
+	}
+	if err := s.events.Encode(e); err != nil {
+		s.t.Error(err)
+	}
+	s.judge.see(e)
+}
+
+// broken returns what was found so far.
+func (s *site) broken() []violation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.judge.broken
+}
+
+// seen hands on what a worker tells.
+func (s *site) seen(x standin.Seen) {
+	s.tell(event{At: x.At.Sub(s.began), Kind: kind(x.Kind), Worker: x.Worker, Task: x.Task, Run: x.Run, Text: x.Text, Epoch: x.Epoch, How: x.How})
+}
+
+// life returns a name for a life of a host or worker that no other has.
+func (s *site) life(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lives++
+	return fmt.Sprintf("%s.%d", name, s.lives)
+}
+
+// chance returns a number below n.
+func (s *site) chance(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.IntN(n)
+}
+
+// configure writes the next version of the configuration. Each holds the key of the version before and
+// a new one.
+func (s *site) configure() {
+	s.mu.Lock()
+	s.version++
+	v := s.version
+	s.mu.Unlock()
+	keys := []string{keyOf(v - 1), keyOf(v)}
+	s.tell(event{Kind: config, Version: v, Keys: keys})
+	s.store.PutKeys(v, maxAttempts, keys)
+}
+
+// keyOf returns the key that a version brings.
+func keyOf(version int) string { return "key-" + strconv.Itoa(version) }
+
+// newest returns the newest version.
+func (s *site) newest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// listening finds where a host listens in its name as a member of the group of hosts.
+var listening = regexp.MustCompile(`@127\.0\.0\.1:\d+@`)
+
+// serveStore answers for the store, with proxies in place of where hosts listen for each other.
+func (s *site) serveStore(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/log-owners" {
+		s.store.ServeHTTP(w, r)
+		return
+	}
+	rec := httptest.NewRecorder()
+	s.store.ServeHTTP(rec, r)
+	body := listening.ReplaceAllFunc(rec.Body.Bytes(), func(at []byte) []byte {
+		return []byte("@" + s.link(string(at[1:len(at)-1])).Addr() + "@")
+	})
+	w.WriteHeader(rec.Code)
+	_, _ = w.Write(body) // a host that has gone
+}
+
+// link returns the proxy before where a host listens for its peers.
+func (s *site) link(address string) *faultproxy.Proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links[address] == nil {
+		s.links[address] = s.proxy(address)
+	}
+	return s.links[address]
+}
+
+// proxy returns a proxy before an address.
+func (s *site) proxy(address string) *faultproxy.Proxy {
+	p, err := faultproxy.New(address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = p.Close() })
+	return p
+}
+
+// worker is a machine that has one life as a worker after the other.
+type worker struct {
+	site   *site
+	number int
+
+	mu      sync.Mutex
+	life    *standin.Worker
+	address string
+	front   *faultproxy.Proxy
+	stop    func()
+	gone    bool
+}
+
+// start begins a life.
+func (w *worker) start() {
+	s := w.site
+	rate := 1 - float64(s.chance(3))/100 // a worker's clock may be 2 percent slow
+	life := standin.NewStrictWorker(s.life(fmt.Sprintf("worker-%d", w.number)), work, standin.Strict{
+		MaxLease: maxLease, StopTime: stopTime / 3, Gangs: s.gangs, Rate: rate, Observe: s.seen,
+	})
+	address, stop, err := standin.Listen(life)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	w.mu.Lock()
+	w.life, w.stop, w.gone = life, stop, false
+	w.front = s.proxy(address)
+	w.address = w.front.Addr()
+	w.mu.Unlock()
+	s.store.PutWorker(life.ID(), w.address)
+}
+
+// leave ends the present life, which stays listed for a while unless it is dropped at once.
+func (w *worker) leave(listed time.Duration) {
+	w.mu.Lock()
+	w.gone = true
+	id := w.life.ID()
+	w.life.Crash()
+	w.stop()
+	_ = w.front.Close() // its connections are reset
+	w.mu.Unlock()
+	time.Sleep(listed)
+	w.site.store.DropWorker(id)
+	w.start()
+}
+
+// present returns the present life and the proxy before it, or nil while there is none.
+func (w *worker) present() (*standin.Worker, *faultproxy.Proxy) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gone {
+		return nil, nil
+	}
+	return w.life, w.front
+}
