--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -21,6 +21,7 @@
 	hosts    = flag.String("hosts", "3..7", "hosts of the long run, from..to by seed")
 	workersN = flag.Int("workers", 0, "workers of the long run, 0 for a third more than hosts and two")
 	keep     = flag.String("keep", "", "folder for logs, also of seeds that pass; without it those of failed seeds stay in the system's temporary folder")
+	hand     = flag.Bool("hand", false, "play the seeds that testdata/seeds.txt leaves to runs by hand")
 	recorded = flag.String("recorded", "", "file of events to judge again")
 )
 
@@ -65,11 +66,15 @@
 		t.Fatal(err)
 	}
 	for line := range strings.Lines(string(data)) {
+		line, byHand := strings.CutPrefix(line, "hand ")
+		if byHand && !*hand {
+			continue
+		}
 		var seed uint64
 		var nh, nw int
 		var lasts string
 		if _, err := fmt.Sscan(line, &seed, &nh, &nw, &lasts); err != nil {
-			continue // a comment, or one that is played by hand
+			continue // a comment
 		}
 		d, err := time.ParseDuration(lasts)
 		if err != nil {
