--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -169,20 +169,23 @@
 	return answer, true
 }
 
-// send writes a call. A link that can't be written to is closed.
-func (l *link) send(ctx context.Context, raw []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+// send writes a call. A link that can't be written to is closed, and has logged why. The patience of
+// the call's caller doesn't end the writing: a message that isn't written whole ends the link, and with
+// it all other calls under way there.
+func (l *link) send(raw []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	err := l.conn.Write(ctx, raw)
-	if err != nil {
+	if err := l.conn.Write(ctx, raw); err != nil {
 		l.close()
 	}
-	return err
 }
 
 // do makes a call. A link on which an answer is overdue is retired: whether it is dead is for pings
 // to say, and other answers may still come.
 func (l *link) do(ctx context.Context, c call) (result, error) {
+	if err := ctx.Err(); err != nil {
+		return result{}, err
+	}
 	c.ID = l.next.Add(1)
 	raw, err := calls.Encode(c)
 	if err != nil {
@@ -192,11 +195,10 @@
 	if !ok {
 		return result{}, errUnsent
 	}
+	defer l.forget(c.ID)
 	release := l.conn.Use()
 	defer release()
-	if err := l.send(ctx, raw); err != nil {
-		return result{}, errDied
-	}
+	go l.send(raw)
 	overdue := time.NewTimer(c.Limit + hedgeAfter)
 	defer overdue.Stop()
 	select {
@@ -212,7 +214,6 @@
 		l.retire()
 		return result{}, errOverdue
 	case <-ctx.Done():
-		l.forget(c.ID)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			l.retire() // the answer is overdue, though the peer lives
 		}
--- a/internal/relay/link_internal_test.go
+++ b/internal/relay/link_internal_test.go
@@ -25,18 +25,22 @@
 // answer ended with errDied.
 func TestGivenUpBeforeSending(t *testing.T) {
 	gate := make(chan struct{})
-	l := linkTo(t, func(w http.ResponseWriter, r *http.Request) {
+	store := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		select {
 		case <-gate:
 		case <-r.Context().Done():
 		}
-	})
+	}))
+	t.Cleanup(store.Close)
+	l := linkTo(t, New(store.URL, RouteStore, store.Client(), newTestLinks(t), zap.NewNop()).Handler())
 	first := make(chan error, 1)
 	go func() {
 		_, err := l.do(context.Background(), call{Method: http.MethodPost, Path: "/", Limit: time.Minute})
 		first <- err
 	}()
-	awaitCalls(t, l, 1)
+	for l.under() == 0 {
+		time.Sleep(time.Millisecond)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	for range 20 { // the library draws whether it sees the end of a context first
@@ -56,43 +60,47 @@
 // Sequence: a call's answer is overdue, and the link lives on for the other calls under way. Cause:
 // only calls that their callers had given up were forgotten. Figures: one entry for each such call.
 func TestOverdueIsForgotten(t *testing.T) {
-	l := linkTo(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	l := linkTo(t, mute(newTestLinks(t)))
 	if _, err := l.do(context.Background(), call{Method: http.MethodPost, Path: "/", Limit: -hedgeAfter}); !errors.Is(err, errOverdue) {
 		t.Fatalf("the call ended with %v", err)
 	}
-	awaitCalls(t, l, 0)
+	if n := l.under(); n != 0 {
+		t.Errorf("%d calls are expected to be answered", n)
+	}
+}
+
+// newTestLinks returns a set of links that is closed when the test ends.
+func newTestLinks(t *testing.T) *wslink.Links {
+	l := NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
+	t.Cleanup(l.Close)
+	return l
+}
+
+// mute takes links and answers no call.
+func mute(links *wslink.Links) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, err := links.Accept(w, r)
+		for err == nil {
+			_, err = conn.Read(r.Context())
+		}
+	})
 }
 
-// linkTo returns a link to a peer whose store answers as told.
-func linkTo(t *testing.T, answer http.HandlerFunc) *link {
+// linkTo returns a link to a peer with a handler.
+func linkTo(t *testing.T, h http.Handler) *link {
 	t.Helper()
-	store := httptest.NewServer(answer)
-	t.Cleanup(store.Close)
-	links := func() *wslink.Links {
-		out := NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
-		t.Cleanup(out.Close)
-		return out
-	}
-	peer := httptest.NewServer(New(store.URL, RouteStore, store.Client(), links(), zap.NewNop()).Handler())
+	peer := httptest.NewServer(h)
 	t.Cleanup(peer.Close)
-	l, err := dial(context.Background(), strings.TrimPrefix(peer.URL, "http://"), "", links())
+	l, err := dial(context.Background(), strings.TrimPrefix(peer.URL, "http://"), "", newTestLinks(t))
 	if err != nil {
 		t.Fatal(err)
 	}
 	return l
 }
 
-// awaitCalls waits until so many calls are expected to be answered on a link.
-func awaitCalls(t *testing.T, l *link, n int) {
-	t.Helper()
-	for range 1000 {
-		l.mu.Lock()
-		got := len(l.waiting)
-		l.mu.Unlock()
-		if got == n {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	t.Fatalf("%d calls never were under way", n)
+// under returns how many calls are expected to be answered.
+func (l *link) under() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
 }
