--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -17,9 +17,13 @@
 	// dialTimeout bounds the opening of a link: the longest way on the users' sites is a
 	// few milliseconds, and a peer behind a cut never answers.
 	dialTimeout = 400 * time.Millisecond
-	// writeTimeout bounds the writing of one message; it is as long as a way may take
-	// before the other one is tried.
+	// writeTimeout bounds the writing of one message beside what its size takes; it is as long as a
+	// way may take before the other one is tried.
 	writeTimeout = 500 * time.Millisecond
+	// thinnest is how many bytes a second a message may be written with at least. The thinnest link
+	// of the users' sites, 10 Mbit/s, carries 1.2 MB a second. With writeTimeout alone a page of 1 MB
+	// ended each link that it was written to.
+	thinnest = 1 << 20
 	// servedAtOnce bounds the calls that are made for one peer at a time: twice the
 	// connections of a host to the store.
 	servedAtOnce = 16
@@ -169,11 +173,16 @@
 	return answer, true
 }
 
+// writeLimit returns how long the writing of a message may take.
+func writeLimit(raw []byte) time.Duration {
+	return writeTimeout + time.Duration(len(raw))*time.Second/thinnest
+}
+
 // send writes a call. A link that can't be written to is closed, and has logged why. The patience of
 // the call's caller doesn't end the writing: a message that isn't written whole ends the link, and with
 // it all other calls under way there.
 func (l *link) send(raw []byte) {
-	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), writeLimit(raw))
 	defer cancel()
 	if err := l.conn.Write(ctx, raw); err != nil {
 		l.close()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -78,7 +78,7 @@
 		p.log.Error("peer-answer-failed", zap.Error(err))
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, writeLimit(raw))
 	defer cancel()
 	if err := conn.Write(ctx, raw); err != nil {
 		p.log.Info("peer-answer-lost", zap.Error(err))
