--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -4,8 +4,8 @@
 
 import "slices"
 
-// Policy says which mechanisms are on. They are independent of each other but for what they say. The zero value has all
-// off; New has all on.
+// Policy says which mechanisms are on. They are independent of each other but for what they say. The
+// zero value has all off; New has all on.
 type Policy struct {
 	// Preempt: urgent work that finds no room stops less urgent work.
 	Preempt bool
--- a/internal/conntrack/call.go
+++ b/internal/conntrack/call.go
@@ -15,6 +15,12 @@
 	return context.WithValue(ctx, waitKey{}, wait)
 }
 
+// Wait returns what WithWait has noted, or false if nothing was.
+func Wait(ctx context.Context) (time.Duration, bool) {
+	wait, known := ctx.Value(waitKey{}).(time.Duration)
+	return wait, known
+}
+
 // call is one call under way.
 type call struct {
 	transport *Transport
@@ -34,7 +40,7 @@
 
 func newCall(ctx context.Context, t *Transport) *call {
 	c := &call{transport: t, began: time.Now()}
-	c.wait, c.known = ctx.Value(waitKey{}).(time.Duration)
+	c.wait, c.known = Wait(ctx)
 	return c
 }
 
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -193,7 +193,7 @@
 // to say, and other answers may still come.
 func (l *link) do(ctx context.Context, c call) (result, error) {
 	if err := ctx.Err(); err != nil {
-		return result{}, err
+		return result{}, fmt.Errorf("%w: %w", ErrNoPeer, err) // nothing was sent
 	}
 	c.ID = l.next.Add(1)
 	raw, err := calls.Encode(c)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,6 +24,7 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/codec"
+	"curlewsill.org/curlewsill/internal/conntrack"
 	"curlewsill.org/curlewsill/internal/wslink"
 )
 
@@ -248,16 +249,8 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: arrives})
 }
 
-// waitKey carries how long a call may wait at its other end.
-type waitKey struct{}
-
-// WithWait notes in ctx how long a call may wait at its other end.
-func WithWait(ctx context.Context, wait time.Duration) context.Context {
-	return context.WithValue(ctx, waitKey{}, wait)
-}
-
-// waitOf returns the wait noted by WithWait, or 0.
+// waitOf returns how long a call may wait at its other end by conntrack.WithWait, or 0.
 func waitOf(req *http.Request) time.Duration {
-	wait, _ := req.Context().Value(waitKey{}).(time.Duration)
+	wait, _ := conntrack.Wait(req.Context())
 	return wait
 }
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -39,9 +39,9 @@
 	Limit time.Duration
 }
 
-// To lets the peer at an address make a call on its direct path, and returns its answer. No other
-// way is tried, but a second link if the first one dies meanwhile. With ErrNoPeer the call was surely
-// not sent.
+// To lets the peer at an address make a call on its direct path, and returns its answer. No other way
+// is tried; a call whose link dies is made again on a new one, mostTries times in all. With ErrNoPeer
+// the call was surely not sent.
 func (p *Path) To(ctx context.Context, address string, r Request) (status int, body []byte, err error) {
 	choose := func(ctx context.Context) (*link, error) { return p.open(ctx, address) }
 	res, err := p.ask(ctx, choose, call{Method: r.Method, Path: r.Path, Kind: r.Kind, Body: r.Body, Limit: r.Limit, patience: r.Limit})
