--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -84,7 +84,7 @@
 		o.queue(ctx, o.boxes.stops, "pace", x.Worker, o.pace(ctx, x), o.paced(dispatch.PaceResult{Pace: x}))
 	}
 	for _, x := range orders.Renews {
-		o.queue(ctx, o.boxes.renewals, "renew", x.Worker, o.renew(ctx, x), o.renewed(dispatch.RenewResult{Renew: x}))
+		o.queue(ctx, o.boxes.renewals, "renew", x.Worker, o.renew(ctx, x), o.renewed(dispatch.RenewResult{Renew: x, Sent: o.host.now()}))
 	}
 	for _, x := range orders.Starts {
 		o.queue(ctx, o.boxes.starts, "start", x.Worker, o.start(ctx, x), o.started(dispatch.StartResult{Start: x}))
@@ -99,6 +99,7 @@
 func (o *owner) queue(ctx context.Context, box *outbox.Box[id.Worker], kind string, to id.Worker, by sender, unknown event) {
 	if !box.Put(to, func() { o.send(ctx, kind, by) }) {
 		o.host.metrics.ordersDropped.Inc()
+		o.host.log.Warn("order-dropped", zap.String("kind", kind), zap.String("worker", string(to)))
 		unknown(o.host.now())
 	}
 }
