--- a/internal/conntrack/conn.go
+++ b/internal/conntrack/conn.go
@@ -2,8 +2,9 @@
 
 import (
 	"net"
-	"sync/atomic"
 	"time"
+
+	"curlewsill.org/curlewsill/internal/meter"
 )
 
 // peer is what is believed of one address.
@@ -23,8 +24,8 @@
 	transport *Transport
 	to        string
 	opened    time.Time
-	// heard is how long after opened bytes came last.
-	heard atomic.Int64
+	// heard tells when bytes came last, or when the connection was opened.
+	heard *meter.Meter
 	// proven is when the newest call left that was answered here, or when it was opened: both
 	// directions worked then.
 	proven time.Time
@@ -34,23 +35,11 @@
 	used bool
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.heard.Store(int64(time.Since(c.opened)))
-	}
-	return n, err
-}
-
-// heardAt returns when bytes came last, or when the connection was opened.
-func (c *conn) heardAt() time.Time { return c.opened.Add(time.Duration(c.heard.Load())) }
-
 // vouches reports whether a connection shows that one that brought no answer hasn't gone silent
 // together with all others: it was open when bytes came there last, and has brought some since a
 // time.
 func (c *conn) vouches(dead *conn, since time.Time) bool {
-	return !c.opened.After(dead.heardAt()) && c.heardAt().After(since)
+	return !c.opened.After(dead.heard.Last()) && c.heard.Last().After(since)
 }
 
 // Close implements net.Conn.
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -22,6 +22,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"curlewsill.org/curlewsill/internal/meter"
 )
 
 const (
@@ -103,8 +105,9 @@
 
 // track notes a new connection.
 func (t *Transport) track(c net.Conn, address string) *conn {
-	now := time.Now()
-	out := &conn{Conn: c, transport: t, to: address, opened: now, proven: now}
+	heard := meter.New()
+	now := heard.Last()
+	out := &conn{Conn: heard.Conn(c), transport: t, to: address, opened: now, heard: heard, proven: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[address]
--- a/internal/peerlink/peerlink.go
+++ b/internal/peerlink/peerlink.go
@@ -219,6 +219,7 @@
 func (l *Links) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	conn, err := l.conns.Accept(w, r)
 	if err != nil {
+		l.log.Info("peer refused", zap.Error(err))
 		return
 	}
 	defer conn.Close()
--- a/internal/wslink/conn.go
+++ b/internal/wslink/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/meter"
 )
 
 // Why a connection has ended.
@@ -40,7 +42,7 @@
 	opened time.Time
 	// heard tells when the last byte came from the peer, or the last message or answer to a
 	// ping if bytes aren't seen; used tells when the last message was sent or came.
-	heard, used *meter
+	heard, used *meter.Meter
 	// uses counts those who wait on the connection.
 	uses atomic.Int32
 	// doubtful is set until the peer has answered a ping.
@@ -61,7 +63,7 @@
 func (c *Conn) Cause() error { return context.Cause(c.ctx) }
 
 // LastHeard returns when the last byte came from the peer.
-func (c *Conn) LastHeard() time.Time { return time.Now().Add(-c.heard.ago()) }
+func (c *Conn) LastHeard() time.Time { return c.heard.Last() }
 
 // Use notes that somebody waits on the connection until release is called: it isn't idle, and it
 // is pinged at once unless something has come from the peer lately.
@@ -69,7 +71,7 @@
 	c.uses.Add(1)
 	c.look()
 	return func() {
-		c.used.touch()
+		c.used.Touch()
 		c.uses.Add(-1)
 	}
 }
@@ -81,8 +83,8 @@
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
 		return nil, c.Cause()
 	}
-	c.heard.touch()
-	c.used.touch()
+	c.heard.Touch()
+	c.used.Touch()
 	return raw, nil
 }
 
@@ -92,7 +94,7 @@
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
 		return c.Cause()
 	}
-	c.used.touch()
+	c.used.Touch()
 	return nil
 }
 
@@ -100,15 +102,15 @@
 // that the policy allows for it, and with ErrBroken if the connection has failed. It doesn't end
 // the connection.
 func (c *Conn) Ping(ctx context.Context) error {
-	before := c.heard.at()
+	before := c.heard.Last()
 	ctx, cancel := context.WithTimeout(ctx, c.policy.Answer)
 	defer cancel()
 	err := c.ws.Ping(ctx)
 	if err == nil {
-		c.heard.touch()
+		c.heard.Touch()
 		return nil
 	}
-	if c.heard.at() != before {
+	if !c.heard.Last().Equal(before) {
 		return nil // a long message is on its way, behind which the answer waits
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -137,7 +139,7 @@
 func (c *Conn) report(cause error) {
 	fields := []zap.Field{
 		zap.String("peer", c.peer), zap.String("side", c.side), zap.Duration("age", time.Since(c.opened)),
-		zap.Duration("unheard", c.heard.ago()), zap.Duration("unused", c.used.ago()), zap.Int32("waiting", c.uses.Load()), zap.Error(cause),
+		zap.Duration("unheard", c.heard.Ago()), zap.Duration("unused", c.used.Ago()), zap.Int32("waiting", c.uses.Load()), zap.Error(cause),
 	}
 	switch {
 	case errors.Is(cause, ErrSilent):
@@ -199,7 +201,7 @@
 	if c.uses.Load() > 0 || c.doubtful.Load() {
 		due = c.policy.Waiting
 	}
-	return due - c.heard.ago()
+	return due - c.heard.Ago()
 }
 
 // untilIdle returns how long the connection is not idle yet.
@@ -207,5 +209,5 @@
 	if c.policy.Idle == 0 || c.uses.Load() > 0 {
 		return c.policy.Quiet
 	}
-	return c.policy.Idle - c.used.ago()
+	return c.policy.Idle - c.used.Ago()
 }
--- a/internal/wslink/wslink.go
+++ b/internal/wslink/wslink.go
@@ -20,6 +20,8 @@
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/meter"
 )
 
 // Policy says when a connection is pinged and when it is ended.
@@ -75,7 +77,7 @@
 
 // Dial opens a connection. The URL's scheme is ws or wss. A dialed connection has to be read.
 func (l *Links) Dial(ctx context.Context, url string) (*Conn, error) {
-	var heard *meter
+	var heard *meter.Meter
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if m, ok := i.Conn.(*metered); ok {
 			heard = m.heard
@@ -94,7 +96,7 @@
 // Accept takes a connection that a peer opens. It answers the peer also if it fails. An accepted
 // connection has to be read, and its reader may not block.
 func (l *Links) Accept(w http.ResponseWriter, r *http.Request) (*Conn, error) {
-	m := &meteredWriter{ResponseWriter: w, heard: newMeter()}
+	m := &meteredWriter{ResponseWriter: w, heard: meter.New()}
 	ws, err := websocket.Accept(m, r, nil)
 	if err != nil {
 		return nil, fmt.Errorf("wslink: %w", err)
@@ -103,14 +105,14 @@
 }
 
 // add begins to watch a connection. Heard is nil if its bytes aren't seen.
-func (l *Links) add(ws *websocket.Conn, peer, side string, p Policy, heard *meter) (*Conn, error) {
+func (l *Links) add(ws *websocket.Conn, peer, side string, p Policy, heard *meter.Meter) (*Conn, error) {
 	ws.SetReadLimit(l.limit)
 	if heard == nil {
-		heard = newMeter()
+		heard = meter.New()
 	}
 	c := &Conn{
 		ws: ws, links: l, peer: peer, side: side, policy: p, opened: time.Now(),
-		heard: heard, used: newMeter(), kick: make(chan struct{}, 1),
+		heard: heard, used: meter.New(), kick: make(chan struct{}, 1),
 	}
 	c.ctx, c.stop = context.WithCancelCause(context.Background())
 	l.mu.Lock()
