--- a/internal/wslink/conn.go
+++ b/internal/wslink/conn.go
@@ -32,6 +32,10 @@
 // connections by 6 ms each, and costs a third more pings at most.
 const drawnShare = 0.25
 
+// slowWrite is how long the writing of a message takes at least that holds up pings. A silent path takes
+// messages at once; one of 10 Mbit/s carries 60 kB in that time.
+const slowWrite = 50 * time.Millisecond
+
 // Conn is one connection. Its methods may be called at the same time, but Read only by one.
 type Conn struct {
 	ws     *websocket.Conn
@@ -43,8 +47,10 @@
 	// heard tells when the last byte came from the peer, or the last message or answer to a
 	// ping if bytes aren't seen; used tells when the last message was sent or came.
 	heard, used *meter.Meter
-	// uses counts those who wait on the connection.
-	uses atomic.Int32
+	// heldUp tells when the writing of a message ended last that took slowWrite or longer.
+	heldUp *meter.Meter
+	// uses counts those who wait on the connection, writes the messages that are being written.
+	uses, writes atomic.Int32
 	// doubtful is set until the peer has answered a ping.
 	doubtful atomic.Bool
 	// kick makes watch look again.
@@ -88,8 +94,17 @@
 	return raw, nil
 }
 
-// Write writes a message. When it fails, the connection ends.
+// Write writes a message. When it fails, as when ctx is done before it is written whole, the
+// connection ends. ctx has to bound it: pings wait behind it.
 func (c *Conn) Write(ctx context.Context, raw []byte) error {
+	began := time.Now()
+	c.writes.Add(1)
+	defer func() {
+		if time.Since(began) >= slowWrite {
+			c.heldUp.Touch()
+		}
+		c.writes.Add(-1)
+	}()
 	if err := c.ws.Write(ctx, websocket.MessageBinary, raw); err != nil {
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
 		return c.Cause()
@@ -99,10 +114,10 @@
 }
 
 // Ping asks the peer for a sign of life. It fails with ErrSilent if no byte came within the time
-// that the policy allows for it, and with ErrBroken if the connection has failed. It doesn't end
-// the connection.
+// that the policy allows for it, and with ErrBroken if the connection has failed. It tells nothing,
+// and doesn't fail, while a long message is being written. It doesn't end the connection.
 func (c *Conn) Ping(ctx context.Context) error {
-	before := c.heard.Last()
+	began, before := time.Now(), c.heard.Last()
 	ctx, cancel := context.WithTimeout(ctx, c.policy.Answer)
 	defer cancel()
 	err := c.ws.Ping(ctx)
@@ -113,6 +128,9 @@
 	if !c.heard.Last().Equal(before) {
 		return nil // a long message is on its way, behind which the answer waits
 	}
+	if c.Cause() == nil && (c.writes.Load() > 0 || c.heldUp.Last().After(began)) {
+		return nil // the ping has waited behind a message of this side, whose own limit ends the connection
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("%w: %w", ErrSilent, err)
 	}
--- a/internal/wslink/wslink.go
+++ b/internal/wslink/wslink.go
@@ -112,7 +112,7 @@
 	}
 	c := &Conn{
 		ws: ws, links: l, peer: peer, side: side, policy: p, opened: time.Now(),
-		heard: heard, used: meter.New(), kick: make(chan struct{}, 1),
+		heard: heard, used: meter.New(), heldUp: meter.New(), kick: make(chan struct{}, 1),
 	}
 	c.ctx, c.stop = context.WithCancelCause(context.Background())
 	l.mu.Lock()
