--- a/internal/relay/link_internal_test.go
+++ b/internal/relay/link_internal_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/internal/faultproxy"
 	"curlewsill.org/curlewsill/internal/wslink"
 )
 
@@ -69,6 +70,48 @@
 	}
 }
 
+// TestAllLinksSilent checks that a call whose link goes silent together with all others of its host is
+// made again on a new one.
+//
+// Symptom: a call through any peer ends unknown though new links work. Sequence: a host has links to
+// six peers, and all go silent; the call's link is found dead, and the call is made again on another
+// one, which is silent as well. Cause: a link that may have died together with another one was still
+// taken for calls until its own ping had failed. Figures: two of three such calls ended unknown after
+// three tries, 0.95 to 1 s after the silence.
+func TestAllLinksSilent(t *testing.T) {
+	const peers, limit = 6, 8 * time.Second
+	path := New("http://store", RouteStore, http.DefaultClient, newTestLinks(t), zap.NewNop())
+	store := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(store.Close)
+	c := call{Method: http.MethodPost, Path: "/", Limit: limit}
+	var proxies []*faultproxy.Proxy
+	var known []Peer
+	for range peers {
+		peer := httptest.NewServer(New(store.URL, RouteStore, store.Client(), newTestLinks(t), zap.NewNop()).Handler())
+		t.Cleanup(peer.Close)
+		proxy, err := faultproxy.New(strings.TrimPrefix(peer.URL, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = proxy.Close() })
+		proxies, known = append(proxies, proxy), append(known, Peer{Address: proxy.Addr()})
+	}
+	path.SetPeers(known)
+	for i := range known {
+		if _, err := path.ask(context.Background(), func(ctx context.Context) (*link, error) { return path.peer(ctx, Way(i+1)) }, c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, p := range proxies {
+		p.Silence(faultproxy.Both)
+	}
+	for range 3 { // which link is taken is drawn
+		if res, err := path.ask(context.Background(), path.pick, c); err != nil || res.Status != http.StatusOK {
+			t.Errorf("status %d, %v", res.Status, err)
+		}
+	}
+}
+
 // newTestLinks returns a set of links that is closed when the test ends.
 func newTestLinks(t *testing.T) *wslink.Links {
 	l := NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/wslink"
 )
 
 // errNoAnswer reports a peer that got no answer itself.
@@ -78,12 +80,28 @@
 		return result{}, err
 	}
 	res, err := l.do(ctx, c)
+	if errors.Is(err, errDied) && errors.Is(l.conn.Cause(), wslink.ErrSilent) {
+		p.retireQuiet()
+	}
 	if err == nil && res.Status == 0 {
 		return result{}, fmt.Errorf("%w: %s", errNoAnswer, l.address)
 	}
 	return res, err
 }
 
+// retireQuiet retires the links that may have died together with one that was found silent: those from
+// which nothing has come for waitingQuiet. The dead one was silent for linkAnswer at least. Without it
+// the next tries went to such links, and two of three calls ended unknown.
+func (p *Path) retireQuiet() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if time.Since(l.conn.LastHeard()) >= waitingQuiet {
+			l.retire()
+		}
+	}
+}
+
 // pick returns a link to a peer: one that is open, or else to one drawn at random.
 func (p *Path) pick(ctx context.Context) (*link, error) {
 	p.mu.Lock()
