--- a/internal/logging/stream.go
+++ b/internal/logging/stream.go
@@ -64,9 +64,10 @@
 		return nil, fmt.Errorf("logging: %w", err)
 	}
 	s := &Stream{lines: ring.New[[]byte](streamLines)}
-	core := zapcore.NewCore(format.encoder(), s, l)
+	lines := format.encoder()
+	core := zapcore.NewCore(lines, s, l)
 	s.Logger = zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen))
-	go s.copy(out)
+	go s.copy(out, lines.Clone())
 	return s, nil
 }
 
@@ -89,14 +90,24 @@
 }
 
 // copy writes the queued lines to out, and tells how many were lost before a line.
-func (s *Stream) copy(out io.Writer) {
+func (s *Stream) copy(out io.Writer, lines zapcore.Encoder) {
 	var told uint64
 	for line := range s.lines.C() {
 		if lost := s.lines.Dropped(); lost > told {
-			_, _ = fmt.Fprintf(out, "{\"level\":\"warn\",\"msg\":\"log-lines-lost\",\"count\":%d}\n", lost-told)
+			_, _ = out.Write(lostLine(lines, lost-told))
 			told = lost
 		}
 		_, _ = out.Write(line)
 		s.written.Add(1)
 	}
 }
+
+// lostLine returns the line that tells how many were lost.
+func lostLine(lines zapcore.Encoder, lost uint64) []byte {
+	entry := zapcore.Entry{Level: zapcore.WarnLevel, Time: time.Now(), Message: "log-lines-lost"}
+	line, err := lines.EncodeEntry(entry, []zapcore.Field{zap.Uint64("count", lost)})
+	if err != nil {
+		return nil // the encoders fail for fields that reflect only
+	}
+	return line.Bytes()
+}
--- a/internal/logging/stream_test.go
+++ b/internal/logging/stream_test.go
@@ -55,6 +55,11 @@
 	for !strings.Contains(out.read(), "log-lines-lost") {
 		log.Info("after")
 	}
+	before, _, _ := strings.Cut(out.read(), "log-lines-lost")
+	line := before[strings.LastIndex(before, "\n")+1:]
+	if isJSON := strings.HasPrefix(line, "{"); isJSON != (f == logging.JSON) {
+		t.Errorf("the line on lost ones begins with %q", line)
+	}
 }
 
 // TestLevel refuses a level that there isn't.
