--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -17,9 +17,13 @@
 	// dialTimeout bounds the opening of a link: the longest way on the users' sites is a
 	// few milliseconds, and a peer behind a cut never answers.
 	dialTimeout = 400 * time.Millisecond
-	// writeTimeout bounds the writing of one message; it is as long as a way may take
-	// before the other one is tried.
+	// writeTimeout bounds the writing of one message beside what its size takes; it is as long as a
+	// way may take before the other one is tried.
 	writeTimeout = 500 * time.Millisecond
+	// thinnest is how many bytes a second a message may be written with at least. The thinnest link
+	// of the users' sites, 10 Mbit/s, carries 1.2 MB a second. With writeTimeout alone a page of 1 MB
+	// ended each link that it was written to.
+	thinnest = 1 << 20
 	// servedAtOnce bounds the calls that are made for one peer at a time: twice the
 	// connections of a host to the store.
 	servedAtOnce = 16
@@ -169,20 +173,28 @@
 	return answer, true
 }
 
-// send writes a call. A link that can't be written to is closed.
-func (l *link) send(ctx context.Context, raw []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+// writeLimit returns how long the writing of a message may take.
+func writeLimit(raw []byte) time.Duration {
+	return writeTimeout + time.Duration(len(raw))*time.Second/thinnest
+}
+
+// send writes a call. A link that can't be written to is closed, and has logged why. The patience of
+// the call's caller doesn't end the writing: a message that isn't written whole ends the link, and with
+// it all other calls under way there.
+func (l *link) send(raw []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeLimit(raw))
 	defer cancel()
-	err := l.conn.Write(ctx, raw)
-	if err != nil {
+	if err := l.conn.Write(ctx, raw); err != nil {
 		l.close()
 	}
-	return err
 }
 
 // do makes a call. A link on which an answer is overdue is retired: whether it is dead is for pings
 // to say, and other answers may still come.
 func (l *link) do(ctx context.Context, c call) (result, error) {
+	if err := ctx.Err(); err != nil {
+		return result{}, fmt.Errorf("%w: %w", ErrNoPeer, err) // nothing was sent
+	}
 	c.ID = l.next.Add(1)
 	raw, err := calls.Encode(c)
 	if err != nil {
@@ -192,11 +204,10 @@
 	if !ok {
 		return result{}, errUnsent
 	}
+	defer l.forget(c.ID)
 	release := l.conn.Use()
 	defer release()
-	if err := l.send(ctx, raw); err != nil {
-		return result{}, errDied
-	}
+	go l.send(raw)
 	overdue := time.NewTimer(c.Limit + hedgeAfter)
 	defer overdue.Stop()
 	select {
@@ -212,7 +223,6 @@
 		l.retire()
 		return result{}, errOverdue
 	case <-ctx.Done():
-		l.forget(c.ID)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			l.retire() // the answer is overdue, though the peer lives
 		}
--- a/internal/wslink/conn.go
+++ b/internal/wslink/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/coder/websocket"
 	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/meter"
 )
 
 // Why a connection has ended.
@@ -30,6 +32,10 @@
 // connections by 6 ms each, and costs a third more pings at most.
 const drawnShare = 0.25
 
+// slowWrite is how long the writing of a message takes at least that holds up pings. A silent path takes
+// messages at once; one of 10 Mbit/s carries 60 kB in that time.
+const slowWrite = 50 * time.Millisecond
+
 // Conn is one connection. Its methods may be called at the same time, but Read only by one.
 type Conn struct {
 	ws     *websocket.Conn
@@ -40,9 +46,11 @@
 	opened time.Time
 	// heard tells when the last byte came from the peer, or the last message or answer to a
 	// ping if bytes aren't seen; used tells when the last message was sent or came.
-	heard, used *meter
-	// uses counts those who wait on the connection.
-	uses atomic.Int32
+	heard, used *meter.Meter
+	// heldUp tells when the writing of a message ended last that took slowWrite or longer.
+	heldUp *meter.Meter
+	// uses counts those who wait on the connection, writes the messages that are being written.
+	uses, writes atomic.Int32
 	// doubtful is set until the peer has answered a ping.
 	doubtful atomic.Bool
 	// kick makes watch look again.
@@ -61,7 +69,7 @@
 func (c *Conn) Cause() error { return context.Cause(c.ctx) }
 
 // LastHeard returns when the last byte came from the peer.
-func (c *Conn) LastHeard() time.Time { return time.Now().Add(-c.heard.ago()) }
+func (c *Conn) LastHeard() time.Time { return c.heard.Last() }
 
 // Use notes that somebody waits on the connection until release is called: it isn't idle, and it
 // is pinged at once unless something has come from the peer lately.
@@ -69,7 +77,7 @@
 	c.uses.Add(1)
 	c.look()
 	return func() {
-		c.used.touch()
+		c.used.Touch()
 		c.uses.Add(-1)
 	}
 }
@@ -81,36 +89,48 @@
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
 		return nil, c.Cause()
 	}
-	c.heard.touch()
-	c.used.touch()
+	c.heard.Touch()
+	c.used.Touch()
 	return raw, nil
 }
 
-// Write writes a message. When it fails, the connection ends.
+// Write writes a message. When it fails, as when ctx is done before it is written whole, the
+// connection ends. ctx has to bound it: pings wait behind it.
 func (c *Conn) Write(ctx context.Context, raw []byte) error {
+	began := time.Now()
+	c.writes.Add(1)
+	defer func() {
+		if time.Since(began) >= slowWrite {
+			c.heldUp.Touch()
+		}
+		c.writes.Add(-1)
+	}()
 	if err := c.ws.Write(ctx, websocket.MessageBinary, raw); err != nil {
 		c.finish(fmt.Errorf("%w: %w", ErrBroken, err))
 		return c.Cause()
 	}
-	c.used.touch()
+	c.used.Touch()
 	return nil
 }
 
 // Ping asks the peer for a sign of life. It fails with ErrSilent if no byte came within the time
-// that the policy allows for it, and with ErrBroken if the connection has failed. It doesn't end
-// the connection.
+// that the policy allows for it, and with ErrBroken if the connection has failed. It tells nothing,
+// and doesn't fail, while a long message is being written. It doesn't end the connection.
 func (c *Conn) Ping(ctx context.Context) error {
-	before := c.heard.at()
+	began, before := time.Now(), c.heard.Last()
 	ctx, cancel := context.WithTimeout(ctx, c.policy.Answer)
 	defer cancel()
 	err := c.ws.Ping(ctx)
 	if err == nil {
-		c.heard.touch()
+		c.heard.Touch()
 		return nil
 	}
-	if c.heard.at() != before {
+	if !c.heard.Last().Equal(before) {
 		return nil // a long message is on its way, behind which the answer waits
 	}
+	if c.Cause() == nil && (c.writes.Load() > 0 || c.heldUp.Last().After(began)) {
+		return nil // the ping has waited behind a message of this side, whose own limit ends the connection
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("%w: %w", ErrSilent, err)
 	}
@@ -137,7 +157,7 @@
 func (c *Conn) report(cause error) {
 	fields := []zap.Field{
 		zap.String("peer", c.peer), zap.String("side", c.side), zap.Duration("age", time.Since(c.opened)),
-		zap.Duration("unheard", c.heard.ago()), zap.Duration("unused", c.used.ago()), zap.Int32("waiting", c.uses.Load()), zap.Error(cause),
+		zap.Duration("unheard", c.heard.Ago()), zap.Duration("unused", c.used.Ago()), zap.Int32("waiting", c.uses.Load()), zap.Error(cause),
 	}
 	switch {
 	case errors.Is(cause, ErrSilent):
@@ -199,7 +219,7 @@
 	if c.uses.Load() > 0 || c.doubtful.Load() {
 		due = c.policy.Waiting
 	}
-	return due - c.heard.ago()
+	return due - c.heard.Ago()
 }
 
 // untilIdle returns how long the connection is not idle yet.
@@ -207,5 +227,5 @@
 	if c.policy.Idle == 0 || c.uses.Load() > 0 {
 		return c.policy.Quiet
 	}
-	return c.policy.Idle - c.used.ago()
+	return c.policy.Idle - c.used.Ago()
 }
