--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -13,6 +13,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	// The program that is built and played: a result of the tests is kept only while it is the same.
+	_ "curlewsill.org/curlewsill/cmd/curlewsilld/cmd"
 )
 
 var (
