faultproxy: ports that refuse, and connects without an answer

Cause: a cut proxy still took connections; a machine that is off or whose process is gone doesn't. Change: Refuse closes the port and Admit listens there again; Mute fills the queue before it, so that the kernel drops connects. SetTarget lets another life stand behind the same address.

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -7,8 +7,10 @@
 package faultproxy
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -30,35 +32,56 @@
 
 // Proxy carries connections to one target. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
 
-	mu sync.Mutex
+	mu       sync.Mutex
+	listener *net.TCPListener
+	target   string
 	// conns holds the open connections.
 	conns map[*conn]struct{}
 	// cut holds the directions in which nothing moves at present, healed is closed when that ends.
 	cut    Direction
 	healed chan struct{}
 	// delay is how long each chunk waits.
-	delay  time.Duration
-	closed bool
+	delay time.Duration
+	// refusing is set while the port is closed, muted while connects go unanswered; it is closed when that
+	// ends. fillers are the connections that fill the queue meanwhile.
+	refusing bool
+	muted    chan struct{}
+	fillers  []net.Conn
+	closed   bool
 }
 
 // New returns a proxy that listens on a free port of the loopback address and carries what comes
 // there to the target.
 func New(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen("127.0.0.1:0")
 	if err != nil {
-		return nil, fmt.Errorf("faultproxy: %w", err)
+		return nil, err
+	}
+	p := &Proxy{
+		address: l.Addr().String(), listener: l, target: target, conns: map[*conn]struct{}{}, healed: make(chan struct{}),
 	}
-	p := &Proxy{listener: l, target: target, conns: map[*conn]struct{}{}, healed: make(chan struct{})}
 	close(p.healed)
-	go p.accept()
+	go p.accept(l)
 	return p, nil
 }
 
+// listen listens at an address of this machine.
+func listen(address string) (*net.TCPListener, error) {
+	at, err := net.ResolveTCPAddr("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("faultproxy: %w", err)
+	}
+	l, err := net.ListenTCP("tcp", at)
+	if err != nil {
+		return nil, fmt.Errorf("faultproxy: %w", err)
+	}
+	return l, nil
+}
+
 // Addr is where the proxy listens.
-func (p *Proxy) Addr() string { return p.listener.Addr().String() }
+func (p *Proxy) Addr() string { return p.address }
 
 // Open returns how many connections are open.
 func (p *Proxy) Open() int {
@@ -115,10 +138,11 @@
 
 // Close ends the proxy and resets its connections.
 func (p *Proxy) Close() error {
+	err := p.Admit()
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
-	err := p.listener.Close()
+	err = errors.Join(err, p.listener.Close())
 	p.Heal()
 	p.Reset()
 	return err
@@ -136,19 +160,36 @@
 }
 
 // accept takes connections until the listener is closed.
-func (p *Proxy) accept() {
+func (p *Proxy) accept(l *net.TCPListener) {
 	for {
-		near, err := p.listener.Accept()
-		if err != nil {
+		near, err := l.Accept()
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			p.awaitSound()
+		case err != nil:
 			return // closed
+		default:
+			go p.carry(near)
 		}
-		go p.carry(near)
+	}
+}
+
+// awaitSound waits until connects are answered again.
+func (p *Proxy) awaitSound() {
+	p.mu.Lock()
+	muted := p.muted
+	p.mu.Unlock()
+	if muted != nil {
+		<-muted
 	}
 }
 
 // carry connects an accepted connection to the target.
 func (p *Proxy) carry(near net.Conn) {
-	far, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	far, err := net.Dial("tcp", target)
 	if err != nil {
 		resetConn(near)
 		return
--- a/internal/faultproxy/faultproxy_test.go
+++ b/internal/faultproxy/faultproxy_test.go
@@ -94,6 +94,16 @@
 		w.proxy.Cut(directions[f[1]])
 	case "heal":
 		w.proxy.Heal()
+	case "refuse":
+		w.must(t, w.proxy.Refuse())
+	case "mute":
+		w.must(t, w.proxy.Mute())
+	case "admit":
+		w.must(t, w.proxy.Admit())
+	case "refused":
+		w.dialFails(t, isRefused)
+	case "unanswered":
+		w.dialFails(t, os.IsTimeout)
 	case "late": // what was sent before comes now
 		w.read(t, f[1], nil, time.Minute)
 	default:
@@ -101,6 +111,29 @@
 	}
 }
 
+// must ends the test at an error.
+func (w *world) must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// dialFails says how a connect fails.
+func (w *world) dialFails(t *testing.T, so func(error) bool) {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", w.proxy.Addr(), quiet)
+	if err == nil {
+		_ = c.Close()
+	}
+	if op, ok := errors.AsType[*net.OpError](err); !ok || !so(op) {
+		t.Fatalf("a connect got %v", err)
+	}
+}
+
+// isRefused reports whether an error tells of a closed port.
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 var directions = map[string]faultproxy.Direction{
 	"to-target": faultproxy.ToTarget, "from-target": faultproxy.FromTarget, "both": faultproxy.Both,
 }
--- /dev/null
+++ b/internal/faultproxy/shut.go
@@ -0,0 +1,134 @@
+package faultproxy
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+)
+
+const (
+	// fillTime is how long a connect must go unanswered for the queue before the proxy to count as full.
+	fillTime = 30 * time.Millisecond
+	// mostFill bounds how many connections fill that queue; the kernel takes one more than it is told.
+	mostFill = 8
+	// admitTime is how long Admit tries to get a port back that another socket of this machine has taken.
+	admitTime = 2 * time.Second
+	// admitPause is the pause between two tries.
+	admitPause = 20 * time.Millisecond
+	// usualQueue is how many connections wait to be accepted while nothing is wrong.
+	usualQueue = 128
+)
+
+// errNotFull reports a queue that takes all connections.
+var errNotFull = errors.New("faultproxy: connects are still answered")
+
+// Refuse resets all connections and closes the port until Admit, so that connects are refused as by a
+// machine that runs while nothing listens there.
+func (p *Proxy) Refuse() error {
+	p.mu.Lock()
+	already := p.refusing || p.closed
+	p.refusing = true
+	p.mu.Unlock()
+	if already {
+		return nil
+	}
+	err := p.listener.Close()
+	p.Reset()
+	return err
+}
+
+// Mute lets connects go unanswered until Admit, as by a machine that is off or behind a cut: nothing is
+// accepted, and the kernel drops what the full queue before the proxy can't take. Open connections go on.
+func (p *Proxy) Mute() error {
+	p.mu.Lock()
+	if p.refusing || p.closed || p.muted != nil {
+		p.mu.Unlock()
+		return nil
+	}
+	p.muted = make(chan struct{})
+	l := p.listener
+	p.mu.Unlock()
+	if err := errors.Join(l.SetDeadline(time.Unix(1, 0)), setQueue(l, 0)); err != nil {
+		return err
+	}
+	return p.fill()
+}
+
+// fill opens connections until one goes unanswered.
+func (p *Proxy) fill() error {
+	for range mostFill {
+		c, err := net.DialTimeout("tcp", p.address, fillTime)
+		if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("faultproxy: %w", err)
+		}
+		p.mu.Lock()
+		p.fillers = append(p.fillers, c)
+		p.mu.Unlock()
+	}
+	return errNotFull
+}
+
+// Admit ends Refuse and Mute. The proxy listens at the same address as before.
+func (p *Proxy) Admit() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return nil
+	case p.refusing:
+		l, err := listenAgain(p.address)
+		if err != nil {
+			return err
+		}
+		p.refusing, p.listener = false, l
+		go p.accept(l)
+	case p.muted != nil:
+		return p.unmute()
+	}
+	return nil
+}
+
+// unmute ends Mute. The proxy is locked.
+func (p *Proxy) unmute() error {
+	for _, c := range p.fillers {
+		_ = c.Close() // it carried nothing
+	}
+	p.fillers = nil
+	err := errors.Join(setQueue(p.listener, usualQueue), p.listener.SetDeadline(time.Time{}))
+	close(p.muted)
+	p.muted = nil
+	return err
+}
+
+// listenAgain listens at an address that was listened at before.
+func listenAgain(address string) (*net.TCPListener, error) {
+	for end := time.Now().Add(admitTime); ; time.Sleep(admitPause) {
+		l, err := listen(address)
+		if err == nil || time.Now().After(end) {
+			return l, err
+		}
+	}
+}
+
+// setQueue sets how many connections may wait before a listener.
+func setQueue(l *net.TCPListener, n int) error {
+	c, err := l.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("faultproxy: %w", err)
+	}
+	var inner error
+	err = c.Control(func(fd uintptr) { inner = syscall.Listen(int(fd), n) })
+	return errors.Join(err, inner)
+}
+
+// SetTarget sets where connections that are opened from now on are carried.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
