soak: lives of workers that come back, entries that lapse, workers that are apart

Change: wide plans, drawn from a stream of their own (testdata/wide.txt, TestWide, -wide of the long run). Each life of a worker writes its entry at heartbeats, which the store drops after three of silence; lives come back at the same address while the earlier entry stands, last heartbeats land late, the store forgets its history or is away until all entries have lapsed, hosts end in turn, workers that run on reach neither the store nor are reached.

--- a/internal/faultproxy/shut.go
+++ b/internal/faultproxy/shut.go
@@ -28,13 +28,17 @@
 // machine that runs while nothing listens there.
 func (p *Proxy) Refuse() error {
 	p.mu.Lock()
-	already := p.refusing || p.closed
-	p.refusing = true
-	p.mu.Unlock()
-	if already {
+	if p.refusing || p.closed {
+		p.mu.Unlock()
 		return nil
 	}
-	err := p.listener.Close()
+	var err error
+	if p.muted != nil {
+		err = p.unmute()
+	}
+	p.refusing = true
+	err = errors.Join(err, p.listener.Close())
+	p.mu.Unlock()
 	p.Reset()
 	return err
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -224,6 +224,8 @@
 		return "fails", []standin.Step{{Count: count}}
 	case n < 16:
 		return "middle", []standin.Step{{Count: count}}
+	case n < 18 && c.all.site.entries != nil:
+		return "longest", []standin.Step{{Count: count}}
 	}
 	return "short", []standin.Step{{Count: count}}
 }
--- a/soak/inject_test.go
+++ b/soak/inject_test.go
@@ -30,6 +30,9 @@
 
 // strike carries out one fault and returns when it has ended.
 func (s *site) strike(f fault) {
+	if s.strikeWide(f) {
+		return
+	}
 	switch f.what {
 	case "store":
 		s.during("store", func() { s.store.SetFault(standin.Fault(f.how)) }, f.lasts, func() { s.store.SetFault(standin.FaultNone) })
@@ -93,6 +96,9 @@
 	}
 	p.mu.Unlock()
 	if under {
+		if f.what == "kill" {
+			s.tell(event{Kind: began, What: p.life}) // a stop that is broken off isn't a planned one
+		}
 		_ = p.signal(map[string]syscall.Signal{"term": syscall.SIGTERM, "kill": syscall.SIGKILL}[f.what])
 		return // whoever ended it first starts the next one
 	}
@@ -157,13 +163,23 @@
 		}
 		s.during("workers", func() { w.replace(life, listed) }, 0, func() {})
 	case "drain":
-		s.store.PutDraining(life.ID(), front.Addr(), drainTime)
-		s.tell(event{Kind: draining, Worker: life.ID()})
+		w.sayDraining(life)
 		time.Sleep(patience*drainTime + f.lasts)
 		w.replace(life, 0)
 	}
 }
 
+// sayDraining lets a life of a worker say that it is about to leave.
+func (w *worker) sayDraining(life *standin.Worker) {
+	s := w.site
+	if s.entries == nil {
+		s.store.PutDraining(life.ID(), w.address, drainTime)
+	} else {
+		s.entries.change(life, func(e *entry) { e.Draining, e.Left = true, drainTime })
+	}
+	s.tell(event{Kind: draining, Worker: life.ID()})
+}
+
 // replace ends a life of a worker unless that was done before, and begins another.
 func (w *worker) replace(life *standin.Worker, listed time.Duration) {
 	w.mu.Lock()
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -28,12 +28,17 @@
 	// lasts is how long faults are begun.
 	lasts  time.Duration
 	faults []fault
+	// wide is set for a plan of drawWide, machines if entries of workers name their machine.
+	wide, machines bool
 }
 
 // String tells the plan, one fault a line.
 func (p plan) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %d hosts, %d workers, faults for %v\n", p.seed, p.hosts, p.workers, p.lasts)
+	if p.wide {
+		fmt.Fprintf(&b, "wide, machines named: %v\n", p.machines)
+	}
 	for _, f := range p.faults {
 		fmt.Fprintln(&b, f)
 	}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -29,6 +29,10 @@
 	// address is where the store listens, behind the handler that puts proxies between hosts.
 	address string
 	gangs   *standin.Gangs
+	// machines is set if entries of workers name their machine; entries is nil in plans that aren't wide,
+	// where an entry is written once.
+	machines bool
+	entries  *entries
 
 	mu      sync.Mutex
 	judge   *judge
@@ -46,7 +50,8 @@
 var work = map[string]standin.Work{
 	"short": {Time: 40 * time.Millisecond}, "middle": {Time: 400 * time.Millisecond}, "long": {Time: 2 * time.Second},
 	"flaky": {Time: failTime, FailsFirst: true}, "fails": {Time: atOnceTime, Fails: true},
-	"gang": {Time: 400 * time.Millisecond, Members: gangMembers},
+	"longest": {Time: 6 * time.Second}, // only in wide plans
+	"gang":    {Time: 400 * time.Millisecond, Members: gangMembers},
 }
 
 // failTime is how long a task of which the first run fails works before that: longer than what the
@@ -84,6 +89,9 @@
 	}
 	t.Cleanup(stop)
 	s.address = address
+	if p.wide {
+		s.widen(p)
+	}
 	s.configure()
 	for i := range p.workers {
 		s.workers = append(s.workers, &worker{site: s, number: i})
@@ -217,7 +225,7 @@
 func (w *worker) start() {
 	s := w.site
 	rate := 1 - float64(s.chance(3))/100 // a worker's clock may be 2 percent slow
-	life := standin.NewStrictWorker(s.life(fmt.Sprintf("worker-%d", w.number)), work, standin.Strict{
+	life := standin.NewStrictWorker(s.workerLife(w.number), work, standin.Strict{
 		MaxLease: maxLease, StopTime: stopTime / 3, Gangs: s.gangs, Rate: rate, Observe: s.seen,
 	})
 	address, stop, err := standin.Listen(life)
@@ -227,9 +235,18 @@
 	}
 	w.mu.Lock()
 	w.life, w.stop, w.gone = life, stop, false
-	w.front = s.proxy(address)
+	if w.front == nil {
+		w.front = s.proxy(address)
+	}
+	w.front.SetTarget(address)
+	w.front.Heal()
+	w.check(w.front.Admit())
 	w.address = w.front.Addr()
 	w.mu.Unlock()
+	if s.entries != nil {
+		s.entries.begin(life, standin.Entry{Service: standin.SiteService, Address: w.address, Machine: w.machine()})
+		return
+	}
 	s.store.PutWorker(life.ID(), w.address)
 }
 
@@ -241,9 +258,18 @@
 	w.life.Crash()
 	w.stop()
 	_ = w.front.Close() // its connections are reset
+	life := w.life
+	w.front = nil
 	w.mu.Unlock()
+	if l := w.site.entries; l != nil && listed > 0 {
+		l.end(life, false)
+	} else if l != nil {
+		l.leave(life)
+	}
 	time.Sleep(listed)
-	w.site.store.DropWorker(id)
+	if w.site.entries == nil {
+		w.site.store.DropWorker(id)
+	}
 	w.start()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,7 @@
 	workersN = flag.Int("workers", 0, "workers of the long run, 0 for a third more than hosts and two")
 	keep     = flag.String("keep", "", "folder for logs, also of seeds that pass; without it those of failed seeds stay in the system's temporary folder")
 	only     = flag.String("only", "", "kinds of faults of the long run, with commas between; the others of the plan are left out")
+	wide     = flag.Bool("wide", false, "the long run plays wide plans")
 	hand     = flag.Bool("hand", false, "play the seeds that testdata/seeds.txt leaves to runs by hand")
 	recorded = flag.String("recorded", "testdata/recorded.jsonl", "file of events to judge again")
 )
@@ -66,7 +67,26 @@
 // TestSoak plays the seeds of testdata/seeds.txt: the fixed ones of each run, and each that ever failed.
 // A line is "SEED HOSTS WORKERS DURATION cause"; "hand" before it leaves it to runs by hand.
 func TestSoak(t *testing.T) {
-	data, err := os.ReadFile(filepath.Join("testdata", "seeds.txt"))
+	playSeeds(t, "seeds.txt", func(seed uint64, hosts, workers int, lasts time.Duration, _ string) plan {
+		return drawPlan(seed, hosts, workers, lasts)
+	})
+}
+
+// TestWide plays the seeds of testdata/wide.txt, which is written likewise, as wide plans. A cause that begins
+// with "only KIND,KIND" leaves out the other kinds of a plan.
+func TestWide(t *testing.T) {
+	playSeeds(t, "wide.txt", func(seed uint64, hosts, workers int, lasts time.Duration, cause string) plan {
+		p := drawWide(seed, hosts, workers, lasts)
+		if f := strings.Fields(cause); len(f) > 1 && f[0] == "only" {
+			p = p.with(f[1])
+		}
+		return p
+	})
+}
+
+// playSeeds plays the seeds of a file of testdata side by side.
+func playSeeds(t *testing.T, file string, draw func(seed uint64, hosts, workers int, lasts time.Duration, cause string) plan) {
+	data, err := os.ReadFile(filepath.Join("testdata", file))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -85,9 +105,10 @@
 		if err != nil {
 			t.Fatal(line, err)
 		}
+		_, cause, _ := strings.Cut(line, lasts)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, drawPlan(seed, nh, nw, d))
+			play(t, draw(seed, nh, nw, d, cause))
 		})
 	}
 }
@@ -106,11 +127,22 @@
 			nw = nh + nh/3 + 2
 		}
 		p := drawPlan(seed, nh, nw, *duration)
-		p.faults = slices.DeleteFunc(p.faults, func(f fault) bool { return *only != "" && !slices.Contains(strings.Split(*only, ","), f.what) })
+		if *wide {
+			p = drawWide(seed, nh, nw, *duration)
+		}
+		if *only != "" {
+			p = p.with(*only)
+		}
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { play(t, p) })
 	}
 }
 
+// with returns a plan with some kinds of its faults only, with commas between.
+func (p plan) with(kinds string) plan {
+	p.faults = slices.DeleteFunc(p.faults, func(f fault) bool { return !slices.Contains(strings.Split(kinds, ","), f.what) })
+	return p
+}
+
 // play plays a plan and fails with what was broken. The logs of a failed plan stay.
 func play(t *testing.T, p plan) {
 	root := *keep
--- /dev/null
+++ b/soak/wide_test.go
@@ -0,0 +1,217 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// A wide plan strikes lives of workers and their entries too. What it adds is drawn from a stream of its
+// own, so that plans that aren't wide stay as they were.
+
+const (
+	// wideStream is the stream of a seed from which wide plans draw.
+	wideStream = 3
+	// widePause is the mean pause between the beginnings of two of its faults.
+	widePause = 500 * time.Millisecond
+	// turnPause is the pause between the ends of two hosts, one after the other.
+	turnPause = 700 * time.Millisecond
+)
+
+// wideKinds are the kinds of faults that wide plans add, with their variants, weights and lengths.
+var wideKinds = []struct {
+	what        string
+	hows        []string
+	weight      int
+	least, most time.Duration
+}{
+	// A worker crashes and is back as another life at the same address, for which it is away.
+	{"reborn", []string{"plain", "late", "mute"}, 4, 50 * time.Millisecond, 2500 * time.Millisecond},
+	// The store drops its history, so that who is behind reads all of a topic again.
+	{"forget", []string{"all"}, 5, 0, 0},
+	// All hosts end one after the other.
+	{"turns", []string{"kill", "term"}, 1, 0, 2 * time.Second},
+	// A worker that runs on reaches neither the store nor is reached by hosts, for longer than its entry
+	// stands and shorter than a lease.
+	{"apart", []string{"refuse", "mute", "both"}, 3, 5 * time.Second, 9 * time.Second},
+	// The store is away, and all entries have lapsed when it is back.
+	{"lapse", []string{"busy", "hang"}, 1, 1500 * time.Millisecond, 4 * time.Second},
+	// A worker that leaves: its entry goes without a word, or it is apart for the last part of its stay.
+	{"parting", []string{"unsaid", "refuse", "mute"}, 1, 4 * time.Second, 8 * time.Second},
+}
+
+// drawWide draws a wide plan: the plan of the seed with more faults and longer work.
+func drawWide(seed uint64, hosts, workers int, lasts time.Duration) plan {
+	p := drawPlan(seed, hosts, workers, lasts)
+	r := rand.New(rand.NewPCG(seed, wideStream))
+	p.wide, p.machines = true, r.IntN(2) == 0
+	for at := calmBefore; at < lasts; at += time.Duration(r.ExpFloat64() * float64(widePause)) {
+		f := drawWideFault(r)
+		f.at, f.target = at, r.IntN(workers)
+		p.faults = append(p.faults, f)
+	}
+	slices.SortStableFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return p
+}
+
+// drawWideFault draws a kind of fault by weight, its variant and length.
+func drawWideFault(r *rand.Rand) fault {
+	sum := 0
+	for _, k := range wideKinds {
+		sum += k.weight
+	}
+	n := r.IntN(sum)
+	for _, k := range wideKinds {
+		if n -= k.weight; n < 0 {
+			lasts := k.least + time.Duration(r.Float64()*float64(k.most-k.least))
+			return fault{what: k.what, how: pick(r, k.hows), lasts: lasts}
+		}
+	}
+	return fault{}
+}
+
+// strikeWide carries out a fault that only wide plans have. It reports false for others.
+func (s *site) strikeWide(f fault) bool {
+	switch f.what {
+	case "forget":
+		s.store.Forget()
+	case "turns":
+		s.turns(f)
+	case "lapse":
+		s.during("store", func() { s.store.SetFault(standin.Fault(f.how)); s.entries.lapse(true) }, f.lasts, func() {
+			s.store.SetFault(standin.FaultNone)
+			s.entries.lapse(false)
+		})
+	case "reborn", "apart", "parting":
+		w := s.workers[f.target%len(s.workers)]
+		if life, _ := w.present(); life != nil {
+			s.strikeLife(w, life, f)
+		}
+	default:
+		return false
+	}
+	return true
+}
+
+// turns ends all hosts one after the other, so that the owner changes while old entries stand.
+func (s *site) turns(f fault) {
+	var all sync.WaitGroup
+	for i := range s.hosts {
+		all.Go(func() { s.strike(fault{what: f.how, how: "restart", target: i, lasts: f.lasts}) })
+		time.Sleep(turnPause)
+	}
+	all.Wait()
+}
+
+// strikeLife carries out a fault of a worker's life.
+func (s *site) strikeLife(w *worker, life *standin.Worker, f fault) {
+	switch f.what {
+	case "reborn":
+		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
+	case "apart":
+		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
+	case "parting":
+		w.part(life, f)
+	}
+}
+
+// reborn ends a life unless that was done before, and begins another one at the same address.
+func (w *worker) reborn(life *standin.Worker, f fault) {
+	w.mu.Lock()
+	mine := !w.gone && w.life == life
+	w.gone = w.gone || mine
+	front, stop := w.front, w.stop
+	w.mu.Unlock()
+	if !mine {
+		return
+	}
+	life.Crash()
+	stop()
+	shut := front.Refuse
+	if f.how == "mute" {
+		shut = front.Mute
+	}
+	w.check(shut())
+	w.site.entries.end(life, f.how == "late")
+	time.Sleep(f.lasts)
+	w.start()
+}
+
+// apart cuts a life from the store and from the hosts, or joins it again. Hosts that connect are refused, get
+// no answer, or connect to nobody.
+func (w *worker) apart(life *standin.Worker, how string, begins bool) {
+	w.mu.Lock()
+	mine := !w.gone && w.life == life
+	front := w.front
+	w.mu.Unlock()
+	if !mine {
+		return // another life came, reached by all
+	}
+	w.site.entries.change(life, func(e *entry) { e.cut = begins })
+	switch {
+	case !begins:
+		front.Heal()
+		w.check(front.Admit())
+	case how == "refuse":
+		w.check(front.Refuse())
+	case how == "mute":
+		front.Cut(directions["both"])
+		w.check(front.Mute())
+	default:
+		front.Cut(directions["both"])
+	}
+}
+
+// part lets a worker leave. It serves on after its entry has gone, or after the time for which it said that
+// it stays, apart from the hosts meanwhile or not.
+func (w *worker) part(life *standin.Worker, f fault) {
+	s := w.site
+	if f.how == "unsaid" {
+		s.entries.change(life, func(e *entry) { e.cut = true })
+		time.Sleep(silentBeats*heartbeat + f.lasts)
+	} else {
+		w.sayDraining(life)
+		time.Sleep(drainTime / 2)
+		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
+		time.Sleep(drainTime)
+	}
+	w.replace(life, 0)
+}
+
+// check fails the test at an error.
+func (w *worker) check(err error) {
+	if err != nil {
+		w.site.t.Error(err)
+	}
+}
+
+// widen makes a site ready for a wide plan.
+func (s *site) widen(p plan) {
+	s.machines, s.entries = p.machines, &entries{site: s, of: map[*standin.Worker]*entry{}}
+	end := make(chan struct{})
+	go s.entries.run(end)
+	s.t.Cleanup(func() { close(end) })
+}
+
+// machine returns what entries of a worker name as its machine.
+func (w *worker) machine() string {
+	if !w.site.machines {
+		return ""
+	}
+	return fmt.Sprintf("machine-%d", w.number)
+}
+
+// workerLife returns a name for a life of a worker that no other has. The order of those of wide plans says
+// nothing of their age.
+func (s *site) workerLife(number int) string {
+	if s.entries == nil {
+		return s.life(fmt.Sprintf("worker-%d", number))
+	}
+	return s.life(fmt.Sprintf("i-%08x", s.chance(math.MaxInt32)))
+}
