--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,7 +25,7 @@
 	hosts    = flag.String("hosts", "3..7", "hosts of the long run, from..to by seed")
 	workersN = flag.Int("workers", 0, "workers of the long run, 0 for a third more than hosts and two")
 	keep     = flag.String("keep", "", "folder for logs, also of seeds that pass; without it those of failed seeds stay in the system's temporary folder")
-	only     = flag.String("only", "", "kinds of faults of the long run, with commas between; the others of the plan are left out")
+	only     = flag.String("only", "", "kinds of faults of the long run, or KIND/VARIANT, with commas between; the others of the plan are left out")
 	wide     = flag.Bool("wide", false, "the long run plays wide plans")
 	hand     = flag.Bool("hand", false, "play the seeds that testdata/seeds.txt leaves to runs by hand")
 	recorded = flag.String("recorded", "testdata/recorded.jsonl", "file of events to judge again")
@@ -137,9 +137,12 @@
 	}
 }
 
-// with returns a plan with some kinds of its faults only, with commas between.
+// with returns a plan with some kinds of its faults only, with commas between: KIND, or KIND/VARIANT.
 func (p plan) with(kinds string) plan {
-	p.faults = slices.DeleteFunc(p.faults, func(f fault) bool { return !slices.Contains(strings.Split(kinds, ","), f.what) })
+	wanted := strings.Split(kinds, ",")
+	p.faults = slices.DeleteFunc(p.faults, func(f fault) bool {
+		return !slices.Contains(wanted, f.what) && !slices.Contains(wanted, f.what+"/"+f.how)
+	})
 	return p
 }
 
