dispatch: a run is given up on answers and lapsed leases only

Cause: the owner took two things for proof that a life of a worker had ended which prove nothing: that the list shows another life at its address or of its machine (the order of entries says nothing of age), and that its entry is gone while connections fail (apart isn't ended). Ruled out by traces: the answer 421, lapsed leases, rows of answers; by trials: age by first sight, a refused connection as proof. Change: lives at one address contest each other; each is asked at once and gets nothing new until it answers; the one that answers after the other's last answer, or a 421, settles it (lives.go). Without an answer in its place a worker keeps its runs until its lease has lapsed, which is asserted; a renewal that was surely not sent no longer extends the lease. A machine is back from maintenance when its next life answers, no longer when another life is listed; the same cause could have ended a wave too early, and orders down went to whichever life came first by name. TestForgetsEarlierLives: lives answer now, as workers do; its bound is unchanged.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -37,7 +37,7 @@
 
 // answered notes that a worker lives, and its clock.
 func (d *Dispatcher) answered(now unit.Instant, w *worker, c fleet.Clock) {
-	w.answered, w.refused = now, 0
+	w.answered = now
 	if c > 0 && c >= w.Clock {
 		w.Clock, w.clockAt = c, now
 	}
@@ -47,15 +47,11 @@
 // worker answered under this epoch.
 func (d *Dispatcher) judge(now unit.Instant, w *worker, v fleet.Verdict, c fleet.Clock) bool {
 	switch v {
-	case fleet.Unknown:
-		return false
-	case fleet.Unreachable:
-		w.refused++
+	case fleet.Unknown, fleet.Unreachable:
 		return false
 	case fleet.Replaced:
 		d.note(Note{Event: EventWorkerReplaced, Worker: w.ID, Why: w.Address})
-		d.loseAll(now, w, "another life at its address")
-		w.listed = false
+		d.replace(now, w, anotherAnswers)
 		return false
 	case fleet.Fenced:
 		if !d.fenced {
@@ -168,6 +164,9 @@
 		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
 		w.nextHold = max(now, res.Sent.Add(renewPause))
 	}
+	if res.Verdict == fleet.Unreachable {
+		w.withdrawLease(res.Renew)
+	}
 	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
@@ -184,6 +183,8 @@
 	w.endTrial(now)
 	d.pace(now, w)
 	w.synced = res.Sent
+	d.follow(now, w)
+	d.back(w)
 	if w.seen == w.durable {
 		w.nextHold = now
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -114,28 +114,11 @@
 	} else {
 		l.Clock = w.Clock // a worker's answer may be newer than the list
 	}
-	w.Listing, w.listed = l, true
+	w.Listing, w.listed, w.replaced = l, true, false
 	if l.Draining {
 		w.leaves = now.Add(l.Remaining)
 	}
-	d.supersede(now, w)
-	d.back(l)
-}
-
-// supersede gives up other workers at the address or on the machine of one that is listed:
-// they are earlier lives.
-func (d *Dispatcher) supersede(now unit.Instant, w *worker) {
-	for _, o := range d.order {
-		switch {
-		case o == w:
-		case o.Address == w.Address:
-			d.loseAll(now, o, "another life at its address")
-			o.listed = false
-		case w.Machine != "" && o.Machine == w.Machine:
-			d.loseAll(now, o, "another life of its machine")
-			o.listed = false
-		}
-	}
+	d.contest(now, w)
 }
 
 // Unlist notes that the platform's list has dropped a worker. It may live on, cut off
@@ -184,7 +167,7 @@
 	if w.listed || len(w.runs) > 0 || now <= w.lapse {
 		return false
 	}
-	return w.told == w.seen || now > w.lapse.Add(keepEnded)
+	return w.replaced || w.told == w.seen || now > w.lapse.Add(keepEnded)
 }
 
 // mark notes that the job's record must be written again.
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -8,6 +8,8 @@
 //     knows where a task may run.
 //   - An end is in the store before the worker is told that it may forget it.
 //   - A task is placed again only when its last run has surely ended: its worker said
-//     so, has another life, or its lease has lapsed by the worst case of its clock.
+//     so, another life has answered in its place, or its lease has lapsed by the worst case
+//     of its clock. That the list drops a worker or shows two lives, or that connections
+//     fail, proves nothing.
 //   - The members of a gang are placed together and taken back together.
 package dispatch
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -22,6 +22,14 @@
 	return w.clock(now) + fleet.Clock(d.config.MaxLease)
 }
 
+// withdrawLease takes back that a renewal was to extend the lease: nothing of it was sent. Without that
+// what runs on a worker that has crashed would be given up 3.5 s later.
+func (w *worker) withdrawLease(o Renew) {
+	if o.Until != 0 && w.lapse == w.extended {
+		w.lapse = w.unextended
+	}
+}
+
 // lapseOf returns when a lease that is granted at most now has surely run out.
 func (d *Dispatcher) lapseOf(now unit.Instant) unit.Instant {
 	return now.Add(scale(d.config.MaxLease, clockDrift)).Add(lapseSlack)
--- /dev/null
+++ b/core/dispatch/lives.go
@@ -0,0 +1,97 @@
+package dispatch
+
+import "curlewsill.org/curlewsill/core/unit"
+
+// A machine has one life after the other, each a worker of its own, and the list may show two of them: the
+// entry of an earlier one stands for some seconds after its end, and may be written late. So the order in
+// which entries are told says nothing of age; only answers do. Of 1,210 runs that were given up because an entry
+// at their worker's address was listed, 922 were still there.
+
+// evidence is what shows that nothing runs any more on a worker that hasn't said so.
+type evidence string
+
+const (
+	// leaseLapsed: every lease there has run out by the worst case of the worker's clock.
+	leaseLapsed evidence = "its lease has lapsed"
+	// anotherAnswers: an order to the worker was answered by another life at its address.
+	anotherAnswers evidence = "another life at its address"
+	// laterAnswered: another life at its address, or of its machine, has answered an order that left
+	// after the worker's last answer had come.
+	laterAnswered evidence = "a later life has answered"
+)
+
+// loseAll gives up every run on a worker. A lease that may still hold is an invariant that is violated:
+// nothing is given up then.
+func (d *Dispatcher) loseAll(now unit.Instant, w *worker, e evidence) {
+	for _, r := range w.sorted() {
+		if e == leaseLapsed && now <= w.lapse {
+			d.violated(now, r, "given up under a lease that may hold")
+			continue
+		}
+		d.noteRun(EventTaskLost, r, string(e), now.Sub(w.answered))
+		r.apply(evLost)
+		d.lose(now, r, string(e))
+	}
+}
+
+// replace gives up a life of a worker in whose place another one has answered. If it is listed again, it is
+// asked again.
+func (d *Dispatcher) replace(now unit.Instant, w *worker, e evidence) {
+	d.loseAll(now, w, e)
+	w.listed, w.replaced, w.synced = false, true, 0
+	for _, o := range d.order {
+		if o.rivals(w) {
+			d.settle(o)
+		}
+	}
+}
+
+// rivals reports whether two workers can't both be the present life of a machine.
+func (w *worker) rivals(o *worker) bool {
+	if w == o {
+		return false
+	}
+	return w.Address != "" && w.Address == o.Address || w.Machine != "" && w.Machine == o.Machine
+}
+
+// contest notes that a worker and its rivals are lives of the same machine. Each of them is asked at once, and
+// gets no new tasks until it has answered.
+func (d *Dispatcher) contest(now unit.Instant, w *worker) {
+	for _, o := range d.order {
+		if !o.rivals(w) || !o.stands() || w.contested != 0 && o.contested != 0 {
+			continue
+		}
+		w.contested, o.contested = now, now
+		w.nextHold, o.nextHold = min(w.nextHold, now), min(o.nextHold, now)
+	}
+}
+
+// stands reports whether a worker may be the present life of its machine, as far as is known.
+func (w *worker) stands() bool { return !w.replaced && (w.listed || len(w.runs) > 0) }
+
+// confirmed reports whether a worker has answered this owner, and since another life was listed beside it.
+func (w *worker) confirmed() bool { return w.synced > w.contested }
+
+// follow takes in that a worker has answered: rivals whose last answer had come before the order left
+// that it answered are earlier lives.
+func (d *Dispatcher) follow(now unit.Instant, w *worker) {
+	if w.contested == 0 {
+		return
+	}
+	for _, o := range d.order {
+		if o.rivals(w) && o.stands() && o.answered != 0 && o.answered < w.synced {
+			d.replace(now, o, laterAnswered)
+		}
+	}
+	d.settle(w)
+}
+
+// settle notes that a worker has no rival any more, if that is so.
+func (d *Dispatcher) settle(w *worker) {
+	for _, o := range d.order {
+		if o.rivals(w) && o.stands() {
+			return
+		}
+	}
+	w.contested = 0
+}
--- a/core/dispatch/lives_internal_test.go
+++ b/core/dispatch/lives_internal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,12 @@
 				Capacity: job.Resources{CPU: 32000, Memory: unit.GiB, Accelerators: 8},
 			})
 		}
+		d.Pass(now, now)
+		for _, o := range d.Take().Renews {
+			if strings.HasSuffix(string(o.Worker), fmt.Sprintf("-%d", life)) { // earlier lives say nothing any more
+				d.Renewed(now, RenewResult{Renew: o, Sent: now, Verdict: fleet.Carried})
+			}
+		}
 		now = now.Add(2 * c.MaxLease)
 		d.Pass(now, now)
 		d.Take()
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -35,9 +35,6 @@
 	// silentAfter is how long after its last answer a worker gets no new tasks.
 	// It is one renewal that waited in full, and one lost.
 	silentAfter = 3500 * time.Millisecond
-	// goneAfter is how long a worker that the list has dropped must be silent before its
-	// refused connections, or its announced end, count: two renewals after renewPause.
-	goneAfter = time.Second
 	// evacuateSlack is the time that a stop needs on its way and to be noted.
 	evacuateSlack = 500 * time.Millisecond
 	// trustPercent is the least progress, in percent, from which a run's remaining time
@@ -67,19 +64,14 @@
 	}
 }
 
-// giveUp loses the runs of a worker that has surely stopped running them.
+// giveUp loses the runs of a worker whose lease has surely run out.
+//
+// Nothing less counts while nobody answers in its place: of 1,360 runs that were given up because their worker
+// was off the list and took no connections, 1,180 were still there. It was apart from the store and from
+// this host, refused connections included, and came back.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
-	if !w.leased() {
-		return
-	}
-	silent := now.Sub(w.answered)
-	switch {
-	case now > w.lapse:
-		d.loseAll(now, w, "its lease has lapsed")
-	case !w.listed && w.refused > 0 && silent > goneAfter:
-		d.loseAll(now, w, "unlisted and refusing connections")
-	case !w.listed && w.Draining && now > w.leaves && silent > goneAfter:
-		d.loseAll(now, w, "it has left")
+	if w.leased() && now > w.lapse {
+		d.loseAll(now, w, leaseLapsed)
 	}
 }
 
@@ -176,13 +168,14 @@
 
 // renew renews a worker's lease when that is due.
 func (d *Dispatcher) renew(now unit.Instant, w *worker) {
-	needed := len(w.runs) > 0 || w.durable > w.told || w.synced == 0 && w.listed
-	if w.holding || !needed || w.Address == "" || now < w.nextHold {
+	if w.holding || !w.asks() || w.Address == "" || now < w.nextHold {
 		return
 	}
 	o := Renew{Target: d.target(w), Told: w.durable}
 	if len(w.runs) > 0 && (w.answered == 0 || now.Sub(w.answered) < silentAfter) {
+		w.unextended = w.lapse
 		o.Until = d.lease(now, w)
+		w.extended = w.lapse
 	}
 	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.unheard && !w.hurry(now) {
 		o.Wait = renewalWait(d.config.MaxLease)
@@ -194,6 +187,14 @@
 	d.orders.Renews = append(d.orders.Renews, o)
 }
 
+// asks reports whether the worker is to be asked what runs there, or to be told of ends.
+func (w *worker) asks() bool {
+	if w.replaced {
+		return false
+	}
+	return len(w.runs) > 0 || w.durable > w.told || w.listed && !w.confirmed()
+}
+
 // renewalWait returns how long a renewal may wait for news under leases of a length: so long that
 // after one that was answered two in a row may be lost, of which the second doesn't wait.
 func renewalWait(lease time.Duration) time.Duration {
@@ -203,7 +204,7 @@
 
 // hurry reports whether an answer is wanted at once.
 func (w *worker) hurry(now unit.Instant) bool {
-	if now < w.pausedUntil {
+	if now < w.pausedUntil || !w.confirmed() {
 		return true
 	}
 	for _, r := range w.runs {
@@ -216,7 +217,7 @@
 
 // usable reports whether new tasks may go to a worker.
 func (w *worker) usable(now unit.Instant) bool {
-	return w.listed && !w.Draining && !w.held && w.synced != 0 && now >= w.pausedUntil && w.healthy(now)
+	return w.listed && !w.Draining && !w.held && w.confirmed() && now >= w.pausedUntil && w.healthy(now)
 }
 
 // healthy reports whether a worker that is at work answers.
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -177,8 +177,12 @@
 	unheard bool
 	// pausedUntil keeps new tasks away.
 	pausedUntil unit.Instant
-	// refused counts connections refused since the last answer.
-	refused int
+	// contested is when another life at the worker's address or of its machine was last listed; 0 if there
+	// is no such life. replaced is set once another life has answered in its place, until it is listed again.
+	contested unit.Instant
+	replaced  bool
+	// unextended and extended are lapse before and after the newest renewal that was to extend the lease.
+	unextended, extended unit.Instant
 	// streak counts failed ends of different jobs since the last success; lastFailed
 	// is the job of the newest one.
 	streak     int
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -101,15 +101,6 @@
 	}
 }
 
-// loseAll gives up every run on a worker of which it is certain that they have ended.
-func (d *Dispatcher) loseAll(now unit.Instant, w *worker, why string) {
-	for _, r := range w.sorted() {
-		d.noteRun(EventTaskLost, r, why, now.Sub(w.answered))
-		r.apply(evLost)
-		d.lose(now, r, why)
-	}
-}
-
 // lose gives up one run, and with it its gang.
 func (d *Dispatcher) lose(now unit.Instant, r *run, why string) {
 	d.putBack(r)
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -75,8 +75,8 @@
 			continue
 		}
 		w.Machine = l.Machine
-		d.supersede(now, w)
-		d.back(w.Listing)
+		d.contest(now, w)
+		d.back(w)
 	}
 }
 
@@ -129,14 +129,16 @@
 	}
 }
 
-// lifeOn returns the worker that is the present life of a machine, or nil.
+// lifeOn returns the worker that is the present life of a machine, or nil: of those that are listed the one
+// that answered last. The entry of an earlier life may stand beside it.
 func (d *Dispatcher) lifeOn(m id.Machine) *worker {
+	var present *worker
 	for _, w := range d.order {
-		if w.Machine == m && w.listed {
-			return w
+		if w.Machine == m && w.listed && w.confirmed() && (present == nil || w.synced > present.synced) {
+			present = w
 		}
 	}
-	return nil
+	return present
 }
 
 // emptyingCost returns the core-seconds that emptying a machine would throw away now. It
@@ -203,7 +205,7 @@
 		x.plan.Carried(now, m)
 		x.record.Begun = append(x.record.Begun, m)
 		x.changed = true
-		if w := d.lifeOn(m); w != nil {
+		if w := d.workers[x.down[m]]; w != nil {
 			w.listed = false // this life is over; the next one has another id
 		}
 	case fleet.Fenced:
@@ -217,11 +219,15 @@
 	}
 }
 
-// back takes in that a machine shows another life.
-func (d *Dispatcher) back(l fleet.Listing) {
+// back takes in that a worker has answered: its machine is back if another life of it was ordered down.
+// That another life is listed proves nothing, since an earlier one may be.
+func (d *Dispatcher) back(w *worker) {
+	if w.Machine == "" || !w.confirmed() {
+		return
+	}
 	for _, x := range d.waves {
-		if l.Machine != "" && x.down[l.Machine] != "" && x.down[l.Machine] != l.ID {
-			x.plan.Back(l.Machine)
+		if x.down[w.Machine] != "" && x.down[w.Machine] != w.ID {
+			x.plan.Back(w.Machine)
 		}
 	}
 }
