--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -170,6 +170,9 @@
 			}
 			res.Report.Running = append(res.Report.Running, x)
 			i += 4
+		case "in-part":
+			res.Report.MoreEnds = true
+			i++
 		case "end":
 			e := fleet.End{Seq: uint64(number(s.t, f[i+1])), Task: task(s.t, f[i+2]), Run: job.Run(number(s.t, f[i+3]))}
 			how, saved, _ := strings.Cut(f[i+4], ":")
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -31,7 +31,7 @@
 //	start NAME VERDICT       the last order to start that task is answered
 //	stop NAME VERDICT
 //	pace NAME VERDICT        the last order on that task's speed is answered
-//	renew WORKER VERDICT [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
+//	renew WORKER VERDICT [in-part] [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
 //	waits WORKER D           the last renewal there may wait so long
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -125,5 +125,9 @@
 type Report struct {
 	Clock   Clock
 	Running []Running
-	Ended   []End
+	// Ended holds the ends that the owner hasn't told the worker to forget, in their order: the first ones if
+	// MoreEnds is set.
+	Ended []End
+	// MoreEnds is set if the worker may have ended runs of which Ended doesn't tell.
+	MoreEnds bool
 }
