dispatch, platform: an answer that may lack ends tells of no lost run

Change: a report whose list of ends is full says so, and no run counts as lost by it; the next answer, after these ends were acknowledged, lists the others. Ruled out: asking with a smaller list, which the platform doesn't offer.

--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -111,8 +111,8 @@
 		}
 	}
 	for _, r := range w.sorted() {
-		if listed[r.task] || ended[r.task] {
-			continue
+		if listed[r.task] || ended[r.task] || res.Report.MoreEnds {
+			continue // its end may be among those that the next answer tells
 		}
 		vanished := r.state == runRunning && res.Sent > r.started
 		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
