dispatch: a worker whose lease has lapsed gets nothing until it answers

Change: it counts as one that hasn't answered this owner yet, so it is asked on and takes no tasks. Ruled out: leaving it out while it is listed, which a worker behind a short cut would pay for.

--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -72,6 +72,7 @@
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
 	if w.leased() && now > w.lapse {
 		d.loseAll(now, w, leaseLapsed)
+		w.synced = 0 // it seems to be empty: without an answer it would get the same tasks again
 	}
 }
 
