dispatch: lives of one machine that contest each other are logged

Cause: what the owner believes of a life changed without a line, or with one every 0.5 s for a life that has ended. Change: worker-contested when another life is known beside one, worker-replaced once, with the evidence and the age of the last answer.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -50,7 +50,6 @@
 	case fleet.Unknown, fleet.Unreachable:
 		return false
 	case fleet.Replaced:
-		d.note(Note{Event: EventWorkerReplaced, Worker: w.ID, Why: w.Address})
 		d.replace(now, w, anotherAnswers)
 		return false
 	case fleet.Fenced:
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "curlewsill.org/curlewsill/core/unit"
+import (
+	"time"
+
+	"curlewsill.org/curlewsill/core/unit"
+)
 
 // A machine has one life after the other, each a worker of its own, and the list may show two of them: the
 // entry of an earlier one stands for some seconds after its end, and may be written late. So the order in
@@ -28,7 +32,7 @@
 			d.violated(now, r, "given up under a lease that may hold")
 			continue
 		}
-		d.noteRun(EventTaskLost, r, string(e), now.Sub(w.answered))
+		d.noteRun(EventTaskLost, r, string(e), w.silentFor(now))
 		r.apply(evLost)
 		d.lose(now, r, string(e))
 	}
@@ -37,6 +41,7 @@
 // replace gives up a life of a worker in whose place another one has answered. If it is listed again, it is
 // asked again.
 func (d *Dispatcher) replace(now unit.Instant, w *worker, e evidence) {
+	d.note(Note{Event: EventWorkerReplaced, Worker: w.ID, Why: string(e), Age: w.silentFor(now)})
 	d.loseAll(now, w, e)
 	w.listed, w.replaced, w.synced = false, true, 0
 	for _, o := range d.order {
@@ -61,6 +66,8 @@
 		if !o.rivals(w) || !o.stands() || w.contested != 0 && o.contested != 0 {
 			continue
 		}
+		d.note(Note{Event: EventWorkerContested, Worker: w.ID, Why: "by " + string(o.ID), Age: w.silentFor(now)})
+		d.note(Note{Event: EventWorkerContested, Worker: o.ID, Why: "by " + string(w.ID), Age: o.silentFor(now)})
 		w.contested, o.contested = now, now
 		w.nextHold, o.nextHold = min(w.nextHold, now), min(o.nextHold, now)
 	}
@@ -95,3 +102,11 @@
 	}
 	w.contested = 0
 }
+
+// silentFor returns how long ago the worker's last answer came; 0 if it has never answered this owner.
+func (w *worker) silentFor(now unit.Instant) time.Duration {
+	if w.answered == 0 {
+		return 0
+	}
+	return now.Sub(w.answered)
+}
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -20,7 +20,10 @@
 	EventWorkerUnlisted Event = "worker-unlisted"
 	// EventWorkerDraining: a worker is to leave; the age is how long it stays.
 	EventWorkerDraining Event = "worker-draining"
-	// EventWorkerReplaced: another life answers at a worker's address.
+	// EventWorkerContested: another life at a worker's address, or of its machine, is known; each of them
+	// gets no new tasks until it answers. Why names the other one, the age is that of the worker's last answer.
+	EventWorkerContested Event = "worker-contested"
+	// EventWorkerReplaced: another life has answered in a worker's place; why says how that is known.
 	EventWorkerReplaced Event = "worker-replaced"
 	// EventWorkerSuspended: a worker gets no tasks for a while, as long as the age.
 	EventWorkerSuspended Event = "worker-suspended"
