dispatch: a life that was replaced contests nobody until it answers

Cause: by reading: two entries at one address of which one is written on, as with a wrong setting, would keep the life that answers without new tasks for up to 2 s after each entry. Change: such a life is asked again and nothing else. Ruled out: passing its entries over for good; a 421 could have been wrong.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -114,7 +114,7 @@
 	} else {
 		l.Clock = w.Clock // a worker's answer may be newer than the list
 	}
-	w.Listing, w.listed, w.replaced = l, true, false
+	w.Listing, w.listed = l, true
 	if l.Draining {
 		w.leaves = now.Add(l.Remaining)
 	}
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -60,8 +60,12 @@
 }
 
 // contest notes that a worker and its rivals are lives of the same machine. Each of them is asked at once, and
-// gets no new tasks until it has answered.
+// gets no new tasks until it has answered. A life that was replaced before contests nobody until it answers.
 func (d *Dispatcher) contest(now unit.Instant, w *worker) {
+	if w.replaced {
+		w.replaced, w.contested = false, now
+		return
+	}
 	for _, o := range d.order {
 		if !o.rivals(w) || !o.stands() || w.contested != 0 && o.contested != 0 {
 			continue
