--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -101,6 +101,10 @@
 func (d *Dispatcher) failed(now unit.Instant, r *run) {
 	s := r.step
 	js := s.job
+	if js.progress.Tasks[s.base+r.task.Index].Phase == job.Done {
+		d.release(r) // an earlier run was done: nothing is to be tried again
+		return
+	}
 	s.noteFailure(now, r.task.Index, r.worker)
 	if s.step.Gang {
 		if s.failedRun >= r.number {
@@ -166,6 +170,7 @@
 	}
 	w.runs.put(r)
 	w.used = w.used.Add(r.need)
+	w.lapse = max(w.lapse, d.lapseOf(now)) // some lease holds, perhaps of an order that was late
 	d.stop(now, r, "no placement is known for it")
 	return r
 }
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -106,7 +106,7 @@
 		case r.state == runStarting && r.ignored(now):
 			d.stopRun(now, r, "its worker answers renewals, but not its orders to start")
 			d.countIgnored(now, r)
-		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0:
+		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now):
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
 			d.orderStop(now, r)
@@ -172,13 +172,16 @@
 	if w.holding || !w.asks() || w.Address == "" || now < w.nextHold {
 		return
 	}
+	if w.firstAsked == 0 {
+		w.firstAsked = now
+	}
 	o := Renew{Target: d.target(w), Told: w.durable}
-	if len(w.runs) > 0 && (w.answered == 0 || now.Sub(w.answered) < silentAfter) {
+	if len(w.runs) > 0 && w.heard(now) {
 		w.unextended = w.lapse
 		o.Until = d.lease(now, w)
 		w.extended = w.lapse
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && now.Sub(w.answered) < silentAfter && !w.unheard && !w.hurry(now) {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry(now) {
 		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() {
 			o.Wait = min(o.Wait, sharedWait)
@@ -188,6 +191,10 @@
 	d.orders.Renews = append(d.orders.Renews, o)
 }
 
+// heard reports whether the worker has answered lately, or was first asked lately. Only then orders extend its
+// lease: those to a worker that never answers would put the end of its lease off for ever.
+func (w *worker) heard(now unit.Instant) bool { return now.Sub(max(w.answered, w.firstAsked)) < silentAfter }
+
 // asks reports whether the worker is to be asked what runs there, or to be told of ends.
 func (w *worker) asks() bool {
 	if w.replaced {
@@ -223,7 +230,7 @@
 
 // healthy reports whether a worker that is at work answers.
 func (w *worker) healthy(now unit.Instant) bool {
-	return len(w.runs) == 0 || now.Sub(w.answered) < silentAfter
+	return len(w.runs) == 0 || w.heard(now)
 }
 
 // near reports whether a worker is where the step's data is.
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -158,8 +158,8 @@
 	clockAt unit.Instant
 	// lapse is when every lease on the worker has surely run out.
 	lapse unit.Instant
-	// answered is when its last answer came, 0 for never.
-	answered unit.Instant
+	// answered is when its last answer came, firstAsked when this owner's first renewal left; 0 for never.
+	answered, firstAsked unit.Instant
 	// seen is the last end that was noted, durable the last one whose note is in
 	// the store, told the last one that the worker may forget.
 	seen, durable, told uint64
