dispatch, upkeep: a machine had its maintenance when the order was carried out and a life answers after that

Cause: the same as of the tasks that ran twice, elsewhere: another life, by list or answer, was taken for maintenance done although the order had got no answer and nothing was done; the repeated order then hit a machine at work. The answer that the order was carried out unlisted whatever life was there, also the next one. A machine whose worker fell silent held its place in the wave for good. Change: a machine is back when a life answers a renewal that left after the order was known to be carried out; its lives are asked then; no state leads back from an order without that. A silent life without rivals counts as the present one, on which nothing runs.

--- a/core/dispatch/evidence_test.go
+++ b/core/dispatch/evidence_test.go
@@ -15,8 +15,11 @@
 // ("task-lost", "another life at its address", 0.14 s after the worker's last answer), and a lapsed entry together
 // with a connection that couldn't be opened ("unlisted and refusing connections", 3.9 s after it, with 6 s
 // of the lease left). Of 2,570 runs that were given up in these ways 2,102 were still there.
-func TestEvidence(t *testing.T) {
-	files, err := filepath.Glob(filepath.Join("testdata", "evidence", "*.txt"))
+func TestEvidence(t *testing.T) { eachOf(t, "evidence") }
+
+// eachOf plays the scripts of a folder of testdata.
+func eachOf(t *testing.T, folder string) {
+	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
 	if err != nil || len(files) == 0 {
 		t.Fatal("no scripts", err)
 	}
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -26,8 +26,8 @@
 	changed bool
 	// finished is set once the operator was told so.
 	finished bool
-	// down holds the lives that were ordered down, by machine.
-	down map[id.Machine]id.Worker
+	// carried holds when it was known that the order to take a machine down was carried out.
+	carried map[id.Machine]unit.Instant
 	// unanswered holds when the orders that got no answer are repeated.
 	unanswered map[id.Machine]unit.Instant
 }
@@ -38,7 +38,7 @@
 	if d.waves[w.Number] != nil {
 		return
 	}
-	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, down: map[id.Machine]id.Worker{}}
+	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, carried: map[id.Machine]unit.Instant{}}
 	rec, known := d.table.Wave(w.Number)
 	if !known {
 		rec.Seen, x.changed = wall, true
@@ -130,11 +130,13 @@
 }
 
 // lifeOn returns the worker that is the present life of a machine, or nil: of those that are listed the one
-// that answered last. The entry of an earlier life may stand beside it.
+// that answered last. The entry of an earlier life may stand beside it. A life that doesn't answer any more, and
+// has no rival, is the present one too.
 func (d *Dispatcher) lifeOn(m id.Machine) *worker {
 	var present *worker
 	for _, w := range d.order {
-		if w.Machine == m && w.listed && w.confirmed() && (present == nil || w.synced > present.synced) {
+		alone := w.answered != 0 && w.contested == 0
+		if w.Machine == m && w.listed && (w.confirmed() || alone) && (present == nil || w.synced > present.synced) {
 			present = w
 		}
 	}
@@ -185,9 +187,6 @@
 
 // orderDown orders a machine down, for the first time or again.
 func (d *Dispatcher) orderDown(x *wave, m id.Machine) {
-	if w := d.lifeOn(m); w != nil {
-		x.down[m] = w.ID
-	}
 	d.orders.Upkeeps = append(d.orders.Upkeeps, Upkeep{Machine: m, Wave: x.number, Epoch: d.epoch})
 	d.note(Note{Event: EventUpkeepOrdered, Why: fmt.Sprintf("machine %s of wave %d", m, x.number)})
 }
@@ -205,9 +204,8 @@
 		x.plan.Carried(now, m)
 		x.record.Begun = append(x.record.Begun, m)
 		x.changed = true
-		if w := d.workers[x.down[m]]; w != nil {
-			w.listed = false // this life is over; the next one has another id
-		}
+		x.carried[m] = now
+		d.askLives(now, m)
 	case fleet.Fenced:
 		d.fenced = true
 	case fleet.Stale, fleet.Invalid:
@@ -219,14 +217,23 @@
 	}
 }
 
-// back takes in that a worker has answered: its machine is back if another life of it was ordered down.
-// That another life is listed proves nothing, since an earlier one may be.
+// askLives asks the lives of a machine that was taken down. The platform answers the order alike if that was done
+// before, so that a life that answers now is the next one; an entry in the list proves nothing.
+func (d *Dispatcher) askLives(now unit.Instant, m id.Machine) {
+	for _, w := range d.order {
+		if w.Machine == m {
+			w.synced, w.nextHold = 0, min(w.nextHold, now)
+		}
+	}
+}
+
+// back takes in that a worker has answered: its machine is back if the renewal left after the machine was taken down.
 func (d *Dispatcher) back(w *worker) {
 	if w.Machine == "" || !w.confirmed() {
 		return
 	}
 	for _, x := range d.waves {
-		if x.down[w.Machine] != "" && x.down[w.Machine] != w.ID {
+		if at := x.carried[w.Machine]; at != 0 && w.synced > at {
 			x.plan.Back(w.Machine)
 		}
 	}
