--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -193,7 +193,9 @@
 
 // heard reports whether the worker has answered lately, or was first asked lately. Only then orders extend its
 // lease: those to a worker that never answers would put the end of its lease off for ever.
-func (w *worker) heard(now unit.Instant) bool { return now.Sub(max(w.answered, w.firstAsked)) < silentAfter }
+func (w *worker) heard(now unit.Instant) bool {
+	return now.Sub(max(w.answered, w.firstAsked)) < silentAfter
+}
 
 // asks reports whether the worker is to be asked what runs there, or to be told of ends.
 func (w *worker) asks() bool {
