platform, entry: workers have an HTTP client of their own kind

Cause: only workers have lives at an address; connections of the other services are to stay as they are. A trial that kept connections apart in every client failed TestSilentKinds, whose calls to the store go over connections that a renewal opened. Change: NewWorkerClient, for now the same as NewHTTPClient.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -150,7 +150,7 @@
 		settings: s, log: log, metrics: m, self: self,
 		links: links, path: path, advicePath: advicePath,
 		store:    platform.NewStore(s.Store, &http.Client{Transport: path}),
-		workers:  platform.NewWorkers(client(toWorkers, workerConns), log),
+		workers:  platform.NewWorkers(platform.NewWorkerClient(workerConns, m.deadConns(log, toWorkers)), log),
 		advice:   platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log),
 		machines: platform.NewMachines(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](events), stopped: make(chan struct{}),
