conntrack, platform: connections to workers are kept for each life

Cause: net/http keeps connections by the address of a URL, and lives of a worker follow one another at one address. The process of an earlier life that has closed its listener answers on the connections it has; its 421 was read as the end of the life that was asked, and the owner gives up all runs of that life. Ruled out, by reading: one pool with connections of other lives closed when a call takes one (orders to two lives in turn close each other's, and net/http doesn't repeat a call that is handed a new connection of the other life); an order sent again after a 421 on a used connection (orders still reach the wrong life); a transport for each life (suspicion goes by the address, above them). Change: conntrack.NewPerLife, for the client of the workers only. Calls that name different lives have URLs of different hosts, the dialer leads back to the address; what is sent is the same. After a 421 all connections opened for that life are closed, so that the next question asks whoever listens then. Suspicion goes by the address as before. Left: connections to an earlier life that nobody asks any more stay for 30 s without use, or until its process ends.

--- a/internal/conntrack/call.go
+++ b/internal/conntrack/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"net/http/httptrace"
 	"time"
 )
@@ -25,6 +26,8 @@
 type call struct {
 	transport *Transport
 	began     time.Time
+	// address is where it goes, life the one there that it is for; empty if any will do.
+	address, life string
 	// wait is how long it may wait at its other end; known is set if the caller said so.
 	wait  time.Duration
 	known bool
@@ -38,9 +41,12 @@
 	settled bool
 }
 
-func newCall(ctx context.Context, t *Transport) *call {
-	c := &call{transport: t, began: time.Now()}
-	c.wait, c.known = Wait(ctx)
+func newCall(req *http.Request, t *Transport) *call {
+	c := &call{transport: t, began: time.Now(), address: req.URL.Host}
+	if t.perLife {
+		c.life = lifeOf(req.Context())
+	}
+	c.wait, c.known = Wait(req.Context())
 	return c
 }
 
--- a/internal/conntrack/conn.go
+++ b/internal/conntrack/conn.go
@@ -16,14 +16,16 @@
 }
 
 // suspects reports whether a connection is not to be used again.
-func (p *peer) suspects(c *conn) bool { return !c.proven.After(p.suspect) }
+func (p *peer) suspects(c *conn) bool { return c.spent || !c.proven.After(p.suspect) }
 
 // conn is one tracked connection. Its fields below heard are guarded by the transport's lock.
 type conn struct {
 	net.Conn
 	transport *Transport
 	to        string
-	opened    time.Time
+	// life is the one that it was opened for; empty if any will do.
+	life   string
+	opened time.Time
 	// heard tells when bytes came last, or when the connection was opened.
 	heard *meter.Meter
 	// proven is when the newest call left that was answered here, or when it was opened: both
@@ -33,6 +35,8 @@
 	call *call
 	// used is set once a call was answered here.
 	used bool
+	// spent is set once another life has answered for the one that it was opened for.
+	spent bool
 }
 
 // vouches reports whether a connection shows that one that brought no answer hasn't gone silent
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -9,6 +9,10 @@
 // No connection becomes suspect while bytes still come on one that is as old: the service, or the link
 // to it, is slow then, and new connections would add to that.
 //
+// An address may have several lives of a process in turn, and an earlier one may go on answering on the
+// connections that it has. A transport of NewPerLife keeps the connections of calls that name different
+// lives apart. What is believed of an address is believed of the way to it, and so of all of them.
+//
 // Calls under way on suspect connections are left alone. A call without an answer may as well come
 // from a service that is slow, and whoever waits there for news would ask again in vain.
 package conntrack
@@ -55,6 +59,8 @@
 type Transport struct {
 	base  *http.Transport
 	found func(Found)
+	// perLife is set if calls for different lives share no connection.
+	perLife bool
 
 	mu sync.Mutex
 	// peers holds the addresses with open connections, and what is believed of them.
@@ -66,16 +72,26 @@
 func New(base *http.Transport, found func(Found)) *Transport {
 	t := &Transport{base: base, found: found, peers: map[string]*peer{}}
 	dial := base.DialContext
-	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	base.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
+		address, life := dialed(ctx, host)
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return t.track(c, address), nil
+		return t.track(c, address, life), nil
 	}
 	return t
 }
 
+// NewPerLife is New for addresses of which a process may have several lives: a call that names one by
+// WithLife goes over a connection that was opened for this life only. The bounds of base on connections
+// to a host are those to a life. Calls are over plain HTTP.
+func NewPerLife(base *http.Transport, found func(Found)) *Transport {
+	t := New(base, found)
+	t.perLife = true
+	return t
+}
+
 // Open returns how many connections are open.
 func (t *Transport) Open() int {
 	t.mu.Lock()
@@ -92,22 +108,25 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	c := newCall(req.Context(), t)
+	c := newCall(req, t)
 	trace := &httptrace.ClientTrace{GotConn: c.got}
-	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	resp, err := c.send(httptrace.WithClientTrace(req.Context(), trace), req)
 	if err != nil {
 		c.failed(err)
 		return nil, err
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		t.misdirected(c)
+	}
 	resp.Body = &body{ReadCloser: resp.Body, call: c}
 	return resp, nil
 }
 
 // track notes a new connection.
-func (t *Transport) track(c net.Conn, address string) *conn {
+func (t *Transport) track(c net.Conn, address, life string) *conn {
 	heard := meter.New()
 	now := heard.Last()
-	out := &conn{Conn: heard.Conn(c), transport: t, to: address, opened: now, heard: heard, proven: now}
+	out := &conn{Conn: heard.Conn(c), transport: t, to: address, life: life, opened: now, heard: heard, proven: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[address]
--- /dev/null
+++ b/internal/conntrack/life_test.go
@@ -0,0 +1,120 @@
+package conntrack_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"curlewsill.org/curlewsill/internal/conntrack"
+)
+
+// TestLives makes calls one after the other and checks which of them open a connection, and to where.
+// What is sent names the address as it was given, whatever the life is called.
+func TestLives(t *testing.T) {
+	served := &echo{}
+	transport := conntrack.NewPerLife(&http.Transport{DialContext: served.dial}, func(conntrack.Found) {})
+	t.Cleanup(transport.CloseIdleConnections)
+	for _, c := range []struct {
+		life, address string
+		status        string
+		opens         bool
+	}{
+		{"", "10.0.0.1:80", "200", true},
+		{"", "10.0.0.1:80", "200", false},
+		{"i-1", "10.0.0.1:80", "200", true},
+		{"i-1", "10.0.0.1:80", "200", false},
+		{"i-2", "10.0.0.1:80", "200", true},
+		{"i-1", "10.0.0.1:80", "200", false},
+		{"i-1", "10.0.0.2:80", "200", true},
+		{"i-1", "[::1]:80", "200", true},
+		{"i-1", "[::1]:80", "200", false},
+		{"i:1/@é", "worker.example:80", "200", true},
+		{"i:1/@é", "worker.example:80", "200", false},
+		{"i-2", "10.0.0.1:80", "421", false}, // its connections go with it
+		{"i-2", "10.0.0.1:80", "200", true},
+		{"i-1", "10.0.0.1:80", "200", false},
+		{"", "10.0.0.1:80", "421", false}, // nobody was asked for, so nobody has gone
+		{"", "10.0.0.1:80", "200", false},
+	} {
+		before := served.opened()
+		served.call(t, transport, c.life, c.address, c.status)
+		got := served.opened()[len(before):]
+		if opens := slices.Equal(got, []string{c.address}); opens != c.opens || !opens && len(got) > 0 {
+			t.Errorf("a call for %q at %s, answered %s, opened %v", c.life, c.address, c.status, got)
+		}
+	}
+}
+
+// echo answers calls over connections within the process.
+type echo struct {
+	mu    sync.Mutex
+	dials []string
+}
+
+// opened returns the addresses that connections were opened to.
+func (e *echo) opened() []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.dials)
+}
+
+func (e *echo) dial(_ context.Context, _, address string) (net.Conn, error) {
+	near, far := net.Pipe()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dials = append(e.dials, address)
+	s := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(&single{conn: far}) }()
+	return near, nil
+}
+
+// ServeHTTP answers with the status that the call asks for, and with the Host that it named.
+func (e *echo) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("Status") == "421" {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+	}
+	_, _ = io.WriteString(rw, r.Host)
+}
+
+// call makes a call and checks that it was sent as it was given.
+func (e *echo) call(t *testing.T, c *conntrack.Transport, life, address, status string) {
+	ctx := t.Context()
+	if life != "" {
+		ctx = conntrack.WithLife(ctx, life)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/hold", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "" // the URL's is meant
+	req.Header.Set("Status", status)
+	resp, err := c.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	host, err := io.ReadAll(resp.Body)
+	if err != nil || string(host) != address || req.URL.Host != address || resp.Request != req && life != "" {
+		t.Errorf("a call for %q at %s came with the Host %q (%v); its URL is now %s", life, address, host, err, req.URL)
+	}
+}
+
+// single is a listener that takes one connection.
+type single struct {
+	conn  net.Conn
+	taken sync.Once
+}
+
+func (s *single) Accept() (c net.Conn, err error) {
+	err = net.ErrClosed
+	s.taken.Do(func() { c, err = s.conn, nil })
+	return c, err
+}
+
+func (s *single) Close() error   { return nil }
+func (s *single) Addr() net.Addr { return &net.TCPAddr{} }
