conntrack: no spare connection to a life that has gone

Change: a connection is dropped when its opening ends after its call was answered by another life. Left: a call that gets no answer at all may still leave such a connection, for 30 s.

--- a/internal/conntrack/call.go
+++ b/internal/conntrack/call.go
@@ -37,8 +37,9 @@
 	conn  *conn
 	idle  time.Duration
 	first bool
-	// settled is set once the call has ended.
-	settled bool
+	// misdirected is set once another life has answered, settled once the call has ended. Guarded by the
+	// transport's lock.
+	misdirected, settled bool
 }
 
 func newCall(req *http.Request, t *Transport) *call {
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -73,12 +73,17 @@
 	t := &Transport{base: base, found: found, peers: map[string]*peer{}}
 	dial := base.DialContext
 	base.DialContext = func(ctx context.Context, network, host string) (net.Conn, error) {
-		address, life := dialed(ctx, host)
-		c, err := dial(ctx, network, address)
+		by := opener(ctx, host)
+		c, err := dial(ctx, network, by.address)
 		if err != nil {
 			return nil, err
 		}
-		return t.track(c, address, life), nil
+		out := t.track(c, by)
+		if out == nil {
+			_ = c.Close()
+			return nil, errGone
+		}
+		return out, nil
 	}
 	return t
 }
@@ -122,17 +127,21 @@
 	return resp, nil
 }
 
-// track notes a new connection.
-func (t *Transport) track(c net.Conn, address, life string) *conn {
+// track notes a connection that a call has opened. It returns nil if another life has answered the call
+// meanwhile, on another connection: this one would lie idle.
+func (t *Transport) track(c net.Conn, by *call) *conn {
 	heard := meter.New()
 	now := heard.Last()
-	out := &conn{Conn: heard.Conn(c), transport: t, to: address, life: life, opened: now, heard: heard, proven: now}
+	out := &conn{Conn: heard.Conn(c), transport: t, to: by.address, life: by.life, opened: now, heard: heard, proven: now}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.peers[address]
+	if by.misdirected {
+		return nil
+	}
+	p := t.peers[by.address]
 	if p == nil {
 		p = &peer{conns: map[*conn]struct{}{}}
-		t.peers[address] = p
+		t.peers[by.address] = p
 	}
 	p.conns[out] = struct{}{}
 	return out
--- a/internal/conntrack/life.go
+++ b/internal/conntrack/life.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"net/http"
 )
 
+// errGone reports a connection to a life that has turned out to be gone while it was opened.
+var errGone = errors.New("conntrack: another life has answered")
+
 // lifeKey carries the life that a call is for, callKey the call for the dialer.
 type (
 	lifeKey struct{}
@@ -53,13 +57,13 @@
 	return string(append(out, c.address...))
 }
 
-// dialed returns the address and the life of a connection that the base transport opens; host is what
-// it believes to be the address.
-func dialed(ctx context.Context, host string) (address, life string) {
+// opener returns the call that opens a connection; host is what the base transport believes to be its
+// address.
+func opener(ctx context.Context, host string) *call {
 	if c, apart := ctx.Value(callKey{}).(*call); apart {
-		return c.address, c.life
+		return c
 	}
-	return host, ""
+	return &call{address: host}
 }
 
 // misdirected takes in that another life answered a call: the connections that were opened for the
@@ -77,6 +81,7 @@
 	if c.conn == nil || c.conn.life == "" {
 		return nil
 	}
+	c.misdirected = true
 	p := t.peers[c.conn.to]
 	if p == nil {
 		return nil
