dispatch, entry: an owner grants leases only while nobody else can have become the owner

Change: an owner is assured by a read of the jobs that left within 3 s and told of no other claim, or by the answers of all other hosts that they know of no other owner; without that it extends no lease and starts nothing. Ruled out: a majority of the hosts, since whoever reaches the store may claim; stopping as soon as the store is away, which would end all work in an outage of a lease's length.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -64,6 +64,8 @@
 	// acks is set if some worker's ends were noted since the last batch.
 	acks   bool
 	fenced bool
+	// assured is as of when it is known that nobody else was the owner; 0 if nobody tells.
+	assured unit.Instant
 }
 
 // New returns the dispatcher of an owner with the given epoch, that decides by the given policy.
@@ -77,6 +79,9 @@
 	}
 }
 
+// Assure notes as of when it is known that nobody else was the owner.
+func (d *Dispatcher) Assure(at unit.Instant) { d.assured = max(d.assured, at) }
+
 // Fenced reports whether a worker has seen a later owner.
 func (d *Dispatcher) Fenced() bool { return d.fenced }
 
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -67,6 +67,10 @@
 		d.stopRun(now, r, "its worker began to leave")
 		return
 	}
+	if !d.grants(now) {
+		d.stopRun(now, r, "another host may be the owner")
+		return
+	}
 	if !r.step.mayRunOn(now, r.worker) {
 		d.stopRun(now, r, "its permit has expired")
 		return
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -14,8 +14,18 @@
 	// lapseSlack is added to each lease's end for the way of an order, a few
 	// milliseconds, and for late timers.
 	lapseSlack = 200 * time.Millisecond
+	// assuredFor is how long an owner goes on granting leases after it was last known that nobody else was the
+	// owner. A read of the store that waits for news takes 1.5 s, and one in a row may be lost. The next owner
+	// waits as much longer for workers that it can't reach: one that was cut off together with some
+	// workers renewed their leases for as long as the cut lasted, while their tasks were started elsewhere.
+	assuredFor = 3 * time.Second
 )
 
+// grants reports whether leases may be extended.
+func (d *Dispatcher) grants(now unit.Instant) bool {
+	return d.assured == 0 || now.Sub(d.assured) <= assuredFor
+}
+
 // lease returns the end of a lease granted now, and notes that it may be granted.
 func (d *Dispatcher) lease(now unit.Instant, w *worker) fleet.Clock {
 	w.lapse = max(w.lapse, d.lapseOf(now))
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -106,7 +106,7 @@
 		case r.state == runStarting && r.ignored(now):
 			d.stopRun(now, r, "its worker answers renewals, but not its orders to start")
 			d.countIgnored(now, r)
-		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now):
+		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now) && d.grants(now):
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
 			d.orderStop(now, r)
@@ -176,7 +176,7 @@
 		w.firstAsked = now
 	}
 	o := Renew{Target: d.target(w), Told: w.durable}
-	if len(w.runs) > 0 && w.heard(now) {
+	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		w.unextended = w.lapse
 		o.Until = d.lease(now, w)
 		w.extended = w.lapse
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -142,6 +142,7 @@
 		boxes: boxes, seq: 1, listed: map[id.Worker]bool{}, reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
+	h.assured = now // the claim was read a moment ago
 	h.election.Owned(now)
 	h.metrics.owning.Store(true)
 	h.metrics.takeovers.Inc()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -130,6 +130,11 @@
 	counts counts
 	// released is the epoch whose owner gave it back.
 	released id.Epoch
+	// assured is as of when it is known that nobody else was the owner: a read of the jobs left then that told
+	// of no other, or all other hosts answered that they know of none.
+	assured unit.Instant
+	// others are the addresses of the other hosts in the newest look at the group; empty texts where none is known.
+	others []string
 }
 
 // New returns a host whose listeners are open.
@@ -215,6 +220,7 @@
 	go h.readOperator(ctx)
 	go h.keepMembership(ctx)
 	go h.watchOwner(ctx)
+	go h.seekAssurance(ctx)
 	go h.decide(ctx)
 	select {
 	case <-ctx.Done():
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -98,6 +98,7 @@
 // pass decides what is due and hands out what follows.
 func (o *owner) pass(ctx context.Context, now unit.Instant) {
 	o.core.SetAdvisers(o.host.advicePath.Ways())
+	o.core.Assure(o.host.assured)
 	o.core.Pass(now, unit.At(time.Now()))
 	o.flush(ctx)
 	o.handOut(ctx)
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -18,6 +18,8 @@
 	pause func() time.Duration
 	// wake cuts a pause short; nil if nobody does.
 	wake <-chan struct{}
+	// answered is called after each read with when it left; nil if nobody wants to know.
+	answered func(left time.Time)
 	// whole is called with the newest records of all keys, and more with those
 	// that follow from an offset on.
 	whole func(recs []jobtable.Record, end id.Offset)
@@ -51,6 +53,9 @@
 			continue
 		}
 		b.reset()
+		if t.answered != nil {
+			t.answered(began)
+		}
 	}
 }
 
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -54,6 +54,9 @@
 	Misses bool
 }
 
+// errOtherOwner reports a question about a host that isn't the owner, as far as this host knows.
+var errOtherOwner = errors.New("entry: another host is the owner")
+
 // errNotDeciding reports a host that has ended, or hasn't begun yet.
 var errNotDeciding = errors.New("entry: the host decides nothing")
 
@@ -186,7 +189,13 @@
 	}
 	p := presence{Host: t.host.self}
 	if q.Owner != t.host.self {
-		p.Misses, _ = ask(req.Context(), t.host, func(now unit.Instant) bool { return t.host.election.Witness(now, q.Owner) })
+		known, _ := ask(req.Context(), t.host, func(now unit.Instant) bool {
+			p.Misses = t.host.election.Witness(now, q.Owner)
+			return t.host.table.Owner().Host == q.Owner
+		})
+		if !known {
+			return nil, errOtherOwner
+		}
 	}
 	raw, err := presences.Encode(p)
 	if err != nil {
