dispatch, entry: a machine that may be down on an order without an answer; a cut-off owner's test has leases

Change: after an order without an answer a refusal decides nothing; the order is repeated until it is answered as carried out. TestOwnerCutOffWithWorker plays workers that keep to leases, as the platform's do; with workers that know none nothing can pass it.

--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -30,6 +30,8 @@
 	carried map[id.Machine]unit.Instant
 	// unanswered holds when the orders that got no answer are repeated.
 	unanswered map[id.Machine]unit.Instant
+	// unsure holds the machines of which some order got no answer: it may have been carried out.
+	unsure map[id.Machine]bool
 }
 
 // SetWave takes in a wave that the operator asks for. One that an earlier owner has begun
@@ -38,7 +40,7 @@
 	if d.waves[w.Number] != nil {
 		return
 	}
-	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, carried: map[id.Machine]unit.Instant{}}
+	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, carried: map[id.Machine]unit.Instant{}, unsure: map[id.Machine]bool{}}
 	rec, known := d.table.Wave(w.Number)
 	if !known {
 		rec.Seen, x.changed = wall, true
@@ -211,9 +213,13 @@
 	case fleet.Stale, fleet.Invalid:
 		x.plan.Drop(m)
 	case fleet.Busy, fleet.Unreachable:
+		if x.unsure[m] { // it may be down on the order without an answer, and counts as such
+			x.unanswered[m] = now.Add(upkeepAgain)
+			return
+		}
 		x.plan.Refused(now, m)
 	case fleet.Unknown, fleet.Expired, fleet.NoRoom, fleet.NoTicket, fleet.Replaced:
-		x.unanswered[m] = now.Add(upkeepAgain)
+		x.unanswered[m], x.unsure[m] = now.Add(upkeepAgain), true
 	}
 }
 
--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -17,6 +17,7 @@
 func TestOwnerCutOffWithWorker(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
+	s.strict = true
 	plain := s.address
 	s.run("proxied\nlinks\nworkers 1\nhosts 1\nsubmit 0 j1 1 endless 200\nawait 0 j1 running")
 	s.address = plain // the next host reaches the store by a way of its own
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -33,8 +33,9 @@
 	// machines is the address of the service that takes machines down, taken what it did.
 	machines string
 	taken    *standin.Machines
-	// lease is the longest lease of a worker.
-	lease time.Duration
+	// lease is the longest lease of a worker. Strict workers keep to it.
+	lease  time.Duration
+	strict bool
 	// proxies stand before the store and before each worker, by what is behind them; nil unless the
 	// script asks for them.
 	proxies map[string][]*faultproxy.Proxy
@@ -139,6 +140,12 @@
 // startLife starts a life of the machine of a worker.
 func (s *site) startLife(n int, name string) {
 	w := standin.NewWorker(name, work)
+	if s.strict {
+		w = standin.NewStrictWorker(name, work, standin.Strict{
+			MaxLease: s.lease, StopTime: 100 * time.Millisecond, Gangs: standin.NewGangs(), Rate: 1, Observe: func(standin.Seen) {},
+		})
+		s.t.Cleanup(w.Crash)
+	}
 	server := httptest.NewServer(w)
 	s.t.Cleanup(server.CloseClientConnections)
 	s.mu.Lock()
