--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -26,6 +26,19 @@
 	return d.assured == 0 || now.Sub(d.assured) <= assuredFor
 }
 
+// noteGrants notes when leases are no longer extended, and when they are again.
+func (d *Dispatcher) noteGrants(now unit.Instant) {
+	if d.grants(now) != d.heldBack {
+		return
+	}
+	d.heldBack = !d.heldBack
+	event := EventLeasesGranted
+	if d.heldBack {
+		event = EventLeasesHeldBack
+	}
+	d.note(Note{Event: event, Age: now.Sub(d.assured)})
+}
+
 // lease returns the end of a lease granted now, and notes that it may be granted.
 func (d *Dispatcher) lease(now unit.Instant, w *worker) fleet.Clock {
 	w.lapse = max(w.lapse, d.lapseOf(now))
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -29,6 +29,10 @@
 	EventWorkerSuspended Event = "worker-suspended"
 	// EventOwnerFenced: a worker has seen a later owner.
 	EventOwnerFenced Event = "owner-fenced"
+	// EventLeasesHeldBack: another host may be the owner, so that no lease is extended and nothing starts; the
+	// age is that of the newest assurance. EventLeasesGranted: that has ended.
+	EventLeasesHeldBack Event = "leases-held-back"
+	EventLeasesGranted  Event = "leases-granted"
 	// EventTaskPlaced: a task is to run on a worker; why is its rack.
 	EventTaskPlaced Event = "task-placed"
 	// EventStartRejected: a worker did not carry out an order to start.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -50,6 +50,7 @@
 	if d.began == 0 {
 		d.began = now
 	}
+	d.noteGrants(now)
 	d.forgetGone(now)
 	for _, w := range d.order {
 		d.giveUp(now, w)
@@ -58,7 +59,9 @@
 	}
 	d.expire(now)
 	d.maintain(now)
-	d.placeAll(now)
+	if d.grants(now) { // else each order would be taken back, with a record and a number of its own
+		d.placeAll(now)
+	}
 	for _, w := range d.order {
 		d.renew(now, w)
 	}
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -17,6 +17,10 @@
 // The platform answers one that was done in the same way.
 const upkeepAgain = time.Second
 
+// unsureFor is how long an order without an answer may be why its machine is down: the platform may carry it out 12 s
+// late, and the machine is down for some seconds then.
+const unsureFor = 15 * time.Second
+
 // wave is one wave of maintenance and what the store knows of it.
 type wave struct {
 	number id.Wave
@@ -30,8 +34,8 @@
 	carried map[id.Machine]unit.Instant
 	// unanswered holds when the orders that got no answer are repeated.
 	unanswered map[id.Machine]unit.Instant
-	// unsure holds the machines of which some order got no answer: it may have been carried out.
-	unsure map[id.Machine]bool
+	// unsure holds when the newest order about a machine got no answer: it may have been carried out, or may be.
+	unsure map[id.Machine]unit.Instant
 }
 
 // SetWave takes in a wave that the operator asks for. One that an earlier owner has begun
@@ -40,7 +44,7 @@
 	if d.waves[w.Number] != nil {
 		return
 	}
-	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, carried: map[id.Machine]unit.Instant{}, unsure: map[id.Machine]bool{}}
+	x := &wave{number: w.Number, unanswered: map[id.Machine]unit.Instant{}, carried: map[id.Machine]unit.Instant{}, unsure: map[id.Machine]unit.Instant{}}
 	rec, known := d.table.Wave(w.Number)
 	if !known {
 		rec.Seen, x.changed = wall, true
@@ -213,13 +217,13 @@
 	case fleet.Stale, fleet.Invalid:
 		x.plan.Drop(m)
 	case fleet.Busy, fleet.Unreachable:
-		if x.unsure[m] { // it may be down on the order without an answer, and counts as such
-			x.unanswered[m] = now.Add(upkeepAgain)
+		if at := x.unsure[m]; at != 0 && now.Sub(at) < unsureFor {
+			x.unanswered[m] = now.Add(upkeepAgain) // it may be down on that order, and counts as such
 			return
 		}
 		x.plan.Refused(now, m)
 	case fleet.Unknown, fleet.Expired, fleet.NoRoom, fleet.NoTicket, fleet.Replaced:
-		x.unanswered[m], x.unsure[m] = now.Add(upkeepAgain), true
+		x.unanswered[m], x.unsure[m] = now.Add(upkeepAgain), now
 	}
 }
 
--- a/internal/entry/assure.go
+++ b/internal/entry/assure.go
@@ -16,8 +16,8 @@
 	// seekEvery is the pause between two looks whether other hosts are to be asked, and between two rounds of
 	// questions: several within the 3 s for which an assurance holds.
 	seekEvery = 500 * time.Millisecond
-	// unreadAfter is how old the newest read of the jobs is when the others are asked: a read that waits for
-	// news takes 1.5 s.
+	// unreadAfter is how old the newest read of the jobs is when the others are asked. Without news a read that
+	// left 1.4 s ago is the newest that was answered.
 	unreadAfter = 1800 * time.Millisecond
 )
 
@@ -38,8 +38,9 @@
 }
 
 // seekAssurance asks all other hosts whether they know of another owner, while this host is the owner and doesn't
-// learn it from the store.
+// learn it from the store. What it knows is as old as the oldest of their newest answers.
 func (h *Host) seekAssurance(ctx context.Context) {
+	agreed := map[string]time.Time{}
 	for pause(ctx, seekEvery) {
 		var others []string
 		unread, ok := ask(ctx, h, func(now unit.Instant) bool {
@@ -49,25 +50,35 @@
 		if !ok || !unread {
 			continue
 		}
-		left := time.Now()
-		if h.allAgree(ctx, others) {
-			h.post(ctx, func(unit.Instant) { h.assure(left) })
+		oldest := time.Now()
+		for _, a := range h.whoAgrees(ctx, others) {
+			agreed[a] = oldest
 		}
+		for _, a := range others {
+			if agreed[a].Before(oldest) {
+				oldest = agreed[a] // long ago for a host that has never answered
+			}
+		}
+		h.post(ctx, func(unit.Instant) { h.assure(oldest) })
 	}
 }
 
-// allAgree reports whether each host at some addresses answers that this host is the owner.
-func (h *Host) allAgree(ctx context.Context, addresses []string) bool {
-	answers := make(chan error, len(addresses))
+// whoAgrees returns those of some addresses at which a host answers that this one is the owner.
+func (h *Host) whoAgrees(ctx context.Context, addresses []string) []string {
+	answers := make(chan string, len(addresses))
 	for _, a := range addresses {
 		go func() {
-			_, err := h.askPeer(ctx, a, h.self, askWait)
-			answers <- err
+			if _, err := h.askPeer(ctx, a, h.self, askWait); err != nil {
+				a = ""
+			}
+			answers <- a
 		}()
 	}
-	agree := true
+	var out []string
 	for range addresses {
-		agree = <-answers == nil && agree
+		if a := <-answers; a != "" {
+			out = append(out, a)
+		}
 	}
-	return agree
+	return out
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -129,14 +129,14 @@
 	o.seq++
 	w := platform.Writer{Name: ownerWriter, Epoch: o.epoch, Seq: o.seq}
 	go func() {
-		err := o.persist(ctx, b.Records, w)
-		o.host.post(ctx, func(now unit.Instant) { o.flushed(ctx, now, b, err) })
+		left, err := o.persist(ctx, b.Records, w)
+		o.host.post(ctx, func(now unit.Instant) { o.flushed(ctx, now, b, left, err) })
 	}()
 }
 
 // persist repeats an append until it is done, or until this host is not the owner any
-// more.
-func (o *owner) persist(ctx context.Context, recs []jobtable.Record, w platform.Writer) error {
+// more. It returns when the last try left.
+func (o *owner) persist(ctx context.Context, recs []jobtable.Record, w platform.Writer) (time.Time, error) {
 	var bk backoff
 	dep := dependency{log: o.host.log, name: "store append"}
 	for ctx.Err() == nil {
@@ -145,11 +145,11 @@
 		o.host.metrics.storeCall("append", began, err)
 		dep.note(err)
 		if settled(err) {
-			return err
+			return began, err
 		}
 		bk.wait(ctx, began)
 	}
-	return ctx.Err()
+	return time.Time{}, ctx.Err()
 }
 
 // settled reports whether an append was done, or can't be done by repeating it.
@@ -159,7 +159,7 @@
 
 // flushed takes in what became of an append of flush. One that can't be repeated ends the
 // ownership: the records may lack what the next decisions rest on.
-func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, err error) {
+func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, left time.Time, err error) {
 	o.writing = false
 	if o.host.owner != o {
 		return
@@ -168,6 +168,8 @@
 		o.host.stepDown(err.Error())
 		return
 	}
+	o.host.assure(left) // a later claim would have fenced the append
+	o.core.Assure(o.host.assured)
 	o.core.Committed(now, b)
 	o.handOut(ctx)
 	o.flush(ctx)
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// jobsWait is how long a read of the jobs waits for news.
-	jobsWait = 1500 * time.Millisecond
+	// jobsWait is how long a read of the jobs waits for news, ownerWait the same on the owner: what it grants rests
+	// on reads that left within 3 s, and one in a row may be lost.
+	jobsWait  = 1500 * time.Millisecond
+	ownerWait = 700 * time.Millisecond
 	// jobsPause is the pause between two reads that brought news; each costs.
 	// standbyPause is the one on hosts that would claim first, so that they see at once
 	// that the owner has handed over.
@@ -33,7 +35,7 @@
 
 // readJobs follows the state of all jobs.
 func (h *Host) readJobs(ctx context.Context) {
-	t := &tail{host: h, topic: platform.TopicJobs, wait: jobsWait, wake: h.wake, pause: h.pauseOfJobs}
+	t := &tail{host: h, topic: platform.TopicJobs, wait: h.waitOfJobs, wake: h.wake, pause: h.pauseOfJobs}
 	t.whole = func(recs []jobtable.Record, end id.Offset) {
 		h.post(ctx, func(now unit.Instant) { h.loadJobs(now, recs, end) })
 	}
@@ -46,6 +48,14 @@
 	t.run(ctx)
 }
 
+// waitOfJobs returns how long a read of the jobs waits for news.
+func (h *Host) waitOfJobs() time.Duration {
+	if h.metrics.owning.Load() {
+		return ownerWait
+	}
+	return jobsWait
+}
+
 // pauseOfJobs returns the pause between two reads of the jobs.
 func (h *Host) pauseOfJobs() time.Duration {
 	switch {
@@ -113,7 +123,7 @@
 
 // readOperator follows what the operator writes: the configuration and waves of maintenance.
 func (h *Host) readOperator(ctx context.Context) {
-	t := &tail{host: h, topic: platform.TopicOperator, wait: operatorWait, pause: func() time.Duration { return 0 }}
+	t := &tail{host: h, topic: platform.TopicOperator, wait: func() time.Duration { return operatorWait }, pause: func() time.Duration { return 0 }}
 	take := func(recs []jobtable.Record) {
 		for _, r := range recs {
 			switch {
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -14,7 +14,8 @@
 type tail struct {
 	host  *Host
 	topic platform.Topic
-	wait  time.Duration
+	// wait is how long a read may wait for news; nil if it doesn't.
+	wait  func() time.Duration
 	pause func() time.Duration
 	// wake cuts a pause short; nil if nobody does.
 	wake <-chan struct{}
@@ -79,14 +80,18 @@
 
 // read hands over what was added from an offset on, and returns the next offset.
 func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
-	p, err := t.host.store.Read(ctx, t.topic, from, t.wait)
+	wait := time.Duration(0)
+	if t.wait != nil {
+		wait = t.wait()
+	}
+	p, err := t.host.store.Read(ctx, t.topic, from, wait)
 	if err != nil {
 		return from, err
 	}
 	if len(p.Records) > 0 {
 		t.more(p.Records, from)
 	}
-	if len(p.Records) > 0 || t.wait == 0 {
+	if len(p.Records) > 0 || wait == 0 {
 		t.rest(ctx)
 	}
 	return p.Next, nil
