--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -66,8 +66,8 @@
 	fenced bool
 	// assured is as of when it is known that nobody else was the owner; 0 if nobody tells.
 	assured unit.Instant
-	// heldBack is set while leases aren't extended because of that.
-	heldBack bool
+	// withholds is set while leases aren't extended because of that.
+	withholds bool
 }
 
 // New returns the dispatcher of an owner with the given epoch, that decides by the given policy.
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -28,13 +28,13 @@
 
 // noteGrants notes when leases are no longer extended, and when they are again.
 func (d *Dispatcher) noteGrants(now unit.Instant) {
-	if d.grants(now) != d.heldBack {
+	if d.grants(now) != d.withholds {
 		return
 	}
-	d.heldBack = !d.heldBack
+	d.withholds = !d.withholds
 	event := EventLeasesGranted
-	if d.heldBack {
-		event = EventLeasesHeldBack
+	if d.withholds {
+		event = EventLeasesWithheld
 	}
 	d.note(Note{Event: event, Age: now.Sub(d.assured)})
 }
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -29,9 +29,9 @@
 	EventWorkerSuspended Event = "worker-suspended"
 	// EventOwnerFenced: a worker has seen a later owner.
 	EventOwnerFenced Event = "owner-fenced"
-	// EventLeasesHeldBack: another host may be the owner, so that no lease is extended and nothing starts; the
+	// EventLeasesWithheld: another host may be the owner, so that no lease is extended and nothing starts; the
 	// age is that of the newest assurance. EventLeasesGranted: that has ended.
-	EventLeasesHeldBack Event = "leases-held-back"
+	EventLeasesWithheld Event = "leases-withheld"
 	EventLeasesGranted  Event = "leases-granted"
 	// EventTaskPlaced: a task is to run on a worker; why is its rack.
 	EventTaskPlaced Event = "task-placed"
