dispatch, job: a failed run of a gang is counted once, also when the owner changes

Change: the record of a waiting task keeps where its last run failed, in the field that names where a placed one runs. Hosts of the version before read it as before: they pass over that field of a waiting task. Ruled out: a field of its own, which hosts of two versions couldn't read from each other.

--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -83,6 +83,9 @@
 			case job.Placed:
 				d.resumeRun(now, s, i, t)
 			case job.Waiting:
+				if t.Worker != "" && s.step.Gang {
+					s.failedRun = max(s.failedRun, t.Run)
+				}
 			}
 		}
 		if s.done == s.step.Count {
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -121,11 +121,21 @@
 	}
 	d.mark(js)
 	d.lose(now, r, "failed")
+	r.keepFailure()
 	if worst >= js.spec.MaxAttempts && !s.step.LongRunning {
 		d.finish(now, js, job.Failed, "out of attempts")
 	}
 }
 
+// keepFailure notes in the task's record that its last run has failed and was counted. Without it the next owner
+// counted another member's failure in the same run of a gang again.
+func (r *run) keepFailure() {
+	t := &r.step.job.progress.Tasks[r.step.base+r.task.Index]
+	if t.Phase == job.Waiting {
+		t.Worker = r.worker.ID
+	}
+}
+
 // compare takes in what a worker says that it runs.
 func (d *Dispatcher) compare(now unit.Instant, w *worker, res RenewResult, ended map[job.Task]bool) {
 	listed := map[job.Task]bool{}
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -221,7 +221,8 @@
 	Run Run
 	// Failed counts the runs that ended in failure.
 	Failed int
-	// Worker is where a placed task runs.
+	// Worker is where a placed task runs, and where the last run of a waiting one has failed; empty if that
+	// ended otherwise.
 	Worker id.Worker
 	// Checkpoint is the newest one known; empty for none.
 	Checkpoint string
