core/scripttest: scripts of a folder of testdata; one way to read them

Cause: the same loop stood in three packages. Change: EachIn; tests of core/dispatch and core/world use it.

--- a/core/dispatch/evidence_test.go
+++ b/core/dispatch/evidence_test.go
@@ -1,9 +1,9 @@
 package dispatch_test
 
 import (
-	"os"
-	"path/filepath"
 	"testing"
+
+	"curlewsill.org/curlewsill/core/scripttest"
 )
 
 // TestEvidence plays the scripts of testdata/evidence, in which a worker seems to be gone and isn't.
@@ -15,21 +15,6 @@
 // ("task-lost", "another life at its address", 0.14 s after the worker's last answer), and a lapsed entry together
 // with a connection that couldn't be opened ("unlisted and refusing connections", 3.9 s after it, with 6 s
 // of the lease left). Of 2,570 runs that were given up in these ways 2,102 were still there.
-func TestEvidence(t *testing.T) { eachOf(t, "evidence") }
-
-// eachOf plays the scripts of a folder of testdata.
-func eachOf(t *testing.T, folder string) {
-	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			newScript(t).run(string(data))
-		})
-	}
+func TestEvidence(t *testing.T) {
+	scripttest.EachIn(t, "evidence", func(t *testing.T, text string) { newScript(t).run(text) })
 }
--- a/core/scripttest/scripttest.go
+++ b/core/scripttest/scripttest.go
@@ -12,7 +12,13 @@
 // script's text. It fails if there is none.
 func Each(t *testing.T, run func(t *testing.T, text string)) {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join("testdata", "*.txt"))
+	EachIn(t, "", run)
+}
+
+// EachIn is Each for the scripts of a folder of testdata.
+func EachIn(t *testing.T, folder string, run func(t *testing.T, text string)) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
 	if err != nil || len(files) == 0 {
 		t.Fatal("no scripts", err)
 	}
--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"reflect"
 	"slices"
 	"strconv"
@@ -16,6 +14,7 @@
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/policy"
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/world"
 )
@@ -31,25 +30,15 @@
 //	decided EVENT [least=N] [most=N]
 //	violations N
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/script/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			data, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
+	scripttest.EachIn(t, "script", func(t *testing.T, text string) {
+		p := player{t: t}
+		for i, l := range strings.Split(text, "\n") {
+			if l = strings.TrimSpace(l); l != "" && !strings.HasPrefix(l, "#") {
+				p.at = fmt.Sprintf("line %d: %s", i+1, l)
+				p.do(strings.Fields(l))
 			}
-			p := player{t: t}
-			for i, l := range strings.Split(string(data), "\n") {
-				if l = strings.TrimSpace(l); l != "" && !strings.HasPrefix(l, "#") {
-					p.at = fmt.Sprintf("line %d: %s", i+1, l)
-					p.do(strings.Fields(l))
-				}
-			}
-		})
-	}
+		}
+	})
 }
 
 // player plays one script.
