--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/internal/faultproxy"
 	"curlewsill.org/curlewsill/internal/relay"
 )
@@ -37,25 +36,15 @@
 //	hold | let            the peer's calls wait | go on
 //	start N | ended       begins N calls that have to be ok | waits until they have ended
 func TestSilent(t *testing.T) {
-	files, err := filepath.Glob(filepath.Join("testdata", "silent", "*.txt"))
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scripts", err)
-	}
-	for _, f := range files {
-		t.Run(filepath.Base(f), func(t *testing.T) {
-			t.Parallel()
-			text, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			w := newPair(t)
-			for line := range strings.Lines(string(text)) {
-				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
-					w.do(t, words)
-				}
+	scripttest.EachIn(t, "silent", func(t *testing.T, text string) {
+		t.Parallel()
+		w := newPair(t)
+		for line := range strings.Lines(text) {
+			if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
+				w.do(t, words)
 			}
-		})
-	}
+		}
+	})
 }
 
 // pair is a host and its peer with a proxy between them.
