soak: lives that come back at another address of their machine

Cause: a life that moves while the entry of the earlier one stands was played too rarely to reach 'another life of its machine'. Measured: nothing yet.

--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -12,25 +12,30 @@
 	"curlewsill.org/curlewsill/platform/standin"
 )
 
-// A wide plan strikes lives of workers and their entries too. What it adds is drawn from a stream of its
+// A wide plan strikes lives of workers and their entries too. What it adds is drawn from streams of its
 // own, so that plans that aren't wide stay as they were.
 
 const (
-	// wideStream is the stream of a seed from which wide plans draw.
-	wideStream = 3
-	// widePause is the mean pause between the beginnings of two of its faults.
-	widePause = 500 * time.Millisecond
+	// wideStream is the stream of a seed from which wide plans draw wideKinds, laterStream that of
+	// laterKinds, which were added afterwards and change no other draw.
+	wideStream, laterStream = 3, 4
+	// widePause is the mean pause between the beginnings of two faults of wideKinds, laterPause the same of
+	// laterKinds.
+	widePause, laterPause = 500 * time.Millisecond, time.Second
 	// turnPause is the pause between the ends of two hosts, one after the other.
 	turnPause = 700 * time.Millisecond
 )
 
-// wideKinds are the kinds of faults that wide plans add, with their variants, weights and lengths.
-var wideKinds = []struct {
+// wideKind is a kind of fault that wide plans add, with its variants, weight and bounds of its length.
+type wideKind struct {
 	what        string
 	hows        []string
 	weight      int
 	least, most time.Duration
-}{
+}
+
+// wideKinds are the kinds of faults that wide plans add.
+var wideKinds = []wideKind{
 	// A worker crashes and is back as another life at the same address, for which it is away.
 	{"reborn", []string{"plain", "late", "mute"}, 4, 50 * time.Millisecond, 2500 * time.Millisecond},
 	// The store drops its history, so that who is behind reads all of a topic again.
@@ -46,28 +51,40 @@
 	{"parting", []string{"unsaid", "refuse", "mute"}, 1, 4 * time.Second, 8 * time.Second},
 }
 
+// laterKinds are more of them.
+var laterKinds = []wideKind{
+	// A worker crashes and is back as another life at another address of its machine.
+	{"moved", []string{"plain", "late"}, 1, 50 * time.Millisecond, time.Second},
+}
+
 // drawWide draws a wide plan: the plan of the seed with more faults and longer work.
 func drawWide(seed uint64, hosts, workers int, lasts time.Duration) plan {
 	p := drawPlan(seed, hosts, workers, lasts)
 	r := rand.New(rand.NewPCG(seed, wideStream))
 	p.wide, p.machines = true, r.IntN(2) == 0
-	for at := calmBefore; at < lasts; at += time.Duration(r.ExpFloat64() * float64(widePause)) {
-		f := drawWideFault(r)
-		f.at, f.target = at, r.IntN(workers)
-		p.faults = append(p.faults, f)
-	}
+	p.add(r, wideKinds, widePause)
+	p.add(rand.New(rand.NewPCG(seed, laterStream)), laterKinds, laterPause)
 	slices.SortStableFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
 
-// drawWideFault draws a kind of fault by weight, its variant and length.
-func drawWideFault(r *rand.Rand) fault {
+// add draws faults of some kinds with a mean pause between them.
+func (p *plan) add(r *rand.Rand, kinds []wideKind, pause time.Duration) {
+	for at := calmBefore; at < p.lasts; at += time.Duration(r.ExpFloat64() * float64(pause)) {
+		f := drawWideFault(r, kinds)
+		f.at, f.target = at, r.IntN(p.workers)
+		p.faults = append(p.faults, f)
+	}
+}
+
+// drawWideFault draws one of some kinds of faults by weight, its variant and length.
+func drawWideFault(r *rand.Rand, kinds []wideKind) fault {
 	sum := 0
-	for _, k := range wideKinds {
+	for _, k := range kinds {
 		sum += k.weight
 	}
 	n := r.IntN(sum)
-	for _, k := range wideKinds {
+	for _, k := range kinds {
 		if n -= k.weight; n < 0 {
 			lasts := k.least + time.Duration(r.Float64()*float64(k.most-k.least))
 			return fault{what: k.what, how: pick(r, k.hows), lasts: lasts}
@@ -88,7 +105,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.lapse(false)
 		})
-	case "reborn", "apart", "parting":
+	case "reborn", "moved", "apart", "parting":
 		w := s.workers[f.target%len(s.workers)]
 		if life, _ := w.present(); life != nil {
 			s.strikeLife(w, life, f)
@@ -112,7 +129,7 @@
 // strikeLife carries out a fault of a worker's life.
 func (s *site) strikeLife(w *worker, life *standin.Worker, f fault) {
 	switch f.what {
-	case "reborn":
+	case "reborn", "moved":
 		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
 	case "apart":
 		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
@@ -121,7 +138,8 @@
 	}
 }
 
-// reborn ends a life unless that was done before, and begins another one at the same address.
+// reborn ends a life unless that was done before, and begins another one, at the same address unless the
+// worker moves.
 func (w *worker) reborn(life *standin.Worker, f fault) {
 	w.mu.Lock()
 	mine := !w.gone && w.life == life
@@ -139,6 +157,12 @@
 	}
 	w.check(shut())
 	w.site.entries.end(life, f.how == "late")
+	if f.what == "moved" {
+		w.check(front.Close())
+		w.mu.Lock()
+		w.front = nil
+		w.mu.Unlock()
+	}
 	time.Sleep(f.lasts)
 	w.start()
 }
