soak: several queues and services, and workers that leave while they are apart

Cause: the users' configurations hold dozens of queues with generated names over several services; the soak had one of each. Change: wide plans with the kind queues draw services and 3 to 29 queues from a stream of their own; each version of the configuration holds some of them, and all once the faults are over. Callers keep to a job's queue. The kind leaving is a worker that has said that it leaves and is apart then.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -39,6 +39,15 @@
 	mu sync.Mutex
 	// jobs are those that were handed in, accepted those that were taken.
 	jobs, accepted []string
+	// queues leads from a job to its queue.
+	queues map[string]standin.Queue
+}
+
+// queueOf returns the queue of a job.
+func (a *callers) queueOf(job string) standin.Queue {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queues[job]
 }
 
 // caller is one caller with connections of its own, which it uses until they end.
@@ -127,7 +136,7 @@
 	if method == http.MethodPost {
 		body = standin.Body(text, steps)
 	}
-	status, state, err := c.calls.Call(ctx, "front", method, job, key, body)
+	status, state, err := c.calls.Call(ctx, "front", method, c.all.queueOf(job), job, key, body)
 	mu.Lock()
 	e := event{Kind: answered, Call: n, Host: life, Status: status, State: state, Took: time.Since(left), Fresh: fresh}
 	mu.Unlock()
@@ -189,7 +198,9 @@
 // submit hands a job in until it is taken; a third of the callers leave after a refusal.
 func (c *caller) submit(job string) {
 	text, steps := c.draw()
+	q := c.all.site.queue()
 	c.all.mu.Lock()
+	c.all.queues[job] = q
 	c.all.jobs = append(c.all.jobs, job)
 	c.all.mu.Unlock()
 	leaves := c.random.IntN(3) == 0
--- a/soak/inject_test.go
+++ b/soak/inject_test.go
@@ -210,6 +210,12 @@
 // heal sees to it that every host has a process that runs and every worker a life.
 func (s *site) heal() {
 	s.store.SetFault(standin.FaultNone)
+	if len(s.queues) > 1 {
+		s.mu.Lock()
+		s.calm = true
+		s.mu.Unlock()
+		s.configure()
+	}
 	for _, h := range s.hosts {
 		if p := h.present(); p != nil {
 			_ = p.signal(syscall.SIGCONT)
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"curlewsill.org/curlewsill/platform/standin"
 )
 
 // fault is something that happens to a part of the site at a time and lasts.
@@ -30,6 +32,10 @@
 	faults []fault
 	// wide is set for a plan of drawWide, machines if entries of workers name their machine.
 	wide, machines bool
+	// queues are those that configurations may hold, the first of them always; services those that have
+	// workers.
+	queues   []standin.Queue
+	services []string
 }
 
 // String tells the plan, one fault a line.
@@ -37,7 +43,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %d hosts, %d workers, faults for %v\n", p.seed, p.hosts, p.workers, p.lasts)
 	if p.wide {
-		fmt.Fprintf(&b, "wide, machines named: %v\n", p.machines)
+		fmt.Fprintf(&b, "wide, machines named: %v, queues %v\n", p.machines, p.queues)
 	}
 	for _, f := range p.faults {
 		fmt.Fprintln(&b, f)
@@ -87,7 +93,10 @@
 // drawPlan draws a plan. The same seed and size give the same plan.
 func drawPlan(seed uint64, hosts, workers int, lasts time.Duration) plan {
 	r := rand.New(rand.NewPCG(seed, 1))
-	p := plan{seed: seed, hosts: hosts, workers: workers, lasts: lasts}
+	p := plan{
+		seed: seed, hosts: hosts, workers: workers, lasts: lasts,
+		queues: []standin.Queue{standin.SiteQueue()}, services: []string{standin.SiteService},
+	}
 	mean := max(leastPause, meanPause*3/time.Duration(hosts))
 	last := fault{}
 	planned := seed%plannedOneIn == 0
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -33,6 +33,8 @@
 	// where an entry is written once.
 	machines bool
 	entries  *entries
+	queues   []standin.Queue
+	services []string
 
 	mu      sync.Mutex
 	judge   *judge
@@ -40,8 +42,10 @@
 	links   map[string]*faultproxy.Proxy
 	hosts   []*host
 	workers []*worker
-	// version is the newest configuration's.
+	// version is the newest configuration's, open its queues; calm is set once the faults are over.
 	version int
+	open    []standin.Queue
+	calm    bool
 	lives   int
 	random  *rand.Rand
 }
@@ -69,7 +73,7 @@
 func newSite(t *testing.T, p plan, dir string) *site {
 	s := &site{
 		t: t, dir: dir, began: time.Now(), store: standin.NewStore(), gangs: standin.NewGangs(), judge: newJudge(),
-		links: map[string]*faultproxy.Proxy{}, random: rand.New(rand.NewPCG(p.seed, 2)),
+		links: map[string]*faultproxy.Proxy{}, random: rand.New(rand.NewPCG(p.seed, 2)), queues: p.queues, services: p.services,
 	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		t.Fatal(err)
@@ -154,10 +158,34 @@
 	s.mu.Lock()
 	s.version++
 	v := s.version
+	s.open = s.drawQueues()
+	open := s.open
 	s.mu.Unlock()
 	keys := []string{keyOf(v - 1), keyOf(v)}
 	s.tell(event{Kind: config, Version: v, Keys: keys})
-	s.store.PutKeys(v, maxAttempts, keys)
+	s.store.PutQueues(v, maxAttempts, keys, open, s.services)
+}
+
+// drawQueues returns the queues of the next configuration: the first one, some of the others, and all of
+// them once the faults are over. The site is locked.
+func (s *site) drawQueues() []standin.Queue {
+	var open []standin.Queue
+	for i, q := range s.queues {
+		if i == 0 || s.calm || s.random.IntN(4) > 0 {
+			open = append(open, q)
+		}
+	}
+	return open
+}
+
+// queue returns one of the queues of the newest configuration.
+func (s *site) queue() standin.Queue {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) == 1 {
+		return s.open[0]
+	}
+	return pick(s.random, s.open)
 }
 
 // keyOf returns the key that a version brings.
@@ -244,7 +272,7 @@
 	w.address = w.front.Addr()
 	w.mu.Unlock()
 	if s.entries != nil {
-		s.entries.begin(life, standin.Entry{Service: standin.SiteService, Address: w.address, Machine: w.machine()})
+		s.entries.begin(life, standin.Entry{Service: s.services[w.number%len(s.services)], Address: w.address, Machine: w.machine()})
 		return
 	}
 	s.store.PutWorker(life.ID(), w.address)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"curlewsill.org/curlewsill/platform/standin"
+
 	// The program that is built and played: a result of the tests is kept only while it is the same.
 	_ "curlewsill.org/curlewsill/cmd/curlewsilld/cmd"
 )
@@ -152,6 +154,7 @@
 	if root == "" {
 		root = os.TempDir()
 	}
+	p.branch()
 	dir, err := os.MkdirTemp(root, fmt.Sprintf("soak-%d-", p.seed))
 	if err != nil {
 		t.Fatal(err)
@@ -168,7 +171,7 @@
 		}
 	})
 	stopAsking := s.keepAsking()
-	all := &callers{site: s}
+	all := &callers{site: s, queues: map[string]standin.Queue{}}
 	var calling sync.WaitGroup
 	for n := range callersOf {
 		c := all.newCaller(p.seed, n)
--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,9 +20,13 @@
 	// wideStream is the stream of a seed from which wide plans draw wideKinds, laterStream that of
 	// laterKinds, which were added afterwards and change no other draw.
 	wideStream, laterStream = 3, 4
+	// queueStream is the stream of the names of queues.
+	queueStream = 5
 	// widePause is the mean pause between the beginnings of two faults of wideKinds, laterPause the same of
 	// laterKinds.
 	widePause, laterPause = 500 * time.Millisecond, time.Second
+	// mostServices bounds the services besides the first one, leastQueues and mostQueues the queues.
+	mostServices, leastQueues, mostQueues = 3, 3, 30
 	// turnPause is the pause between the ends of two hosts, one after the other.
 	turnPause = 700 * time.Millisecond
 )
@@ -55,6 +60,11 @@
 var laterKinds = []wideKind{
 	// A worker crashes and is back as another life at another address of its machine.
 	{"moved", []string{"plain", "late"}, 1, 50 * time.Millisecond, time.Second},
+	// A worker that has said that it leaves is apart for the last part of its stay, and hosts' connects are
+	// taken.
+	{"leaving", []string{"both"}, 1, 5 * time.Second, 8 * time.Second},
+	// The next version of the configuration; others of the queues are in it.
+	{"queues", []string{"change"}, 1, 0, 0},
 }
 
 // drawWide draws a wide plan: the plan of the seed with more faults and longer work.
@@ -98,6 +108,8 @@
 	switch f.what {
 	case "forget":
 		s.store.Forget()
+	case "queues":
+		s.configure()
 	case "turns":
 		s.turns(f)
 	case "lapse":
@@ -105,7 +117,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.lapse(false)
 		})
-	case "reborn", "moved", "apart", "parting":
+	case "reborn", "moved", "apart", "parting", "leaving":
 		w := s.workers[f.target%len(s.workers)]
 		if life, _ := w.present(); life != nil {
 			s.strikeLife(w, life, f)
@@ -133,7 +145,7 @@
 		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
 	case "apart":
 		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
-	case "parting":
+	case "parting", "leaving":
 		w.part(life, f)
 	}
 }
@@ -215,6 +227,24 @@
 	}
 }
 
+// branch gives a plan that changes queues several of them and several services.
+func (p *plan) branch() {
+	if !slices.ContainsFunc(p.faults, func(f fault) bool { return f.what == "queues" }) {
+		return
+	}
+	r := rand.New(rand.NewPCG(p.seed, queueStream))
+	for range r.IntN(mostServices) {
+		p.services = append(p.services, nameOf(r))
+	}
+	for range leastQueues + r.IntN(mostQueues-leastQueues) {
+		name := "r-" + nameOf(r)
+		p.queues = append(p.queues, standin.Queue{Name: name, Prefix: "/" + name + "/", Service: pick(r, p.services)})
+	}
+}
+
+// nameOf draws a name.
+func nameOf(r *rand.Rand) string { return strconv.FormatUint(r.Uint64N(math.MaxInt32), 36) }
+
 // widen makes a site ready for a wide plan.
 func (s *site) widen(p plan) {
 	s.machines, s.entries = p.machines, &entries{site: s, of: map[*standin.Worker]*entry{}}
