--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -237,6 +237,8 @@
 		return "middle", []standin.Step{{Count: count}}
 	case n < 18 && c.all.site.entries != nil:
 		return "longest", []standin.Step{{Count: count}}
+	case n < 19 && len(c.all.site.queues) > 1:
+		return "fails late", []standin.Step{{Count: count}}
 	}
 	return "short", []standin.Step{{Count: count}}
 }
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -54,8 +54,9 @@
 var work = map[string]standin.Work{
 	"short": {Time: 40 * time.Millisecond}, "middle": {Time: 400 * time.Millisecond}, "long": {Time: 2 * time.Second},
 	"flaky": {Time: failTime, FailsFirst: true}, "fails": {Time: atOnceTime, Fails: true},
-	"longest": {Time: 6 * time.Second}, // only in wide plans
-	"gang":    {Time: 400 * time.Millisecond, Members: gangMembers},
+	"gang": {Time: 400 * time.Millisecond, Members: gangMembers},
+	// The rest is in wide plans only, the last where they change queues.
+	"longest": {Time: 6 * time.Second}, "fails late": {Time: 1500 * time.Millisecond, Fails: true},
 }
 
 // failTime is how long a task of which the first run fails works before that: longer than what the
