soak: a worker that leaves and is apart at once; tables of kinds

Cause: orders to stop reached workers that left before they were apart, so that nothing went on there. Change: the kind sudden.

--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -17,14 +17,8 @@
 // own, so that plans that aren't wide stay as they were.
 
 const (
-	// wideStream is the stream of a seed from which wide plans draw wideKinds, laterStream that of
-	// laterKinds, which were added afterwards and change no other draw.
-	wideStream, laterStream = 3, 4
-	// queueStream is the stream of the names of queues.
+	// queueStream is the stream of a seed from which the names of queues are drawn.
 	queueStream = 5
-	// widePause is the mean pause between the beginnings of two faults of wideKinds, laterPause the same of
-	// laterKinds.
-	widePause, laterPause = 500 * time.Millisecond, time.Second
 	// mostServices bounds the services besides the first one, leastQueues and mostQueues the queues.
 	mostServices, leastQueues, mostQueues = 3, 3, 30
 	// turnPause is the pause between the ends of two hosts, one after the other.
@@ -39,8 +33,20 @@
 	least, most time.Duration
 }
 
-// wideKinds are the kinds of faults that wide plans add.
-var wideKinds = []wideKind{
+// wideTables are the kinds of faults that wide plans add. Each table is drawn from a stream of its own with a
+// mean pause between the beginnings of two faults, so that kinds which are added in another table leave what
+// seeds drew before as it was.
+var wideTables = []struct {
+	stream uint64
+	pause  time.Duration
+	kinds  []wideKind
+}{
+	{3, 500 * time.Millisecond, livesKinds},
+	{4, time.Second, movesKinds},
+	{6, time.Second, leavesKinds},
+}
+
+var livesKinds = []wideKind{
 	// A worker crashes and is back as another life at the same address, for which it is away.
 	{"reborn", []string{"plain", "late", "mute"}, 4, 50 * time.Millisecond, 2500 * time.Millisecond},
 	// The store drops its history, so that who is behind reads all of a topic again.
@@ -56,8 +62,7 @@
 	{"parting", []string{"unsaid", "refuse", "mute"}, 1, 4 * time.Second, 8 * time.Second},
 }
 
-// laterKinds are more of them.
-var laterKinds = []wideKind{
+var movesKinds = []wideKind{
 	// A worker crashes and is back as another life at another address of its machine.
 	{"moved", []string{"plain", "late"}, 1, 50 * time.Millisecond, time.Second},
 	// A worker that has said that it leaves is apart for the last part of its stay, and hosts' connects are
@@ -67,13 +72,22 @@
 	{"queues", []string{"change"}, 1, 0, 0},
 }
 
+var leavesKinds = []wideKind{
+	// A worker is apart from the moment that it has said that it leaves, so that no order to stop reaches it.
+	{"sudden", []string{"both"}, 1, 5 * time.Second, 8 * time.Second},
+}
+
 // drawWide draws a wide plan: the plan of the seed with more faults and longer work.
 func drawWide(seed uint64, hosts, workers int, lasts time.Duration) plan {
 	p := drawPlan(seed, hosts, workers, lasts)
-	r := rand.New(rand.NewPCG(seed, wideStream))
-	p.wide, p.machines = true, r.IntN(2) == 0
-	p.add(r, wideKinds, widePause)
-	p.add(rand.New(rand.NewPCG(seed, laterStream)), laterKinds, laterPause)
+	p.wide = true
+	for i, table := range wideTables {
+		r := rand.New(rand.NewPCG(seed, table.stream))
+		if i == 0 {
+			p.machines = r.IntN(2) == 0
+		}
+		p.add(r, table.kinds, table.pause)
+	}
 	slices.SortStableFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
@@ -117,7 +131,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.lapse(false)
 		})
-	case "reborn", "moved", "apart", "parting", "leaving":
+	case "reborn", "moved", "apart", "parting", "leaving", "sudden":
 		w := s.workers[f.target%len(s.workers)]
 		if life, _ := w.present(); life != nil {
 			s.strikeLife(w, life, f)
@@ -145,7 +159,7 @@
 		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
 	case "apart":
 		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
-	case "parting", "leaving":
+	case "parting", "leaving", "sudden":
 		w.part(life, f)
 	}
 }
@@ -208,18 +222,33 @@
 // it stays, apart from the hosts meanwhile or not.
 func (w *worker) part(life *standin.Worker, f fault) {
 	s := w.site
-	if f.how == "unsaid" {
+	join := func() { w.apart(life, f.how, false) }
+	switch {
+	case f.how == "unsaid":
 		s.entries.change(life, func(e *entry) { e.cut = true })
 		time.Sleep(silentBeats*heartbeat + f.lasts)
-	} else {
+	case f.what == "sudden":
+		s.during("workers", func() { w.cutOff(life, f.how) }, f.lasts, join)
+		time.Sleep(drainTime)
+	default:
 		w.sayDraining(life)
 		time.Sleep(drainTime / 2)
-		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
+		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, join)
 		time.Sleep(drainTime)
 	}
 	w.replace(life, 0)
 }
 
+// cutOff lets a worker say that it leaves while hosts don't reach it any more, and then nothing more.
+func (w *worker) cutOff(life *standin.Worker, how string) {
+	if present, front := w.present(); present == life {
+		front.Cut(directions["both"])
+	}
+	w.sayDraining(life)
+	time.Sleep(2 * entriesTick)
+	w.apart(life, how, true)
+}
+
 // check fails the test at an error.
 func (w *worker) check(err error) {
 	if err != nil {
