--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -6,31 +6,47 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"curlewsill.org/curlewsill/platform/standin"
 )
 
-// A wide plan strikes lives of workers and their entries too. What it adds is drawn from a stream of its
+// A wide plan strikes lives of workers and their entries too. What it adds is drawn from streams of its
 // own, so that plans that aren't wide stay as they were.
 
 const (
-	// wideStream is the stream of a seed from which wide plans draw.
-	wideStream = 3
-	// widePause is the mean pause between the beginnings of two of its faults.
-	widePause = 500 * time.Millisecond
+	// queueStream is the stream of a seed from which the names of queues are drawn.
+	queueStream = 5
+	// mostServices bounds the services besides the first one, leastQueues and mostQueues the queues.
+	mostServices, leastQueues, mostQueues = 3, 3, 30
 	// turnPause is the pause between the ends of two hosts, one after the other.
 	turnPause = 700 * time.Millisecond
 )
 
-// wideKinds are the kinds of faults that wide plans add, with their variants, weights and lengths.
-var wideKinds = []struct {
+// wideKind is a kind of fault that wide plans add, with its variants, weight and bounds of its length.
+type wideKind struct {
 	what        string
 	hows        []string
 	weight      int
 	least, most time.Duration
+}
+
+// wideTables are the kinds of faults that wide plans add. Each table is drawn from a stream of its own with a
+// mean pause between the beginnings of two faults, so that kinds which are added in another table leave what
+// seeds drew before as it was.
+var wideTables = []struct {
+	stream uint64
+	pause  time.Duration
+	kinds  []wideKind
 }{
+	{3, 500 * time.Millisecond, livesKinds},
+	{4, time.Second, movesKinds},
+	{6, time.Second, leavesKinds},
+}
+
+var livesKinds = []wideKind{
 	// A worker crashes and is back as another life at the same address, for which it is away.
 	{"reborn", []string{"plain", "late", "mute"}, 4, 50 * time.Millisecond, 2500 * time.Millisecond},
 	// The store drops its history, so that who is behind reads all of a topic again.
@@ -46,28 +62,53 @@
 	{"parting", []string{"unsaid", "refuse", "mute"}, 1, 4 * time.Second, 8 * time.Second},
 }
 
+var movesKinds = []wideKind{
+	// A worker crashes and is back as another life at another address of its machine.
+	{"moved", []string{"plain", "late"}, 1, 50 * time.Millisecond, time.Second},
+	// A worker that has said that it leaves is apart for the last part of its stay, and hosts' connects are
+	// taken.
+	{"leaving", []string{"both"}, 1, 5 * time.Second, 8 * time.Second},
+	// The next version of the configuration; others of the queues are in it.
+	{"queues", []string{"change"}, 1, 0, 0},
+}
+
+var leavesKinds = []wideKind{
+	// A worker is apart from the moment that it has said that it leaves, so that no order to stop reaches it.
+	{"sudden", []string{"both"}, 1, 5 * time.Second, 8 * time.Second},
+}
+
 // drawWide draws a wide plan: the plan of the seed with more faults and longer work.
 func drawWide(seed uint64, hosts, workers int, lasts time.Duration) plan {
 	p := drawPlan(seed, hosts, workers, lasts)
-	r := rand.New(rand.NewPCG(seed, wideStream))
-	p.wide, p.machines = true, r.IntN(2) == 0
-	for at := calmBefore; at < lasts; at += time.Duration(r.ExpFloat64() * float64(widePause)) {
-		f := drawWideFault(r)
-		f.at, f.target = at, r.IntN(workers)
-		p.faults = append(p.faults, f)
+	p.wide = true
+	for i, table := range wideTables {
+		r := rand.New(rand.NewPCG(seed, table.stream))
+		if i == 0 {
+			p.machines = r.IntN(2) == 0
+		}
+		p.add(r, table.kinds, table.pause)
 	}
 	slices.SortStableFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
 
-// drawWideFault draws a kind of fault by weight, its variant and length.
-func drawWideFault(r *rand.Rand) fault {
+// add draws faults of some kinds with a mean pause between them.
+func (p *plan) add(r *rand.Rand, kinds []wideKind, pause time.Duration) {
+	for at := calmBefore; at < p.lasts; at += time.Duration(r.ExpFloat64() * float64(pause)) {
+		f := drawWideFault(r, kinds)
+		f.at, f.target = at, r.IntN(p.workers)
+		p.faults = append(p.faults, f)
+	}
+}
+
+// drawWideFault draws one of some kinds of faults by weight, its variant and length.
+func drawWideFault(r *rand.Rand, kinds []wideKind) fault {
 	sum := 0
-	for _, k := range wideKinds {
+	for _, k := range kinds {
 		sum += k.weight
 	}
 	n := r.IntN(sum)
-	for _, k := range wideKinds {
+	for _, k := range kinds {
 		if n -= k.weight; n < 0 {
 			lasts := k.least + time.Duration(r.Float64()*float64(k.most-k.least))
 			return fault{what: k.what, how: pick(r, k.hows), lasts: lasts}
@@ -81,6 +122,8 @@
 	switch f.what {
 	case "forget":
 		s.store.Forget()
+	case "queues":
+		s.configure()
 	case "turns":
 		s.turns(f)
 	case "lapse":
@@ -88,7 +131,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.lapse(false)
 		})
-	case "reborn", "apart", "parting":
+	case "reborn", "moved", "apart", "parting", "leaving", "sudden":
 		w := s.workers[f.target%len(s.workers)]
 		if life, _ := w.present(); life != nil {
 			s.strikeLife(w, life, f)
@@ -112,16 +155,17 @@
 // strikeLife carries out a fault of a worker's life.
 func (s *site) strikeLife(w *worker, life *standin.Worker, f fault) {
 	switch f.what {
-	case "reborn":
+	case "reborn", "moved":
 		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
 	case "apart":
 		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
-	case "parting":
+	case "parting", "leaving", "sudden":
 		w.part(life, f)
 	}
 }
 
-// reborn ends a life unless that was done before, and begins another one at the same address.
+// reborn ends a life unless that was done before, and begins another one, at the same address unless the
+// worker moves.
 func (w *worker) reborn(life *standin.Worker, f fault) {
 	w.mu.Lock()
 	mine := !w.gone && w.life == life
@@ -139,6 +183,12 @@
 	}
 	w.check(shut())
 	w.site.entries.end(life, f.how == "late")
+	if f.what == "moved" {
+		w.check(front.Close())
+		w.mu.Lock()
+		w.front = nil
+		w.mu.Unlock()
+	}
 	time.Sleep(f.lasts)
 	w.start()
 }
@@ -172,18 +222,33 @@
 // it stays, apart from the hosts meanwhile or not.
 func (w *worker) part(life *standin.Worker, f fault) {
 	s := w.site
-	if f.how == "unsaid" {
+	join := func() { w.apart(life, f.how, false) }
+	switch {
+	case f.how == "unsaid":
 		s.entries.change(life, func(e *entry) { e.cut = true })
 		time.Sleep(silentBeats*heartbeat + f.lasts)
-	} else {
+	case f.what == "sudden":
+		s.during("workers", func() { w.cutOff(life, f.how) }, f.lasts, join)
+		time.Sleep(drainTime)
+	default:
 		w.sayDraining(life)
 		time.Sleep(drainTime / 2)
-		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
+		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, join)
 		time.Sleep(drainTime)
 	}
 	w.replace(life, 0)
 }
 
+// cutOff lets a worker say that it leaves while hosts don't reach it any more, and then nothing more.
+func (w *worker) cutOff(life *standin.Worker, how string) {
+	if present, front := w.present(); present == life {
+		front.Cut(directions["both"])
+	}
+	w.sayDraining(life)
+	time.Sleep(2 * entriesTick)
+	w.apart(life, how, true)
+}
+
 // check fails the test at an error.
 func (w *worker) check(err error) {
 	if err != nil {
@@ -191,6 +256,24 @@
 	}
 }
 
+// branch gives a plan that changes queues several of them and several services.
+func (p *plan) branch() {
+	if !slices.ContainsFunc(p.faults, func(f fault) bool { return f.what == "queues" }) {
+		return
+	}
+	r := rand.New(rand.NewPCG(p.seed, queueStream))
+	for range r.IntN(mostServices) {
+		p.services = append(p.services, nameOf(r))
+	}
+	for range leastQueues + r.IntN(mostQueues-leastQueues) {
+		name := "r-" + nameOf(r)
+		p.queues = append(p.queues, standin.Queue{Name: name, Prefix: "/" + name + "/", Service: pick(r, p.services)})
+	}
+}
+
+// nameOf draws a name.
+func nameOf(r *rand.Rand) string { return strconv.FormatUint(r.Uint64N(math.MaxInt32), 36) }
+
 // widen makes a site ready for a wide plan.
 func (s *site) widen(p plan) {
 	s.machines, s.entries = p.machines, &entries{site: s, of: map[*standin.Worker]*entry{}}
