--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -44,6 +44,7 @@
 	{3, 500 * time.Millisecond, livesKinds},
 	{4, time.Second, movesKinds},
 	{6, time.Second, leavesKinds},
+	{7, time.Second, answersKinds},
 }
 
 var livesKinds = []wideKind{
@@ -77,6 +78,16 @@
 	{"sudden", []string{"both"}, 1, 5 * time.Second, 8 * time.Second},
 }
 
+var answersKinds = []wideKind{
+	// A worker takes its list of ends a moment before that of what runs, so that a run may be in neither.
+	{"torn", []string{"lists"}, 3, time.Second, 5 * time.Second},
+	// A worker is apart until after its lease, and runs nothing any more when it is back.
+	{"lapsed", []string{"refuse", "mute", "both"}, 1, 11 * time.Second, 14 * time.Second},
+}
+
+// tornBy is how far apart a worker takes its two lists.
+const tornBy = time.Millisecond
+
 // drawWide draws a wide plan: the plan of the seed with more faults and longer work.
 func drawWide(seed uint64, hosts, workers int, lasts time.Duration) plan {
 	p := drawPlan(seed, hosts, workers, lasts)
@@ -131,7 +142,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.lapse(false)
 		})
-	case "reborn", "moved", "apart", "parting", "leaving", "sudden":
+	case "reborn", "moved", "apart", "lapsed", "parting", "leaving", "sudden", "torn":
 		w := s.workers[f.target%len(s.workers)]
 		if life, _ := w.present(); life != nil {
 			s.strikeLife(w, life, f)
@@ -157,7 +168,9 @@
 	switch f.what {
 	case "reborn", "moved":
 		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
-	case "apart":
+	case "torn":
+		s.during("workers", func() { life.SetTorn(tornBy) }, f.lasts, func() { life.SetTorn(0) })
+	case "apart", "lapsed":
 		s.during("workers", func() { w.apart(life, f.how, true) }, f.lasts, func() { w.apart(life, f.how, false) })
 	case "parting", "leaving", "sudden":
 		w.part(life, f)
