dispatch: leases are counted for each order; no machine is ordered down without assurance

Change: a worker's lapse is that of the orders that may have been carried out and of those under way; one that was surely not sent drops out, renewals and starts alike, in place of a comparison of instants that took one for the other. Waves wait for assurance.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -82,6 +82,8 @@
 		return
 	}
 	r.inFlight = false
+	r.worker.settleLease(r.granting, res.Verdict)
+	r.granting = 0
 	switch res.Verdict {
 	case fleet.Carried:
 		if r.apply(evStarted) && r.started == 0 {
@@ -163,9 +165,8 @@
 		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
 		w.nextHold = max(now, res.Sent.Add(renewPause))
 	}
-	if res.Verdict == fleet.Unreachable {
-		w.withdrawLease(res.Renew)
-	}
+	w.settleLease(w.renewing, res.Verdict)
+	w.renewing = 0
 	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -147,7 +147,7 @@
 		return w
 	}
 	w = &worker{Listing: fleet.Listing{ID: name}, clockAt: now}
-	w.lapse = d.lapseOf(now)
+	w.granted = d.lapseOf(now)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	d.order = slices.Insert(d.order, at, w)
@@ -171,10 +171,10 @@
 // there, and no end is left that it would tell again. Ends that it was never told of keep it for
 // as long as the jobs that ended. An answer to a renewal that is under way is passed over then.
 func (w *worker) gone(now unit.Instant, keepEnded time.Duration) bool {
-	if w.listed || len(w.runs) > 0 || now <= w.lapse {
+	if w.listed || len(w.runs) > 0 || now <= w.lapse() {
 		return false
 	}
-	return w.replaced || w.told == w.seen || now > w.lapse.Add(keepEnded)
+	return w.replaced || w.told == w.seen || now > w.lapse().Add(keepEnded)
 }
 
 // mark notes that the job's record must be written again.
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -39,17 +39,26 @@
 	d.note(Note{Event: event, Age: now.Sub(d.assured)})
 }
 
-// lease returns the end of a lease granted now, and notes that it may be granted.
+// lease returns the end of a lease granted now.
 func (d *Dispatcher) lease(now unit.Instant, w *worker) fleet.Clock {
-	w.lapse = max(w.lapse, d.lapseOf(now))
 	return w.clock(now) + fleet.Clock(d.config.MaxLease)
 }
 
-// withdrawLease takes back that a renewal was to extend the lease: nothing of it was sent. Without that
-// what runs on a worker that has crashed would be given up 3.5 s later.
-func (w *worker) withdrawLease(o Renew) {
-	if o.Until != 0 && w.lapse == w.extended {
-		w.lapse = w.unextended
+// lapse returns when every lease on the worker has surely run out: those that may have been granted, and those of orders
+// under way.
+func (w *worker) lapse() unit.Instant {
+	last := max(w.granted, w.renewing)
+	for _, r := range w.runs {
+		last = max(last, r.granting)
+	}
+	return last
+}
+
+// settleLease takes in what became of an order that was to grant a lease until a time. One that was surely not sent has
+// granted none: without that, what was placed on a worker that has crashed waited 3.5 s longer, on an idle one 10.4 s.
+func (w *worker) settleLease(until unit.Instant, v fleet.Verdict) {
+	if v != fleet.Unreachable {
+		w.granted = max(w.granted, until)
 	}
 }
 
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -28,7 +28,7 @@
 // nothing is given up then.
 func (d *Dispatcher) loseAll(now unit.Instant, w *worker, e evidence) {
 	for _, r := range w.sorted() {
-		if e == leaseLapsed && now <= w.lapse {
+		if e == leaseLapsed && now <= w.lapse() {
 			d.violated(now, r, "given up under a lease that may hold")
 			continue
 		}
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -191,7 +191,7 @@
 	}
 	w.runs.put(r)
 	w.used = w.used.Add(r.need)
-	w.lapse = max(w.lapse, d.lapseOf(now)) // some lease holds, perhaps of an order that was late
+	w.granted = max(w.granted, d.lapseOf(now)) // some lease holds, perhaps of an order that was late
 	d.stop(now, r, "no placement is known for it")
 	return r
 }
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -73,7 +73,7 @@
 // was off the list and took no connections, 1,180 were still there. It was apart from the store and from
 // this host, refused connections included, and came back.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
-	if w.leased() && now > w.lapse {
+	if w.leased() && now > w.lapse() {
 		d.loseAll(now, w, leaseLapsed)
 		w.synced = 0 // it seems to be empty: without an answer it would get the same tasks again
 	}
@@ -180,9 +180,7 @@
 	}
 	o := Renew{Target: d.target(w), Told: w.durable}
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
-		w.unextended = w.lapse
-		o.Until = d.lease(now, w)
-		w.extended = w.lapse
+		o.Until, w.renewing = d.lease(now, w), d.lapseOf(now)
 	}
 	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry(now) {
 		o.Wait = renewalWait(d.config.MaxLease)
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -118,6 +118,8 @@
 	missed unit.Instant
 	// asked is when the last order to start was sent.
 	asked unit.Instant
+	// granting is when the lease of an order to start that is under way has surely run out; 0 if none is.
+	granting unit.Instant
 	// inFlight is set while an order for the run has no verdict.
 	inFlight bool
 	// unanswered is set once an order to start has got no answer: it may be carried
@@ -158,8 +160,6 @@
 	runs           runSet
 	// clockAt is when the worker's clock showed Clock at the earliest.
 	clockAt unit.Instant
-	// lapse is when every lease on the worker has surely run out.
-	lapse unit.Instant
 	// answered is when its last answer came, firstAsked when this owner's first renewal left; 0 for never.
 	answered, firstAsked unit.Instant
 	// seen is the last end that was noted, durable the last one whose note is in
@@ -183,8 +183,9 @@
 	// is no such life. replaced is set once another life has answered in its place, until it is listed again.
 	contested unit.Instant
 	replaced  bool
-	// unextended and extended are lapse before and after the newest renewal that was to extend the lease.
-	unextended, extended unit.Instant
+	// granted is when every lease that may have been granted has surely run out, renewing the same for the
+	// renewal under way; 0 if that grants none.
+	granted, renewing unit.Instant
 	// streak counts failed ends of different jobs since the last success; lastFailed
 	// is the job of the newest one.
 	streak     int
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -93,7 +93,7 @@
 		return
 	}
 	for _, n := range slices.Sorted(maps.Keys(d.waves)) {
-		if now.Sub(d.began) >= d.config.Handover {
+		if d.grants(now) && now.Sub(d.began) >= d.config.Handover {
 			d.advanceWave(now, d.waves[n])
 		}
 	}
