dispatch: on few workers a job that fails at once on two is at fault

Cause: up to 8 workers were suspended for failures at once of one job, of however few there are. Change: at most one more than the part of the workers that the platform lets fail, 2 of 7 and 8 of 50 or more. Ruled out: a shorter pause, which a bad worker would pay with more runs.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -21,8 +21,10 @@
 	// gang in twenty while a twelfth of the workers failed everything.
 	atOnce = 200 * time.Millisecond
 	// blameMost is how many workers are suspended for failures at once of one job: beyond, the
-	// job is taken to be at fault.
+	// job is taken to be at fault. Of fewer than 50 workers it is badShare of them and one: the platform
+	// lets so many fail all they start.
 	blameMost = 8
+	badShare  = 1.0 / 7
 	// trialTime is how long the first run after a suspension must go on before the worker
 	// is taken for sound. Workers that fail all they start do so within 50 ms.
 	trialTime = 2 * time.Second
@@ -97,7 +99,7 @@
 		w.streak, w.lastFailed = 0, ""
 	case fleet.EndFailed:
 		d.countFailure(w, e.Task.Job)
-		if d.policy.SuspendAtOnce && r.failedAtOnce(now) && r.step.job.blames(w.ID) {
+		if d.policy.SuspendAtOnce && r.failedAtOnce(now) && r.step.job.blames(w.ID, d.mostBlamed(w.Service)) {
 			w.streak = failStreak
 		}
 		d.suspendFailing(now, w, "a task failed at once, or tasks of several jobs in a row")
@@ -162,13 +164,24 @@
 	return now.Sub(began) <= atOnce
 }
 
+// mostBlamed returns how many workers of a service may be suspended for one job.
+func (d *Dispatcher) mostBlamed(name id.Service) int {
+	listed := 0
+	for _, w := range d.order {
+		if w.Service == name && w.listed {
+			listed++
+		}
+	}
+	return min(blameMost, 1+int(badShare*float64(listed)))
+}
+
 // blames notes that a run of the job failed at once on a worker, and reports whether the worker
-// is at fault, as far as the job's failures elsewhere tell.
-func (js *jobState) blames(w id.Worker) bool {
+// is at fault, as far as the job's failures elsewhere tell: on more than most workers it is the job.
+func (js *jobState) blames(w id.Worker, most int) bool {
 	if !slices.Contains(js.blamed, w) {
 		js.blamed = append(js.blamed, w)
 	}
-	return len(js.blamed) <= blameMost
+	return len(js.blamed) <= most
 }
 
 // onTrial reports whether a worker was suspended and has done nothing with success since.
