entry, dispatch: when an owner is assured, and what follows at once

A read of one page of several assured, although a claim may be in the next one; a takeover assured as of its answer, which may be seconds late; an owner alone in its last look assured itself for good behind a cut; a renewal without a lease waited 2 s, so that leases of 6 s lapsed after assurance was back; a renewal under way settled whether a machine's lives had answered anew; a run that is stopped and was missed once made renewals follow each other without a pause. Change: reads that reach the end assure, and appends as of when they left; the answers of others count if there are any; each of the rest as told.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -182,7 +182,9 @@
 	d.compare(now, w, res, ended)
 	w.endTrial(now)
 	d.pace(now, w)
-	w.synced = res.Sent
+	if res.Sent > w.askedAgain {
+		w.synced = res.Sent
+	}
 	d.follow(now, w)
 	d.back(w)
 	if w.seen == w.durable {
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -179,7 +179,7 @@
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		o.Until, w.renewing = d.lease(now, w), d.lapseOf(now)
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry(now) {
+	if w.synced != 0 && w.seen == w.durable && o.Until != 0 && !w.unheard && !w.hurry(now) {
 		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() {
 			o.Wait = min(o.Wait, sharedWait)
@@ -216,7 +216,8 @@
 		return true
 	}
 	for _, r := range w.runs {
-		if r.missed != 0 || r.state == runStopping && r.stopDone != 0 && w.synced < r.stopDone {
+		settles := r.state == runRunning || r.stopDone != 0
+		if settles && r.missed != 0 || r.state == runStopping && r.stopDone != 0 && w.synced < r.stopDone {
 			return true
 		}
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -170,6 +170,8 @@
 	// synced is when a renewal was sent that the worker answered, under the
 	// present epoch; 0 before the first.
 	synced unit.Instant
+	// askedAgain is when it was last wanted that the worker answers anew; answers to renewals that had left don't count.
+	askedAgain unit.Instant
 	// holding is set while a renewal is on its way; nextHold is when the next
 	// one is due.
 	holding  bool
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -232,7 +232,7 @@
 func (d *Dispatcher) askLives(now unit.Instant, m id.Machine) {
 	for _, w := range d.order {
 		if w.Machine == m {
-			w.synced, w.nextHold = 0, min(w.nextHold, now)
+			w.synced, w.askedAgain, w.nextHold = 0, now, min(w.nextHold, now)
 		}
 	}
 }
--- a/internal/entry/assure.go
+++ b/internal/entry/assure.go
@@ -10,7 +10,8 @@
 )
 
 // An owner that is cut off from the store may have been replaced without knowing. It goes on renewing leases, so that an
-// outage of the store harms nobody, only while all other hosts say that they know of no other owner.
+// outage of the store harms nobody, only while all other hosts of its last look say that they know of no other owner. Alone
+// it can't tell an outage from a cut behind which another host starts.
 
 const (
 	// seekEvery is the pause between two looks whether other hosts are to be asked, and between two rounds of
@@ -45,7 +46,7 @@
 		var others []string
 		unread, ok := ask(ctx, h, func(now unit.Instant) bool {
 			others = h.others
-			return h.owner != nil && now.Sub(h.assured) > unreadAfter
+			return h.owner != nil && len(others) > 0 && now.Sub(h.assured) > unreadAfter
 		})
 		if !ok || !unread {
 			continue
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -82,8 +83,14 @@
 	}
 	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
 	go func() {
+		left := time.Now()
 		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1})
-		h.post(ctx, func(now unit.Instant) { h.claimed(ctx, now, rec, end, err) })
+		h.post(ctx, func(now unit.Instant) {
+			if err == nil {
+				h.assure(left) // a later claim would have fenced it
+			}
+			h.claimed(ctx, now, rec, end, err)
+		})
 	}()
 }
 
@@ -142,7 +149,6 @@
 		boxes: boxes, seq: 1, listed: map[id.Worker]bool{}, reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
-	h.assured = now // the claim was read a moment ago
 	h.election.Owned(now)
 	h.metrics.owning.Store(true)
 	h.metrics.takeovers.Inc()
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -19,8 +19,9 @@
 	pause func() time.Duration
 	// wake cuts a pause short; nil if nobody does.
 	wake <-chan struct{}
-	// answered is called after each read with when it left; nil if nobody wants to know.
-	answered func(left time.Time)
+	// reached is called after each read that came to the end of the topic, with when it left; nil if
+	// nobody wants to know.
+	reached func(left time.Time)
 	// whole is called with the newest records of all keys, and more with those
 	// that follow from an offset on.
 	whole func(recs []jobtable.Record, end id.Offset)
@@ -34,9 +35,9 @@
 	next, loaded := id.Offset(0), false
 	for ctx.Err() == nil {
 		var err error
-		began := time.Now()
+		began, reached := time.Now(), false
 		if loaded {
-			next, err = t.read(ctx, next)
+			next, reached, err = t.read(ctx, next)
 		} else {
 			next, err = t.load(ctx)
 			loaded = err == nil
@@ -54,8 +55,8 @@
 			continue
 		}
 		b.reset()
-		if t.answered != nil {
-			t.answered(began)
+		if t.reached != nil && reached {
+			t.reached(began)
 		}
 	}
 }
@@ -78,15 +79,15 @@
 	return first.End, nil
 }
 
-// read hands over what was added from an offset on, and returns the next offset.
-func (t *tail) read(ctx context.Context, from id.Offset) (id.Offset, error) {
+// read hands over what was added from an offset on. It returns the next offset, and whether that is the end.
+func (t *tail) read(ctx context.Context, from id.Offset) (next id.Offset, reached bool, err error) {
 	wait := time.Duration(0)
 	if t.wait != nil {
 		wait = t.wait()
 	}
 	p, err := t.host.store.Read(ctx, t.topic, from, wait)
 	if err != nil {
-		return from, err
+		return from, false, err
 	}
 	if len(p.Records) > 0 {
 		t.more(p.Records, from)
@@ -94,7 +95,7 @@
 	if len(p.Records) > 0 || wait == 0 {
 		t.rest(ctx)
 	}
-	return p.Next, nil
+	return p.Next, p.Next >= p.End, nil
 }
 
 // rest pauses before the next read, unless somebody waits for it.
