--- /dev/null
+++ b/internal/entry/assured_internal_test.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/election"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/ring"
+	"curlewsill.org/curlewsill/platform"
+)
+
+// storeScript answers the calls to a store one after the other, each after a while, and no more after the last.
+type storeScript struct {
+	after   time.Duration
+	answers []string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *storeScript) RoundTrip(req *http.Request) (*http.Response, error) {
+	if len(s.answers) == 0 {
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	body := s.answers[0]
+	s.answers = s.answers[1:]
+	time.Sleep(s.after)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body)), Header: http.Header{}, Request: req}, nil
+}
+
+// newAssured returns a host between a store and nobody else, whose decisions are taken as they come.
+func newAssured(ctx context.Context, store *storeScript) *Host {
+	h := &Host{
+		log: zap.NewNop(), metrics: newMetrics(), self: "a#1", table: jobtable.New(), events: ring.New[event](events), start: time.Now(), watchers: watchers{},
+		store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1", Ability: 100}),
+	}
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case e := <-h.events.C():
+				e(h.now())
+			}
+		}
+	}()
+	return h
+}
+
+// TestAssuredByWholeRead reads a page of the jobs that doesn't reach the end of the log.
+//
+// A page holds 1 MB at most. What stands behind it may be another host's claim, written long before the read left, so that
+// the page doesn't tell that nobody else was the owner then. It was taken for that.
+func TestAssuredByWholeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		page := "\x00\x00\x00\x00\x00\x00\x00\x09" + "\x00\x00\x00\x00\x00\x00\x00\x00" + "\x00\x00\x00\x03\x01xy" // 1 record of 9
+		h := newAssured(ctx, &storeScript{after: 100 * time.Millisecond, answers: []string{`{"items":[],"end":0}`, page}})
+		begun := h.now()
+		go h.readJobs(ctx)
+		time.Sleep(900 * time.Millisecond) // with the pause behind a read that brought news
+		synctest.Wait()
+		if next := h.table.Next(); next != 1 {
+			t.Errorf("%d records were read", next)
+		}
+		if h.assured > begun {
+			t.Errorf("a read of 1 record of 9 assures as of %s after the load left", h.assured.Sub(begun))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestAssuredByClaim claims at a store that answers after 900 ms.
+//
+// The answer tells that nobody had claimed later when the claim was written, and that may be as long ago as the claim left.
+// The new owner took the time of the answer, so that it granted leases for longer than 3 s after the claim of yet another host.
+func TestAssuredByClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		h := newAssured(ctx, &storeScript{after: 900 * time.Millisecond, answers: []string{`{"offset":0,"end":1}`}})
+		left := h.now()
+		h.post(ctx, func(unit.Instant) {
+			h.loaded = true
+			h.claim(ctx)
+		})
+		time.Sleep(950 * time.Millisecond)
+		synctest.Wait()
+		if h.owner == nil {
+			t.Fatal("the host is not the owner")
+		}
+		if h.assured > left {
+			t.Errorf("assured as of %s after the claim left", h.assured.Sub(left))
+		}
+		h.owner.cancel()
+		cancel()
+		synctest.Wait()
+	})
+}
