dispatch, entry: a run that is found keeps its task; one renewal under way; orders count, not time

A run that its worker lists though it was given up was stopped, and its task started again at once, on the same worker too, where it hid the first run; a worker that was forgotten with a renewal under way had two from then on; a run was stopped for orders left unanswered though they were withheld; a host that hasn't read the jobs yet kept the owner from being assured. Change: a found run stands for its task until it ends; a worker isn't forgotten while a renewal is under way; five orders at least are waited for; a host without the jobs agrees, since it can't own before it has read them.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -169,9 +169,9 @@
 
 // gone reports whether a worker can be forgotten: the platform doesn't list it, nothing can run
 // there, and no end is left that it would tell again. Ends that it was never told of keep it for
-// as long as the jobs that ended. An answer to a renewal that is under way is passed over then.
+// as long as the jobs that ended.
 func (w *worker) gone(now unit.Instant, keepEnded time.Duration) bool {
-	if w.listed || len(w.runs) > 0 || now <= w.lapse() {
+	if w.listed || w.holding || len(w.runs) > 0 || now <= w.lapse() {
 		return false
 	}
 	return w.replaced || w.told == w.seen || now > w.lapse().Add(keepEnded)
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -104,6 +104,7 @@
 		r.since = now
 	}
 	r.asked, r.inFlight, r.granting = now, true, d.lapseOf(now)
+	r.orders++
 	s := r.step
 	d.orders.Starts = append(d.orders.Starts, Start{
 		Target: d.target(r.worker), Task: r.task, Run: r.number, Text: s.job.spec.Text,
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -181,16 +181,18 @@
 	d.lose(now, r, "not listed by its worker")
 }
 
-// discover takes in a run that no record tells of, and stops it.
+// discover takes in a run that no record tells of, and stops it. Until it has ended its task isn't started again.
 func (d *Dispatcher) discover(now unit.Instant, w *worker, x fleet.Running) *run {
-	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now}
+	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now, resumed: true}
 	if js := d.jobs[x.Task.Job]; js != nil {
-		if _, ok := js.spec.Index(x.Task); ok {
-			r.need = js.spec.Steps[x.Task.Step].Reserved()
+		if s := js.stepOf(x.Task); s != nil {
+			r.need = s.step.Reserved()
+			if s.runs[x.Task.Index] == nil {
+				r.step = s
+			}
 		}
 	}
-	w.runs.put(r)
-	w.used = w.used.Add(r.need)
+	d.occupy(r)
 	w.granted = max(w.granted, d.lapseOf(now)) // some lease holds, perhaps of an order that was late
 	d.stop(now, r, "no placement is known for it")
 	return r
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -14,10 +14,11 @@
 	// resendAfter is when an order without an answer is repeated. Workers answer
 	// within a few milliseconds. Measured.
 	resendAfter = 300 * time.Millisecond
-	// startPatience is how long a run may wait for an answer to its orders to start, five of them at
+	// startPatience is how long a run may wait for an answer to its orders to start, startTries of them at
 	// least, from a worker that answers renewals meanwhile. Without it 8 of 80 tasks stayed for ever
 	// with a worker that took no starts.
 	startPatience = 4 * time.Second
+	startTries    = 5
 	// renewWait is how long a renewal may wait at the worker for news; the
 	// platform allows 2 s.
 	renewWait = 2 * time.Second
@@ -117,7 +118,7 @@
 // ignored reports whether a run's orders to start were left unanswered for long, while its worker
 // answered a renewal that was sent after the first of them.
 func (r *run) ignored(now unit.Instant) bool {
-	return r.unanswered && r.started == 0 && now.Sub(r.since) >= startPatience && r.worker.synced > r.since
+	return r.unanswered && r.started == 0 && r.orders >= startTries && now.Sub(r.since) >= startPatience && r.worker.synced > r.since
 }
 
 // unsettled reports whether some order for a run on the worker may have to be repeated.
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -116,8 +116,9 @@
 	stopDone  unit.Instant
 	// missed is when an answer came that told nothing of the run; 0 if the newest one told of it.
 	missed unit.Instant
-	// asked is when the last order to start was sent.
-	asked unit.Instant
+	// asked is when the last order to start was sent, orders how many were.
+	asked  unit.Instant
+	orders int
 	// granting is when the lease of an order to start that is under way has surely run out; 0 if none is.
 	granting unit.Instant
 	// inFlight is set while an order for the run has no verdict.
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -191,7 +191,7 @@
 	if q.Owner != t.host.self {
 		known, _ := ask(req.Context(), t.host, func(now unit.Instant) bool {
 			p.Misses = t.host.election.Witness(now, q.Owner)
-			return t.host.table.Owner().Host == q.Owner
+			return !t.host.loaded || t.host.table.Owner().Host == q.Owner // it owns nothing before it has read the jobs
 		})
 		if !known {
 			return nil, errOtherOwner
