dispatch, entry: runs that nobody tells of are given up in each state; hosts seen lately count

A stopping run that its worker no longer lists was kept for ever while its stop wasn't acknowledged, and so was one of which neither start nor stop was ever answered; renewals without a lease waited 2 s, and those to a paused worker followed each other in each pass (90 in 450 ms); an owner forgot a host that the group had dropped, which then claimed behind a cut. Change: two answers in a row count for any run that the worker had confirmed, or of which each copy of the order is late by then; one look after a pause; 0.5 s of waiting without a lease; hosts seen within 30 s must agree, by the name that all lives of a host share. Ruled out: forgetting nobody; a host that is gone for good would then withhold leases in each outage. Tests: missed_while_stopping.txt is settled by its second answer now, instead of a renewal that waits.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -102,7 +102,7 @@
 		}
 		d.rejected(now, r, res.Verdict)
 	case fleet.NoRoom, fleet.Busy, fleet.Invalid:
-		r.worker.pausedUntil = now.Add(busyPause)
+		r.worker.pause(now, busyPause)
 		d.rejected(now, r, res.Verdict)
 	}
 }
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -133,10 +133,15 @@
 		w.streak = failStreak - 1
 		return
 	}
-	w.pausedUntil = now.Add(failPause)
+	w.pause(now, failPause)
 	d.note(Note{Event: EventWorkerSuspended, Worker: w.ID, Why: why, Age: failPause})
 }
 
+// pause keeps new tasks away from a worker for a while. One look tells at once what it holds.
+func (w *worker) pause(now unit.Instant, length time.Duration) {
+	w.pausedAt, w.pausedUntil = now, now.Add(length)
+}
+
 // maySuspend reports whether enough other workers of the same service aren't suspended.
 func (d *Dispatcher) maySuspend(w *worker) bool {
 	listed, suspended := 0, 0
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -160,14 +160,21 @@
 		if listed[r.task] || ended[r.task] || res.Report.MoreEnds {
 			continue // its end may be among those that the next answer tells
 		}
-		vanished := r.state == runRunning && res.Sent > r.started
-		neverThere := r.state == runStopping && r.stopDone != 0 && res.Sent > r.stopDone
-		if vanished || neverThere {
+		if d.overdue(r, res.Sent) {
 			d.miss(now, r, res.Sent)
 		}
 	}
 }
 
+// overdue reports whether an answer to a renewal that left at a time would tell of a run that is there or may come: the
+// worker had confirmed its start or its stop, or each copy of its order to start is refused as late by then.
+func (d *Dispatcher) overdue(r *run, sent unit.Instant) bool {
+	started := r.started != 0 && sent > r.started
+	stopped := r.state == runStopping && r.stopDone != 0 && sent > r.stopDone
+	late := r.state != runOrdered && r.asked != 0 && sent > d.lapseOf(r.asked.Add(assuredFor))
+	return started || stopped || late
+}
+
 // miss takes in that a run is in neither list of an answer. A worker that takes the two one after the other may miss a
 // run that ends between them, so that only the second answer in a row counts: with lists 1 ms apart 72 of 923 tasks were started
 // again after they were done.
@@ -193,7 +200,7 @@
 		}
 	}
 	d.occupy(r)
-	w.granted = max(w.granted, d.lapseOf(now)) // some lease holds, perhaps of an order that was late
+	w.granted = max(w.granted, d.lapseOf(now.Add(assuredFor))) // some lease holds, perhaps of an order that was late
 	d.stop(now, r, "no placement is known for it")
 	return r
 }
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -180,9 +180,9 @@
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		o.Until, w.renewing = d.lease(now, w), d.lapseOf(now)
 	}
-	if w.synced != 0 && w.seen == w.durable && o.Until != 0 && !w.unheard && !w.hurry(now) {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry(now) {
 		o.Wait = renewalWait(d.config.MaxLease)
-		if w.shared() {
+		if w.shared() || o.Until == 0 { // the next one may grant, before a lease of 6 s has lapsed
 			o.Wait = min(o.Wait, sharedWait)
 		}
 	}
@@ -213,11 +213,11 @@
 
 // hurry reports whether an answer is wanted at once.
 func (w *worker) hurry(now unit.Instant) bool {
-	if now < w.pausedUntil || !w.confirmed() {
+	if w.synced < w.pausedAt || !w.confirmed() {
 		return true
 	}
 	for _, r := range w.runs {
-		settles := r.state == runRunning || r.stopDone != 0
+		settles := r.started != 0 || r.stopDone != 0
 		if settles && r.missed != 0 || r.state == runStopping && r.stopDone != 0 && w.synced < r.stopDone {
 			return true
 		}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -180,8 +180,8 @@
 	// unheard is set if the last renewal got no answer. The next one doesn't wait for news, so that
 	// its loss shows 2 s earlier.
 	unheard bool
-	// pausedUntil keeps new tasks away.
-	pausedUntil unit.Instant
+	// pausedUntil keeps new tasks away, since pausedAt.
+	pausedAt, pausedUntil unit.Instant
 	// contested is when another life at the worker's address or of its machine was last listed; 0 if there
 	// is no such life. replaced is set once another life has answered in its place, until it is listed again.
 	contested unit.Instant
--- a/internal/entry/assure.go
+++ b/internal/entry/assure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"curlewsill.org/curlewsill/core/election"
@@ -10,7 +11,7 @@
 )
 
 // An owner that is cut off from the store may have been replaced without knowing. It goes on renewing leases, so that an
-// outage of the store harms nobody, only while all other hosts of its last look say that they know of no other owner. Alone
+// outage of the store harms nobody, only while all other hosts that it has seen lately say that they know of no other owner. Alone
 // it can't tell an outage from a cut behind which another host starts.
 
 const (
@@ -20,6 +21,9 @@
 	// unreadAfter is how old the newest read of the jobs is when the others are asked. Without news a read that
 	// left 1 s ago is the newest that was answered.
 	unreadAfter = 1800 * time.Millisecond
+	// rememberHosts is for how long a host counts that the group doesn't show any more. One that stays away costs
+	// nothing but assurance in an outage of the store: leases of 6 s outlive one of 9 s without.
+	rememberHosts = 30 * time.Second
 )
 
 // assure notes that a read of the jobs which left at a time has told of no other owner. What it has told is taken in.
@@ -27,15 +31,22 @@
 	h.assured = max(h.assured, unit.At(h.start).Add(left.Sub(h.start)))
 }
 
-// othersOf returns the addresses of all members but one.
-func othersOf(self id.Host, members []election.Member, addresses map[id.Host]string) []string {
-	var out []string
+// otherHost is another host as the newest look that showed it did.
+type otherHost struct {
+	// address is where its newest life listens, empty if that isn't known.
+	address string
+	seen    unit.Instant
+}
+
+// remember takes in the hosts that a look at the group has shown. One that has dropped out stays for a while: it may
+// be cut off from the store, and claim when it isn't any more.
+func (h *Host) remember(now unit.Instant, members []election.Member, addresses map[id.Host]string) {
 	for _, m := range members {
-		if m.Host != self {
-			out = append(out, addresses[m.Host])
+		if machine := machineOf(m.Host); machine != h.settings.Host {
+			h.others[machine] = otherHost{address: addresses[m.Host], seen: now}
 		}
 	}
-	return out
+	maps.DeleteFunc(h.others, func(_ id.Host, o otherHost) bool { return now.Sub(o.seen) > rememberHosts })
 }
 
 // seekAssurance asks all other hosts whether they know of another owner, while this host is the owner and doesn't
@@ -45,7 +56,9 @@
 	for pause(ctx, seekEvery) {
 		var others []string
 		unread, ok := ask(ctx, h, func(now unit.Instant) bool {
-			others = h.others
+			for _, o := range h.others {
+				others = append(others, o.address)
+			}
 			return h.owner != nil && len(others) > 0 && now.Sub(h.assured) > unreadAfter
 		})
 		if !ok || !unread {
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -133,8 +133,8 @@
 	// assured is as of when it is known that nobody else was the owner: a read of the jobs left then that told
 	// of no other, or all other hosts answered that they know of none.
 	assured unit.Instant
-	// others are the addresses of the other hosts in the newest look at the group; empty texts where none is known.
-	others []string
+	// others are the other hosts that looks at the group have shown lately, by the names that all lives of a host share.
+	others map[id.Host]otherHost
 }
 
 // New returns a host whose listeners are open.
@@ -160,7 +160,7 @@
 		machines: platform.NewMachines(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](events), stopped: make(chan struct{}),
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
-		watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1),
+		others: map[id.Host]otherHost{}, watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -109,7 +109,7 @@
 				h.standby.Store(h.election.Standby())
 				h.findGatherer(addresses)
 				h.findWatched(addresses)
-				h.others = othersOf(h.self, members, addresses)
+				h.remember(now, members, addresses)
 				return h.election.Suspects()
 			})
 			if suspects {
