--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -180,7 +180,7 @@
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		o.Until, w.renewing = d.lease(now, w), d.lapseOf(now)
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry(now) {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry() {
 		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() || o.Until == 0 { // the next one may grant, before a lease of 6 s has lapsed
 			o.Wait = min(o.Wait, sharedWait)
@@ -212,7 +212,7 @@
 }
 
 // hurry reports whether an answer is wanted at once.
-func (w *worker) hurry(now unit.Instant) bool {
+func (w *worker) hurry() bool {
 	if w.synced < w.pausedAt || !w.confirmed() {
 		return true
 	}
