--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -24,8 +24,6 @@
 	covered bool
 	// late is set when the job can't earn anything any more.
 	late bool
-	// hardly is set for urgent work that would hardly be in time if others were stopped for it.
-	hardly bool
 	// due is when the step's round fell due, deadline when the job should be completed.
 	due, deadline unit.Instant
 	// turn orders candidates of the same urgency: the deadline, or when the step fell due if the
@@ -60,7 +58,6 @@
 		cmp.Compare(a.step.job.spec.Priority, b.step.job.spec.Priority),
 		-compareBools(a.covered, b.covered),
 		late,
-		compareBools(a.hardly, b.hardly),
 		cmp.Compare(a.turn, b.turn),
 	)
 }
@@ -113,7 +110,6 @@
 	allowed := scale(js.spec.LongestChain(), js.spec.Stretch) + js.spec.Target
 	c.due, c.deadline = due, due.Add(allowed)
 	c.late = now > due.Add(lateFactor*allowed)
-	c.hardly = d.hardly(now, c.deadline, s)
 	if s.step.LongRunning {
 		// It earns as long as it runs, whenever that begins: who waits longest goes first.
 		c.late = false
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -68,16 +68,11 @@
 // spares reports whether urgent work lets others go on, because to stop them would hardly make it
 // complete in time. It takes what becomes free meanwhile.
 func (d *Dispatcher) spares(now unit.Instant, c candidate) bool {
-	return c.hardly && now.Sub(c.due) < spareTime
-}
-
-// hardly reports whether an urgent step could hardly be done by a deadline if others were stopped
-// for it.
-func (d *Dispatcher) hardly(now, deadline unit.Instant, s *stepState) bool {
-	if !d.policy.SpareLate || s.job.spec.Priority != 0 {
+	if !d.policy.SpareLate || now.Sub(c.due) >= spareTime {
 		return false
 	}
-	return deadline.Sub(now)-s.step.Estimate < d.config.StopTime+stopWay
+	slack := c.deadline.Sub(now) - c.step.step.Estimate
+	return slack < d.config.StopTime+stopWay
 }
 
 // choosePreempted finds room for all that waits of a step by stopping others, or reports
