--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -24,8 +24,8 @@
 	covered bool
 	// late is set when the job can't earn anything any more.
 	late bool
-	// due is when the step's round fell due, deadline when the job should be completed.
-	due, deadline unit.Instant
+	// deadline is when the job should be completed.
+	deadline unit.Instant
 	// turn orders candidates of the same urgency: the deadline, or when the step fell due if the
 	// policy has no order by deadline. Long-running tasks wait in turn either way.
 	turn unit.Instant
@@ -108,7 +108,7 @@
 		return candidate{}, false
 	}
 	allowed := scale(js.spec.LongestChain(), js.spec.Stretch) + js.spec.Target
-	c.due, c.deadline = due, due.Add(allowed)
+	c.deadline = due.Add(allowed)
 	c.late = now > due.Add(lateFactor*allowed)
 	if s.step.LongRunning {
 		// It earns as long as it runs, whenever that begins: who waits longest goes first.
--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -124,9 +124,6 @@
 		Customer: "c", Queue: "q", Service: id.Service(o.text("service", "svc")), Priority: o.number("priority", 1),
 		Stretch: 3, Target: time.Second, Text: "x", Steps: []job.Step{step}, Accepted: s.now,
 	}
-	if o.has("tight") {
-		spec.Stretch, spec.Target = 1.5, 250*time.Millisecond
-	}
 	spec.MaxAttempts = o.number("attempts", 2)
 	spec.Accepted = spec.Accepted.Add(o.duration("ahead"))
 	if r := o.number("rounds", 0); r > 0 {
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -27,11 +27,6 @@
 	// which take longer than a pass.
 	fewerPart  = 4
 	fewerPause = 200 * time.Millisecond
-	// stopWay is the time beyond that of a stop itself that goes by until a task has begun in its room.
-	stopWay = 100 * time.Millisecond
-	// spareTime is for how long after it fell due urgent work that can't be in time waits before it
-	// stops others. It must have begun after 2.9 s, and a stop takes up to 0.9 s.
-	spareTime = 1200 * time.Millisecond
 )
 
 // preempt stops work of lower priority for work that finds no room and can't wait, and
@@ -47,7 +42,7 @@
 		d.wait(now, c, fits)
 		return
 	}
-	if !d.policy.Preempt || d.spares(now, c) {
+	if !d.policy.Preempt {
 		return
 	}
 	chosen, ok := d.choosePreempted(now, c, fits)
@@ -65,16 +60,6 @@
 	d.keep(now, c, chosen.workers, claimTime, "work of lower priority is stopped")
 }
 
-// spares reports whether urgent work lets others go on, because to stop them would hardly make it
-// complete in time. It takes what becomes free meanwhile.
-func (d *Dispatcher) spares(now unit.Instant, c candidate) bool {
-	if !d.policy.SpareLate || now.Sub(c.due) >= spareTime {
-		return false
-	}
-	slack := c.deadline.Sub(now) - c.step.step.Estimate
-	return slack < d.config.StopTime+stopWay
-}
-
 // choosePreempted finds room for all that waits of a step by stopping others, or reports
 // false.
 func (d *Dispatcher) choosePreempted(now unit.Instant, c candidate, fits []*worker) (assignment, bool) {
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -22,7 +22,7 @@
 //	worker NAME rack=R [gpus=8] [service=S] [draining=DURATION] [machine=M]   an entry of the list
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
-//	    [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D] [twosteps] [tight] [ahead=D, of the clock that accepted it]
+//	    [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
 //	    [rounds=N first=D interval=D] [advice] [target=D, of a serving task] [fills]
 //	clock DURATION           how far the time of day is ahead of the steady clock from now on
 //	cancel NAME
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -9,9 +9,6 @@
 type Policy struct {
 	// Preempt: urgent work that finds no room stops less urgent work.
 	Preempt bool
-	// SpareLate: urgent work that would be late even so lets others go on for a while before it stops
-	// them. Without Preempt it does nothing.
-	SpareLate bool
 	// KeepEmpty: some empty workers are kept for urgent work that is expected.
 	KeepEmpty bool
 	// HoldBack: single tasks of work that isn't urgent and has time don't start while fewer workers
@@ -42,7 +39,6 @@
 // fields has each switch once.
 var fields = []field{
 	{"preempt", func(p *Policy) *bool { return &p.Preempt }},
-	{"spare_late", func(p *Policy) *bool { return &p.SpareLate }},
 	{"keep_empty", func(p *Policy) *bool { return &p.KeepEmpty }},
 	{"hold_back", func(p *Policy) *bool { return &p.HoldBack }},
 	{"by_deadline", func(p *Policy) *bool { return &p.ByDeadline }},
