--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -36,7 +36,7 @@
 		s.dropClaim()
 		return false
 	}
-	if s.job.spec.Priority > 0 && d.roomElsewhere(now, c, fits) {
+	if d.roomElsewhere(now, c, fits) {
 		s.dropClaim()
 		return false
 	}
@@ -67,7 +67,7 @@
 	return true
 }
 
-// roomElsewhere reports whether a gang for which room is kept could be placed now if it
+// roomElsewhere reports whether work for which room is kept could be placed now if it
 // were not.
 func (d *Dispatcher) roomElsewhere(now unit.Instant, c candidate, fits []*worker) bool {
 	kept := c.step.claim
