soak: a result is kept only while what the program is built from is the same

Cause: the soak's result was taken from the go command's cache after changes of the product: the linker drops what the test's own binary doesn't use of the program, so that its import made no difference. Seen in a run of the whole script that took 30 s with the soak (cached). Change: the tests that play read the program's sources, which the go command then compares.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"io/fs"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,9 +16,6 @@
 	"time"
 
 	"curlewsill.org/curlewsill/platform/standin"
-
-	// The program that is built and played: a result of the tests is kept only while it is the same.
-	_ "curlewsill.org/curlewsill/cmd/curlewsilld/cmd"
 )
 
 var (
@@ -51,6 +49,27 @@
 	os.Exit(run(m))
 }
 
+// sources are the folders from which the program is built.
+var sources = []string{"../cmd", "../core", "../internal", "../platform"}
+
+// readSources reads what the program is built from. The go command keeps a result only while the files that its tests
+// have read are the same; without it a changed program wasn't played again. Reads before the tests run don't count.
+func readSources() error {
+	for _, dir := range sources {
+		err := filepath.WalkDir(dir, func(path string, e fs.DirEntry, err error) error {
+			if err != nil || e.IsDir() || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			_, err = os.ReadFile(path)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func run(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "soak-program-")
 	if err != nil {
@@ -88,6 +107,9 @@
 
 // playSeeds plays the seeds of a file of testdata side by side.
 func playSeeds(t *testing.T, file string, draw func(seed uint64, hosts, workers int, lasts time.Duration, cause string) plan) {
+	if err := readSources(); err != nil {
+		t.Fatal(err)
+	}
 	data, err := os.ReadFile(filepath.Join("testdata", file))
 	if err != nil {
 		t.Fatal(err)
