--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -82,8 +82,8 @@
 		return
 	}
 	r.inFlight = false
-	r.worker.settleLease(r.granting, res.Verdict)
-	r.granting = 0
+	r.worker.grantedBy(r.startLapse, res.Verdict)
+	r.startLapse = 0
 	switch res.Verdict {
 	case fleet.Carried:
 		if r.apply(evStarted) && r.started == 0 {
@@ -160,13 +160,13 @@
 	}
 	w.holding = false
 	w.nextHold = now.Add(renewPause)
-	w.unheard = res.Verdict == fleet.Unknown
-	if w.unheard {
+	w.lastUnanswered = res.Verdict == fleet.Unknown
+	if w.lastUnanswered {
 		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
 		w.nextHold = max(now, res.Sent.Add(renewPause))
 	}
-	w.settleLease(w.renewing, res.Verdict)
-	w.renewing = 0
+	w.grantedBy(w.renewalLapse, res.Verdict)
+	w.renewalLapse = 0
 	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -64,7 +64,8 @@
 	// acks is set if some worker's ends were noted since the last batch.
 	acks   bool
 	fenced bool
-	// assured is as of when it is known that nobody else was the owner; 0 if nobody tells.
+	// assured is as of when it is known that nobody else was the owner; 0 if nobody tells, as in a model that has no
+	// other host: leases are granted then.
 	assured unit.Instant
 	// withholds is set while leases aren't extended because of that.
 	withholds bool
@@ -147,7 +148,7 @@
 		return w
 	}
 	w = &worker{Listing: fleet.Listing{ID: name}, clockAt: now}
-	w.granted = d.lapseOf(now)
+	w.grantedUntil = d.lapseOf(now)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	d.order = slices.Insert(d.order, at, w)
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -103,7 +103,7 @@
 	if r.since == 0 {
 		r.since = now
 	}
-	r.asked, r.inFlight, r.granting = now, true, d.lapseOf(now)
+	r.asked, r.inFlight, r.startLapse = now, true, d.lapseOf(now)
 	r.orders++
 	s := r.step
 	d.orders.Starts = append(d.orders.Starts, Start{
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -99,7 +99,7 @@
 // known, nor how much a run that uses what others leave was slowed down.
 func (d *Dispatcher) resumeRun(now unit.Instant, s *stepState, index int, t *job.TaskState) {
 	w := d.worker(now, t.Worker)
-	w.granted = max(w.granted, d.lapseOf(now.Add(assuredFor))) // the earlier owner may not know of this one yet
+	w.grantedUntil = max(w.grantedUntil, d.lapseOf(now.Add(assuredFor))) // the earlier owner may not know of this one yet
 	r := &run{task: s.task(index), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s, since: now, asked: now, resumed: true}
 	if r.fills() {
 		r.slowed = fullSpeed - paceLeast
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -45,18 +45,18 @@
 // lapse returns when every lease on the worker has surely run out: those that may have been granted, and those of orders
 // under way.
 func (w *worker) lapse() unit.Instant {
-	last := max(w.granted, w.renewing)
+	last := max(w.grantedUntil, w.renewalLapse)
 	for _, r := range w.runs {
-		last = max(last, r.granting)
+		last = max(last, r.startLapse)
 	}
 	return last
 }
 
-// settleLease takes in what became of an order that was to grant a lease until a time. One that was surely not sent has
+// grantedBy takes in what became of an order that was to grant a lease until a time. One that was surely not sent has
 // granted none: without that, what was placed on a worker that has crashed waited 3.5 s longer, on an idle one 10.4 s.
-func (w *worker) settleLease(until unit.Instant, v fleet.Verdict) {
+func (w *worker) grantedBy(until unit.Instant, v fleet.Verdict) {
 	if v != fleet.Unreachable {
-		w.granted = max(w.granted, until)
+		w.grantedUntil = max(w.grantedUntil, until)
 	}
 }
 
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -44,7 +44,7 @@
 	w.listed, w.replaced, w.synced = false, true, 0
 	for _, o := range d.order {
 		if o.rivals(w) {
-			d.settle(o)
+			d.endContest(o)
 		}
 	}
 }
@@ -92,11 +92,11 @@
 			d.replace(now, o, laterAnswered)
 		}
 	}
-	d.settle(w)
+	d.endContest(w)
 }
 
-// settle notes that a worker has no rival any more, if that is so.
-func (d *Dispatcher) settle(w *worker) {
+// endContest notes that a worker has no rival any more, if that is so.
+func (d *Dispatcher) endContest(w *worker) {
 	for _, o := range d.order {
 		if o.rivals(w) && o.stands() {
 			return
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -200,7 +200,7 @@
 		}
 	}
 	d.occupy(r)
-	w.granted = max(w.granted, d.lapseOf(now.Add(assuredFor))) // some lease holds, perhaps of an order that was late
+	w.grantedUntil = max(w.grantedUntil, d.lapseOf(now.Add(assuredFor))) // some lease holds, perhaps of an order that was late
 	d.stop(now, r, "no placement is known for it")
 	return r
 }
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -178,9 +178,9 @@
 	}
 	o := Renew{Target: d.target(w), Told: w.durable}
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
-		o.Until, w.renewing = d.lease(now, w), d.lapseOf(now)
+		o.Until, w.renewalLapse = d.lease(now, w), d.lapseOf(now)
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.unheard && !w.hurry() {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.lastUnanswered && !w.hurry() {
 		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() || o.Until == 0 { // the next one may grant, before a lease of 6 s has lapsed
 			o.Wait = min(o.Wait, sharedWait)
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -23,7 +23,7 @@
 	if r.worker.runs.get(r.task) != r {
 		return
 	}
-	r.worker.granted = max(r.worker.granted, r.granting) // its order may be under way yet
+	r.worker.grantedUntil = max(r.worker.grantedUntil, r.startLapse) // its order may be under way yet
 	r.worker.recount(func() { r.worker.runs.remove(r.task) })
 	r.worker.used = r.worker.used.Sub(r.need)
 	if r.step == nil {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -119,8 +119,8 @@
 	// asked is when the last order to start was sent, orders how many were.
 	asked  unit.Instant
 	orders int
-	// granting is when the lease of an order to start that is under way has surely run out; 0 if none is.
-	granting unit.Instant
+	// startLapse is when the lease of an order to start that is under way has surely run out; 0 if none is.
+	startLapse unit.Instant
 	// inFlight is set while an order for the run has no verdict.
 	inFlight bool
 	// unanswered is set once an order to start has got no answer: it may be carried
@@ -143,7 +143,9 @@
 	return true
 }
 
-// worker is one life of a worker.
+// worker is one life of a worker. What is known of its answers, from the weakest on: answered says that it said anything,
+// synced that it told what runs there, confirmed that it did so since another life was known beside it, heard that it
+// answered lately, so that orders may extend its lease.
 type worker struct {
 	fleet.Listing
 	// pool and rackUse are what the worker counts in during this pass; nil if new tasks may
@@ -177,18 +179,18 @@
 	// one is due.
 	holding  bool
 	nextHold unit.Instant
-	// unheard is set if the last renewal got no answer. The next one doesn't wait for news, so that
+	// lastUnanswered is set if the last renewal got no answer. The next one doesn't wait for news, so that
 	// its loss shows 2 s earlier.
-	unheard bool
+	lastUnanswered bool
 	// pausedUntil keeps new tasks away, since pausedAt.
 	pausedAt, pausedUntil unit.Instant
 	// contested is when another life at the worker's address or of its machine was last listed; 0 if there
 	// is no such life. replaced is set once another life has answered in its place, until it is listed again.
 	contested unit.Instant
 	replaced  bool
-	// granted is when every lease that may have been granted has surely run out, renewing the same for the
+	// grantedUntil is when every lease that may have been granted has surely run out, renewalLapse the same for the
 	// renewal under way; 0 if that grants none.
-	granted, renewing unit.Instant
+	grantedUntil, renewalLapse unit.Instant
 	// streak counts failed ends of different jobs since the last success; lastFailed
 	// is the job of the newest one.
 	streak     int
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -211,7 +211,7 @@
 		x.record.Begun = append(x.record.Begun, m)
 		x.changed = true
 		x.carried[m] = now
-		d.askLives(now, m)
+		d.unconfirmLives(now, m)
 	case fleet.Fenced:
 		d.fenced = true
 	case fleet.Stale, fleet.Invalid:
@@ -227,9 +227,9 @@
 	}
 }
 
-// askLives asks the lives of a machine that was taken down. The platform answers the order alike if that was done
-// before, so that a life that answers now is the next one; an entry in the list proves nothing.
-func (d *Dispatcher) askLives(now unit.Instant, m id.Machine) {
+// unconfirmLives makes the lives of a machine that was taken down be asked anew: one that answers now is its next life,
+// or its maintenance was done before. An entry in the list proves nothing.
+func (d *Dispatcher) unconfirmLives(now unit.Instant, m id.Machine) {
 	for _, w := range d.order {
 		if w.Machine == m {
 			w.synced, w.askedAgain, w.nextHold = 0, now, min(w.nextHold, now)
