--- a/internal/faultproxy/shut.go
+++ b/internal/faultproxy/shut.go
@@ -51,32 +51,49 @@
 		p.mu.Unlock()
 		return nil
 	}
-	p.muted = make(chan struct{})
-	l := p.listener
+	muted := make(chan struct{})
+	p.muted = muted
+	err := errors.Join(p.listener.SetDeadline(time.Unix(1, 0)), setQueue(p.listener, 0))
 	p.mu.Unlock()
-	if err := errors.Join(l.SetDeadline(time.Unix(1, 0)), setQueue(l, 0)); err != nil {
+	if err != nil {
 		return err
 	}
-	return p.fill()
+	return p.fill(muted)
 }
 
-// fill opens connections until one goes unanswered.
-func (p *Proxy) fill() error {
+// fill opens connections until one goes unanswered, or until the Mute that it is part of has ended.
+func (p *Proxy) fill(muted chan struct{}) error {
 	for range mostFill {
 		c, err := net.DialTimeout("tcp", p.address, fillTime)
 		if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
 			return nil
 		}
+		if !p.keepFiller(muted, c) {
+			return nil
+		}
 		if err != nil {
 			return fmt.Errorf("faultproxy: %w", err)
 		}
-		p.mu.Lock()
-		p.fillers = append(p.fillers, c)
-		p.mu.Unlock()
 	}
 	return errNotFull
 }
 
+// keepFiller keeps a connection that fills the queue; nil if it wasn't opened. It reports false, and closes it, if the
+// Mute that it belongs to has ended: the port may have been closed under it.
+func (p *Proxy) keepFiller(muted chan struct{}, c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	mine := p.muted == muted
+	switch {
+	case c == nil:
+	case mine:
+		p.fillers = append(p.fillers, c)
+	default:
+		_ = c.Close() // it carried nothing
+	}
+	return mine
+}
+
 // Admit ends Refuse and Mute. The proxy listens at the same address as before.
 func (p *Proxy) Admit() error {
 	p.mu.Lock()
