world: tasks that crash their workers, and what holds of them

Cause: no model of ours had a task that ends the life of its worker, so that nothing of ours could show one that is started without end.

--- a/core/world/run.go
+++ b/core/world/run.go
@@ -50,6 +50,9 @@
 	l.lastStart = w.now
 	s.noteStart(w.now)
 	w.tally.Starts++
+	if s.CrashAfter > 0 && at == 0 {
+		w.Plan(s.CrashAfter, r.crash)
+	}
 	if r.step.Gang {
 		w.join(r)
 		return
@@ -195,6 +198,16 @@
 	}
 }
 
+// crash ends the life of the run's worker, if the run is still there.
+func (r *run) crash() {
+	if r.gone {
+		return
+	}
+	r.job.ledgerOf(r.task).crashes++
+	r.machine.world.tally.Crashes++
+	r.machine.die(r.machine.world.setup.Times.Restart)
+}
+
 // leave frees the run's room and counts the work that is lost.
 func (r *run) leave(done bool) {
 	m, w := r.machine, r.machine.world
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -89,6 +89,8 @@
 	// Stop is how long a task holds its room after an order to stop, Restore how long one takes to
 	// go on from a checkpoint.
 	Stop, Restore time.Duration
+	// Restart is how long a worker that a task has crashed is away.
+	Restart time.Duration
 	// Look is the time between two looks at the group of hosts, MemberTTL how long the store
 	// still lists a host that is silent.
 	Look, MemberTTL time.Duration
@@ -106,6 +108,9 @@
 	Takes []time.Duration
 	// FailShare is the chance that a run fails; 1 for a job that can't be done.
 	FailShare float64
+	// CrashAfter is how long after its start each run of the job's first task ends its worker's life; 0 for a job that
+	// crashes no worker.
+	CrashAfter time.Duration
 	// CancelAfter is when the customer cancels the job; 0 for never.
 	CancelAfter time.Duration
 	// Kind groups jobs in what is reported.
--- a/core/world/tally.go
+++ b/core/world/tally.go
@@ -117,6 +117,8 @@
 type Tally struct {
 	// Starts counts the runs that workers began; the others how they ended.
 	Starts, Done, Failed, Stopped, Lapsed, Broken, Alone, Vanished int
+	// Crashes counts the lives of workers that tasks have ended.
+	Crashes int
 	// Useful and Wasted are the core-seconds of runs that ended with success, and of work that
 	// was neither done nor saved.
 	Useful, Wasted float64
