dispatch: crashes of workers are counted against the tasks that began there

Cause: only ends that a worker lists used up attempts, and a worker that crashes lists none. Its runs were put back to wait when its next life answered, and placed again in the same pass, without a bound. Class: a failure without a report isn't counted as one. Ruled out: a count that is lost with the owner (the incident shows seven runs under one). Change: the end of a worker's life without a word counts under each task that may have begun there, once for each run, in the record of the job, so that it survives the owner; a job that crashed three workers in a row at once, or five in all, ends as failed. A task that was there is a suspect and starts where nothing else is new (policy isolate_suspects), so that who only ran beside it shows it: its next run goes on for 300 ms. Workers that leave, that are taken down, and that were never reached don't count; a worker that tells of such a run after all takes its count back; crashes long after a start don't count if other workers crashed within 10 s. Jobs under which nothing crashed are encoded as before.

--- a/core/dispatch/check.go
+++ b/core/dispatch/check.go
@@ -28,6 +28,9 @@
 	if t.Failed >= js.spec.MaxAttempts && !s.step.LongRunning {
 		return "the task has no attempts left"
 	}
+	if c := s.crashCount(r.task.Index); c != nil && spent(c) {
+		return "the task has crashed as many workers as it may"
+	}
 	if !js.ready(s) {
 		return "a step before has not ended"
 	}
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -40,6 +40,8 @@
 	// is.
 	pools map[id.Service]*pool
 	racks map[rackName]*rackUse
+	// lifeEnds holds the crashes of workers of the last commonCause.
+	lifeEnds []lifeEnd
 	// window bounds the starts under way.
 	window window
 	// claims counts the gangs that room is kept for without stopping anybody.
@@ -147,7 +149,7 @@
 	if w != nil {
 		return w
 	}
-	w = &worker{Listing: fleet.Listing{ID: name}, clockAt: now}
+	w = &worker{Listing: fleet.Listing{ID: name}, clockAt: now, since: now}
 	w.grantedUntil = d.lapseOf(now)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -119,8 +119,8 @@
 	d.orders.Stops = append(d.orders.Stops, Stop{Target: d.target(r.worker), Task: r.task, Run: r.number})
 }
 
-// place decides that a task runs on a worker. The order leaves after the next batch.
-func (d *Dispatcher) place(s *stepState, index int, w *worker, number job.Run) {
+// place decides that a task runs on a worker, and returns the run. The order leaves after the next batch.
+func (d *Dispatcher) place(s *stepState, index int, w *worker, number job.Run) *run {
 	js := s.job
 	if len(js.progress.Tasks) == 0 {
 		js.progress.Tasks = make([]job.TaskState, js.spec.RoundCount()*js.spec.Width())
@@ -133,4 +133,5 @@
 	d.window.under++
 	d.mark(js)
 	d.noteRun(EventTaskPlaced, r, string(w.Rack), 0)
+	return r
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -24,7 +24,7 @@
 	if d.jobs[name] != nil {
 		return
 	}
-	p.Tasks = slices.Clone(p.Tasks)
+	p.Tasks, p.Crashes = slices.Clone(p.Tasks), slices.Clone(p.Crashes)
 	js := &jobState{id: name, spec: s, progress: p, seen: now}
 	d.jobs[name] = js
 	if p.Outcome == job.Open {
@@ -72,6 +72,9 @@
 // compareJobs orders jobs by id.
 func compareJobs(a, b *jobState) int { return cmp.Compare(a.id, b.id) }
 
+// dropTasks forgets what is known of the tasks of a job that has ended.
+func (js *jobState) dropTasks() { js.progress.Tasks, js.progress.Crashes = nil, nil }
+
 // resume takes over what an earlier owner has placed.
 func (d *Dispatcher) resume(now unit.Instant, js *jobState) {
 	for _, s := range js.steps {
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -49,6 +49,14 @@
 	EventUnknownEnd Event = "unknown-end"
 	// EventTaskLost: a run has surely ended, and nobody says how.
 	EventTaskLost Event = "task-lost"
+	// EventCrashCounted: a worker's life has ended under a run, without a word; why tells the counts, the age is how long
+	// after the run's start the worker last answered.
+	EventCrashCounted Event = "crash-counted"
+	// EventCrashRetracted: a worker that was taken to have crashed under a run tells of it.
+	EventCrashRetracted Event = "crash-retracted"
+	// EventTaskIsolated: a task under which a worker has crashed is placed where nothing else begins until it has gone on
+	// for a while; why says beside what.
+	EventTaskIsolated Event = "task-isolated"
 	// EventTaskVanished: a worker doesn't list a run any more; the age is the answer's.
 	EventTaskVanished Event = "task-vanished"
 	// EventAdviceAsked: the advice service is asked for a step; the estimate is how long
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -13,6 +13,7 @@
 	if r == nil {
 		n.Event = EventUnknownEnd
 		d.note(n)
+		d.retractCrash(w, e.Task, e.Run)
 		d.lateSuccess(now, e)
 		return
 	}
@@ -82,6 +83,7 @@
 			s.done++
 		}
 	}
+	s.dropCrashes(index)
 	d.mark(s.job)
 	if s.done == s.step.Count && !s.counted {
 		s.counted = true
@@ -155,6 +157,7 @@
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
 		}
+		d.clearSuspicion(r)
 	}
 	for _, r := range w.sorted() {
 		if listed[r.task] || ended[r.task] || res.Report.MoreEnds {
@@ -191,6 +194,7 @@
 // discover takes in a run that no record tells of, and stops it. Until it has ended its task isn't started again.
 func (d *Dispatcher) discover(now unit.Instant, w *worker, x fleet.Running) *run {
 	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now, resumed: true}
+	d.retractCrash(w, x.Task, x.Run)
 	if js := d.jobs[x.Task.Job]; js != nil {
 		if s := js.stepOf(x.Task); s != nil {
 			r.need = s.step.Reserved()
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -185,6 +185,9 @@
 		if w.shared() || o.Until == 0 { // the next one may grant, before a lease of 6 s has lapsed
 			o.Wait = min(o.Wait, sharedWait)
 		}
+		if w.shielded() {
+			o.Wait = min(o.Wait, shieldedWait)
+		}
 	}
 	w.holding = true
 	d.orders.Renews = append(d.orders.Renews, o)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -53,6 +54,15 @@
 	}
 	c.possible = c.step.notRefused(p.with(c.step.step.Label))
 	fits := c.elsewhere(now, c.step.permitted(now, c.possible))
+	if d.gangApart(now, &c) {
+		return d.placeSuspectGang(now, c, fits)
+	}
+	if !c.step.step.Gang && !d.placeSuspects(now, &c, fits) {
+		c.step.waitingSince = cmp.Or(c.step.waitingSince, now)
+	}
+	if len(c.waiting) == 0 {
+		return true
+	}
 	if d.heldBack(now, c, p, fits) {
 		if !d.idle(now, c, p, fits) {
 			return false
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -101,7 +101,7 @@
 		free := w.free()
 		for _, r := range w.runs {
 			if r.state == runStopping || r.step != nil && !r.step.step.LongRunning && d.remaining(now, r) <= horizon {
-				free = free.Add(r.need)
+				free = free.Add(r.taken())
 			}
 		}
 		return free, nil, 0
@@ -116,7 +116,7 @@
 	for _, r := range w.runs {
 		switch {
 		case r.state == runStopping:
-			free = free.Add(r.need)
+			free = free.Add(r.taken())
 		case r.step != nil && r.step.job.spec.Priority > c.step.job.spec.Priority && mayStopAll(r):
 			others = append(others, r)
 		}
@@ -131,7 +131,7 @@
 	slices.SortStableFunc(others, func(a, b *run) int { return cmp.Compare(costs[a], costs[b]) })
 	victims, cost := pick(others, costs, free, need)
 	for _, v := range victims {
-		free = free.Add(v.need)
+		free = free.Add(v.taken())
 	}
 	return free, victims, cost
 }
@@ -144,15 +144,15 @@
 		if need.Fits(free) {
 			break
 		}
-		free = free.Add(r.need)
+		free = free.Add(r.taken())
 		victims = append(victims, r)
 	}
 	if !need.Fits(free) {
 		return nil, 0
 	}
 	for i := len(victims) - 1; i >= 0; i-- {
-		if need.Fits(free.Sub(victims[i].need)) {
-			free = free.Sub(victims[i].need)
+		if need.Fits(free.Sub(victims[i].taken())) {
+			free = free.Sub(victims[i].taken())
 			victims = slices.Delete(victims, i, i+1)
 		}
 	}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -12,7 +12,7 @@
 // occupy makes a run take room on its worker.
 func (d *Dispatcher) occupy(r *run) {
 	r.worker.recount(func() { r.worker.runs.put(r) })
-	r.worker.used = r.worker.used.Add(r.need)
+	r.worker.used = r.worker.used.Add(r.taken())
 	if r.step != nil {
 		r.step.runs[r.task.Index] = r
 	}
@@ -25,7 +25,7 @@
 	}
 	r.worker.grantedUntil = max(r.worker.grantedUntil, r.startLapse) // its order may be under way yet
 	r.worker.recount(func() { r.worker.runs.remove(r.task) })
-	r.worker.used = r.worker.used.Sub(r.need)
+	r.worker.used = r.worker.used.Sub(r.taken())
 	if r.step == nil {
 		return
 	}
@@ -34,11 +34,14 @@
 	}
 	js := r.step.job
 	if js.progress.Outcome != job.Open && !js.busy() {
-		js.progress.Tasks = nil
+		js.dropTasks()
 		d.mark(js)
 	}
 }
 
+// taken returns what a run takes of its worker's room.
+func (r *run) taken() job.Resources { return r.need.Add(r.shield) }
+
 // usage returns how much of a service's capacity is taken: of the resource of which
 // most is free. Workers that take no new tasks count, as far as the list has them.
 func (d *Dispatcher) usage(name id.Service) float64 {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -94,6 +94,8 @@
 	state  runState
 	worker *worker
 	need   job.Resources
+	// shield is the room beside the run that is kept empty: what its worker had free when a suspect was placed there.
+	shield job.Resources
 	// step is nil if the job is not known any more; such a run is stopped.
 	step *stepState
 	// since is when the order was first sent, or when the run was first seen.
@@ -154,6 +156,8 @@
 	rackUse *rackUse
 	// held is set while the worker's machine is to go down for maintenance.
 	held bool
+	// since is when this owner first knew of the worker.
+	since unit.Instant
 	// listed is set while the platform's list has the worker.
 	listed bool
 	// leaves is when a draining worker may be gone.
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -32,7 +32,7 @@
 		d.stopAll(now, js, why)
 	}
 	if !js.busy() {
-		js.progress.Tasks = nil
+		js.dropTasks()
 	}
 	d.mark(js)
 	d.noteJob(EventJobEnded, now, js, why, js.spec.LongestChain())
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -228,6 +228,21 @@
 	Checkpoint string
 }
 
+// CrashCount counts lives of workers that have ended, without a word, under runs of one task or gang.
+type CrashCount struct {
+	_ struct{} `cbor:",toarray"`
+	// Task is the position of the task in Progress.Tasks; a gang's is that of its first one.
+	Task int
+	// Run is the last run that was counted, Worker the life that ended under it: each counts once, whoever finds out and
+	// however often.
+	Run    Run
+	Worker id.Worker
+	// AtOnce counts the newest of these lives in a row that ended soon after the run had begun. It is at most All.
+	AtOnce int
+	// All counts those in a row without a run that has worked for long.
+	All int
+}
+
 // Outcome is how a job ended.
 type Outcome int
 
@@ -248,6 +263,8 @@
 	// Tasks are ordered by round, step and index; empty if no task ever began or
 	// the job has ended.
 	Tasks []TaskState
+	// Crashes has the tasks under which lives of workers have ended, few or none. It is empty if Tasks is.
+	Crashes []CrashCount
 }
 
 // Began reports whether some task of the job was ever ordered to start.
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -42,6 +42,7 @@
 
 	specs     codec.Codec[job.Spec]
 	progress  codec.Codec[job.Progress]
+	plain     codec.Codec[plainProgress]
 	owners    codec.Codec[Owner]
 	waveCodec codec.Codec[Wave]
 }
@@ -53,6 +54,7 @@
 		waves:     map[id.Wave]Wave{},
 		specs:     codec.New[job.Spec](),
 		progress:  codec.New[job.Progress](),
+		plain:     codec.New[plainProgress](),
 		owners:    codec.New[Owner](),
 		waveCodec: codec.New[Wave](),
 	}
@@ -189,7 +191,7 @@
 		t.prune(j)
 		return nil
 	}
-	p, err := t.progress.Decode(value)
+	p, err := t.decodeProgress(value)
 	if err != nil {
 		return fmt.Errorf("jobtable: progress of %s: %w", j, err)
 	}
--- a/core/jobtable/record.go
+++ b/core/jobtable/record.go
@@ -54,7 +54,7 @@
 
 // ProgressRecord returns the record of a job's progress.
 func (t *Table) ProgressRecord(j id.Job, p job.Progress) (Record, error) {
-	b, err := t.progress.Encode(p)
+	b, err := t.encodeProgress(p)
 	return Record{Key: progressPrefix + string(j), Value: b}, err
 }
 
