soak: jobs that crash the workers that start them

Cause: no plan of the soak had a task that ends its worker, so that none could show one that is started without end.

--- a/soak/bounds_test.go
+++ b/soak/bounds_test.go
@@ -21,4 +21,7 @@
 	memoryLimit = 284 << 20              // bytes that a process may hold
 	mostFiles   = 400                    // descriptors: 8 to each of 30 workers, links, listeners, callers
 	refusals    = 3                      // orders that a refused owner may repeat after handover
+	fewCrashes  = 2                      // workers that a task must have crashed to be given up
+	mostCrashes = 3                      // after so many it is started at most
+	lastStarts  = 2                      // times more
 )
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -198,6 +198,9 @@
 // submit hands a job in until it is taken; a third of the callers leave after a refusal.
 func (c *caller) submit(job string) {
 	text, steps := c.draw()
+	if c.all.site.poison() {
+		text, steps = crashes, []standin.Step{{Count: 1}}
+	}
 	q := c.all.site.queue()
 	c.all.mu.Lock()
 	c.all.queues[job] = q
--- a/soak/judge_call_test.go
+++ b/soak/judge_call_test.go
@@ -100,8 +100,11 @@
 	}
 }
 
-// spent reports whether some task of a job has failed as often as it may.
+// spent reports whether some task of a job has failed as often as it may, or crashed as many workers.
 func (j *judge) spent(name string, x *jobSeen) bool {
+	if x.text == crashes && j.task(name+".0.0.0").crashes >= fewCrashes {
+		return true
+	}
 	for i, step := range x.steps {
 		all := 0
 		for n := range step.Count {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -58,12 +58,18 @@
 	start, end time.Duration // end is 0 while it runs
 	how        string
 	noted      bool
+	// crashes is set if each start of the task crashes its worker.
+	crashes bool
 	// against is a run that seems to be on another worker at once, until its end is told.
 	against *runSeen
 }
 
 // taskSeen is the runs of a task, in the order in which they were told.
-type taskSeen struct{ runs []*runSeen }
+type taskSeen struct {
+	runs []*runSeen
+	// crashes counts the workers that it has crashed, startsAfter its starts after mostCrashes of them.
+	crashes, startsAfter int
+}
 
 // workerSeen is one life of a worker.
 type workerSeen struct {
--- a/soak/judge_worker_test.go
+++ b/soak/judge_worker_test.go
@@ -65,6 +65,11 @@
 	if w.drainsAt > 0 && e.At > w.drainsAt+patience*drainTime && j.allCalm() {
 		j.fail("drain", "%s was started on %s, which leaves since %v", e.Task, e.Worker, w.drainsAt)
 	}
+	if t := j.task(e.Task); t.crashes >= mostCrashes {
+		if t.startsAfter++; t.startsAfter > lastStarts {
+			j.fail("budget", "%s run %d is start %d after it had crashed %d workers", e.Task, e.Run, t.startsAfter, t.crashes)
+		}
+	}
 	if j.failures(j.task(e.Task), true) >= maxAttempts {
 		j.fail("budget", "%s run %d follows %d that failed", e.Task, e.Run, maxAttempts)
 	}
@@ -106,7 +111,7 @@
 // little late.
 func (j *judge) start(e event, w *workerSeen) {
 	t := j.task(e.Task)
-	r := &runSeen{worker: e.Worker, number: e.Run, start: e.At}
+	r := &runSeen{worker: e.Worker, number: e.Run, start: e.At, crashes: e.Text == crashes}
 	for _, other := range t.runs {
 		if other.how == "done" && other.noted && e.At > other.end {
 			j.fail("twice", "%s run %d on %s was started although run %d was done at %v", e.Task, e.Run, e.Worker, other.number, other.end)
@@ -171,6 +176,9 @@
 		for _, r := range t.runs {
 			if r.worker == e.Worker && r.end == 0 {
 				r.end, r.how = e.At, "gone"
+				if r.crashes {
+					t.crashes++
+				}
 				j.acquit(name, t, r)
 			}
 		}
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -48,6 +48,9 @@
 	calm    bool
 	lives   int
 	random  *rand.Rand
+	// poisons is how many jobs that crash workers callers are to hand in, crashing their workers that are away.
+	poisons  int
+	crashing sync.WaitGroup
 }
 
 // work is what the jobs' texts do.
@@ -56,9 +59,17 @@
 	"flaky": {Time: failTime, FailsFirst: true}, "fails": {Time: atOnceTime, Fails: true},
 	"gang": {Time: 400 * time.Millisecond, Members: gangMembers},
 	// The rest is in wide plans only, the last where they change queues.
-	"longest": {Time: 6 * time.Second}, "fails late": {Time: 1500 * time.Millisecond, Fails: true},
+	"longest": {Time: 6 * time.Second}, "fails late": {Time: 1500 * time.Millisecond, Fails: true}, crashes: {Time: 2 * time.Second},
 }
 
+const (
+	// crashes is what a job's text says of which each start ends its worker's life after crashTime.
+	crashes   = "crashes"
+	crashTime = 10 * time.Millisecond
+	// leastAway and mostAway bound how long such a worker is away. The platform's are back after some seconds.
+	leastAway, mostAway = 300 * time.Millisecond, 2500 * time.Millisecond
+)
+
 // failTime is how long a task of which the first run fails works before that: longer than what the
 // owner takes for a worker's fault. atOnceTime is the same for one that always fails, within what it
 // takes for that: such jobs once suspended all workers of a small site for good.
@@ -135,6 +146,9 @@
 
 // seen hands on what a worker tells.
 func (s *site) seen(x standin.Seen) {
+	if x.Kind == standin.SeenStart && x.Text == crashes {
+		s.crashing.Go(func() { s.crash(x.Worker) })
+	}
 	s.tell(event{At: x.At.Sub(s.began), Kind: kind(x.Kind), Worker: x.Worker, Task: x.Task, Run: x.Run, Text: x.Text, Epoch: x.Epoch, How: x.How})
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -205,6 +205,7 @@
 	all.newCaller(p.seed, callersOf).askAll(time.Now().Add(endTime))
 	t.Logf("all jobs have ended after %v", time.Since(s.began))
 	s.awaitRest(time.Now().Add(endTime))
+	s.crashing.Wait()
 	t.Logf("all runs have ended after %v", time.Since(s.began))
 	s.measure()
 	stopAsking()
--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -45,6 +45,7 @@
 	{4, time.Second, movesKinds},
 	{6, time.Second, leavesKinds},
 	{7, time.Second, answersKinds},
+	{8, 4 * time.Second, poisonKinds},
 }
 
 var livesKinds = []wideKind{
@@ -85,6 +86,11 @@
 	{"lapsed", []string{"refuse", "mute", "both"}, 1, 11 * time.Second, 14 * time.Second},
 }
 
+var poisonKinds = []wideKind{
+	// A job is handed in of which each start crashes its worker.
+	{"poison", []string{"job"}, 1, 0, 0},
+}
+
 // tornBy is how far apart a worker takes its two lists.
 const tornBy = time.Millisecond
 
@@ -135,6 +141,10 @@
 		s.store.Forget()
 	case "queues":
 		s.configure()
+	case "poison":
+		s.mu.Lock()
+		s.poisons++
+		s.mu.Unlock()
 	case "turns":
 		s.turns(f)
 	case "lapse":
@@ -206,6 +216,28 @@
 	w.start()
 }
 
+// crash ends a life that has started a task which crashes workers, a moment after that.
+func (s *site) crash(name string) {
+	time.Sleep(crashTime)
+	away := leastAway + time.Duration(s.chance(int(mostAway-leastAway)))
+	for _, w := range s.workers {
+		if life, _ := w.present(); life != nil && life.ID() == name {
+			s.strikeLife(w, life, fault{what: "reborn", lasts: away})
+		}
+	}
+}
+
+// poison reports whether the next job is to crash workers.
+func (s *site) poison() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.poisons == 0 {
+		return false
+	}
+	s.poisons--
+	return true
+}
+
 // apart cuts a life from the store and from the hosts, or joins it again. Hosts that connect are refused, get
 // no answer, or connect to nobody.
 func (w *worker) apart(life *standin.Worker, how string, begins bool) {
