platform, entry: only workers' own entries make workers

Change: an entry is checked once, where it is decoded, with an error that names key and field; one that isn't a worker's own takes the worker off the list, whose runs go on by its answers and leases. One log line for each change of such an entry, and a counter.

--- a/internal/entry/foreign_internal_test.go
+++ b/internal/entry/foreign_internal_test.go
@@ -24,7 +24,7 @@
 		o := newOwnerOf(t, &hangingWorkers{under: map[string]int{}})
 		core, lines := observer.New(zap.InfoLevel)
 		o.host.log = zap.New(core)
-		o.core, o.listed = dispatch.New(dispatch.Config{}, policy.New(), 1, jobtable.New()), map[id.Worker]bool{}
+		o.core = dispatch.New(dispatch.Config{}, policy.New(), 1, jobtable.New())
 		good := fmt.Appendf(nil, `{"Backend":"s","Address":"10.0.0.9:80","Zone":"z","Version":"v1","Slots":8,"State":"ready",
 "ColdRemainingMs":0,"Capacity":{"Cpu":8000,"MemMb":8000,"Gpus":8},"Labels":["a","r1"],"ClockMs":1,"Seq":1}`)
 		steps := []struct {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -22,7 +22,9 @@
 	takeovers prometheus.Counter
 	decisions *prometheus.CounterVec
 	faults    prometheus.Counter
-	gathered  prometheus.Counter
+	// rejected counts the entries of the list of workers that were left out.
+	rejected prometheus.Counter
+	gathered prometheus.Counter
 	// heard counts the owner's answers to this host's questions.
 	heard    prometheus.Counter
 	requests *prometheus.HistogramVec
@@ -45,6 +47,9 @@
 	m.faults = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_faults_total", Help: "Invariants found violated.",
 	})
+	m.rejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_listings_rejected_total", Help: "Entries of the list of workers that no worker has written, or that were damaged.",
+	})
 	m.requests = histogram("curlewsill_request_seconds", "Clients' calls by method and status.", "method", "status")
 	m.store = histogram("curlewsill_store_seconds", "Calls to the store by kind and outcome.", "call", "outcome")
 	m.orders = histogram("curlewsill_order_seconds", "Orders to workers by kind and verdict.", "order", "verdict")
@@ -71,7 +76,7 @@
 	m.ordersDropped = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_orders_dropped_total", Help: "Orders to workers for which there was no room to wait.",
 	})
-	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.decisions,
+	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.rejected, m.decisions,
 		m.requests, m.store, m.orders, owning)
 	return m
 }
--- a/internal/entry/orders_internal_test.go
+++ b/internal/entry/orders_internal_test.go
@@ -118,7 +118,9 @@
 	}
 	boxes := newOutboxes()
 	t.Cleanup(boxes.close)
-	return &owner{host: h, boxes: boxes, cancel: boxes.close}
+	return &owner{
+		host: h, boxes: boxes, cancel: boxes.close, listed: map[id.Worker]bool{}, rejected: map[id.Worker]uint64{},
+	}
 }
 
 func target(n int) dispatch.Target {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +39,8 @@
 	reports *ring.Ring[dispatch.WaveReport]
 	// listed holds the workers in the platform's list.
 	listed map[id.Worker]bool
+	// rejected holds the entries of that list that were left out, by a digest of what was last written.
+	rejected map[id.Worker]uint64
 }
 
 // learn takes in what the table says of a job.
@@ -69,6 +73,7 @@
 			o.unlist(now, w)
 		}
 	}
+	maps.DeleteFunc(o.rejected, func(w id.Worker, _ uint64) bool { return !there[w] })
 	o.list(now, recs)
 }
 
@@ -76,19 +81,40 @@
 func (o *owner) list(now unit.Instant, recs []jobtable.Record) {
 	for _, r := range recs {
 		if len(r.Value) == 0 {
+			delete(o.rejected, id.Worker(r.Key))
 			o.unlist(now, id.Worker(r.Key))
 			continue
 		}
 		l, err := platform.DecodeListing(r.Key, r.Value)
 		if err != nil {
-			o.host.log.Error("listing-rejected", zap.Error(err))
+			o.reject(now, r, err)
 			continue
 		}
+		delete(o.rejected, l.ID)
 		o.listed[l.ID] = true
 		o.core.List(now, l)
 	}
 }
 
+// digestSeed is that of all digests of rejected entries of this process.
+var digestSeed = maphash.MakeSeed()
+
+// reject takes in an entry of the list of workers that isn't a worker's own: the worker of that name gets no tasks until it has written its
+// entry again. What runs there goes on by its answers and leases. Each such entry is told once, however often it is read.
+func (o *owner) reject(now unit.Instant, r jobtable.Record, err error) {
+	name := id.Worker(r.Key)
+	if o.listed[name] {
+		o.unlist(now, name)
+	}
+	digest := maphash.Bytes(digestSeed, r.Value)
+	if old, known := o.rejected[name]; known && old == digest {
+		return
+	}
+	o.rejected[name] = digest
+	o.host.metrics.rejected.Inc()
+	o.host.log.Error("listing-rejected", zap.String("worker", r.Key), zap.Error(err))
+}
+
 // unlist takes in that the list has dropped a worker.
 func (o *owner) unlist(now unit.Instant, w id.Worker) {
 	delete(o.listed, w)
