entry, boottime: what is believed of others ages while the machine is suspended

Cause: Go's steady clock stands still while a machine is suspended, so that an owner took an assurance from before for a new one: it extended leases and started tasks though another host might have claimed meanwhile. Change: a host judges by CLOCK_BOOTTIME, injected by New; times at which calls left are taken by it too; a suspension is one log line and a counter. Figures: TestOwnerSuspended fails with the clock that stands still (1 record decided 10.2 s after the last assurance) and passes. Not played: no machine of ours can be suspended; that the system's clock counts it is the platform's word.

--- a/cmd/curlewsilld/cmd/site.go
+++ b/cmd/curlewsilld/cmd/site.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/internal/boottime"
 	"curlewsill.org/curlewsill/internal/entry"
 	"curlewsill.org/curlewsill/internal/logging"
 	"curlewsill.org/curlewsill/internal/settings"
@@ -52,7 +53,11 @@
 		return err
 	}
 	defer log.Flush()
-	h, err := entry.New(s, log.Logger)
+	clock, err := boottime.New()
+	if err != nil {
+		return err
+	}
+	h, err := entry.New(s, clock, log.Logger)
 	if err != nil {
 		return err
 	}
--- a/internal/entry/assure.go
+++ b/internal/entry/assure.go
@@ -27,9 +27,7 @@
 )
 
 // assure notes that a read of the jobs which left at a time has told of no other owner. What it has told is taken in.
-func (h *Host) assure(left time.Time) {
-	h.assured = max(h.assured, unit.At(h.start).Add(left.Sub(h.start)))
-}
+func (h *Host) assure(left unit.Instant) { h.assured = max(h.assured, left) }
 
 // otherHost is another host as the newest look that showed it did.
 type otherHost struct {
@@ -52,7 +50,7 @@
 // seekAssurance asks all other hosts whether they know of another owner, while this host is the owner and doesn't
 // learn it from the store. What it knows is as old as the oldest of their newest answers.
 func (h *Host) seekAssurance(ctx context.Context) {
-	agreed := map[string]time.Time{}
+	agreed := map[string]unit.Instant{}
 	for pause(ctx, seekEvery) {
 		var others []string
 		unread, ok := ask(ctx, h, func(now unit.Instant) bool {
@@ -64,14 +62,12 @@
 		if !ok || !unread {
 			continue
 		}
-		oldest := time.Now()
+		oldest := h.now()
 		for _, a := range h.whoAgrees(ctx, others) {
 			agreed[a] = oldest
 		}
 		for _, a := range others {
-			if agreed[a].Before(oldest) {
-				oldest = agreed[a] // long ago for a host that has never answered
-			}
+			oldest = min(oldest, agreed[a]) // long ago for a host that has never answered
 		}
 		h.post(ctx, func(unit.Instant) { h.assure(oldest) })
 	}
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -17,6 +17,7 @@
 	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/boottime"
 	"curlewsill.org/curlewsill/internal/entry"
 	"curlewsill.org/curlewsill/internal/settings"
 	"curlewsill.org/curlewsill/platform/standin"
@@ -48,12 +49,16 @@
 		name := fmt.Sprintf("worker-%d", i)
 		store.PutWorker(name, listenCounting(b, standin.NewWorker(name, map[string]standin.Work{"bench": {Time: benchTaskLength}}), &opened))
 	}
+	clock, err := boottime.New()
+	if err != nil {
+		b.Fatal(err)
+	}
 	h, err := entry.New(settings.Site{
 		Host: "host", Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
 		Store: address, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Cores: 1, Link: 1000, Grace: 3 * time.Second,
 		Policy:  policy.New(),
 		Workers: dispatch.Config{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute},
-	}, zap.NewNop())
+	}, clock, zap.NewNop())
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -83,7 +82,7 @@
 	}
 	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
 	go func() {
-		left := time.Now()
+		left := h.now()
 		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1})
 		h.post(ctx, func(now unit.Instant) {
 			if err == nil {
--- a/internal/entry/claim_internal_test.go
+++ b/internal/entry/claim_internal_test.go
@@ -34,7 +34,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			h := &Host{
-				log: zap.NewNop(), metrics: newMetrics(), self: "small#1", table: jobtable.New(), start: time.Now(), watchers: watchers{},
+				log: zap.NewNop(), metrics: newMetrics(), self: "small#1", table: jobtable.New(), clock: newTestClock(), watchers: watchers{},
 				election: election.New(election.Member{Host: "small#1", Ability: 100}),
 			}
 			group := []election.Member{{Host: "small#1", Ability: 100}, {Host: "large#1", Ability: 500}}
@@ -65,7 +65,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &storeAnswer{status: http.StatusServiceUnavailable}
 		h := &Host{
-			log: zap.NewNop(), metrics: newMetrics(), self: "a#1", table: jobtable.New(), events: ring.New[event](events), start: time.Now(),
+			log: zap.NewNop(), metrics: newMetrics(), self: "a#1", table: jobtable.New(), events: ring.New[event](events), clock: newTestClock(),
 			store: platform.NewStore("store", &http.Client{Transport: store}), loaded: true,
 			election: election.New(election.Member{Host: "a#1", Ability: 100}),
 		}
@@ -88,7 +88,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &storeAnswer{silent: true}
 		h := &Host{
-			log: zap.NewNop(), metrics: newMetrics(), table: jobtable.New(), events: ring.New[event](events), start: time.Now(),
+			log: zap.NewNop(), metrics: newMetrics(), table: jobtable.New(), events: ring.New[event](events), clock: newTestClock(),
 			store: platform.NewStore("store", &http.Client{Transport: store}), loaded: true,
 			election: election.New(election.Member{Host: "small", Ability: 100}),
 		}
--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -65,6 +65,7 @@
 
 // pass does what is due.
 func (h *Host) pass(ctx context.Context, now unit.Instant) {
+	h.noteSuspension()
 	h.ready.Store(h.loaded && h.catalog.Load() != nil && !h.stopping.Load())
 	if h.owner != nil {
 		h.owner.pass(ctx, now)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -104,8 +104,9 @@
 	stopOnce sync.Once
 	stopped  chan struct{}
 
-	// start is when the process began; its steady clock counts on from there.
-	start time.Time
+	clock Clock
+	// suspended is for how long the machine had been suspended when that was last looked at.
+	suspended time.Duration
 	// wake cuts the pause between two reads of the jobs short.
 	wake chan struct{}
 
@@ -137,8 +138,16 @@
 	others map[id.Host]otherHost
 }
 
+// Clock tells the time by which a host judges what it believes of others.
+type Clock interface {
+	// Now never jumps, and goes on while the machine is suspended.
+	Now() unit.Instant
+	// Suspended is for how long the machine was suspended up to now.
+	Suspended() time.Duration
+}
+
 // New returns a host whose listeners are open.
-func New(s settings.Site, log *zap.Logger) (*Host, error) {
+func New(s settings.Site, clock Clock, log *zap.Logger) (*Host, error) {
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	self, err := drawName(s.Host)
 	if err != nil {
@@ -159,7 +168,7 @@
 		advice:   platform.NewAdvice(s.Advice, &http.Client{Transport: advicePath}, log),
 		machines: platform.NewMachines(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](events), stopped: make(chan struct{}),
-		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), start: time.Now(),
+		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), clock: clock,
 		others: map[id.Host]otherHost{}, watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
@@ -194,8 +203,8 @@
 	return life
 }
 
-// now is the time by a clock that never jumps.
-func (h *Host) now() unit.Instant { return unit.At(h.start).Add(time.Since(h.start)) }
+// now is the time by a clock that never jumps, and counts suspensions: what is believed of other machines ages meanwhile.
+func (h *Host) now() unit.Instant { return h.clock.Now() }
 
 // post hands news to the deciding goroutine.
 func (h *Host) post(ctx context.Context, e event) bool { return h.events.Push(ctx, e) }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -24,7 +24,9 @@
 	faults    prometheus.Counter
 	// rejected counts the entries of the list of workers that were left out.
 	rejected prometheus.Counter
-	gathered prometheus.Counter
+	// suspensions counts how often the machine was suspended.
+	suspensions prometheus.Counter
+	gathered    prometheus.Counter
 	// heard counts the owner's answers to this host's questions.
 	heard    prometheus.Counter
 	requests *prometheus.HistogramVec
@@ -50,6 +52,9 @@
 	m.rejected = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_listings_rejected_total", Help: "Entries of the list of workers that no worker has written, or that were damaged.",
 	})
+	m.suspensions = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_suspensions_total", Help: "Times that this machine was suspended.",
+	})
 	m.requests = histogram("curlewsill_request_seconds", "Clients' calls by method and status.", "method", "status")
 	m.store = histogram("curlewsill_store_seconds", "Calls to the store by kind and outcome.", "call", "outcome")
 	m.orders = histogram("curlewsill_order_seconds", "Orders to workers by kind and verdict.", "order", "verdict")
@@ -76,7 +81,7 @@
 	m.ordersDropped = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_orders_dropped_total", Help: "Orders to workers for which there was no room to wait.",
 	})
-	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.rejected, m.decisions,
+	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.rejected, m.suspensions, m.decisions,
 		m.requests, m.store, m.orders, owning)
 	return m
 }
--- a/internal/entry/orders_internal_test.go
+++ b/internal/entry/orders_internal_test.go
@@ -113,7 +113,7 @@
 // newOwnerOf returns an owner whose workers answer by a transport.
 func newOwnerOf(t *testing.T, workers http.RoundTripper) *owner {
 	h := &Host{
-		log: zap.NewNop(), metrics: newMetrics(), events: ring.New[event](events), start: time.Now(),
+		log: zap.NewNop(), metrics: newMetrics(), events: ring.New[event](events), clock: newTestClock(),
 		workers: platform.NewWorkers(&http.Client{Transport: workers}, zap.NewNop()),
 	}
 	boxes := newOutboxes()
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -162,20 +162,20 @@
 
 // persist repeats an append until it is done, or until this host is not the owner any
 // more. It returns when the last try left.
-func (o *owner) persist(ctx context.Context, recs []jobtable.Record, w platform.Writer) (time.Time, error) {
+func (o *owner) persist(ctx context.Context, recs []jobtable.Record, w platform.Writer) (unit.Instant, error) {
 	var bk backoff
 	dep := dependency{log: o.host.log, name: "store append"}
 	for ctx.Err() == nil {
-		began := time.Now()
+		began, left := time.Now(), o.host.now()
 		_, err := o.host.store.Append(ctx, platform.TopicJobs, recs, w)
 		o.host.metrics.storeCall("append", began, err)
 		dep.note(err)
 		if settled(err) {
-			return began, err
+			return left, err
 		}
 		bk.wait(ctx, began)
 	}
-	return time.Time{}, ctx.Err()
+	return 0, ctx.Err()
 }
 
 // settled reports whether an append was done, or can't be done by repeating it.
@@ -185,7 +185,7 @@
 
 // flushed takes in what became of an append of flush. One that can't be repeated ends the
 // ownership: the records may lack what the next decisions rest on.
-func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, left time.Time, err error) {
+func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, left unit.Instant, err error) {
 	o.writing = false
 	if o.host.owner != o {
 		return
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -42,7 +42,7 @@
 	t.more = func(recs []jobtable.Record, from id.Offset) {
 		h.post(ctx, func(now unit.Instant) { h.applyJobs(now, recs, from) })
 	}
-	t.reached = func(left time.Time) {
+	t.reached = func(left unit.Instant) {
 		h.post(ctx, func(unit.Instant) { h.assure(left) }) // behind the records that it has brought
 	}
 	t.run(ctx)
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -18,6 +18,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/boottime"
 	"curlewsill.org/curlewsill/internal/entry"
 	"curlewsill.org/curlewsill/internal/faultproxy"
 	"curlewsill.org/curlewsill/internal/settings"
@@ -95,6 +96,10 @@
 
 // startHost starts a host, or starts it again.
 func (s *site) startHost(n int) {
+	clock, err := boottime.New()
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
 		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second,
@@ -104,7 +109,7 @@
 			MaxLease: s.lease, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
 			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
 		},
-	}, zap.NewNop())
+	}, clock, zap.NewNop())
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/entry/suspend_internal_test.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// testClock is Go's steady clock, which synctest controls, and the suspensions that a test makes up.
+type testClock struct {
+	start     time.Time
+	suspended time.Duration
+}
+
+func newTestClock() *testClock { return &testClock{start: time.Now()} }
+
+func (c *testClock) Now() unit.Instant {
+	return unit.At(c.start).Add(time.Since(c.start) + c.suspended)
+}
+
+func (c *testClock) Suspended() time.Duration { return c.suspended }
+
+// TestOwnerSuspended suspends the machine of an owner for 10 s.
+//
+// Go's steady clock stands still while a machine is suspended. An owner that measures by it how old its assurance is, that nobody else has
+// become the owner, goes on extending leases and starting tasks by what it knew before, although another host may have
+// claimed in the meantime: 0.2 s after the last assurance by that clock it was 10.2 s, of the 3 s for which one holds.
+func TestOwnerSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwnerOf(t, &hangingWorkers{under: map[string]int{}})
+		clock := newTestClock()
+		core, lines := observer.New(zap.InfoLevel)
+		o.host.log, o.host.clock = zap.New(core), clock
+		o.core = dispatch.New(dispatch.Config{MaxLease: 10 * time.Second}, policy.New(), 1, jobtable.New())
+		o.host.assure(o.host.now())
+		o.core.List(o.host.now(), fleet.Listing{ID: "w", Address: "w", Service: "s", Capacity: job.Resources{Accelerators: 8}})
+		pass := func() dispatch.Orders {
+			time.Sleep(200 * time.Millisecond)
+			o.host.noteSuspension()
+			o.core.Assure(o.host.assured)
+			o.core.Pass(o.host.now(), o.host.now())
+			return o.core.Take()
+		}
+		first := pass().Renews[0]
+		o.core.Renewed(o.host.now(), dispatch.RenewResult{Renew: first, Sent: o.host.now(), Verdict: fleet.Carried})
+		spec := &job.Spec{Service: "s", MaxAttempts: 1, Steps: []job.Step{{Count: 1, Need: job.Resources{Accelerators: 1}}}}
+		clock.suspended = 10 * time.Second
+		o.core.AddJob(o.host.now(), "j", spec, job.Progress{}, false)
+		pass()
+		if b, some, err := o.core.Flush(); some || err != nil {
+			t.Errorf("%d records were decided after the suspension, %v", len(b.Records), err)
+		}
+		withheld := false
+		for _, n := range o.core.Notes() {
+			withheld = withheld || n.Event == dispatch.EventLeasesWithheld
+		}
+		if !withheld {
+			t.Error("leases are extended after the suspension")
+		}
+		if lines.FilterMessage("suspended").Len() != 1 {
+			t.Errorf("%d lines tell of the suspension", lines.FilterMessage("suspended").Len())
+		}
+		o.host.assure(o.host.now()) // a read of the jobs after it
+		pass()
+		if _, some, err := o.core.Flush(); !some || err != nil {
+			t.Error("nothing is decided after a new assurance", err)
+		}
+	})
+}
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -7,6 +7,7 @@
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -21,7 +22,7 @@
 	wake <-chan struct{}
 	// reached is called after each read that came to what was the end of the topic when it left, with that time; nil
 	// if nobody wants to know.
-	reached func(left time.Time)
+	reached func(left unit.Instant)
 	// whole is called with the newest records of all keys, and more with those
 	// that follow from an offset on.
 	whole func(recs []jobtable.Record, end id.Offset)
@@ -35,7 +36,7 @@
 	next, loaded := id.Offset(0), false
 	for ctx.Err() == nil {
 		var err error
-		began, reached := time.Now(), false
+		began, left, reached := time.Now(), t.host.now(), false
 		if loaded {
 			next, reached, err = t.read(ctx, next)
 		} else {
@@ -56,7 +57,7 @@
 		}
 		b.reset()
 		if t.reached != nil && reached {
-			t.reached(began)
+			t.reached(left)
 		}
 	}
 }
--- a/internal/sitedemo/sitedemo.go
+++ b/internal/sitedemo/sitedemo.go
@@ -20,6 +20,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/boottime"
 	"curlewsill.org/curlewsill/internal/entry"
 	"curlewsill.org/curlewsill/internal/settings"
 	"curlewsill.org/curlewsill/platform/standin"
@@ -129,12 +130,16 @@
 }
 
 func (s *site) startHost(ctx context.Context, n int, store string) error {
+	clock, err := boottime.New()
+	if err != nil {
+		return err
+	}
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0",
 		Metrics: "127.0.0.1:0", Store: store, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Cores: 1, Link: 1000, Grace: 3 * time.Second,
 		Policy:  policy.New(),
 		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute},
-	}, zap.NewNop())
+	}, clock, zap.NewNop())
 	if err != nil {
 		return err
 	}
