--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -124,7 +124,11 @@
 	} else {
 		l.Clock = w.Clock // a worker's answer may be newer than the list
 	}
+	resized := l.Capacity != w.Capacity
 	w.Listing, w.listed = l, true
+	if resized {
+		w.reshield()
+	}
 	if l.Draining {
 		w.leaves = now.Add(l.Remaining)
 	}
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -67,6 +67,10 @@
 		d.stopRun(now, r, "its worker began to leave")
 		return
 	}
+	if r.crowded() {
+		d.stopRun(now, r, noRoomLeft)
+		return
+	}
 	if !d.grants(now) {
 		d.stopRun(now, r, "another host may be the owner")
 		return
@@ -85,13 +89,24 @@
 	}
 }
 
+// noRoomLeft is why a run doesn't start on a worker that has become too small: one that doesn't guard its room would begin it past it.
+const noRoomLeft = "its worker has less room now"
+
 // leaving reports whether the worker of a run, or of a member of its gang, leaves.
 func (r *run) leaving() bool {
+	return r.anyWorker(func(w *worker) bool { return w.Draining })
+}
+
+// crowded reports the same of a worker on which more runs than it has room for.
+func (r *run) crowded() bool { return r.anyWorker((*worker).overfull) }
+
+// anyWorker reports whether something is so of the worker of a run, or of a member of its gang.
+func (r *run) anyWorker(so func(*worker) bool) bool {
 	if r.step == nil || !r.step.step.Gang {
-		return r.worker.Draining
+		return so(r.worker)
 	}
 	for _, m := range r.step.runs {
-		if m.worker.Draining {
+		if so(m.worker) {
 			return true
 		}
 	}
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -105,6 +105,8 @@
 		switch {
 		case r.state == runStarting && w.Draining && r.started == 0 && w.synced != 0:
 			d.stopRun(now, r, "its worker leaves before it has started")
+		case r.state == runStarting && r.started == 0 && w.synced != 0 && w.overfull():
+			d.stopRun(now, r, noRoomLeft)
 		case r.state == runStarting && r.ignored(now):
 			d.stopRun(now, r, "its worker answers renewals, but not its orders to start")
 			d.countIgnored(now, r)
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -115,6 +115,10 @@
 	return n <= 0
 }
 
+// overfull reports whether runs take more than a worker has: its room has shrunk since they were placed. Of one that
+// isn't listed no room is known.
+func (w *worker) overfull() bool { return w.listed && !w.used.Fits(w.Capacity) }
+
 // free returns what neither runs nor claims take. It is negative if a run that was
 // discovered, or a smaller capacity in the list, leaves less than is taken.
 func (w *worker) free() job.Resources { return w.Capacity.Sub(w.used).Sub(w.reserved) }
--- a/core/dispatch/suspect.go
+++ b/core/dispatch/suspect.go
@@ -130,10 +130,25 @@
 
 // isolate keeps what is free beside a run that was just placed from all others.
 func (d *Dispatcher) isolate(r *run, why string) {
+	r.raiseShield()
+	d.noteRun(EventTaskIsolated, r, why, 0)
+}
+
+// raiseShield keeps what is free on its worker free beside a run.
+func (r *run) raiseShield() {
 	free := r.worker.free()
 	r.shield = job.Resources{CPU: max(0, free.CPU), Memory: max(0, free.Memory), Accelerators: max(0, free.Accelerators)}
 	r.worker.used = r.worker.used.Add(r.shield)
-	d.noteRun(EventTaskIsolated, r, why, 0)
+}
+
+// reshield keeps free beside suspects what a worker's room leaves that has changed.
+func (w *worker) reshield() {
+	for _, r := range w.runs {
+		if r.shield != (job.Resources{}) {
+			r.dropShield()
+			r.raiseShield()
+		}
+	}
 }
 
 // dropShield gives back what is kept free beside a run.
