dispatch, world: a gang speaks for itself only as a whole; random runs of crashes and of rooms that change

Cause: a member of a gang that only waited for the others, and was told of, cleared the gang's count of crashes, which another member caused at each start. Change: a gang's count is cleared when all members have worked for 300 ms; TestLongCrashes and TestLongRooms.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -26,7 +26,7 @@
 	settledAfter = 300 * time.Millisecond
 	// commonCause is within which time crashes of massLeast workers of a service, and massShare of all its workers, under which nothing
 	// had just begun are taken to have one cause: a rack that loses power takes all its workers. They are noticed when the next lives answer. Without
-	// it 33 jobs that can be done were given up instead of 3, in 24 plays of a minute with a seventh of 48 workers crashing each 5 s.
+	// it 33 jobs that can be done were given up instead of 17, in 24 plays of a minute with a seventh of 48 workers crashing each 5 s.
 	commonCause = time.Second
 	massLeast   = 3
 	massShare   = 1.0 / 30
@@ -46,6 +46,18 @@
 	return r.state != runOrdered && (r.started != 0 || r.unanswered || r.inFlight || r.resumed)
 }
 
+// blamable reports whether a crash of its worker can be the run's doing, as far as its job goes.
+func (r *run) blamable() bool {
+	if r.step == nil || !r.mayHaveBegun() {
+		return false
+	}
+	p := &r.step.job.progress
+	return p.Outcome == job.Open && len(p.Tasks) > 0 && p.Tasks[r.step.base+r.task.Index].Phase != job.Done
+}
+
+// justBegun reports whether a run may have begun a moment before its worker crashed, which makes it the likely cause.
+func (r *run) justBegun() bool { return r.blamable() && r.workedFor() < settledAfter }
+
 // workedFor returns how long after the run's start its worker has answered; 0 if it hasn't.
 func (r *run) workedFor() time.Duration {
 	if r.started == 0 {
@@ -66,11 +78,10 @@
 
 // countCrashes counts the end of a worker's life under all that may have begun there. It is called before the runs are given up.
 func (d *Dispatcher) countCrashes(now unit.Instant, w *worker) {
-	e := &lifeEnd{at: now, service: w.Service}
+	e := &lifeEnd{at: now, service: w.Service, explained: slices.ContainsFunc(w.runs, (*run).justBegun)}
 	for _, r := range w.runs {
-		if c := d.countCrash(now, r); c != nil {
+		if d.countCrash(now, r) {
 			e.counted = append(e.counted, r)
-			e.explained = e.explained || c.AtOnce > 0
 		}
 	}
 	d.lifeEnds = slices.DeleteFunc(d.lifeEnds, func(o *lifeEnd) bool { return now.Sub(o.at) > commonCause })
@@ -113,18 +124,15 @@
 	d.noteRun(EventCrashExcused, r, fmt.Sprintf("%d workers crashed together for no reason of their own", crashes), r.workedFor())
 }
 
-// countCrash counts the end of a worker's life under a run, once. It returns the count, or nil if it did not.
-func (d *Dispatcher) countCrash(now unit.Instant, r *run) *job.CrashCount {
-	s := r.step
-	if s == nil || !r.mayHaveBegun() || s.job.progress.Outcome != job.Open || len(s.job.progress.Tasks) == 0 {
-		return nil
-	}
-	if s.job.progress.Tasks[s.base+r.task.Index].Phase == job.Done {
-		return nil
+// countCrash counts the end of a worker's life under a run, once, and reports whether it did.
+func (d *Dispatcher) countCrash(now unit.Instant, r *run) bool {
+	if !r.blamable() {
+		return false
 	}
+	s := r.step
 	c := s.addCrashCount(r.task.Index)
 	if c.Run >= r.number {
-		return nil // another member of the gang was there
+		return false // another member of the gang was there
 	}
 	c.Run, c.Worker = r.number, r.worker.ID
 	c.All++
@@ -135,7 +143,7 @@
 	s.noteFailure(now, r.task.Index, r.worker)
 	d.mark(s.job)
 	d.noteRun(EventCrashCounted, r, fmt.Sprintf("%d of %d at once, %d of %d in all", c.AtOnce, mostAtOnce, c.All, mostCrashes), r.workedFor())
-	return c
+	return true
 }
 
 // retractCrash takes back that a worker had crashed under a run: it tells of the run.
@@ -195,25 +203,58 @@
 }
 
 // clearSuspicion takes in that a worker tells of a run: one that has gone on for a while doesn't need its worker for itself any more,
-// and speaks for its task.
+// and speaks for its task; that of a gang does so when all members have.
 func (d *Dispatcher) clearSuspicion(r *run) {
-	if r.step == nil || r.workedFor() < settledAfter {
+	if r.step == nil {
 		return
 	}
 	c := r.step.crashCount(r.task.Index)
 	if c == nil {
 		return
 	}
+	worked := r.step.workedFor(r)
+	if worked < settledAfter {
+		return
+	}
 	if c.AtOnce > 0 {
 		c.AtOnce = 0
 		d.mark(r.step.job)
 	}
-	if r.workedFor() >= soundAfter {
+	if c.All < isolateFrom {
+		r.step.dropShields(r)
+	}
+	if worked >= soundAfter {
 		r.step.dropCrashes(r.task.Index)
 		d.mark(r.step.job)
 	}
-	if c.All < isolateFrom {
+}
+
+// workedFor returns for how long a run has worked, or its whole gang together. Members that wait for others, or are stopped, prove nothing.
+func (s *stepState) workedFor(r *run) time.Duration {
+	if !s.step.Gang {
+		return r.workedFor()
+	}
+	if len(s.runs) < s.step.Count {
+		return 0
+	}
+	least := r.workedFor()
+	for _, m := range s.runs {
+		if m.state != runRunning {
+			return 0
+		}
+		least = min(least, m.workedFor())
+	}
+	return least
+}
+
+// dropShields gives back what is kept free beside a run, or beside its whole gang.
+func (s *stepState) dropShields(r *run) {
+	if !s.step.Gang {
 		r.dropShield()
+		return
+	}
+	for _, m := range s.runs {
+		m.dropShield()
 	}
 }
 
--- a/core/world/fault.go
+++ b/core/world/fault.go
@@ -41,6 +41,8 @@
 	Busy FaultKind = "busy"
 	// Mute lets workers neither take nor answer orders to start, while they answer all others.
 	Mute FaultKind = "mute"
+	// Shrink makes workers smaller by Factor, and tells it in the list; they are as large as before after Lasts.
+	Shrink FaultKind = "shrink"
 	// Slow makes what workers begin slower by Factor.
 	Slow FaultKind = "slow"
 	// Late lets a part of the orders get no answer; each is carried out Factor seconds later.
@@ -57,7 +59,7 @@
 // FaultKinds returns all kinds.
 func FaultKinds() []FaultKind {
 	return []FaultKind{
-		Kill, Silence, Drain, Apart, StaleEntry, ReadList, Fail, Busy, Mute, Slow, Late, StoreDown, StoreSlow, KillOwner, KillHosts,
+		Kill, Silence, Drain, Apart, StaleEntry, ReadList, Fail, Busy, Mute, Shrink, Slow, Late, StoreDown, StoreSlow, KillOwner, KillHosts,
 	}
 }
 
@@ -114,6 +116,8 @@
 		w.each(f, func(m *machine) { m.busyUntil = until })
 	case Mute:
 		w.each(f, func(m *machine) { m.muteUntil = until })
+	case Shrink:
+		w.each(f, func(m *machine) { m.shrink(f.Lasts, max(1, f.Factor)) })
 	case Slow:
 		w.each(f, func(m *machine) { m.slowUntil, m.slowBy = until, max(1, f.Factor) })
 	case Late:
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -45,13 +45,49 @@
 	}
 }
 
-// longKinds are the kinds of faults of TestLong, livesKinds those of TestLongLives. Their order belongs to what a
+// TestLongRooms is TestLong with workers whose room shrinks and comes back.
+func TestLongRooms(t *testing.T) {
+	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			checkLong(t, playLong(t, seed, roomKinds, time.Duration(*longSeconds)*time.Second))
+		})
+	}
+}
+
+// TestLongCrashes is TestLong with jobs that crash their workers, one in crashOneIn, beside workers that crash of other causes and owners that
+// change.
+func TestLongCrashes(t *testing.T) {
+	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 1))
+			job := func(r *rand.Rand) words {
+				o := randomJob(r)
+				if random.IntN(crashOneIn) == 0 {
+					o = append(o, "crashes=10ms")
+				}
+				return o
+			}
+			checkLong(t, playJobs(t, seed, crashKinds, job, time.Duration(*longSeconds)*time.Second))
+		})
+	}
+}
+
+// crashOneIn is how many jobs there are to one that crashes workers.
+const crashOneIn = 8
+
+// longKinds are the kinds of faults of TestLong, roomKinds and livesKinds those of the others. Their order belongs to what a
 // seed plays.
 var (
 	longKinds = []world.FaultKind{
 		world.Kill, world.Silence, world.Drain, world.Fail, world.Busy, world.Mute, world.Slow, world.Late, world.StoreDown,
 		world.StoreSlow, world.KillOwner, world.KillHosts,
 	}
+	roomKinds = []world.FaultKind{
+		world.Shrink, world.Kill, world.Shrink, world.Late, world.StoreSlow, world.KillOwner, world.Shrink, world.Drain,
+	}
+	crashKinds = []world.FaultKind{world.Kill, world.KillOwner, world.Late, world.StoreSlow, world.KillHosts, world.Drain, world.StaleEntry}
 	livesKinds = []world.FaultKind{
 		world.Kill, world.StaleEntry, world.Apart, world.ReadList, world.StaleEntry, world.Silence, world.KillOwner, world.Late, world.StoreDown,
 	}
@@ -74,6 +110,11 @@
 // playLong plays a site of 24 workers and 5 hosts for a time, and then without faults until all
 // should have ended.
 func playLong(t *testing.T, seed uint64, kinds []world.FaultKind, length time.Duration) *world.World {
+	return playJobs(t, seed, kinds, randomJob, length)
+}
+
+// playJobs is playLong with jobs that are drawn by job.
+func playJobs(t *testing.T, seed uint64, kinds []world.FaultKind, job func(*rand.Rand) words, length time.Duration) *world.World {
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := setup(24, 5, 0.2+random.Float64())
 	s.Seed, s.Times.Drift = seed, 0.02
@@ -88,7 +129,7 @@
 	}
 	w.Run(time.Second)
 	for n, end := 0, w.Now().Add(length); w.Now() < end; n++ {
-		if err := w.Submit(newJob(fmt.Sprintf("j%06d", n), randomJob(random))); err != nil {
+		if err := w.Submit(newJob(fmt.Sprintf("j%06d", n), job(random))); err != nil {
 			t.Fatal(err)
 		}
 		if random.IntN(12) == 0 {
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -13,6 +13,9 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
+// knownAfter is how long after it has shrunk an owner must know a worker's room, by the platform's pages.
+const knownAfter = 4500 * time.Millisecond
+
 // clockLead is what a worker's clock shows when the world begins: it must not be 0.
 const clockLead = 100 * time.Second
 
@@ -43,6 +46,9 @@
 	// orders to start unanswered, slowUntil until when it works slowBy times slower.
 	apartUntil, silentUntil, failsUntil, busyUntil, muteUntil, slowUntil unit.Instant
 	slowBy                                                               float64
+	// whole is its room while it isn't smaller, formerUntil until when an owner may not know its present room.
+	whole       job.Resources
+	formerUntil unit.Instant
 	// earlier is the entry of the life before the present one; without an id before the second.
 	earlier fleet.Listing
 }
@@ -59,7 +65,7 @@
 
 // addMachine adds a worker, which is up and idle.
 func (w *World) addMachine(i int, x Worker) {
-	m := &machine{Worker: x, world: w, rate: 1 - w.setup.Times.Drift*w.chance("clock", i)}
+	m := &machine{Worker: x, whole: x.Capacity, world: w, rate: 1 - w.setup.Times.Drift*w.chance("clock", i)}
 	w.machines = append(w.machines, m)
 	m.begin()
 	w.listed = append(w.listed, m.listing())
@@ -157,6 +163,9 @@
 		return fleet.Invalid
 	}
 	need := s.Spec.Steps[o.Task.Step].Reserved()
+	if !need.Fits(m.Capacity.Sub(m.used)) && w.now < m.formerUntil {
+		return fleet.NoRoom
+	}
 	if !need.Fits(m.Capacity.Sub(m.used)) {
 		w.violated(fmt.Sprintf("%s takes %s past its capacity", o.Task, m.name))
 		return fleet.NoRoom
@@ -293,6 +302,27 @@
 	})
 }
 
+// shrink makes the worker smaller for a while. What runs there goes on.
+func (m *machine) shrink(lasts time.Duration, by float64) {
+	m.Capacity = job.Resources{
+		CPU: job.MilliCPU(float64(m.whole.CPU) / by), Memory: unit.Bytes(float64(m.whole.Memory) / by),
+		Accelerators: int(float64(m.whole.Accelerators) / by),
+	}
+	m.formerUntil = m.world.now.Add(knownAfter)
+	m.tell()
+	m.world.Plan(lasts, func() {
+		m.Capacity = m.whole
+		m.tell()
+	})
+}
+
+// tell writes the worker's entry anew, if it is up.
+func (m *machine) tell() {
+	if m.up && m.world.now >= m.apartUntil {
+		m.world.list(m.listing())
+	}
+}
+
 // showEarlier lets the list show the life before the present one for as long as an entry stands.
 func (m *machine) showEarlier() {
 	if m.earlier.ID == "" {
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -188,7 +188,7 @@
 		room := 0
 		for _, m := range w.machines {
 			if m.Service == s.Service && m.carries(step.Label) {
-				room += howMany(step, m.Capacity)
+				room += howMany(step, m.whole)
 			}
 		}
 		if room == 0 || step.Gang && room < step.Count {
