dispatch: a task that has gone on for long doesn't keep its worker for itself any more

Cause: found by reading: room beside a task under which three workers had crashed late was kept free for as long as the task ran, for a long-running one for ever, though its count was dropped after 30 s. Change: the room is given back with the count. Figures: sound_room.txt fails without (the second task never starts) and passes.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -220,7 +220,7 @@
 		c.AtOnce = 0
 		d.mark(r.step.job)
 	}
-	if c.All < isolateFrom {
+	if c.All < isolateFrom || worked >= soundAfter {
 		r.step.dropShields(r)
 	}
 	if worked >= soundAfter {
