--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -37,8 +37,8 @@
 
 // crashed reports whether a worker's life seems to end now, without a word and by no order of ours. Each later answer of its successor in
 // its place tells of the same end. One whose leases have lapsed and that the list still shows is taken to be cut off.
-func (w *worker) crashed(now unit.Instant, e evidence) bool {
-	return !w.replaced && !w.Draining && !w.held && (e != leaseLapsed || !w.listed && now > w.lapse())
+func (w *worker) crashed(e evidence) bool {
+	return !w.replaced && !w.Draining && !w.held && (e != leaseLapsed || !w.listed)
 }
 
 // mayHaveBegun reports whether an order to start the run may have reached its worker.
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -25,7 +25,7 @@
 // loseAll gives up every run on a worker. A lease that may still hold is an invariant that is violated:
 // nothing is given up then.
 func (d *Dispatcher) loseAll(now unit.Instant, w *worker, e evidence) {
-	if w.crashed(now, e) {
+	if w.crashed(e) {
 		d.countCrashes(now, w)
 	}
 	for _, r := range w.sorted() {
--- a/core/dispatch/suspect.go
+++ b/core/dispatch/suspect.go
@@ -17,7 +17,7 @@
 	// ownWorkerWait is how long a suspect waits for an empty worker before it goes beside others.
 	ownWorkerWait = time.Second
 	// settledWait is how long it waits for one on which all that runs has gone on for a while, before it is placed like any
-	// other task. A service of which all workers begin something each second has none.
+	// other task, unless one more crash would end its job. A service of which all workers begin something each second has none.
 	settledWait = 5 * time.Second
 	// shieldedWait is how long a renewal may wait for news on a worker where room is kept free beside a suspect: the answer shows that
 	// the worker has not crashed. It costs a renewal each 100 ms for some 400 ms.
@@ -42,9 +42,8 @@
 	s, all := c.step, true
 	var others []int
 	for _, i := range c.waiting {
-		c := s.crashCount(i)
 		switch {
-		case !d.suspect(s, i) || s.waitedSinceCrash(now, i) >= settledWait && c.AtOnce < mostAtOnce-1:
+		case !d.suspect(s, i) || s.waitedSinceCrash(now, i) >= settledWait && s.crashCount(i).AtOnce < mostAtOnce-1:
 			others = append(others, i)
 		case !d.placeSuspect(now, s, i, fits):
 			all = false
