--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -138,12 +138,16 @@
 	}
 	status, state, err := c.calls.Call(ctx, "front", method, c.all.queueOf(job), job, key, body)
 	mu.Lock()
-	e := event{Kind: answered, Call: n, Host: life, Status: status, State: state, Took: time.Since(left), Fresh: fresh}
-	mu.Unlock()
+	e := event{Kind: answered, Call: n, Host: life, Status: status, State: state, Fresh: fresh}
 	var refused *dialError
-	if errors.As(err, &refused) {
+	switch {
+	case conns > 0:
+		// A connection that ended under the call: the client connects again by itself, and where that fails says nothing of the first host.
+		e.Took = time.Since(left)
+	case errors.As(err, &refused):
 		e.Host, e.Fresh = refused.life, refused.given
 	}
+	mu.Unlock()
 	switch {
 	case errors.Is(err, context.DeadlineExceeded):
 		e.How = "deadline"
