dispatch, fleet, world: a life of a worker is known by its name and its start

Cause: the owner kept the numbers of ends, the clock and all else of a worker by its id, which names no life any more. A life that begins again numbers its ends from 1; they were passed over up to the last number of the life before. The worker goes on to list them, and compare takes a listed end for a known one: the run keeps its room for as long as the numbers haven't caught up (LOST), then all are dropped unread and their tasks run again (TWICE).

Ruled out: resetting the counts of a worker in place on a new start (each field that is forgotten is the same fault again; records of placements, tickets and logs would still name no life); comparing starts (a time of day may be set back).

Change: fleet.Life makes an id of the name and the start, so that all that is kept by id.Worker is kept by life: ends, clock, runs in records, tickets, failures, logs. Orders name the worker only, so the next life takes those of the one before: a run whose order it may have taken moves to it until it says (inherit.go); an order that may come yet is blocked by a stop; leases that such orders bring are counted; a number of an end is told once. An answer by another life under the name proves that the one before is over.

The model cuts leases at the longest, and carries out orders at most 12 s late where workers tell their starts, both by the platform's pages.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -50,7 +50,7 @@
 	case fleet.Unknown, fleet.Unreachable:
 		return false
 	case fleet.Replaced:
-		d.replace(now, w, anotherAnswers)
+		d.replace(now, w, anotherAnswers, nil)
 		return false
 	case fleet.Fenced:
 		if !d.fenced {
@@ -71,7 +71,9 @@
 	if w == nil {
 		return nil
 	}
-	d.judge(now, w, v, c)
+	if v == fleet.Replaced || v == fleet.Fenced || !fleet.TellsStart(w.ID) {
+		d.judge(now, w, v, c)
+	} // else the answer doesn't say which life under the name gave it
 	return w.run(task, number)
 }
 
@@ -92,6 +94,7 @@
 		d.window.answered(now, now.Sub(r.asked))
 	case fleet.Unknown:
 		r.unanswered = true
+		r.strayLapse = d.strayed(r.worker, r.asked)
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.Expired:
 		// The order is repeated by resend, or the worker was given up above.
 	case fleet.Stale:
@@ -167,10 +170,26 @@
 	}
 	w.grantedBy(w.renewalLapse, res.Verdict)
 	w.renewalLapse = 0
+	if w.lastUnanswered && res.Renew.Until != 0 {
+		d.strayed(w, res.Sent)
+	}
+	if w.lastUnanswered && res.Renew.Told > 0 {
+		w.toldStray = res.Sent
+	}
+	if res.Verdict == fleet.Replaced && res.Report.Life != "" {
+		if !w.replaced {
+			d.replace(now, w, sameName, d.successor(now, w, res.Report.Life))
+		}
+		return
+	}
 	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
 	w.told = max(w.told, res.Renew.Told)
+	if res.Sent > w.askedAgain {
+		w.synced = res.Sent
+	}
+	d.follow(now, w)
 	ended := map[job.Task]bool{}
 	for _, e := range res.Report.Ended {
 		ended[e.Task] = true
@@ -182,10 +201,6 @@
 	d.compare(now, w, res, ended)
 	w.endTrial(now)
 	d.pace(now, w)
-	if res.Sent > w.askedAgain {
-		w.synced = res.Sent
-	}
-	d.follow(now, w)
 	d.back(w)
 	if w.seen == w.durable {
 		w.nextHold = now
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -147,17 +147,13 @@
 }
 
 // retractCrash takes back that a worker had crashed under a run: it tells of the run.
-func (d *Dispatcher) retractCrash(w *worker, t job.Task, number job.Run) {
-	js := d.jobs[t.Job]
-	if js == nil {
-		return
-	}
-	s := js.stepOf(t)
+func (d *Dispatcher) retractCrash(w id.Worker, t job.Task, number job.Run) {
+	s := d.stepOfTask(t)
 	if s == nil {
 		return
 	}
 	c := s.crashCount(t.Index)
-	if c == nil || c.Run != number || c.Worker != w.ID {
+	if c == nil || c.Run != number || c.Worker != w {
 		return
 	}
 	c.Worker = ""
@@ -167,8 +163,8 @@
 		s.dropCrashes(t.Index)
 	}
 	delete(s.failures, s.failureKey(t.Index))
-	d.mark(js)
-	d.note(Note{Event: EventCrashRetracted, Job: t.Job, Task: t, Worker: w.ID, Run: number, Why: "its worker tells of the run"})
+	d.mark(s.job)
+	d.note(Note{Event: EventCrashRetracted, Job: t.Job, Task: t, Worker: w, Run: number, Why: "its worker, or the next life under its name, tells of the run"})
 }
 
 // giveUpSpent ends the jobs of which a task has crashed as many workers as it may. They can't be done, and each further start
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -153,7 +153,7 @@
 	if w != nil {
 		return w
 	}
-	w = &worker{Listing: fleet.Listing{ID: name}, clockAt: now, since: now}
+	w = &worker{Listing: fleet.Listing{ID: name}, name: fleet.NameOf(name), clockAt: now, since: now}
 	w.grantedUntil = d.lapseOf(now)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -47,7 +47,7 @@
 func (w *worker) lapse() unit.Instant {
 	last := max(w.grantedUntil, w.renewalLapse)
 	for _, r := range w.runs {
-		last = max(last, r.startLapse)
+		last = max(last, r.startLapse, r.strayLapse)
 	}
 	return last
 }
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -17,6 +18,9 @@
 	leaseLapsed evidence = "its lease has lapsed"
 	// anotherAnswers: an order to the worker was answered by another life at its address.
 	anotherAnswers evidence = "another life at its address"
+	// sameName: another life answered an order that left after this one had begun under their name. Of two lives under a name the later begins
+	// after the end of the earlier, so that it is the later one whatever the starts say.
+	sameName evidence = "another life under its name"
 	// laterAnswered: another life at its address, or of its machine, has answered an order that left
 	// after the worker's last answer had come.
 	laterAnswered evidence = "a later life has answered"
@@ -28,6 +32,11 @@
 	if w.crashed(e) {
 		d.countCrashes(now, w)
 	}
+	d.loseRuns(now, w, e)
+}
+
+// loseRuns is loseAll for a life whose end was counted.
+func (d *Dispatcher) loseRuns(now unit.Instant, w *worker, e evidence) {
 	for _, r := range w.sorted() {
 		if e == leaseLapsed && now <= w.lapse() {
 			d.violated(now, r, "given up under a lease that may hold")
@@ -39,11 +48,21 @@
 	}
 }
 
-// replace gives up a life of a worker in whose place another one has answered. If it is listed again, it is
-// asked again.
-func (d *Dispatcher) replace(now unit.Instant, w *worker, e evidence) {
-	d.note(Note{Event: EventWorkerReplaced, Worker: w.ID, Why: string(e), Age: w.silentFor(now)})
-	d.loseAll(now, w, e)
+// replace gives up a life of a worker in whose place another one has answered; next is that one if both have one name, and else nil.
+// If the life is listed again, it is asked again.
+func (d *Dispatcher) replace(now unit.Instant, w *worker, e evidence, next *worker) {
+	n := Note{Event: EventWorkerReplaced, Worker: w.ID, Why: string(e), Age: w.silentFor(now)}
+	if next != nil {
+		n.Why += ", " + string(next.ID)
+	}
+	d.note(n)
+	if w.crashed(e) && (next == nil || fleet.TellsStart(w.ID)) {
+		d.countCrashes(now, w)
+	}
+	if next != nil {
+		d.inherit(now, w, next)
+	}
+	d.loseRuns(now, w, e)
 	w.listed, w.replaced, w.synced = false, true, 0
 	for _, o := range d.order {
 		if o.rivals(w) {
@@ -57,7 +76,7 @@
 	if w == o {
 		return false
 	}
-	return w.Address != "" && w.Address == o.Address || w.Machine != "" && w.Machine == o.Machine
+	return w.name == o.name || w.Address != "" && w.Address == o.Address || w.Machine != "" && w.Machine == o.Machine
 }
 
 // contest notes that a worker and its rivals are lives of the same machine. Each of them is asked at once, and
@@ -68,7 +87,7 @@
 		return
 	}
 	for _, o := range d.order {
-		if !o.rivals(w) || !o.stands() || w.contested != 0 && o.contested != 0 {
+		if !o.rivals(w) || !o.stands() && !o.precedes(w) || w.contested != 0 && o.contested != 0 {
 			continue
 		}
 		d.note(Note{Event: EventWorkerContested, Worker: w.ID, Why: "by " + string(o.ID), Age: w.silentFor(now)})
@@ -91,8 +110,11 @@
 		return
 	}
 	for _, o := range d.order {
-		if o.rivals(w) && o.stands() && o.answered != 0 && o.answered < w.synced {
-			d.replace(now, o, laterAnswered)
+		switch {
+		case o.precedes(w) && o.since < w.synced:
+			d.replace(now, o, sameName, w)
+		case o.rivals(w) && o.stands() && o.answered != 0 && o.answered < w.synced:
+			d.replace(now, o, laterAnswered, nil)
 		}
 	}
 	d.endContest(w)
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -13,12 +13,13 @@
 	if r == nil {
 		n.Event = EventUnknownEnd
 		d.note(n)
-		d.retractCrash(w, e.Task, e.Run)
+		d.retractCrash(w.ID, e.Task, e.Run)
 		d.lateSuccess(now, e)
 		return
 	}
 	n.Age = now.Sub(r.since)
 	d.note(n)
+	d.inheritedFound(r)
 	if e.Checkpoint != "" {
 		r.checkpoint = e.Checkpoint
 	}
@@ -54,12 +55,12 @@
 // lateSuccess takes in a success of a run that was given up: the task is done, and what runs of it elsewhere is
 // stopped. Without it the work is done once more; 970 such ends came on 42 days with workers that were cut off.
 func (d *Dispatcher) lateSuccess(now unit.Instant, e fleet.End) {
-	js := d.jobs[e.Task.Job]
-	if e.How != fleet.EndDone || js == nil || js.progress.Outcome != job.Open {
+	s := d.stepOfTask(e.Task)
+	if e.How != fleet.EndDone || s == nil || s.job.progress.Outcome != job.Open {
 		return
 	}
-	s := js.stepOf(e.Task)
-	if s == nil || s.step.LongRunning || len(js.progress.Tasks) == 0 {
+	js := s.job
+	if s.step.LongRunning || len(js.progress.Tasks) == 0 {
 		return
 	}
 	t := js.progress.Tasks[s.base+e.Task.Index]
@@ -153,6 +154,7 @@
 		if r.state == runStopping && r.stopDone != 0 && now.Sub(r.stopDone) > stopPatience*d.config.StopTime {
 			r.stopDone = 0 // it should have ended long ago: resend orders it again
 		}
+		d.inheritedFound(r)
 		r.checkpoint, r.percent, r.load, r.reported, r.missed = x.Checkpoint, x.Percent, x.Load, now, 0
 		if r.apply(evStarted) && r.started == 0 {
 			r.started = now
@@ -163,6 +165,10 @@
 		if listed[r.task] || ended[r.task] || res.Report.MoreEnds {
 			continue // its end may be among those that the next answer tells
 		}
+		if r.inherited != "" && r.state != runStopping {
+			d.inheritedMissing(now, r, res.Sent)
+			continue
+		}
 		if d.overdue(r, res.Sent) {
 			d.miss(now, r, res.Sent)
 		}
@@ -194,13 +200,11 @@
 // discover takes in a run that no record tells of, and stops it. Until it has ended its task isn't started again.
 func (d *Dispatcher) discover(now unit.Instant, w *worker, x fleet.Running) *run {
 	r := &run{task: x.Task, number: x.Run, state: runRunning, worker: w, since: now, started: now, resumed: true}
-	d.retractCrash(w, x.Task, x.Run)
-	if js := d.jobs[x.Task.Job]; js != nil {
-		if s := js.stepOf(x.Task); s != nil {
-			r.need = s.step.Reserved()
-			if s.runs[x.Task.Index] == nil {
-				r.step = s
-			}
+	d.retractCrash(w.ID, x.Task, x.Run)
+	if s := d.stepOfTask(x.Task); s != nil {
+		r.need = s.step.Reserved()
+		if s.runs[x.Task.Index] == nil {
+			r.step = s
 		}
 	}
 	d.occupy(r)
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -110,7 +110,7 @@
 		case r.state == runStarting && r.ignored(now):
 			d.stopRun(now, r, "its worker answers renewals, but not its orders to start")
 			d.countIgnored(now, r)
-		case r.state == runStarting && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now) && d.grants(now):
+		case r.state == runStarting && r.inherited == "" && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now) && d.grants(now):
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
 			d.orderStop(now, r)
@@ -179,7 +179,7 @@
 	if w.firstAsked == 0 {
 		w.firstAsked = now
 	}
-	o := Renew{Target: d.target(w), Told: w.durable}
+	o := Renew{Target: d.target(w), Told: w.tell()}
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		o.Until, w.renewalLapse = d.lease(now, w), d.lapseOf(now)
 	}
@@ -223,6 +223,9 @@
 		return true
 	}
 	for _, r := range w.runs {
+		if r.inherited != "" {
+			return true
+		}
 		settles := r.started != 0 || r.stopDone != 0
 		if settles && r.missed != 0 || r.state == runStopping && r.stopDone != 0 && w.synced < r.stopDone {
 			return true
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -24,6 +24,7 @@
 		return
 	}
 	r.worker.grantedUntil = max(r.worker.grantedUntil, r.startLapse) // its order may be under way yet
+	r.keepStray()
 	r.worker.recount(func() { r.worker.runs.remove(r.task) })
 	r.worker.used = r.worker.used.Sub(r.taken())
 	if r.step == nil {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -121,8 +121,9 @@
 	// asked is when the last order to start was sent, orders how many were.
 	asked  unit.Instant
 	orders int
-	// startLapse is when the lease of an order to start that is under way has surely run out; 0 if none is.
-	startLapse unit.Instant
+	// startLapse is when the lease of an order to start that is under way has surely run out; 0 if none is. strayLapse is the same for
+	// orders without an answer that the next life under the worker's name may carry out.
+	startLapse, strayLapse unit.Instant
 	// inFlight is set while an order for the run has no verdict.
 	inFlight bool
 	// unanswered is set once an order to start has got no answer: it may be carried
@@ -130,6 +131,9 @@
 	unanswered bool
 	// resumed is set for a run that an earlier owner ordered: when it began isn't known.
 	resumed bool
+	// inherited is the life that the run was placed on while it isn't known whether its worker's, the next one under the
+	// name, has it; else empty.
+	inherited id.Worker
 	// why says for logs what the run is stopped for.
 	why string
 }
@@ -150,6 +154,8 @@
 // answered lately, so that orders may extend its lease.
 type worker struct {
 	fleet.Listing
+	// name is the one under which this life was begun. Others may have been begun under it.
+	name id.WorkerName
 	// pool and rackUse are what the worker counts in during this pass; nil if new tasks may
 	// not go to it.
 	pool    *pool
@@ -186,6 +192,11 @@
 	// lastUnanswered is set if the last renewal got no answer. The next one doesn't wait for news, so that
 	// its loss shows 2 s earlier.
 	lastUnanswered bool
+	// strays holds the orders to start runs that are over, of which a copy got no answer lately; toldStray is when the last renewal
+	// left that told of ends and got no answer, 0 for never. The next life under the name may take them. strayUntil is when every
+	// lease has surely run out there that an order without an answer may bring.
+	strays                []strayStart
+	toldStray, strayUntil unit.Instant
 	// pausedUntil keeps new tasks away, since pausedAt.
 	pausedAt, pausedUntil unit.Instant
 	// contested is when another life at the worker's address or of its machine was last listed; 0 if there
@@ -232,6 +243,15 @@
 	return js.steps[t.Round*len(js.spec.Steps)+t.Step]
 }
 
+// stepOfTask returns the step of a task, or nil if there is no such task of a known job.
+func (d *Dispatcher) stepOfTask(t job.Task) *stepState {
+	js := d.jobs[t.Job]
+	if js == nil {
+		return nil
+	}
+	return js.stepOf(t)
+}
+
 // task returns the name of the step's task at an index.
 func (s *stepState) task(i int) job.Task {
 	return job.Task{Job: s.job.id, Round: s.round, Step: s.index, Index: i}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -1,8 +1,9 @@
 // Package fleet describes the workers of a service, the machines that run tasks, and
 // what they answer to the owner's orders.
 //
-// A worker's id stands for one life of it: after a crash it comes back under another
-// id and runs nothing. A worker keeps the highest epoch that it was ordered with and
+// A worker's id stands for one life of it, which after a crash is followed by another one that runs nothing and
+// counts anew. That has another name, or the same name and another start. Orders name the worker and not the life, so that
+// a life may get orders that were meant for the one before. A worker keeps the highest epoch that it was ordered with and
 // refuses lower ones. All that runs on it is leased until one time on its own steady
 // clock, which may be slow; a renewal moves that time for everything at once.
 package fleet
@@ -58,7 +59,7 @@
 	NoTicket
 	// Busy workers did nothing and want to be left alone for a while.
 	Busy
-	// Replaced workers have another life at the same address.
+	// Replaced lives have another one at the same address, or under the same name.
 	Replaced
 	// Invalid orders were not understood.
 	Invalid
@@ -123,6 +124,8 @@
 
 // Report is a worker's answer to a renewal.
 type Report struct {
+	// Life is the one that answered; empty if the answer doesn't say.
+	Life    id.Worker
 	Clock   Clock
 	Running []Running
 	// Ended holds the ends that the owner hasn't told the worker to forget, in their order: the first ones if
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -18,8 +18,11 @@
 	Guarantee string
 	// Job names a job. An operator chooses it; it is unique for ever.
 	Job string
-	// Worker names a worker, one machine that holds accelerators.
+	// Worker names a worker, one machine that holds accelerators. Where a worker may begin again under its name, it
+	// names one of its lives; package fleet tells the two apart.
 	Worker string
+	// WorkerName names a worker over all lives that it begins under that name.
+	WorkerName string
 	// Machine names a machine of a service for as long as it stands; a worker is one life
 	// of it.
 	Machine string
--- a/core/world/fault.go
+++ b/core/world/fault.go
@@ -23,7 +23,7 @@
 const (
 	// Kill ends workers at once; they are back as another life after Lasts.
 	Kill FaultKind = "kill"
-	// Reborn is Kill with workers that are back under the names that they had.
+	// Reborn is Kill with workers that are back under the names that they had; for a Setup with TellStart.
 	Reborn FaultKind = "reborn"
 	// Silence cuts workers off; what runs there goes on until its lease ends.
 	Silence FaultKind = "silence"
@@ -65,6 +65,10 @@
 	}
 }
 
+// latestOrder is how late an order is at most that was meant for the life before, by the platform's pages. Nothing but time keeps the next life
+// under a name from taking it.
+const latestOrder = 12 * time.Second
+
 // Fault is something that goes wrong.
 type Fault struct {
 	Kind FaultKind
@@ -103,6 +107,9 @@
 	case Kill:
 		w.each(f, func(m *machine) { m.die(f.Lasts, ownName) })
 	case Reborn:
+		if !w.setup.TellStart {
+			return fmt.Errorf("%w: %q of workers that don't tell their starts", ErrFault, f.Kind)
+		}
 		w.each(f, func(m *machine) { m.die(f.Lasts, sameName) })
 	case Silence:
 		w.each(f, func(m *machine) { m.silentUntil = until })
@@ -126,6 +133,9 @@
 		w.each(f, func(m *machine) { m.slowUntil, m.slowBy = until, max(1, f.Factor) })
 	case Late:
 		w.late = lateOrders{until: until, share: f.Share, by: stretch(time.Second, f.Factor)}
+		if w.setup.TellStart {
+			w.late.by = min(w.late.by, latestOrder)
+		}
 	case StoreDown:
 		w.store.up = max(w.store.up, until)
 	case StoreSlow:
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -113,8 +113,18 @@
 	return playJobs(t, seed, kinds, randomJob, length)
 }
 
+// playTold is playLong with workers that tell their starts.
+func playTold(t *testing.T, seed uint64, kinds []world.FaultKind, length time.Duration) *world.World {
+	return playSite(t, seed, kinds, randomJob, length, func(s *world.Setup) { s.TellStart = true })
+}
+
 // playJobs is playLong with jobs that are drawn by job.
 func playJobs(t *testing.T, seed uint64, kinds []world.FaultKind, job func(*rand.Rand) words, length time.Duration) *world.World {
+	return playSite(t, seed, kinds, job, length, func(*world.Setup) {})
+}
+
+// playSite is playJobs on a site that is changed before it begins.
+func playSite(t *testing.T, seed uint64, kinds []world.FaultKind, job func(*rand.Rand) words, length time.Duration, change func(*world.Setup)) *world.World {
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := setup(24, 5, 0.2+random.Float64())
 	s.Seed, s.Times.Drift = seed, 0.02
@@ -123,6 +133,7 @@
 	for i := range s.Workers {
 		s.Workers[i].Speed = 0.7 + 0.6*random.Float64()
 	}
+	change(&s)
 	w, err := world.New(s)
 	if err != nil {
 		t.Fatal(err)
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -89,18 +89,27 @@
 	switch n {
 	case ownName:
 		m.names++
-		m.name = m.ID
-		if m.names > 1 {
-			m.name = id.Worker(fmt.Sprintf("%s.%d", m.ID, m.names))
-		}
 	case sameName:
 		m.lead = m.world.lead(m)
 	}
+	m.name = m.ID
+	if m.names > 1 {
+		m.name = id.Worker(fmt.Sprintf("%s.%d", m.ID, m.names))
+	}
+	if w := m.world; w.setup.TellStart {
+		m.name = fleet.Life(id.WorkerName(m.name), w.start(m))
+	}
 	m.up, m.epoch, m.until = true, 0, 0
 	m.ends, m.seq, m.highest = nil, 0, map[job.Task]job.Run{}
 	m.world.byLife[m.name] = m
 }
 
+// start draws what a life tells of its start, by a time of day that may be set back by minutes between two lives.
+func (w *World) start(m *machine) fleet.Start {
+	ahead := stretch(10*time.Minute, w.chance("start", m.ID, m.life))
+	return fleet.Start(time.Duration(w.now.Add(ahead)).Milliseconds())
+}
+
 // listing is the worker's entry in the platform's list.
 func (m *machine) listing() fleet.Listing {
 	return fleet.Listing{
@@ -114,16 +123,24 @@
 
 // list changes the platform's list, of which the owner hears later.
 func (w *World) list(l fleet.Listing) {
-	at := slices.IndexFunc(w.listed, func(o fleet.Listing) bool { return o.ID == l.ID })
+	at := slices.IndexFunc(w.listed, func(o fleet.Listing) bool { return fleet.NameOf(o.ID) == fleet.NameOf(l.ID) })
+	before := l.ID
 	if at >= 0 {
+		before = w.listed[at].ID
 		w.listed[at] = l
 	} else {
 		w.listed = append(w.listed, l)
 	}
 	w.Plan(w.setup.Times.Listing, func() {
-		if w.owner != nil {
-			w.owner.take(func(o *owner) { o.core.List(w.now, l) })
+		if w.owner == nil {
+			return
 		}
+		w.owner.take(func(o *owner) {
+			if before != l.ID {
+				o.core.Unlist(w.now, before) // one entry stands under a name
+			}
+			o.core.List(w.now, l)
+		})
 	})
 }
 
@@ -156,7 +173,7 @@
 	switch {
 	case !m.up, m.world.now < m.apartUntil:
 		return fleet.Unreachable
-	case m.name != t.Worker:
+	case fleet.NameOf(m.name) != fleet.NameOf(t.Worker):
 		return fleet.Replaced
 	case t.Epoch < m.epoch:
 		return fleet.Fenced
@@ -222,6 +239,9 @@
 
 // lease makes all that runs last until a time, and ends it then.
 func (m *machine) lease(until fleet.Clock) {
+	if most := m.world.setup.Times.MaxLease; most > 0 {
+		until = min(until, m.clock()+fleet.Clock(most))
+	}
 	if until <= m.until {
 		return
 	}
@@ -271,7 +291,7 @@
 
 // report is what the worker says of itself.
 func (m *machine) report() fleet.Report {
-	rep := fleet.Report{Clock: m.clock()}
+	rep := fleet.Report{Life: m.name, Clock: m.clock()}
 	for _, r := range m.runs {
 		rep.Running = append(rep.Running, fleet.Running{Task: r.task, Run: r.number, Percent: r.percent(), Checkpoint: r.checkpoint()})
 	}
@@ -358,7 +378,10 @@
 	}
 	old := m.earlier
 	m.world.list(old)
-	m.world.Plan(m.world.setup.Times.MemberTTL, func() { m.world.unlist(old.ID) })
+	m.world.Plan(m.world.setup.Times.MemberTTL, func() {
+		m.world.unlist(old.ID)
+		m.tell() // where both have one name, the present life writes its entry again
+	})
 }
 
 // readList lets the owner read the whole list, in the order of names backwards.
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -332,7 +332,11 @@
 				answer(fleet.Unknown, fleet.Report{}, w.setup.Times.Timeout)
 				return
 			}
-			answer(fleet.Carried, rep, half)
+			v := fleet.Carried
+			if rep.Life != x.Worker {
+				v = fleet.Replaced
+			}
+			answer(v, rep, half)
 		})
 	})
 }
--- a/core/world/reborn_test.go
+++ b/core/world/reborn_test.go
@@ -17,7 +17,7 @@
 // vanished at once at 26.665 s ("task-vanished", "running"), when the numbers had caught up, the ends were dropped unread, and their tasks, of
 // which one was done at 25.368 s, were started again 11 ms later. On a larger site some 1,280 runs were in place for the owner when some 430 were.
 func TestReborn(t *testing.T) {
-	scripttest.EachIn(t, "reborn", func(t *testing.T, text string) { (&player{t: t}).run(text) })
+	scripttest.EachIn(t, "reborn", func(t *testing.T, text string) { (&player{t: t, tellStart: true}).run(text) })
 }
 
 // TestLongReborn is TestLong with workers that begin again under the names that they had, also while orders to the life before are late, owners
@@ -29,7 +29,7 @@
 	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			checkLong(t, playLong(t, seed, rebornKinds, time.Duration(*longSeconds)*time.Second))
+			checkLong(t, playTold(t, seed, rebornKinds, time.Duration(*longSeconds)*time.Second))
 		})
 	}
 }
--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -41,6 +41,8 @@
 	t  *testing.T
 	at string
 	w  *world.World
+	// tellStart is set for scripts in which workers begin again under their names.
+	tellStart bool
 }
 
 // run plays a script.
@@ -115,6 +117,7 @@
 func (p *player) site(o words) {
 	s := setup(int(o.number("workers", 8)), int(o.number("hosts", 1)), o.number("cores", 1))
 	s.Times.Drift, s.Times.Stop = o.number("drift", 0), o.duration("stop", 0)
+	s.TellStart = p.tellStart
 	s.Costs = world.Costs{Pass: o.duration("pass", 0), Order: o.duration("order", 0)}
 	for i := range s.Workers {
 		s.Workers[i].Speed = o.number("speed", 1)
@@ -141,7 +144,7 @@
 			Trip: 4 * time.Millisecond, Append: 8 * time.Millisecond, AppendGap: time.Millisecond, Read: 5 * time.Millisecond,
 			Timeout: 800 * time.Millisecond, PassEvery: 5 * time.Millisecond, IdleEvery: 200 * time.Millisecond, PassShare: 3,
 			Listing: 800 * time.Millisecond, Whole: 3 * time.Second, Look: 500 * time.Millisecond, MemberTTL: time.Second,
-			Restart: 3 * time.Second,
+			Restart: 3 * time.Second, MaxLease: config.MaxLease,
 		},
 	}
 	for i := range hosts {
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -27,6 +27,8 @@
 	// Far times the usual time is what a task takes away from its data's rack, or in a gang that
 	// asks for one rack and has several; 0 stands for 1.
 	Far float64
+	// TellStart lets workers tell when their lives began, so that one may begin again under the name that it had.
+	TellStart bool
 	// Seed decides failures, clocks and which orders are late.
 	Seed uint64
 }
@@ -89,6 +91,9 @@
 	// Stop is how long a task holds its room after an order to stop, Restore how long one takes to
 	// go on from a checkpoint.
 	Stop, Restore time.Duration
+	// MaxLease is the longest lease that a worker takes; 0 for no bound, which only matters where an order is taken by another life than the one
+	// by whose clock its lease is.
+	MaxLease time.Duration
 	// Restart is how long a worker that a task has crashed is away.
 	Restart time.Duration
 	// Look is the time between two looks at the group of hosts, MemberTTL how long the store
