platform, entry: the start of a worker's life is read, told on and tested

Cause: the wire tells the lives under one id apart by the field born, of entries and of lists of runs; it was not read.

An order names the worker; a renewal that another life has answered is a replaced one, with that life's id. A start that isn't a whole number makes an entry another writer's, and an answer no answer of a known life, with a log line, and nothing is given up on its word; so does an answer without one by a worker that has told it. The list has one entry a name: another life there is taken in as a change. Advice and machines speak of names.

The stand-in begins again under its id, and the experiment tool has the fault.

Found by begins_again.txt: a renewal that tells what may be forgotten came to the next life, which had ended as many runs. It is told shortly after an answer only, and once.

--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -83,6 +83,12 @@
 	if r := o.duration("draining"); r > 0 {
 		l.Draining, l.Remaining = true, r
 	}
+	for _, other := range sorted(s.workers) {
+		if other != name && fleet.NameOf(id.Worker(other)) == fleet.NameOf(l.ID) {
+			delete(s.workers, other) // one entry stands under a name
+			s.d.Unlist(s.now, id.Worker(other))
+		}
+	}
 	s.workers[name] = l
 	s.d.List(s.now, l)
 }
@@ -176,6 +182,9 @@
 	res.Report.Clock = fleet.Clock(time.Hour) + fleet.Clock(s.now-unit.At(time.Unix(1000, 0)))
 	for i := 3; i < len(f); {
 		switch f[i] {
+		case "by":
+			res.Report.Life = id.Worker(f[i+1])
+			i += 2
 		case "run":
 			percent, load, _ := strings.Cut(f[i+3], ":")
 			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.Run(number(s.t, f[i+2])), Percent: number(s.t, percent)}
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -16,6 +16,10 @@
 // lateOrders is how long after it left an order without an answer may be carried out. Up to 12 s were seen on the users' sites.
 const lateOrders = 12 * time.Second
 
+// tellWithin is how old a worker's last answer may be as it is told which ends it may forget. It takes some 10 ms to note an end; a worker that
+// begins again takes half a second or more on the users' sites, and longer until it has ended something.
+const tellWithin = 250 * time.Millisecond
+
 // strayOrder is why a run is stopped on the next life under its worker's name.
 const strayOrder = "an order to start it may come to the next life under its worker's name"
 
@@ -155,9 +159,13 @@
 }
 
 // tell returns the last end that a renewal lets the worker forget; 0 for none. The next life under its name may get the renewal, and would
-// forget ends of its own that nobody has read: so each number is told once, and not while the life before it may be over.
-func (w *worker) tell() uint64 {
-	if fleet.TellsStart(w.ID) && (w.told >= w.durable || w.lastUnanswered) {
+// forget ends of its own that nobody has read, so that their tasks would run again: each number is told once, and only shortly after this
+// life has answered. Another renewal asks for such an answer first.
+func (w *worker) tell(now unit.Instant) uint64 {
+	switch {
+	case !fleet.TellsStart(w.ID):
+		return w.durable
+	case w.told >= w.durable || w.lastUnanswered || now.Sub(w.answered) > tellWithin:
 		return 0
 	}
 	return w.durable
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -128,10 +128,10 @@
 	Verdict fleet.Verdict
 }
 
-// Life says which worker is the present life of a machine.
+// Life says under which name the present life of a machine was begun.
 type Life struct {
 	Machine id.Machine
-	Worker  id.Worker
+	Worker  id.WorkerName
 }
 
 // WaveReport says how far a wave is, for the operator.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -179,11 +179,11 @@
 	if w.firstAsked == 0 {
 		w.firstAsked = now
 	}
-	o := Renew{Target: d.target(w), Told: w.tell()}
+	o := Renew{Target: d.target(w), Told: w.tell(now)}
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		o.Until, w.renewalLapse = d.lease(now, w), d.lapseOf(now)
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.lastUnanswered && !w.hurry() {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.lastUnanswered && !w.hurry() && !w.tellsLater(o) {
 		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() || o.Until == 0 { // the next one may grant, before a lease of 6 s has lapsed
 			o.Wait = min(o.Wait, sharedWait)
@@ -217,6 +217,9 @@
 	return max(leastWait, min(renewWait, spare/2))
 }
 
+// tellsLater reports whether ends are left of which a renewal doesn't tell the worker that it may forget them.
+func (w *worker) tellsLater(o Renew) bool { return o.Told == 0 && w.durable > w.told }
+
 // hurry reports whether an answer is wanted at once.
 func (w *worker) hurry() bool {
 	if w.synced < w.pausedAt || !w.confirmed() {
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -19,7 +19,7 @@
 // TestScripts drives a dispatcher by the scripts in testdata. A line is a command; the
 // lines that begin with > after it are the orders that it must lead to, in order.
 //
-//	worker NAME rack=R [gpus=8] [service=S] [draining=DURATION] [machine=M]   an entry of the list
+//	worker NAME[@START] rack=R [gpus=8] [service=S] [draining=DURATION] [machine=M]   an entry of the list
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
 //	    [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
@@ -31,7 +31,7 @@
 //	start NAME VERDICT       the last order to start that task is answered
 //	stop NAME VERDICT
 //	pace NAME VERDICT        the last order on that task's speed is answered
-//	renew WORKER VERDICT [in-part] [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
+//	renew WORKER VERDICT [by WORKER, the life that answered] [in-part] [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
 //	waits WORKER D           the last renewal there may wait so long
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -76,8 +76,8 @@
 // entry in the list names none.
 func (d *Dispatcher) SetLives(now unit.Instant, lives []Life) {
 	for _, l := range lives {
-		w := d.workers[l.Worker]
-		if w == nil || !w.listed || w.Machine == l.Machine {
+		w := d.listedUnder(l.Worker)
+		if w == nil || w.Machine == l.Machine {
 			continue
 		}
 		w.Machine = l.Machine
@@ -86,6 +86,16 @@
 	}
 }
 
+// listedUnder returns the life that the platform's list shows under a name, or nil.
+func (d *Dispatcher) listedUnder(name id.WorkerName) *worker {
+	for _, w := range d.order {
+		if w.name == name && w.listed {
+			return w
+		}
+	}
+	return nil
+}
+
 // maintain moves the waves on. A new owner waits: the former one may have ordered a machine
 // about a moment ago.
 func (d *Dispatcher) maintain(now unit.Instant) {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -145,7 +145,8 @@
 	}
 	o := &owner{
 		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, h.settings.Policy, epoch, h.table), cancel: end,
-		boxes: boxes, seq: 1, listed: map[id.Worker]bool{}, rejected: map[id.Worker]uint64{}, reports: ring.New[dispatch.WaveReport](reportsWaiting),
+		boxes: boxes, seq: 1, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
+		reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
 	h.election.Owned(now)
--- a/internal/entry/foreign_internal_test.go
+++ b/internal/entry/foreign_internal_test.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"curlewsill.org/curlewsill/core/dispatch"
-	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/policy"
 )
@@ -46,7 +45,7 @@
 		}
 		for i, x := range steps {
 			o.list(o.host.now(), []jobtable.Record{{Key: x.key, Value: x.value}})
-			if o.listed[id.Worker("w-1")] != x.listed || lines.FilterMessage("listing-rejected").Len() != x.logged {
+			if _, listed := o.listed["w-1"]; listed != x.listed || lines.FilterMessage("listing-rejected").Len() != x.logged {
 				t.Errorf("step %d: listed %v, %d lines", i, o.listed["w-1"], lines.FilterMessage("listing-rejected").Len())
 			}
 		}
--- a/internal/entry/orders_internal_test.go
+++ b/internal/entry/orders_internal_test.go
@@ -119,7 +119,7 @@
 	boxes := newOutboxes()
 	t.Cleanup(boxes.close)
 	return &owner{
-		host: h, boxes: boxes, cancel: boxes.close, listed: map[id.Worker]bool{}, rejected: map[id.Worker]uint64{},
+		host: h, boxes: boxes, cancel: boxes.close, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
 	}
 }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -37,10 +37,10 @@
 	writing bool
 	// reports wait to be written for the operator.
 	reports *ring.Ring[dispatch.WaveReport]
-	// listed holds the workers in the platform's list.
-	listed map[id.Worker]bool
+	// listed holds the lives of workers in the platform's list, one under each name.
+	listed map[id.WorkerName]id.Worker
 	// rejected holds the entries of that list that were left out, by a digest of what was last written.
-	rejected map[id.Worker]uint64
+	rejected map[id.WorkerName]uint64
 }
 
 // learn takes in what the table says of a job.
@@ -64,25 +64,26 @@
 
 // listAll takes in the whole list of workers.
 func (o *owner) listAll(now unit.Instant, recs []jobtable.Record) {
-	there := map[id.Worker]bool{}
+	there := map[id.WorkerName]bool{}
 	for _, r := range recs {
-		there[id.Worker(r.Key)] = len(r.Value) > 0
+		there[id.WorkerName(r.Key)] = len(r.Value) > 0
 	}
 	for w := range o.listed {
 		if !there[w] {
 			o.unlist(now, w)
 		}
 	}
-	maps.DeleteFunc(o.rejected, func(w id.Worker, _ uint64) bool { return !there[w] })
+	maps.DeleteFunc(o.rejected, func(w id.WorkerName, _ uint64) bool { return !there[w] })
 	o.list(now, recs)
 }
 
 // list takes in changed entries of the list of workers.
 func (o *owner) list(now unit.Instant, recs []jobtable.Record) {
 	for _, r := range recs {
+		name := id.WorkerName(r.Key)
 		if len(r.Value) == 0 {
-			delete(o.rejected, id.Worker(r.Key))
-			o.unlist(now, id.Worker(r.Key))
+			delete(o.rejected, name)
+			o.unlist(now, name)
 			continue
 		}
 		l, err := platform.DecodeListing(r.Key, r.Value)
@@ -90,8 +91,11 @@
 			o.reject(now, r, err)
 			continue
 		}
-		delete(o.rejected, l.ID)
-		o.listed[l.ID] = true
+		delete(o.rejected, name)
+		if before, known := o.listed[name]; known && before != l.ID {
+			o.core.Unlist(now, before) // whether it is over, answers tell
+		}
+		o.listed[name] = l.ID
 		o.core.List(now, l)
 	}
 }
@@ -102,10 +106,8 @@
 // reject takes in an entry of the list of workers that isn't a worker's own: the worker of that name gets no tasks until it has written its
 // entry again. What runs there goes on by its answers and leases. Each such entry is told once, however often it is read.
 func (o *owner) reject(now unit.Instant, r jobtable.Record, err error) {
-	name := id.Worker(r.Key)
-	if o.listed[name] {
-		o.unlist(now, name)
-	}
+	name := id.WorkerName(r.Key)
+	o.unlist(now, name)
 	digest := maphash.Bytes(digestSeed, r.Value)
 	if old, known := o.rejected[name]; known && old == digest {
 		return
@@ -115,10 +117,14 @@
 	o.host.log.Error("listing-rejected", zap.String("worker", r.Key), zap.Error(err))
 }
 
-// unlist takes in that the list has dropped a worker.
-func (o *owner) unlist(now unit.Instant, w id.Worker) {
-	delete(o.listed, w)
-	o.core.Unlist(now, w)
+// unlist takes in that the list has no entry of a worker any more.
+func (o *owner) unlist(now unit.Instant, name id.WorkerName) {
+	life, known := o.listed[name]
+	if !known {
+		return
+	}
+	delete(o.listed, name)
+	o.core.Unlist(now, life)
 }
 
 // pass decides what is due and hands out what follows.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -29,6 +29,9 @@
 //	awaitstatus HOST JOB STATUS      asks until the answer has the status
 //	pending HOST N
 //	store FAULT | worker N FAULT     none, busy, lost, slow or silent
+//	tellstart START                  workers that start later tell when their lives began, in ms since 1970
+//	beginagain N START               worker N begins again under its id, and its entry tells so
+//	entry N START                    its entry tells another start than it does itself, as one that lands late
 //	proxied                          proxies stand before the store and all workers that start later
 //	links                            hosts reach each other through proxies; before any host
 //	silence WHAT DIRECTION           open connections to the store, workers or all of these, or the links
@@ -134,6 +137,13 @@
 		s.doSilent(f)
 	case "worker":
 		s.worker(s.number(f[1])).SetFault(fault(f[2]))
+	case "tellstart":
+		s.tells = int64(s.number(f[1]))
+	case "beginagain":
+		s.worker(s.number(f[1])).BeginAgain(int64(s.number(f[2])))
+		s.putEntry(s.number(f[1]), int64(s.number(f[2])))
+	case "entry":
+		s.putEntry(s.number(f[1]), int64(s.number(f[2])))
 	case "keepmembers":
 		s.store.KeepMembers()
 	case "forget":
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -43,6 +43,9 @@
 	// mu guards the elements of workers.
 	mu      sync.Mutex
 	workers []*standin.Worker
+	// tells is the start that workers tell which begin from now on; 0 if they tell none. addresses holds where each is.
+	tells     int64
+	addresses map[int]string
 
 	// stops end a host at once, ended are closed when it has ended.
 	hosts []*entry.Host
@@ -76,7 +79,7 @@
 
 // newSite starts a site without hosts and workers.
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, key: "key", lease: 2 * time.Second}
+	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, addresses: map[int]string{}, key: "key", lease: 2 * time.Second}
 	s.between = &between{t: t, store: s.store, proxies: map[string]*faultproxy.Proxy{}}
 	server := httptest.NewServer(s.between)
 	t.Cleanup(server.CloseClientConnections)
@@ -156,7 +159,16 @@
 	s.mu.Lock()
 	s.workers[n] = w
 	s.mu.Unlock()
-	s.store.PutWorker(name, s.through("workers", strings.TrimPrefix(server.URL, "http://")))
+	s.addresses[n] = s.through("workers", strings.TrimPrefix(server.URL, "http://"))
+	if s.tells != 0 {
+		w.TellStart(s.tells)
+	}
+	s.putEntry(n, s.tells)
+}
+
+// putEntry writes the entry of a worker, with a start unless that is 0.
+func (s *site) putEntry(n int, start int64) {
+	s.store.PutEntry(s.worker(n).ID(), standin.Entry{Service: standin.SiteService, Address: s.addresses[n], Clock: 1, Seq: 1, Start: start})
 }
 
 // worker returns the present life of a machine's worker. Orders about machines come from
--- a/internal/experiment/setup/setup.go
+++ b/internal/experiment/setup/setup.go
@@ -186,6 +186,9 @@
 	for _, x := range f.Sections("fault") {
 		s.Faults = append(s.Faults, readFault(x))
 	}
+	if slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == world.Reborn }) {
+		s.World.TellStart, s.World.Times.MaxLease = true, s.Bounds.MaxLease
+	}
 	s.Policies = readPolicies(f)
 	if len(s.Kinds) == 0 {
 		e.Fault("", "a section [kind NAME] in the file")
