soak, standin: workers that begin again under their ids

A kind of its own (again: at once with connections that stay open, behind a cut, with a heartbeat of the life before that lands late over the next one's), drawn from a stream of its own, so that plans of earlier seeds stay as they were.

--- a/soak/entries_test.go
+++ b/soak/entries_test.go
@@ -114,6 +114,29 @@
 	time.AfterFunc(wait, func() { l.land(e) })
 }
 
+// again writes the first entry of a life that has begun under the id of the one before. A last heartbeat of that one may land late, over it.
+func (l *entries) again(life *standin.Worker, late bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.of[life]
+	if e == nil || e.ended {
+		return
+	}
+	before := e.Entry
+	e.Start, e.Seq, e.next = life.Start(), 0, time.Time{}
+	if !late {
+		return
+	}
+	wait := leastLate + time.Duration(l.site.chance(int(mostLate-leastLate)))
+	time.AfterFunc(wait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if !l.away && e.listed {
+			l.site.store.PutEntry(life.ID(), before)
+		}
+	})
+}
+
 // land writes the heartbeat of a life that has ended.
 func (l *entries) land(e *entry) {
 	l.mu.Lock()
--- a/soak/inject_test.go
+++ b/soak/inject_test.go
@@ -177,7 +177,7 @@
 	} else {
 		s.entries.change(life, func(e *entry) { e.Draining, e.Left = true, drainTime })
 	}
-	s.tell(event{Kind: draining, Worker: life.ID()})
+	s.tell(event{Kind: draining, Worker: life.LifeName()})
 }
 
 // replace ends a life of a worker unless that was done before, and begins another.
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -32,9 +32,11 @@
 	// machines is set if entries of workers name their machine; entries is nil in plans that aren't wide,
 	// where an entry is written once.
 	machines bool
-	entries  *entries
-	queues   []standin.Queue
-	services []string
+	// tellStart is set in plans in which workers begin again under their ids.
+	tellStart bool
+	entries   *entries
+	queues    []standin.Queue
+	services  []string
 
 	mu      sync.Mutex
 	judge   *judge
@@ -271,6 +273,7 @@
 	life := standin.NewStrictWorker(s.workerLife(w.number), work, standin.Strict{
 		MaxLease: maxLease, StopTime: stopTime / 3, Gangs: s.gangs, Rate: rate, Observe: s.seen,
 	})
+	life.TellStart(s.lifeStart())
 	address, stop, err := standin.Listen(life)
 	if err != nil {
 		s.t.Error(err)
@@ -287,7 +290,7 @@
 	w.address = w.front.Addr()
 	w.mu.Unlock()
 	if s.entries != nil {
-		s.entries.begin(life, standin.Entry{Service: s.services[w.number%len(s.services)], Address: w.address, Machine: w.machine()})
+		s.entries.begin(life, standin.Entry{Service: s.services[w.number%len(s.services)], Address: w.address, Machine: w.machine(), Start: life.Start()})
 		return
 	}
 	s.store.PutWorker(life.ID(), w.address)
--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -46,6 +46,7 @@
 	{6, time.Second, leavesKinds},
 	{7, time.Second, answersKinds},
 	{8, 4 * time.Second, poisonKinds},
+	{9, time.Second, againKinds},
 }
 
 var livesKinds = []wideKind{
@@ -91,6 +92,15 @@
 	{"poison", []string{"job"}, 1, 0, 0},
 }
 
+var againKinds = []wideKind{
+	// A worker crashes and begins again under its id: at once, with connections that stay open; behind a cut; or at once, with a heartbeat of
+	// the life before that lands late. In plans that have this kind all workers tell when their lives began.
+	{"again", []string{"plain", "cut", "late"}, 1, 50 * time.Millisecond, 2500 * time.Millisecond},
+}
+
+// startSpread is how far apart the times of day may be by which two lives of a worker tell their starts: it may be set back between them.
+const startSpread = 10 * time.Minute
+
 // tornBy is how far apart a worker takes its two lists.
 const tornBy = time.Millisecond
 
@@ -152,7 +162,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.lapse(false)
 		})
-	case "reborn", "moved", "apart", "lapsed", "parting", "leaving", "sudden", "torn":
+	case "reborn", "moved", "apart", "lapsed", "parting", "leaving", "sudden", "torn", "again":
 		w := s.workers[f.target%len(s.workers)]
 		if life, _ := w.present(); life != nil {
 			s.strikeLife(w, life, f)
@@ -178,6 +188,8 @@
 	switch f.what {
 	case "reborn", "moved":
 		s.during("workers", func() { w.reborn(life, f) }, 0, func() {})
+	case "again":
+		s.during("workers", func() { w.again(life, f) }, 0, func() {})
 	case "torn":
 		s.during("workers", func() { life.SetTorn(tornBy) }, f.lasts, func() { life.SetTorn(0) })
 	case "apart", "lapsed":
@@ -216,12 +228,35 @@
 	w.start()
 }
 
+// again ends a life unless that was done before, and lets the worker begin another one under its id.
+func (w *worker) again(life *standin.Worker, f fault) {
+	present, front := w.present()
+	if present != life {
+		return
+	}
+	if f.how == "cut" {
+		front.Cut(directions["both"])
+		time.Sleep(f.lasts)
+		defer front.Heal()
+	}
+	life.BeginAgain(w.site.lifeStart())
+	w.site.entries.again(life, f.how == "late")
+}
+
+// lifeStart draws what a life tells of its start; 0 in plans in which workers tell nothing.
+func (s *site) lifeStart() int64 {
+	if !s.tellStart {
+		return 0
+	}
+	return time.Now().Add(-time.Duration(s.chance(int(startSpread)))).UnixMilli()
+}
+
 // crash ends a life that has started a task which crashes workers, a moment after that.
 func (s *site) crash(name string) {
 	time.Sleep(crashTime)
 	away := leastAway + time.Duration(s.chance(int(mostAway-leastAway)))
 	for _, w := range s.workers {
-		if life, _ := w.present(); life != nil && life.ID() == name {
+		if life, _ := w.present(); life != nil && life.LifeName() == name {
 			s.strikeLife(w, life, fault{what: "reborn", lasts: away})
 		}
 	}
@@ -321,6 +356,7 @@
 
 // widen makes a site ready for a wide plan.
 func (s *site) widen(p plan) {
+	s.tellStart = slices.ContainsFunc(p.faults, func(f fault) bool { return f.what == "again" })
 	s.machines, s.entries = p.machines, &entries{site: s, of: map[*standin.Worker]*entry{}}
 	end := make(chan struct{})
 	go s.entries.run(end)
