dispatch, entry: what engineers lacked in the incident: runs that pass to the next life, runs in place

Logs named no life, no run that a next life may have taken, and nothing told how many runs the owner takes to be in place (some 1,280 where 430 were).

Found while reading: a run that is looked for on a worker kept its room there when its task was placed there anew. occupy gives it back now.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -44,6 +44,8 @@
 	lifeEnds []*lifeEnd
 	// window bounds the starts under way.
 	window window
+	// inPlace counts the runs that take room.
+	inPlace int
 	// claims counts the gangs that room is kept for without stopping anybody.
 	claims int
 	// lastingWaits holds the services in which long-running tasks wait for room.
@@ -90,6 +92,9 @@
 // Fenced reports whether a worker has seen a later owner.
 func (d *Dispatcher) Fenced() bool { return d.fenced }
 
+// InPlace returns how many runs take room on workers, as far as is known.
+func (d *Dispatcher) InPlace() int { return d.inPlace }
+
 // Take returns the orders that may leave at once.
 func (d *Dispatcher) Take() Orders {
 	o := d.orders
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -64,7 +64,7 @@
 			d.strayed(w, now)
 		}
 		if r.mayStray(now) {
-			d.moveRun(r, next)
+			d.moveRun(now, r, next)
 		}
 	}
 	for _, s := range w.strays {
@@ -76,7 +76,8 @@
 	next.grantedUntil = max(next.grantedUntil, w.strayUntil)
 	next.strayUntil = max(next.strayUntil, w.strayUntil)
 	if rest := w.toldStray.Add(lateOrders).Sub(now); w.toldStray != 0 && rest > 0 {
-		next.pause(now, rest) // what it ended might be forgotten unread, and started again
+		next.pause(now, rest)
+		d.note(Note{Event: EventWorkerSuspended, Worker: next.ID, Why: "a renewal that may come late would let it forget ends that nobody has read", Age: rest})
 	}
 	next.nextHold = min(next.nextHold, now)
 }
@@ -89,7 +90,7 @@
 }
 
 // moveRun makes a run count as one of the next life under its worker's name, until that says whether it has it.
-func (d *Dispatcher) moveRun(r *run, next *worker) {
+func (d *Dispatcher) moveRun(now unit.Instant, r *run, next *worker) {
 	if next.runs.get(r.task) != nil {
 		return
 	}
@@ -97,11 +98,13 @@
 	r.dropShield()
 	old.recount(func() { old.runs.remove(r.task) })
 	old.used = old.used.Sub(r.taken())
+	d.inPlace--
 	r.worker, r.inherited = next, old.ID
 	r.unanswered = r.unanswered || r.startLapse != 0
 	r.inFlight, r.startLapse = false, 0
 	r.started, r.reported, r.missed, r.stopAsked, r.stopDone = 0, 0, 0, 0, 0
 	d.occupy(r)
+	d.noteRun(EventTaskInherited, r, "placed on "+string(old.ID), now.Sub(r.since))
 	if r.step == nil || len(r.step.job.progress.Tasks) == 0 {
 		return
 	}
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -49,6 +49,9 @@
 	EventUnknownEnd Event = "unknown-end"
 	// EventTaskLost: a run has surely ended, and nobody says how.
 	EventTaskLost Event = "task-lost"
+	// EventTaskInherited: the next life under its worker's name may have taken the order to start a run, which is looked for there; why
+	// names the life that it was placed on.
+	EventTaskInherited Event = "task-inherited"
 	// EventCrashCounted: a worker's life has ended under a run, without a word; why tells the counts, the age is how long
 	// after the run's start the worker last answered.
 	EventCrashCounted Event = "crash-counted"
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -9,8 +9,12 @@
 // or memory when the fullest worker is sought: they are what runs short.
 const acceleratorWeight = 2
 
-// occupy makes a run take room on its worker.
+// occupy makes a run take room on its worker. A run of the same task that is looked for there gives its room back: a worker has at most one.
 func (d *Dispatcher) occupy(r *run) {
+	if old := r.worker.runs.get(r.task); old != nil {
+		d.release(old)
+	}
+	d.inPlace++
 	r.worker.recount(func() { r.worker.runs.put(r) })
 	r.worker.used = r.worker.used.Add(r.taken())
 	if r.step != nil {
@@ -23,6 +27,7 @@
 	if r.worker.runs.get(r.task) != r {
 		return
 	}
+	d.inPlace--
 	r.worker.grantedUntil = max(r.worker.grantedUntil, r.startLapse) // its order may be under way yet
 	r.keepStray()
 	r.worker.recount(func() { r.worker.runs.remove(r.task) })
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -195,4 +195,5 @@
 	h.lost = h.owner.epoch
 	h.owner = nil
 	h.metrics.owning.Store(false)
+	h.metrics.inPlace.Store(0)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -18,7 +18,9 @@
 type metrics struct {
 	registry *prometheus.Registry
 	// owning is set while this host is the owner.
-	owning    atomic.Bool
+	owning atomic.Bool
+	// inPlace is how many runs take room on workers, as the owner sees it.
+	inPlace   atomic.Int64
 	takeovers prometheus.Counter
 	decisions *prometheus.CounterVec
 	faults    prometheus.Counter
@@ -66,6 +68,9 @@
 		}
 		return 0
 	})
+	inPlace := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "curlewsill_runs", Help: "Runs that take room on workers, as the owner sees it; 0 on the other hosts.",
+	}, func() float64 { return float64(m.inPlace.Load()) })
 	m.gathered = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_gathered_records_total", Help: "Records of other hosts that this one appended for them.",
 	})
@@ -82,7 +87,7 @@
 		Name: "curlewsill_orders_dropped_total", Help: "Orders to workers for which there was no room to wait.",
 	})
 	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.rejected, m.suspensions, m.decisions,
-		m.requests, m.store, m.orders, owning)
+		m.requests, m.store, m.orders, owning, inPlace)
 	return m
 }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -134,6 +134,7 @@
 	o.core.Pass(now, unit.At(time.Now()))
 	o.flush(ctx)
 	o.handOut(ctx)
+	o.host.metrics.inPlace.Store(int64(o.core.InPlace()))
 	o.tell()
 	if o.core.Fenced() {
 		o.host.stepDown("a worker has seen a later epoch")
