dispatch: a crash soon after a start is excused twice at most; what crashes say in three files

Change: two such crashes are excused to a task; with the three that end its job they are the starts that the platform allows.

crash.go is divided: what counts, the counts in the record, common causes.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -24,16 +24,6 @@
 	// start. Tasks that crash workers did so within 10 ms on the users' sites. The longer, the more often a crash of another cause falls
 	// into it.
 	settledAfter = 300 * time.Millisecond
-	// commonCause is within which time crashes of massLeast workers of a service, and massShare of all its workers, under which nothing
-	// had just begun are taken to have one cause: a rack that loses power takes all its workers. They are noticed when the next lives answer. Without
-	// it 33 jobs that can be done were given up instead of 17, in 24 plays of a minute with a seventh of 48 workers crashing each 5 s.
-	commonCause = time.Second
-	massLeast   = 3
-	massShare   = 1.0 / 30
-	// allLeast and allShare are the same for crashes of any kind: half of the workers begin something within the 2 s in which a renewal may wait
-	// for news, so that in a storm nearly each crash seems to come soon after a start. Tasks that crash workers are far from that many.
-	allLeast = 5
-	allShare = 1.0 / 8
 	// repeatedFrom is the count of crashes from which one more under a task doesn't speak for a cause in common: without it tasks that crash workers
 	// 0.4 s after their starts excused each other, 703 starts too many of 58 tasks instead of none, 6 seeds.
 	repeatedFrom = 2
@@ -93,17 +83,6 @@
 	return max(0, r.worker.answered.Sub(r.started))
 }
 
-// lifeEnd is a crash of a worker.
-type lifeEnd struct {
-	at      unit.Instant
-	service id.Service
-	// counted holds the runs under which it was counted.
-	counted []*run
-	// explained is set if one of them may well be the cause: it had just begun. repeated is set if workers have crashed before under the task
-	// of one of them: it speaks for no other cause.
-	explained, repeated bool
-}
-
 // countCrashes counts the end of a worker's life under all that may have begun there. It is called before the runs are given up.
 func (d *Dispatcher) countCrashes(now unit.Instant, w *worker) {
 	e := &lifeEnd{
@@ -120,48 +99,6 @@
 	d.excuseMass(w.Service)
 }
 
-// excuseMass takes the counts of the newest crashes of a service back if so many of them have no explanation that there must be a cause in
-// common.
-func (d *Dispatcher) excuseMass(service id.Service) {
-	all, unexplained := 0, 0
-	for _, e := range d.lifeEnds {
-		if e.service != service || e.repeated {
-			continue
-		}
-		all++
-		if !e.explained {
-			unexplained++
-		}
-	}
-	workers := float64(d.listed(service))
-	most := unexplained >= massLeast && float64(unexplained) >= massShare*workers
-	if !most && (all < allLeast || float64(all) < allShare*workers) {
-		return
-	}
-	for _, e := range d.lifeEnds {
-		if e.service != service {
-			continue
-		}
-		for _, r := range e.counted {
-			d.excuse(r, all)
-		}
-		e.counted = nil
-	}
-}
-
-// excuse takes the count of a crash under a run back, because so many workers crashed together. One soon after the run's start stays: few tasks
-// meet that three times in a row, and it is all that is known of a task that crashes its workers where others crash all the time.
-func (d *Dispatcher) excuse(r *run, crashes int) {
-	c := r.step.crashCount(r.task.Index)
-	if c == nil || c.Run != r.number {
-		return
-	}
-	c.All--
-	c.AtOnce = max(0, c.AtOnce-1)
-	d.mark(r.step.job)
-	d.noteRun(EventCrashExcused, r, fmt.Sprintf("%d workers crashed together for no reason of their own", crashes), r.workedFor())
-}
-
 // countCrash counts the end of a worker's life under a run, once, and reports whether it did.
 func (d *Dispatcher) countCrash(now unit.Instant, r *run) bool {
 	if !r.blamable() {
@@ -296,65 +233,3 @@
 		m.dropShield()
 	}
 }
-
-// anyCrashes reports whether something is so of the count of a task, or of a member of its gang, which starts and is stopped with it.
-func (s *stepState) anyCrashes(index int, so func(job.CrashCount) bool) bool {
-	for _, c := range s.job.progress.Crashes {
-		if s.startsWith(index, c.Task) && so(c) {
-			return true
-		}
-	}
-	return false
-}
-
-// startsWith reports whether the task at a position of the job's progress starts with the one of an index: as itself, or in its gang.
-func (s *stepState) startsWith(index, position int) bool {
-	if s.step.Gang {
-		return position >= s.base && position < s.base+s.step.Count
-	}
-	return position == s.base+index
-}
-
-// clearAtOnce takes back what speaks for crashes soon after the start, of a task or all members of its gang.
-func (s *stepState) clearAtOnce(index int) {
-	all := s.job.progress.Crashes
-	for i := range all {
-		if s.startsWith(index, all[i].Task) {
-			all[i].AtOnce = 0
-		}
-	}
-}
-
-// crashCount returns the count of a task, or nil if no worker has crashed under it. It may be changed until another one is added. Members of a gang
-// are counted one by one: a gang of 64 meets as many crashes of other causes as 64 tasks do, and a member that crashes workers does so in each run.
-func (s *stepState) crashCount(index int) *job.CrashCount {
-	all := s.job.progress.Crashes
-	for i := range all {
-		if all[i].Task == s.base+index {
-			return &all[i]
-		}
-	}
-	return nil
-}
-
-// addCrashCount is crashCount for a task that may have no count yet.
-func (s *stepState) addCrashCount(index int) *job.CrashCount {
-	if c := s.crashCount(index); c != nil {
-		return c
-	}
-	p := &s.job.progress
-	p.Crashes = append(p.Crashes, job.CrashCount{Task: s.base + index})
-	return &p.Crashes[len(p.Crashes)-1]
-}
-
-// dropCrashes forgets the count of a task, or those of its gang. The caller marks the job.
-func (s *stepState) dropCrashes(index int) {
-	p := &s.job.progress
-	p.Crashes = slices.DeleteFunc(p.Crashes, func(c job.CrashCount) bool { return s.startsWith(index, c.Task) })
-}
-
-// dropCrash forgets the count at a position.
-func (s *stepState) dropCrash(position int) {
-	p := &s.job.progress
-	p.Crashes = slices.DeleteFunc(p.Crashes, func(c job.CrashCount) bool { return c.Task == position })
-}
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -19,7 +19,8 @@
 //     what must hold as an order leaves.
 //   - What workers say: answers takes in verdicts and reports, outcome the ends of runs, lives which life of a machine is the present one, inherit
 //     what a life takes over from the one before under its name, health who is kept away from for a while.
-//   - When a run is given up: pass (lapsed leases, orders that are repeated), lease, crash (what crashes of workers say of tasks), suspect
+//   - When a run is given up: pass (lapsed leases, orders that are repeated), lease, crash, crashcount
+//     and commoncause (what crashes of workers say of tasks), suspect
 //     (tasks that are started apart), stop.
 //   - Where tasks go: candidate orders what waits, pool and room are what is free, place, gang and rack choose, preempt, claim and reserve free and keep
 //     room, loss is what a stop costs, window bounds the starts under way, flush writes a placement before its order.
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -81,6 +81,8 @@
 	// failures holds the newest failure of each task, by its index; that of a gang is
 	// under 0.
 	failures map[int]failure
+	// excused counts the crashes soon after their starts that this owner has excused, by task index.
+	excused map[int]int
 	// permits holds what the advice service said of each worker.
 	permits map[id.Worker]permit
 	// asking is set while a question for the step is under way.
--- a/core/world/storm_test.go
+++ b/core/world/storm_test.go
@@ -34,7 +34,8 @@
 // stormLength is how long jobs are handed in.
 const stormLength = time.Minute
 
-// TestStorms plays storms of crashes over gangs of several widths. No job that can be done is given up. By hand, with a table:
+// TestStorms plays storms of crashes over gangs of several widths. No job that can be done is given up, and those that crash workers are, in time. By
+// hand, with a table, where not all cases pass:
 //
 //	go test ./core/world -run Storms -v -args -stormseeds 20
 //
@@ -42,7 +43,10 @@
 // workers, a gang of 38 at "3 of 3 at once", by the workers of its members 2, 3 and 1; and crashes counted against orders that the worker's next
 // life had refused.
 func TestStorms(t *testing.T) {
-	cases := []stormCase{{width: 16, share: 0.33, every: 2 * time.Second}}
+	cases := []stormCase{
+		{width: 16, share: 0.33, every: 2 * time.Second},
+		{width: 4, share: 0.05, every: 20 * time.Second, oneIn: 4, soon: 10 * time.Millisecond},
+	}
 	if *stormSeeds > 1 {
 		cases = stormCases()
 	}
@@ -51,8 +55,8 @@
 			sum := playStorms(t, c)
 			t.Logf("%d jobs, %d done, %d given up wrongly; %d that crash workers, %d crashes, %d violations",
 				sum.jobs, sum.done, sum.wrong, sum.bad, sum.crashes, sum.violations)
-			if sum.wrong > 0 {
-				t.Errorf("%d of %d jobs were given up wrongly", sum.wrong, sum.jobs)
+			if sum.wrong > 0 || sum.violations > 0 {
+				t.Errorf("%d of %d jobs were given up wrongly, %d checks did not hold", sum.wrong, sum.jobs, sum.violations)
 			}
 		})
 	}
