dispatch: a renewal that tells what may be forgotten waits for no news

Cause: such a renewal waited up to 2 s at the worker, and about each second one was under way as a worker crashed. Without an answer it might come to the next life, which therefore got no tasks for up to 12 s.

Change: it is answered at once, of workers that tell their starts; the next one waits.

--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -183,7 +184,7 @@
 	if len(w.runs) > 0 && w.heard(now) && d.grants(now) {
 		o.Until, w.renewalLapse = d.lease(now, w), d.lapseOf(now)
 	}
-	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.lastUnanswered && !w.hurry() && !w.tellsLater(o) {
+	if w.synced != 0 && w.seen == w.durable && len(w.runs) > 0 && w.heard(now) && !w.lastUnanswered && !w.hurry() && !w.forgets() {
 		o.Wait = renewalWait(d.config.MaxLease)
 		if w.shared() || o.Until == 0 { // the next one may grant, before a lease of 6 s has lapsed
 			o.Wait = min(o.Wait, sharedWait)
@@ -217,8 +218,10 @@
 	return max(leastWait, min(renewWait, spare/2))
 }
 
-// tellsLater reports whether ends are left of which a renewal doesn't tell the worker that it may forget them.
-func (w *worker) tellsLater(o Renew) bool { return o.Told == 0 && w.durable > w.told }
+// forgets reports whether the worker is to be told which ends it may forget, by this renewal or the next one. It is asked for an answer at once: as
+// long as there is none, its next life may get what was told, and no tasks: 372 times for up to 12 s in 10 plays of a minute with a third of 48 workers
+// beginning again each 8 s, and never with it.
+func (w *worker) forgets() bool { return fleet.TellsStart(w.ID) && w.durable > w.told }
 
 // hurry reports whether an answer is wanted at once.
 func (w *worker) hurry() bool {
