--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -201,6 +201,9 @@
 			d.end(now, w, e)
 		}
 	}
+	if w.replaced && fleet.TellsStart(w.ID) {
+		return // it answered before the next life did: what it lists as running is over
+	}
 	d.compare(now, w, res, ended)
 	w.endTrial(now)
 	d.pace(now, w)
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -34,12 +34,14 @@
 // precedes reports whether a life that isn't known to be over has the name of another one.
 func (w *worker) precedes(o *worker) bool { return w != o && w.name == o.name && !w.replaced }
 
-// successor returns the life that has answered in place of another one under its name. Its own entry may not have been read yet.
+// successor returns the life that has answered in place of another one under its name. Its own entry may not have been read yet. If a third one has
+// answered in its place it is asked once more, and hands on what it inherits.
 func (d *Dispatcher) successor(now unit.Instant, w *worker, life id.Worker) *worker {
 	next := d.worker(now, life)
 	if next.Address == "" {
 		next.Address, next.Machine = w.Address, w.Machine
 	}
+	next.replaced = false
 	return next
 }
 
@@ -70,9 +72,11 @@
 	for _, s := range w.strays {
 		if now.Sub(s.asked) <= lateOrders {
 			d.blockStart(now, next, s)
+			next.strays = append(next.strays, s) // the life after that knows of no stop
 		}
 	}
 	w.strays = nil
+	next.toldStray = max(next.toldStray, w.toldStray)
 	next.grantedUntil = max(next.grantedUntil, w.strayUntil)
 	next.strayUntil = max(next.strayUntil, w.strayUntil)
 	if rest := w.toldStray.Add(lateOrders).Sub(now); w.toldStray != 0 && rest > 0 {
@@ -85,7 +89,8 @@
 // mayStray reports whether an order to start the run may reach, or may have reached, the next life under its worker's name.
 func (r *run) mayStray(now unit.Instant) bool {
 	unanswered := (r.unanswered || r.startLapse != 0) && now.Sub(r.asked) <= lateOrders
-	unsure := r.reported == 0 && (r.resumed || r.started != 0 && r.worker.synced <= r.started) // nothing says that this life began it
+	answeredOnly := r.started != 0 && r.worker.synced <= r.started
+	unsure := r.reported == 0 && (r.resumed || r.inherited != "" || answeredOnly) // nothing says that this life began it
 	return r.state != runOrdered && (unanswered || unsure)
 }
 
@@ -99,7 +104,10 @@
 	old.recount(func() { old.runs.remove(r.task) })
 	old.used = old.used.Sub(r.taken())
 	d.inPlace--
-	r.worker, r.inherited = next, old.ID
+	if r.inherited == "" {
+		r.inherited = old.ID
+	}
+	r.worker = next
 	r.unanswered = r.unanswered || r.startLapse != 0
 	r.inFlight, r.startLapse = false, 0
 	r.started, r.reported, r.missed, r.stopAsked, r.stopDone = 0, 0, 0, 0, 0
