--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -61,19 +61,23 @@
 	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			random := rand.New(rand.NewPCG(seed, 1))
-			job := func(r *rand.Rand) words {
-				o := randomJob(r)
-				if random.IntN(crashOneIn) == 0 {
-					o = append(o, "crashes=10ms")
-				}
-				return o
-			}
-			checkLong(t, playJobs(t, seed, crashKinds, job, time.Duration(*longSeconds)*time.Second))
+			checkLong(t, playJobs(t, seed, crashKinds, crashingJobs(seed), time.Duration(*longSeconds)*time.Second))
 		})
 	}
 }
 
+// crashingJobs draws random jobs of which one in crashOneIn crashes its workers, with more words for these.
+func crashingJobs(seed uint64, more ...string) func(*rand.Rand) words {
+	random := rand.New(rand.NewPCG(seed, 1))
+	return func(r *rand.Rand) words {
+		o := randomJob(r)
+		if random.IntN(crashOneIn) == 0 {
+			o = append(append(o, "crashes=10ms"), more...)
+		}
+		return o
+	}
+}
+
 // crashOneIn is how many jobs there are to one that crashes workers.
 const crashOneIn = 8
 
--- a/core/world/reborn_test.go
+++ b/core/world/reborn_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -58,16 +57,8 @@
 	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			random := rand.New(rand.NewPCG(seed, 1))
-			job := func(r *rand.Rand) words {
-				o := randomJob(r)
-				if random.IntN(crashOneIn) == 0 {
-					o = append(o, "crashes=10ms", "reborn")
-				}
-				return o
-			}
 			tell := func(s *world.Setup) { s.TellStart = true }
-			checkLong(t, playSite(t, seed, kinds, job, time.Duration(*longSeconds)*time.Second, tell))
+			checkLong(t, playSite(t, seed, kinds, crashingJobs(seed, "reborn"), time.Duration(*longSeconds)*time.Second, tell))
 		})
 	}
 }
