--- a/core/world/storm_test.go
+++ b/core/world/storm_test.go
@@ -27,7 +27,8 @@
 type stormTally struct {
 	// jobs counts those that crash no worker, wrong those of them that were given up, done those that were completed.
 	jobs, wrong, done int
-	// bad counts those that crash workers, crashes the workers that they crashed, violations what did not hold: starts beyond what is allowed, and jobs given up wrongly.
+	// bad counts those that crash workers, crashes the workers that they crashed, violations what did not hold: starts beyond what is allowed,
+	// and jobs given up wrongly.
 	bad, crashes, violations int
 }
 
