soak: storms, a tenth to a third of the workers at once

A kind of its own (storm), from a stream of its own: the workers crash behind a cut and are back as other lives, or under their ids in plans whose workers tell their starts.

--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -47,6 +47,7 @@
 	{7, time.Second, answersKinds},
 	{8, 4 * time.Second, poisonKinds},
 	{9, time.Second, againKinds},
+	{10, 6 * time.Second, stormKinds},
 }
 
 var livesKinds = []wideKind{
@@ -98,6 +99,14 @@
 	{"again", []string{"plain", "cut", "late"}, 1, 50 * time.Millisecond, 2500 * time.Millisecond},
 }
 
+var stormKinds = []wideKind{
+	// A tenth to a third of the workers crash at once behind a cut, and are back as other lives, or under their ids where workers tell their starts.
+	{"storm", []string{"reborn", "again"}, 1, 50 * time.Millisecond, 2500 * time.Millisecond},
+}
+
+// leastStorm and mostStorm bound the share of the workers that crash in a storm, in hundredths.
+const leastStorm, mostStorm = 10, 33
+
 // startSpread is how far apart the times of day may be by which two lives of a worker tell their starts: it may be set back between them.
 const startSpread = 10 * time.Minute
 
@@ -157,6 +166,8 @@
 		s.mu.Unlock()
 	case "turns":
 		s.turns(f)
+	case "storm":
+		s.storm(f)
 	case "lapse":
 		s.during("store", func() { s.store.SetFault(standin.Fault(f.how)); s.entries.lapse(true) }, f.lasts, func() {
 			s.store.SetFault(standin.FaultNone)
@@ -173,6 +184,23 @@
 	return true
 }
 
+// storm crashes some of the workers at once.
+func (s *site) storm(f fault) {
+	one := fault{what: f.how, how: "cut", lasts: f.lasts}
+	if !s.tellStart {
+		one = fault{what: "reborn", how: "mute", lasts: f.lasts}
+	}
+	share := leastStorm + s.chance(mostStorm-leastStorm+1)
+	var all sync.WaitGroup
+	for i := range max(1, len(s.workers)*share/100) {
+		w := s.workers[(f.target+i)%len(s.workers)]
+		if life, _ := w.present(); life != nil {
+			all.Go(func() { s.strikeLife(w, life, one) })
+		}
+	}
+	all.Wait()
+}
+
 // turns ends all hosts one after the other, so that the owner changes while old entries stand.
 func (s *site) turns(f fault) {
 	var all sync.WaitGroup
