--- a/soak/judge_call_test.go
+++ b/soak/judge_call_test.go
@@ -38,11 +38,14 @@
 // sent notes what callers ask for.
 func (j *judge) sent(e event) {
 	x := j.jobs[e.Job]
+	if x == nil {
+		x = &jobSeen{} // another caller may ask for a job a moment before it is told that it is handed in
+		j.jobs[e.Job] = x
+	}
 	switch e.Method {
 	case http.MethodPost:
-		if x == nil {
-			x = &jobSeen{text: e.Text, steps: e.Steps}
-			j.jobs[e.Job] = x
+		if x.text == "" {
+			x.text, x.steps = e.Text, e.Steps
 		}
 		x.open++
 	case http.MethodDelete:
