core/evacuation, core/dispatch, entry: failure domains that the operator evacuates

Cause: nothing read the operator's records evacuate/DOMAIN. Ruled out: the bound is not missed by a slow reader; no line of the tree looked at such records. Change: platform decodes them once; core/evacuation keeps which domains are evacuated since which record; the dispatcher places, orders and repeats nothing there, counts no room there for preemption or kept room, and takes back what has not begun, a gang as a whole. What runs there goes on. Orders leave only while the operator's records are known as of at most the bound less 1 s ago, by a third look as the order leaves.

--- a/core/dispatch/check.go
+++ b/core/dispatch/check.go
@@ -34,6 +34,9 @@
 	if !js.ready(s) {
 		return "a step before has not ended"
 	}
+	if r.worker.evacuated {
+		return whyEvacuated
+	}
 	return checkGang(s, r)
 }
 
--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -56,6 +56,14 @@
 		s.advised(f, o)
 	case "wave":
 		s.wave(f)
+	case "evacuate":
+		s.evacuate(f[1:])
+	case "bound":
+		s.evacuation = duration(s.t, f[1])
+		s.takeOver()
+	case "informed":
+		s.informed = s.now.Add(-duration(s.t, f[1]))
+		s.d.Inform(s.informed)
 	case "upkeep":
 		s.d.Upkept(s.now, dispatch.UpkeepResult{Upkeep: s.upkeeps[f[1]], Verdict: verdict(s.t, f[2])})
 	case "lease":
@@ -76,7 +84,7 @@
 func (s *script) list(name string, o opts) {
 	l := fleet.Listing{
 		ID: id.Worker(name), Machine: id.Machine(o.text("machine", "")), Address: o.text("address", name),
-		Service: id.Service(o.text("service", "svc")), Rack: id.Rack(o.text("rack", "r1")),
+		Service: id.Service(o.text("service", "svc")), Domain: id.Domain(o.text("domain", "d1")), Rack: id.Rack(o.text("rack", "r1")),
 		Labels:   []string{"a", o.text("rack", "r1")},
 		Capacity: job.Resources{CPU: 64000, Memory: 256 * unit.GiB, Accelerators: o.number("gpus", 8)}, Clock: fleet.Clock(time.Hour),
 	}
@@ -132,6 +140,15 @@
 	s.d.SetWave(s.now, s.now.Add(s.ahead), w)
 }
 
+// evacuate evacuates some failure domains and opens all others.
+func (s *script) evacuate(names []string) {
+	s.evacuated = nil
+	for _, n := range names {
+		s.evacuated = append(s.evacuated, id.Domain(n))
+	}
+	s.d.Evacuate(s.evacuated)
+}
+
 // addJob puts a job into the store and hands it to the dispatcher.
 func (s *script) addJob(name id.Job, o opts) {
 	step := job.Step{
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -16,4 +16,7 @@
 	Handover time.Duration
 	// Away is how long a machine is down for its maintenance.
 	Away time.Duration
+	// Evacuation is how long after the operator has evacuated a failure domain a task may still start there; 0 where no operator
+	// does that.
+	Evacuation time.Duration
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -73,6 +73,11 @@
 	assured unit.Instant
 	// withholds is set while leases aren't extended because of that.
 	withholds bool
+	// evacuated holds the failure domains where nothing may start, as of informed; 0 if nothing is known yet.
+	evacuated []id.Domain
+	informed  unit.Instant
+	// uninformed is set while nothing starts because that is too long ago.
+	uninformed bool
 }
 
 // New returns the dispatcher of an owner with the given epoch, that decides by the given policy.
@@ -131,6 +136,7 @@
 	}
 	resized := l.Capacity != w.Capacity
 	w.Listing, w.listed = l, true
+	w.evacuated = slices.Contains(d.evacuated, l.Domain)
 	if resized {
 		w.reshield()
 	}
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -12,6 +12,7 @@
 //     of its clock. That the list drops a worker or shows two lives, or that connections
 //     fail, proves nothing.
 //   - The members of a gang are placed together and taken back together.
+//   - Nothing starts in a failure domain that the operator has evacuated.
 //
 // One package holds all of it, because all of it reads and changes one state in one goroutine; a file is a matter:
 //
@@ -25,5 +26,5 @@
 //   - Where tasks go: candidate orders what waits, pool and room are what is free, place, gang and rack choose, preempt, claim and reserve free and keep
 //     room, loss is what a stop costs, window bounds the starts under way, flush writes a placement before its order.
 //   - Kinds of work: jobs (from acceptance to the end), lasting, permit and advice (steps that need leave), pace (tasks that disturb each other),
-//     upkeep (machines that are taken down).
+//     upkeep (machines that are taken down), evacuation (failure domains where nothing may start).
 package dispatch
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -71,10 +71,18 @@
 		d.stopRun(now, r, noRoomLeft)
 		return
 	}
+	if r.shut() {
+		d.stopRun(now, r, whyEvacuated)
+		return
+	}
 	if !d.grants(now) {
 		d.stopRun(now, r, "another host may be the owner")
 		return
 	}
+	if !d.knowsEvacuations(now) {
+		d.stopRun(now, r, "its failure domain may be evacuated")
+		return
+	}
 	if !r.step.mayRunOn(now, r.worker) {
 		d.stopRun(now, r, "its permit has expired")
 		return
@@ -102,11 +110,16 @@
 
 // anyWorker reports whether something is so of the worker of a run, or of a member of its gang.
 func (r *run) anyWorker(so func(*worker) bool) bool {
+	return r.anyMember(func(m *run) bool { return so(m.worker) })
+}
+
+// anyMember reports whether something is so of a run, or of a member of its gang.
+func (r *run) anyMember(so func(*run) bool) bool {
 	if r.step == nil || !r.step.step.Gang {
-		return so(r.worker)
+		return so(r)
 	}
 	for _, m := range r.step.runs {
-		if so(m.worker) {
+		if so(m) {
 			return true
 		}
 	}
@@ -122,7 +135,7 @@
 	r.orders++
 	s := r.step
 	d.orders.Starts = append(d.orders.Starts, Start{
-		Target: d.target(r.worker), Task: r.task, Run: r.number, Text: s.job.spec.Text,
+		Target: d.target(r.worker), Domain: r.worker.Domain, Task: r.task, Run: r.number, Text: s.job.spec.Text,
 		Checkpoint: s.job.progress.Tasks[s.base+r.task.Index].Checkpoint, Ticket: s.permits[r.worker.ID].ticket,
 		Until: d.lease(now, r.worker), Unsure: r.unanswered || r.resumed,
 	})
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -20,6 +20,8 @@
 // Start orders a worker to run a task.
 type Start struct {
 	Target
+	// Domain is the failure domain of the worker.
+	Domain     id.Domain
 	Task       job.Task
 	Run        job.Run
 	Text       string
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -33,6 +33,14 @@
 	// age is that of the newest assurance. EventLeasesGranted: that has ended.
 	EventLeasesWithheld Event = "leases-withheld"
 	EventLeasesGranted  Event = "leases-granted"
+	// EventDomainEvacuated: the operator has evacuated a failure domain; why says how much of the site that is. EventDomainOpened:
+	// that is taken back.
+	EventDomainEvacuated Event = "domain-evacuated"
+	EventDomainOpened    Event = "domain-opened"
+	// EventStartsWithheld: nothing starts, because what the operator has asked for may have changed; the age is that of what is
+	// known. EventStartsResumed: that has ended.
+	EventStartsWithheld Event = "starts-withheld"
+	EventStartsResumed  Event = "starts-resumed"
 	// EventTaskPlaced: a task is to run on a worker; why is its rack.
 	EventTaskPlaced Event = "task-placed"
 	// EventStartRejected: a worker did not carry out an order to start.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -37,8 +37,8 @@
 	// silentAfter is how long after its last answer a worker gets no new tasks.
 	// It is one renewal that waited in full, and one lost.
 	silentAfter = 3500 * time.Millisecond
-	// evacuateSlack is the time that a stop needs on its way and to be noted.
-	evacuateSlack = 500 * time.Millisecond
+	// moveSlack is the time that a stop needs on its way and to be noted.
+	moveSlack = 500 * time.Millisecond
 	// trustPercent is the least progress, in percent, from which a run's remaining time
 	// is estimated; below, the customer's estimate counts.
 	trustPercent = 10
@@ -53,16 +53,17 @@
 		d.began = now
 	}
 	d.noteGrants(now)
+	d.noteNews(now)
 	d.forgetGone(now)
 	for _, w := range d.order {
 		d.giveUp(now, w)
 		d.resend(now, w)
-		d.evacuate(now, w)
+		d.moveOff(now, w)
 	}
 	d.giveUpSpent(now)
 	d.expire(now)
 	d.maintain(now)
-	if d.grants(now) { // else each order would be taken back, with a record and a number of its own
+	if d.mayStart(now) { // else each order would be taken back, with a record and a number of its own
 		d.placeAll(now)
 	}
 	for _, w := range d.order {
@@ -106,12 +107,14 @@
 		switch {
 		case r.state == runStarting && w.Draining && r.started == 0 && w.synced != 0:
 			d.stopRun(now, r, "its worker leaves before it has started")
+		case r.state == runStarting && r.started == 0 && w.synced != 0 && r.shut():
+			d.stopRun(now, r, whyEvacuated)
 		case r.state == runStarting && r.started == 0 && w.synced != 0 && w.overfull():
 			d.stopRun(now, r, noRoomLeft)
 		case r.state == runStarting && r.ignored(now):
 			d.stopRun(now, r, "its worker answers renewals, but not its orders to start")
 			d.countIgnored(now, r)
-		case r.state == runStarting && r.inherited == "" && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now) && d.grants(now):
+		case r.state == runStarting && r.inherited == "" && now.Sub(r.asked) >= resendAfter && w.synced != 0 && w.heard(now) && d.mayStart(now) && !r.shut():
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopDone == 0 && now.Sub(r.stopAsked) >= resendAfter:
 			d.orderStop(now, r)
@@ -135,8 +138,8 @@
 	return false
 }
 
-// evacuate moves tasks off a worker that leaves, if they can't end there in time.
-func (d *Dispatcher) evacuate(now unit.Instant, w *worker) {
+// moveOff moves tasks off a worker that leaves, if they can't end there in time.
+func (d *Dispatcher) moveOff(now unit.Instant, w *worker) {
 	if !w.Draining || len(w.runs) == 0 {
 		return
 	}
@@ -145,7 +148,7 @@
 		if r.step == nil || r.state != runRunning && r.state != runStarting {
 			continue
 		}
-		margin := d.config.StopTime + evacuateSlack
+		margin := d.config.StopTime + moveSlack
 		needed := d.remaining(now, r)
 		if needed+margin <= left {
 			continue
@@ -242,7 +245,7 @@
 
 // usable reports whether new tasks may go to a worker.
 func (w *worker) usable(now unit.Instant) bool {
-	return w.listed && !w.Draining && !w.held && w.confirmed() && now >= w.pausedUntil && w.healthy(now)
+	return w.listed && !w.Draining && !w.held && !w.evacuated && w.confirmed() && now >= w.pausedUntil && w.healthy(now)
 }
 
 // healthy reports whether a worker that is at work answers.
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -19,7 +19,7 @@
 // TestScripts drives a dispatcher by the scripts in testdata. A line is a command; the
 // lines that begin with > after it are the orders that it must lead to, in order.
 //
-//	worker NAME[@START] rack=R [gpus=8] [service=S] [draining=DURATION] [machine=M]   an entry of the list
+//	worker NAME[@START] rack=R [domain=D] [gpus=8] [service=S] [draining=DURATION] [machine=M]   an entry of the list
 //	unlist NAME
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts] [attempts=N]
 //	    [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D] [twosteps] [ahead=D, of the clock that accepted it]
@@ -36,6 +36,9 @@
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
 //	wave N WITHIN MOST MACHINE...     the operator asks for maintenance
+//	evacuate [DOMAIN]...     the operator evacuates these failure domains, and opens all others
+//	bound D                  another owner starts, on a deployment that lets tasks start so long after an evacuation at most
+//	informed D               what the operator has evacuated is known as of so long ago
 //	upkeep MACHINE VERDICT   the last order to take that machine down is answered
 //	lease D                  another owner starts, on a deployment with leases of at most D
 //	takeover                 another owner starts from the store's records
@@ -62,6 +65,9 @@
 	// workers is the platform's list, waves what the operator asked for.
 	workers map[string]fleet.Listing
 	waves   []upkeep.Wave
+	// evacuated is what the operator has evacuated, informed as of when the owner knows it; 0 if nobody tells.
+	evacuated []id.Domain
+	informed  unit.Instant
 
 	// The last orders, by task, worker or machine.
 	starts  map[string]dispatch.Start
@@ -76,8 +82,8 @@
 	asks  []dispatch.Ask
 	asked unit.Instant
 
-	// lease is the longest lease if it isn't that of config.
-	lease time.Duration
+	// lease is the longest lease if it isn't that of config, evacuation how long after an evacuation a task may still start.
+	lease, evacuation time.Duration
 	// lines are the orders since the last command.
 	lines []string
 }
@@ -104,6 +110,7 @@
 	if s.lease > 0 {
 		c.MaxLease = s.lease
 	}
+	c.Evacuation = s.evacuation
 	s.d = dispatch.New(c, s.policy, s.epoch, s.table)
 	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
@@ -113,6 +120,8 @@
 	for _, name := range sorted(s.workers) {
 		s.d.List(s.now, s.workers[name])
 	}
+	s.d.Evacuate(s.evacuated)
+	s.d.Inform(s.informed)
 	for _, w := range s.waves {
 		s.d.SetWave(s.now, s.now.Add(s.ahead), w)
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -162,8 +162,9 @@
 	// not go to it.
 	pool    *pool
 	rackUse *rackUse
-	// held is set while the worker's machine is to go down for maintenance.
-	held bool
+	// held is set while the worker's machine is to go down for maintenance, evacuated while the operator has evacuated its
+	// failure domain.
+	held, evacuated bool
 	// since is when this owner first knew of the worker.
 	since unit.Instant
 	// listed is set while the platform's list has the worker.
--- a/core/world/fault.go
+++ b/core/world/fault.go
@@ -47,6 +47,8 @@
 	Shrink FaultKind = "shrink"
 	// Slow makes what workers begin slower by Factor.
 	Slow FaultKind = "slow"
+	// Evacuate evacuates failure domains, at least one, until Lasts is over or they are evacuated anew; for a Setup with Evacuation.
+	Evacuate FaultKind = "evacuate"
 	// Late lets a part of the orders get no answer; each is carried out Factor seconds later.
 	Late FaultKind = "late"
 	// StoreDown takes the store away.
@@ -61,7 +63,7 @@
 // FaultKinds returns all kinds.
 func FaultKinds() []FaultKind {
 	return []FaultKind{
-		Kill, Reborn, Silence, Drain, Apart, StaleEntry, ReadList, Fail, Busy, Mute, Shrink, Slow, Late, StoreDown, StoreSlow, KillOwner, KillHosts,
+		Kill, Reborn, Silence, Drain, Apart, StaleEntry, ReadList, Fail, Busy, Mute, Shrink, Slow, Evacuate, Late, StoreDown, StoreSlow, KillOwner, KillHosts,
 	}
 }
 
@@ -86,6 +88,8 @@
 	by    time.Duration
 	// sent numbers the orders.
 	sent int
+	// carrying is set while a late order is carried out.
+	carrying bool
 }
 
 // delay returns by how much an order is late; 0 if it isn't.
@@ -131,6 +135,11 @@
 		w.each(f, func(m *machine) { m.shrink(f.Lasts, max(1, f.Factor)) })
 	case Slow:
 		w.each(f, func(m *machine) { m.slowUntil, m.slowBy = until, max(1, f.Factor) })
+	case Evacuate:
+		if w.setup.Evacuation == 0 {
+			return fmt.Errorf("%w: %q where no operator evacuates", ErrFault, f.Kind)
+		}
+		w.evacuate(f)
 	case Late:
 		w.late = lateOrders{until: until, share: f.Share, by: stretch(time.Second, f.Factor)}
 		if w.setup.TellStart {
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -212,6 +212,7 @@
 		return fleet.NoRoom
 	}
 	w.checkStart(s, o)
+	w.checkDomain(m, o)
 	m.highest[o.Task] = o.Run
 	m.lease(o.Until)
 	m.begins(s, o, need)
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -52,6 +52,7 @@
 	for _, l := range w.listed {
 		o.core.List(w.now, l)
 	}
+	o.readOperator()
 	o.wake(0)
 }
 
@@ -230,17 +231,18 @@
 func (o *owner) handOut() {
 	orders := o.core.Take()
 	for _, x := range orders.Starts {
-		o.order(x.Target, func(m *machine) fleet.Verdict { return m.start(x) }, func(v fleet.Verdict, c fleet.Clock) {
+		leaves := func() bool { return o.core.StartRules().Forbid(o.world.now, x.Domain) == "" }
+		o.order(x.Target, leaves, func(m *machine) fleet.Verdict { return m.start(x) }, func(v fleet.Verdict, c fleet.Clock) {
 			o.core.Started(o.world.now, dispatch.StartResult{Start: x, Verdict: v, Clock: c})
 		})
 	}
 	for _, x := range orders.Stops {
-		o.order(x.Target, func(m *machine) fleet.Verdict { return m.stop(x) }, func(v fleet.Verdict, c fleet.Clock) {
+		o.order(x.Target, always, func(m *machine) fleet.Verdict { return m.stop(x) }, func(v fleet.Verdict, c fleet.Clock) {
 			o.core.Stopped(o.world.now, dispatch.StopResult{Stop: x, Verdict: v, Clock: c})
 		})
 	}
 	for _, x := range orders.Paces {
-		o.order(x.Target, func(*machine) fleet.Verdict { return fleet.Carried }, func(v fleet.Verdict, c fleet.Clock) {
+		o.order(x.Target, always, func(*machine) fleet.Verdict { return fleet.Carried }, func(v fleet.Verdict, c fleet.Clock) {
 			o.core.Paced(o.world.now, dispatch.PaceResult{Pace: x, Verdict: v, Clock: c})
 		})
 	}
@@ -258,8 +260,11 @@
 	}})
 }
 
-// order carries one order out and takes its answer in. One that comes too late is lost.
-func (o *owner) order(t dispatch.Target, carry func(*machine) fleet.Verdict, answered func(fleet.Verdict, fleet.Clock)) {
+// always lets an order leave.
+func always() bool { return true }
+
+// order carries one order out, if it may leave when its turn has come, and takes its answer in. One that comes too late is lost.
+func (o *owner) order(t dispatch.Target, leaves func() bool, carry func(*machine) fleet.Verdict, answered func(fleet.Verdict, fleet.Clock)) {
 	w := o.world
 	half := w.setup.Times.Trip / 2
 	decided := w.now
@@ -284,6 +289,10 @@
 			}
 			answer(v, half)
 		}
+		if !leaves() {
+			answer(fleet.Unreachable, 0)
+			return
+		}
 		switch by := w.late.delay(w, t); {
 		case m.silent():
 			answer(fleet.Unknown, w.setup.Times.Timeout)
@@ -291,7 +300,9 @@
 			answer(fleet.Unknown, w.setup.Times.Timeout)
 			w.Plan(by, func() {
 				if m.meet(t) == fleet.Carried {
+					w.late.carrying = true
 					carry(m)
+					w.late.carrying = false
 				}
 			})
 		default:
--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -43,6 +43,8 @@
 	w  *world.World
 	// tellStart is set for scripts in which workers begin again under their names.
 	tellStart bool
+	// change changes the site before it begins; nil for none.
+	change func(*world.Setup)
 }
 
 // run plays a script.
@@ -122,6 +124,9 @@
 	for i := range s.Workers {
 		s.Workers[i].Speed = o.number("speed", 1)
 	}
+	if p.change != nil {
+		p.change(&s)
+	}
 	w, err := world.New(s)
 	p.must(err)
 	p.w = w
--- a/core/world/seeds_test.go
+++ b/core/world/seeds_test.go
@@ -19,6 +19,7 @@
 		return playTold(t, seed, rebornKinds, length)
 	},
 	"crashes-reborn": playCrashesReborn,
+	"evacuations":    playEvacuations,
 }
 
 // TestSeeds plays the seeds of long runs that have failed. Each line of the file names a run, a seed and what was seen.
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -27,6 +27,9 @@
 	// Far times the usual time is what a task takes away from its data's rack, or in a gang that
 	// asks for one rack and has several; 0 stands for 1.
 	Far float64
+	// Evacuation is how long after the operator has evacuated a failure domain a task may still start there, as Make's owners are told;
+	// 0 where no operator does that.
+	Evacuation time.Duration
 	// TellStart lets workers tell when their lives began, so that one may begin again under the name that it had.
 	TellStart bool
 	// Seed decides failures, clocks and which orders are late.
@@ -76,8 +79,9 @@
 	// Append is how long an append takes, AppendGap the part of it in which the store takes no
 	// other one.
 	Append, AppendGap time.Duration
-	// Read is how long it takes until hosts have read a new record.
-	Read time.Duration
+	// Read is how long it takes until hosts have read a new record, Poll the time between two reads of what the operator has
+	// written.
+	Read, Poll time.Duration
 	// Timeout is how long the owner waits for an answer.
 	Timeout time.Duration
 	// PassEvery and IdleEvery are the least and the most time between two passes.
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -49,6 +49,8 @@
 	listed   []fleet.Listing
 	gangs    map[gangKey]*gang
 	late     lateOrders
+	// evacuations holds the evacuated failure domains.
+	evacuations map[id.Domain]evacuation
 
 	jobs  map[id.Job]*submitted
 	order []*submitted
@@ -67,7 +69,7 @@
 		return nil, ErrSetup
 	}
 	w := &World{
-		setup: s, now: Begin, table: jobtable.New(), byLife: map[id.Worker]*machine{}, gangs: map[gangKey]*gang{},
+		setup: s, now: Begin, table: jobtable.New(), byLife: map[id.Worker]*machine{}, gangs: map[gangKey]*gang{}, evacuations: map[id.Domain]evacuation{},
 		jobs: map[id.Job]*submitted{}, events: map[dispatch.Event]int{}, link: Begin,
 	}
 	w.store = store{world: w, free: Begin, up: Begin, slow: 1}
--- a/internal/entry/checks_test.go
+++ b/internal/entry/checks_test.go
@@ -150,6 +150,17 @@
 	}
 }
 
+// began checks how many runs a worker has started.
+func (s *site) began(worker, least, most int) {
+	got := 0
+	for _, n := range s.worker(worker).Starts() {
+		got += n
+	}
+	if got < least || got > most {
+		s.failf("worker %d has started %d runs, want %d to %d", worker, got, least, most)
+	}
+}
+
 // metric checks that a counter is served and isn't zero.
 func (s *site) metric(host int, name string) {
 	if !s.counted(host, name) {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -160,6 +160,8 @@
 	for _, j := range h.table.Jobs() {
 		o.learn(now, j)
 	}
+	o.evacuate()
+	o.inform()
 	for _, n := range slices.Sorted(maps.Keys(h.waves)) {
 		o.setWave(now, h.waves[n])
 	}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,6 +24,7 @@
 
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/election"
+	"curlewsill.org/curlewsill/core/evacuation"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
@@ -115,8 +116,12 @@
 	table  *jobtable.Table
 	loaded bool
 	// waves holds the waves of maintenance that the operator asks for.
-	waves    map[id.Wave]upkeep.Wave
-	election *election.Election
+	waves map[id.Wave]upkeep.Wave
+	// evacuations holds the failure domains that the operator has evacuated; informed is as of when all that the operator has
+	// written is known, 0 before it was first read.
+	evacuations evacuation.Set
+	informed    unit.Instant
+	election    *election.Election
 	// owner is nil unless this host schedules; claiming is set while an append that
 	// is to make it the owner is under way.
 	owner    *owner
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,9 @@
 	faults    prometheus.Counter
 	// rejected counts the entries of the list of workers that were left out.
 	rejected prometheus.Counter
+	// evacuated is how many failure domains are evacuated; evacuationsRejected counts records about them that were left out.
+	evacuated           atomic.Int64
+	evacuationsRejected prometheus.Counter
 	// suspensions counts how often the machine was suspended.
 	suspensions prometheus.Counter
 	gathered    prometheus.Counter
@@ -54,6 +57,12 @@
 	m.rejected = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_listings_rejected_total", Help: "Entries of the list of workers that no worker has written, or that were damaged.",
 	})
+	m.evacuationsRejected = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "curlewsill_evacuations_rejected_total", Help: "Operators' records on evacuations that were not understood.",
+	})
+	evacuated := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "curlewsill_evacuated_domains", Help: "Failure domains that are evacuated, as this host has read.",
+	}, func() float64 { return float64(m.evacuated.Load()) })
 	m.suspensions = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "curlewsill_suspensions_total", Help: "Times that this machine was suspended.",
 	})
@@ -87,7 +96,7 @@
 		Name: "curlewsill_orders_dropped_total", Help: "Orders to workers for which there was no room to wait.",
 	})
 	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.rejected, m.suspensions, m.decisions,
-		m.requests, m.store, m.orders, owning, inPlace)
+		m.requests, m.store, m.orders, owning, inPlace, m.evacuationsRejected, evacuated)
 	return m
 }
 
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -104,10 +104,13 @@
 	}
 }
 
-// start sends an order to start.
+// start sends an order to start, unless it may not leave any more.
 func (o *owner) start(ctx context.Context, s dispatch.Start) sender {
 	return func() (fleet.Verdict, event) {
-		res := o.host.workers.Start(ctx, s)
+		res, held := o.held(s)
+		if !held {
+			res = o.host.workers.Start(ctx, s)
+		}
 		return res.Verdict, o.started(res)
 	}
 }
--- a/internal/entry/orders_internal_test.go
+++ b/internal/entry/orders_internal_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -23,14 +25,38 @@
 	mu sync.Mutex
 	// under counts the orders under way by kind and by kind and worker.
 	under map[string]int
+	// released is closed to end the orders under way without an answer.
+	released chan struct{}
+}
+
+// release ends the orders that are under way.
+func (w *hangingWorkers) release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	close(w.released)
+	w.released = nil
+}
+
+// ends returns what is closed when the orders under way are released.
+func (w *hangingWorkers) ends() chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.released == nil {
+		w.released = make(chan struct{})
+	}
+	return w.released
 }
 
 // RoundTrip implements http.RoundTripper.
 func (w *hangingWorkers) RoundTrip(req *http.Request) (*http.Response, error) {
 	w.count(req, 1)
 	defer w.count(req, -1)
-	<-req.Context().Done()
-	return nil, req.Context().Err()
+	select {
+	case <-w.ends():
+		return nil, errors.New("released")
+	case <-req.Context().Done():
+		return nil, req.Context().Err()
+	}
 }
 
 func (w *hangingWorkers) count(req *http.Request, n int) {
@@ -110,6 +136,41 @@
 	})
 }
 
+// TestStartsAreHeld checks that an order to start that has waited for its turn doesn't leave for a failure domain that was evacuated meanwhile, nor
+// when the operator's records were read too long ago, while others leave.
+//
+// An order waits behind others to a worker that hangs for as long as the platform's client waits for each of them, 0.8 s. What was
+// decided before an evacuation could so leave seconds after it.
+func TestStartsAreHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &hangingWorkers{under: map[string]int{}}
+		o := newOwnerOf(t, workers)
+		var orders dispatch.Orders
+		for n, domain := range []id.Domain{"a", "b"} {
+			for i := range startsEach + 1 {
+				orders.Starts = append(orders.Starts, dispatch.Start{Target: target(n), Domain: domain, Task: job.Task{Index: i}})
+			}
+		}
+		o.deliver(t.Context(), orders)
+		synctest.Wait()
+		o.rules.Store(&dispatch.StartRules{Evacuated: []id.Domain{"a"}, Until: math.MaxInt64})
+		workers.release()
+		synctest.Wait()
+		for worker, want := range map[string]int{"worker-0": 0, "worker-1": 1} {
+			if got := workers.at("/run-start " + worker); got != want {
+				t.Errorf("%d starts are under way to %s, want %d", got, worker, want)
+			}
+		}
+		o.rules.Store(&dispatch.StartRules{Until: o.host.now() - 1})
+		o.deliver(t.Context(), dispatch.Orders{Starts: []dispatch.Start{{Target: target(2), Domain: "c"}}})
+		synctest.Wait()
+		if got := workers.at("/run-start worker-2"); got != 0 {
+			t.Errorf("%d starts are under way by what was read too long ago", got)
+		}
+		o.cancel()
+	})
+}
+
 // newOwnerOf returns an owner whose workers answer by a transport.
 func newOwnerOf(t *testing.T, workers http.RoundTripper) *owner {
 	h := &Host{
@@ -118,9 +179,11 @@
 	}
 	boxes := newOutboxes()
 	t.Cleanup(boxes.close)
-	return &owner{
+	o := &owner{
 		host: h, boxes: boxes, cancel: boxes.close, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
 	}
+	o.rules.Store(&dispatch.StartRules{Until: math.MaxInt64})
+	return o
 }
 
 func target(n int) dispatch.Target {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/maphash"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,6 +36,8 @@
 	seq uint64
 	// writing is set while an append is under way.
 	writing bool
+	// rules say which orders to start may still leave.
+	rules atomic.Pointer[dispatch.StartRules]
 	// reports wait to be written for the operator.
 	reports *ring.Ring[dispatch.WaveReport]
 	// listed holds the lives of workers in the platform's list, one under each name.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -18,6 +18,10 @@
 // stand-ins of the store and the workers behind the same adapter as on the platform.
 //
 //	hosts N | weak N | workers N     starts so many; a weak host has a tenth of a core
+//	domain D                         workers that start later are in this failure domain
+//	evacuate D | open D              the operator evacuates a failure domain, or takes that back
+//	operator KEY VALUE               the operator's log gets such a record
+//	began N LEAST MOST               worker N has started so many runs
 //	wave N MOST MACHINE...           the operator asks for maintenance; machines are m-0 and so on
 //	maintained N                     waits until wave N is told to be completed
 //	advice WORKER...                 from now on, starts need permits, which these don't get
@@ -101,6 +105,16 @@
 		s.startHost(s.number(f[1]))
 	case "advice":
 		s.startAdvice(f[1:])
+	case "domain":
+		s.domain = f[1]
+	case "evacuate":
+		s.store.Evacuate(f[1])
+	case "open":
+		s.store.Open(f[1])
+	case "operator":
+		s.store.Put("keyed.op", f[1], []byte(f[2]))
+	case "began":
+		s.began(s.number(f[1]), s.number(f[2]), s.number(f[3]))
 	case "wave":
 		body := fmt.Sprintf(`{"wave":%s,"Machines":["%s"],"FinishByS":8,"UpperLimit":%s}`, f[1], strings.Join(f[3:], `","`), f[2])
 		s.store.Put("keyed.op", "wave/"+f[1], []byte(body))
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -121,24 +121,39 @@
 	}
 }
 
-// readOperator follows what the operator writes: the configuration and waves of maintenance.
+// readOperator follows what the operator writes: the configuration, waves of maintenance and evacuations.
 func (h *Host) readOperator(ctx context.Context) {
 	t := &tail{host: h, topic: platform.TopicOperator, wait: func() time.Duration { return operatorWait }, pause: func() time.Duration { return 0 }}
-	take := func(recs []jobtable.Record) {
+	t.whole = func(recs []jobtable.Record, end id.Offset) {
 		for _, r := range recs {
-			switch {
-			case r.Key == platform.KeyConfig && len(r.Value) > 0:
-				h.takeConfig(ctx, r.Value)
-			case platform.IsWave(r):
-				h.takeWave(ctx, r.Value)
+			h.takeOperator(ctx, r)
+		}
+		h.post(ctx, func(unit.Instant) { h.takeEvacuations(end, recs) })
+	}
+	t.more = func(recs []jobtable.Record, from id.Offset) {
+		for i, r := range recs {
+			h.takeOperator(ctx, r)
+			if platform.IsEvacuation(r) {
+				h.post(ctx, func(unit.Instant) { h.takeEvacuation(from+id.Offset(i), r) })
 			}
 		}
 	}
-	t.whole = func(recs []jobtable.Record, _ id.Offset) { take(recs) }
-	t.more = func(recs []jobtable.Record, _ id.Offset) { take(recs) }
+	t.reached = func(left unit.Instant) {
+		h.post(ctx, func(unit.Instant) { h.inform(left) }) // behind the records that it has brought
+	}
 	t.run(ctx)
 }
 
+// takeOperator takes in a record of the operator that is in force whenever it was written.
+func (h *Host) takeOperator(ctx context.Context, r jobtable.Record) {
+	switch {
+	case r.Key == platform.KeyConfig && len(r.Value) > 0:
+		h.takeConfig(ctx, r.Value)
+	case platform.IsWave(r):
+		h.takeWave(ctx, r.Value)
+	}
+}
+
 // takeConfig puts a configuration in force, unless a later one is.
 func (h *Host) takeConfig(ctx context.Context, value []byte) {
 	c, err := platform.DecodeCatalog(value)
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -46,6 +46,9 @@
 	// tells is the start that workers tell which begin from now on; 0 if they tell none. addresses holds where each is.
 	tells     int64
 	addresses map[int]string
+	// domain is the failure domain of workers that start from now on, domains that of each.
+	domain  string
+	domains map[int]string
 
 	// stops end a host at once, ended are closed when it has ended.
 	hosts []*entry.Host
@@ -79,7 +82,10 @@
 
 // newSite starts a site without hosts and workers.
 func newSite(t *testing.T) *site {
-	s := &site{t: t, store: standin.NewStore(), bodies: map[string]string{}, addresses: map[int]string{}, key: "key", lease: 2 * time.Second}
+	s := &site{
+		t: t, store: standin.NewStore(), bodies: map[string]string{}, addresses: map[int]string{}, domains: map[int]string{},
+		key: "key", lease: 2 * time.Second,
+	}
 	s.between = &between{t: t, store: s.store, proxies: map[string]*faultproxy.Proxy{}}
 	server := httptest.NewServer(s.between)
 	t.Cleanup(server.CloseClientConnections)
@@ -110,7 +116,7 @@
 		Policy: policy.New(),
 		Workers: dispatch.Config{
 			MaxLease: s.lease, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
-			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond,
+			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond, Evacuation: 5 * time.Second,
 		},
 	}, clock, zap.NewNop())
 	if err != nil {
@@ -141,6 +147,7 @@
 func (s *site) startWorker() {
 	n := len(s.workers)
 	s.workers = append(s.workers, nil)
+	s.domains[n] = s.domain
 	s.startLife(n, fmt.Sprintf("w-%d", n))
 	s.taken.SetLife(fmt.Sprintf("m-%d", n), s.workers[n].ID())
 }
@@ -168,7 +175,9 @@
 
 // putEntry writes the entry of a worker, with a start unless that is 0.
 func (s *site) putEntry(n int, start int64) {
-	s.store.PutEntry(s.worker(n).ID(), standin.Entry{Service: standin.SiteService, Address: s.addresses[n], Clock: 1, Seq: 1, Start: start})
+	s.store.PutEntry(s.worker(n).ID(), standin.Entry{
+		Service: standin.SiteService, Address: s.addresses[n], Domain: s.domains[n], Clock: 1, Seq: 1, Start: start,
+	})
 }
 
 // worker returns the present life of a machine's worker. Orders about machines come from
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -48,6 +48,9 @@
 const (
 	maxPartitions = 4096
 	maxPeriod     = 24 * time.Hour
+	// leastEvacuation is the shortest bound that a host keeps which reads the operator's log each 0.7 s: below, it would often
+	// start nothing.
+	leastEvacuation = 1500 * time.Millisecond
 	// leastCores and mostCores bound the processor share, leastLink and mostLink the link in
 	// Mbit/s.
 	leastCores, mostCores = 0.01, 1024
@@ -99,6 +102,8 @@
 		KeepEnded: workers.Duration("keep_ended", 2*time.Minute, time.Second, maxPeriod),
 		Handover:  machines.Duration("handover", 3*time.Second, time.Millisecond, time.Minute),
 		Away:      machines.Duration("away", 2*time.Second, time.Millisecond, time.Hour),
+		// The default is the bound of the users' sites.
+		Evacuation: workers.Duration("evacuation", 5*time.Second, leastEvacuation, time.Minute),
 	}
 }
 
