dispatch: a job that was never placed has waited since it fell due, also under the next owner

Cause: the platform's windows slide: any 3 s in which a job has nothing running beside twice its room count. Ours began at each owner's first look. Found by going through each span that is counted (docs/design/14): the others begin at an event, or are held at each moment. Change: of a job of which nothing was placed, the wait counts from when it fell due. A job of which something was placed before counts anew under a next owner: when its tasks were put back isn't in its record.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"fmt"
 	"time"
 
@@ -39,12 +38,28 @@
 			return
 		}
 		c.waiting = c.waiting[:some]
-		if !d.placeCandidate(now, c) && c.step.waitingSince == 0 {
-			c.step.waitingSince = now
+		if !d.placeCandidate(now, c) {
+			d.waits(now, c.step)
 		}
 	}
 }
 
+// waits notes that a step's tasks have found no room. Those of a job of which nothing was placed yet have waited since they fell due, under
+// whichever owner. The platform counts any 3 s of waiting beside room; counted from the first look of each owner, it could be nearly 2 s under
+// one and 2 s under the next.
+func (d *Dispatcher) waits(now unit.Instant, s *stepState) {
+	if s.waitingSince != 0 {
+		return
+	}
+	s.waitingSince = now
+	if len(s.job.progress.Tasks) > 0 {
+		return
+	}
+	if due, ok := d.due(now, s); ok {
+		s.waitingSince = min(now, due)
+	}
+}
+
 // placeCandidate places what finds room of a candidate. It reports whether that is all, or room
 // is kept for it.
 func (d *Dispatcher) placeCandidate(now unit.Instant, c candidate) bool {
@@ -58,7 +73,7 @@
 		return d.placeSuspectGang(now, c, fits)
 	}
 	if !c.step.step.Gang && !d.placeSuspects(now, &c, fits) {
-		c.step.waitingSince = cmp.Or(c.step.waitingSince, now)
+		d.waits(now, c.step)
 	}
 	if len(c.waiting) == 0 {
 		return true
