entry: the read of the operator's records waits by the bound for configurations

Cause: 3,900 of 21,500 calls to the store in 46 calm seconds were reads of the operator's records, which each of 45 hosts made each 0.7 s. Change: they wait half of the time in which a configuration must be in force, less 0.3 s: 0.7 s as before where that is 2 s, 1.2 s where it is 3 s ([store] config_bound, filled from the sheet). News ends a wait at once; what grows is the time after a read that was lost.

--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -25,9 +25,11 @@
 	// waitedPause is the pause where a job waits for it: on the owner, and while a
 	// client waits for a job's end. Measured: docs/design/07-worth.md.
 	waitedPause = 8 * time.Millisecond
-	// operatorWait is how long a read of what the operator writes waits. A change must be
-	// in force within 2 s although the store may have lost this read.
-	operatorWait = 700 * time.Millisecond
+	// operatorLoss is the part of the time in which a configuration must be in force that is left when half of it is over: a read of what the
+	// operator writes waits for the rest of that half, so that there is time for another one if the store has lost it. With a bound of 2 s it
+	// waits 0.7 s, with 3 s 1.2 s. leastOperatorWait is for shorter bounds.
+	operatorLoss      = 300 * time.Millisecond
+	leastOperatorWait = 200 * time.Millisecond
 	// newsReads is how many reads the owner makes within the time for which it goes by one: what a read tells is as old as its wait and
 	// its way when it comes, and as old again when the next one does. With a bound of 2 s and reads of 0.7 s starts were withheld 142
 	// times in 90 s on an owner whose calls took 0.12 s.
@@ -150,10 +152,11 @@
 
 // waitOfOperator returns how long a read of what the operator writes waits.
 func (h *Host) waitOfOperator() time.Duration {
+	wait := max(leastOperatorWait, h.settings.ConfigBound/2-operatorLoss)
 	if h.metrics.owning.Load() {
-		return min(operatorWait, h.settings.Workers.NewsAge()/newsReads)
+		return min(wait, h.settings.Workers.NewsAge()/newsReads)
 	}
-	return operatorWait
+	return wait
 }
 
 // takeOperator takes in a record of the operator that is in force whenever it was written.
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -23,6 +23,8 @@
 	Partitions int
 	// LeastTTL is the shortest time after which the store drops a silent member.
 	LeastTTL time.Duration
+	// ConfigBound is within which time a configuration must be in force on all hosts.
+	ConfigBound time.Duration
 	// Memory is what the process may use before the platform ends it.
 	Memory unit.Bytes
 	// Cores is the part of a core that the process may use, 1 for a whole one.
@@ -80,15 +82,17 @@
 		Store:      store.Address("address", ""),
 		Partitions: store.Int("partitions", 12, 1, maxPartitions),
 		LeastTTL:   store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
-		Memory:     limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
-		Cores:      limits.Number("cores", 1, leastCores, mostCores),
-		Link:       unit.MegabitsPerSecond(limits.Number("link_mbps", 1000, leastLink, mostLink)),
-		Grace:      limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
-		Machines:   machines.OptionalAddress("address"),
-		Advice:     workers.OptionalAddress("advice"),
-		Workers:    readBounds(workers, machines),
-		Policy:     readPolicy(f.Section("policy")),
-		LogLevel:   f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
+		// The default is the bound of the users' small sites.
+		ConfigBound: store.Duration("config_bound", 2*time.Second, time.Second, time.Minute),
+		Memory:      limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
+		Cores:       limits.Number("cores", 1, leastCores, mostCores),
+		Link:        unit.MegabitsPerSecond(limits.Number("link_mbps", 1000, leastLink, mostLink)),
+		Grace:       limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
+		Machines:    machines.OptionalAddress("address"),
+		Advice:      workers.OptionalAddress("advice"),
+		Workers:     readBounds(workers, machines),
+		Policy:      readPolicy(f.Section("policy")),
+		LogLevel:    f.Section("log").OneOf("level", "info", "debug", "warn", "error"),
 	}
 }
 
