relay: a call that a peer was refused goes through another peer

Ruled out: the store's health of the host (it refuses 150 ms after the first refusal; the calls ended at their first try). Change: a peer through which a call was refused isn't chosen for a second, and a call goes through up to three peers while it is refused: nothing was done then. If all refuse, no further peer is asked for a second, as before.

--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,9 +20,44 @@
 // linkChoice returns the link to the peer that makes a call.
 type linkChoice func(context.Context) (*link, error)
 
-// tryPeer makes the call through some peer.
+// mostPeers bounds through how many peers a call is tried that is refused by each: what turns away a third of the hosts refuses three
+// of them once in 27 times.
+const mostPeers = 3
+
+// tryPeer makes the call through some peer, and through others while it is refused: a refusal says that nothing was done, and the other end may
+// turn away that peer like this host.
 func (p *Path) tryPeer(req *http.Request, wait time.Duration) (*http.Response, error) {
-	return p.through(req, wait, p.pick)
+	resp, err := p.through(req, wait, p.pick)
+	for tries := 1; tries < mostPeers && err == nil && refuses(resp.StatusCode) && p.othersLeft(); tries++ {
+		again, errAgain := p.through(req, wait, p.pick)
+		if errors.Is(errAgain, ErrNoPeer) {
+			continue
+		}
+		resp, err = again, errAgain
+	}
+	return resp, err
+}
+
+// refuses reports whether a status says that nothing was done.
+func refuses(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
+// noteRefusal notes that a call through a peer was refused.
+func (p *Path) noteRefusal(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusedUntil[address] = time.Now().Add(suspectFor)
+}
+
+// refused reports whether a call through a peer was refused lately. The path is locked.
+func (p *Path) refused(address string) bool { return time.Now().Before(p.refusedUntil[address]) }
+
+// othersLeft reports whether there is a peer through which no call was refused lately.
+func (p *Path) othersLeft() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.peers, func(x Peer) bool { return !p.refused(x.Address) })
 }
 
 // through makes the call through a peer. It may wait at its other end for a time.
@@ -60,7 +96,7 @@
 			err = fmt.Errorf("%w; again: %v", err, errAgain)
 			continue
 		}
-		if again.Status == http.StatusServiceUnavailable || again.Status == http.StatusTooManyRequests {
+		if refuses(again.Status) {
 			return result{}, fmt.Errorf("%w; again: status %d", err, again.Status)
 		}
 		return again, nil
@@ -83,6 +119,9 @@
 	if errors.Is(err, errDied) && errors.Is(l.conn.Cause(), wslink.ErrSilent) {
 		p.retireQuiet()
 	}
+	if err == nil && refuses(res.Status) {
+		p.noteRefusal(l.address)
+	}
 	if err == nil && res.Status == 0 {
 		return result{}, fmt.Errorf("%w: %s", errNoAnswer, l.address)
 	}
@@ -102,20 +141,25 @@
 	}
 }
 
-// pick returns a link to a peer: one that is open, or else to one drawn at random.
+// pick returns a link to a peer: one that is open, or else to one drawn at random. Peers through which a call was refused lately are left
+// out while there are others.
 func (p *Path) pick(ctx context.Context) (*link, error) {
 	p.mu.Lock()
-	for _, l := range p.links {
-		if l.works() {
+	for a, l := range p.links {
+		if l.works() && !p.refused(a) {
 			p.mu.Unlock()
 			return l, nil
 		}
 	}
-	if len(p.peers) == 0 {
+	left := slices.DeleteFunc(slices.Clone(p.peers), func(x Peer) bool { return p.refused(x.Address) })
+	if len(left) == 0 {
+		left = p.peers
+	}
+	if len(left) == 0 {
 		p.mu.Unlock()
 		return nil, ErrNoPeer
 	}
-	a := p.peers[rand.IntN(len(p.peers))].Address
+	a := left[rand.IntN(len(left))].Address
 	p.mu.Unlock()
 	return p.open(ctx, a)
 }
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -82,7 +82,7 @@
 
 // failed reports whether another way may do better.
 func (o outcome) failed() bool {
-	return o.err != nil || o.resp.StatusCode == http.StatusServiceUnavailable || o.resp.StatusCode == http.StatusTooManyRequests
+	return o.err != nil || refuses(o.resp.StatusCode)
 }
 
 // doubt orders failed outcomes by how likely the call had its effect: surely not when
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -106,6 +107,8 @@
 	// links holds the newest link to each peer, opening those that are being opened.
 	links   map[string]*link
 	opening map[string]*opening
+	// refusedUntil holds until when peers are not chosen, because a call through them was refused.
+	refusedUntil map[string]time.Time
 	// suspect and peersSuspect are until when a way is not the first choice.
 	suspect, peersSuspect time.Time
 }
@@ -113,7 +116,7 @@
 // New returns a path to the address base (with its scheme) whose direct calls are made
 // by the given client. Peers take its calls on the route, over connections of the given set.
 func New(base string, route Route, direct *http.Client, conns *wslink.Links, log *zap.Logger) *Path {
-	return &Path{base: base, route: route, direct: direct, conns: conns, log: log, links: map[string]*link{}, opening: map[string]*opening{}}
+	return &Path{base: base, route: route, direct: direct, conns: conns, log: log, links: map[string]*link{}, opening: map[string]*opening{}, refusedUntil: map[string]time.Time{}}
 }
 
 // SetPeers takes over which peers there are.
@@ -121,6 +124,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers = peers
+	maps.DeleteFunc(p.refusedUntil, func(a string, _ time.Time) bool { return !p.refused(a) })
 	for a, l := range p.links {
 		if !slices.Contains(peers, Peer{Address: a}) {
 			l.close()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/coder/websocket"
@@ -36,6 +37,8 @@
 	mode string
 	// links are the connections of both hosts.
 	links *wslink.Links
+	// made counts the calls that came to the store.
+	made atomic.Int32
 }
 
 // newLinks returns a set of links that is closed when the test ends.
@@ -106,6 +109,7 @@
 
 func (w *way) store(rw http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	w.made.Add(1)
 	switch w.mode {
 	case "busy":
 		rw.WriteHeader(http.StatusServiceUnavailable)
