--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -144,7 +144,7 @@
 	tallies := make([]tally, len(workers))
 	offers := make([]offer, len(workers))
 	for i, w := range workers {
-		tallies[i].worker, tallies[i].extra = w, d.opening(w)+w.suspicion()+d.doubt(now, s, w)+s.disturbance(w)
+		tallies[i].worker, tallies[i].extra = w, d.opening(w)+w.suspicion()+s.disturbance(w)
 		offers[i] = d.oneMore(now, c, tallies[i], need, by)
 	}
 	var out assignment
--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -97,7 +97,6 @@
 	switch e.How {
 	case fleet.EndDone:
 		w.streak, w.lastFailed = 0, ""
-		r.noteSound()
 	case fleet.EndFailed:
 		d.countFailure(w, e.Task.Job)
 		if d.policy.SuspendAtOnce && r.failedAtOnce(now) && r.step.job.blames(w.ID, d.mostBlamed(w.Service)) {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -179,7 +179,7 @@
 		if !need.Fits(free) || !mayOpen && w.empty() || s.full(w, 0) || w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
-		left := leftover(free.Sub(need), w.Capacity) + d.opening(w) + w.suspicion() + d.doubt(now, s, w) + s.disturbance(w)
+		left := leftover(free.Sub(need), w.Capacity) + d.opening(w) + w.suspicion() + s.disturbance(w)
 		if s.near(w) {
 			if best == nil || left < bestLeft {
 				best, bestLeft = w, left
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -209,8 +209,6 @@
 	// grantedUntil is when every lease that may have been granted has surely run out, renewalLapse the same for the
 	// renewal under way; 0 if that grants none.
 	grantedUntil, renewalLapse unit.Instant
-	// soundAt is when the last run began there that has ended with success.
-	soundAt unit.Instant
 	// streak counts failed ends of different jobs since the last success; lastFailed
 	// is the job of the newest one.
 	streak     int
