--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -31,8 +31,6 @@
 	order []*worker
 	// guaranteed is how many accelerators each customer can always have.
 	guaranteed map[id.Customer]int
-	// forecasts tell how long work of a queue takes.
-	forecasts forecasts
 	// arrivals holds the rate of urgent work of each service.
 	arrivals map[id.Service]*arrivals
 
@@ -88,7 +86,7 @@
 	return &Dispatcher{
 		config: c, policy: p, epoch: epoch, table: table,
 		jobs: map[id.Job]*jobState{}, workers: map[id.Worker]*worker{}, guaranteed: map[id.Customer]int{},
-		arrivals: map[id.Service]*arrivals{}, forecasts: forecasts{}, racks: map[rackName]*rackUse{}, waves: map[id.Wave]*wave{},
+		arrivals: map[id.Service]*arrivals{}, racks: map[rackName]*rackUse{}, waves: map[id.Wave]*wave{},
 		advice: consultation{yield: firstYield}, window: newWindow(),
 	}
 }
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -40,9 +40,8 @@
 		}
 	}
 	js.open = len(js.steps)
-	d.expect(js)
 	if s.Priority == 0 && p.Outcome == job.Open && len(p.Tasks) == 0 {
-		d.awaitMore(now, s)
+		d.expect(now, s)
 	}
 	if len(p.Tasks) == base {
 		d.resume(now, js)
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -50,7 +50,6 @@
 		d.lose(now, r, "ended")
 		return
 	}
-	d.learn(now, r)
 	d.markDone(s, r.task.Index)
 	d.release(r)
 	d.complete(now, s.job)
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -172,7 +172,7 @@
 		whole := scale(r.reported.Sub(r.started), 100/float64(r.percent))
 		return max(0, whole-ran)
 	}
-	return max(0, r.step.job.takes[r.step.index]-ran)
+	return max(0, r.step.step.Estimate-ran)
 }
 
 // renew renews a worker's lease when that is due.
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -43,8 +43,8 @@
 	return a.rate * math.Exp(-now.Sub(a.at).Seconds()/reserveMemory.Seconds())
 }
 
-// awaitMore takes an urgent job into account for those that will follow.
-func (d *Dispatcher) awaitMore(now unit.Instant, s *job.Spec) {
+// expect takes an urgent job into account for those that will follow.
+func (d *Dispatcher) expect(now unit.Instant, s *job.Spec) {
 	a := d.arrivals[s.Service]
 	if a == nil {
 		a = &arrivals{}
@@ -100,5 +100,5 @@
 
 // pressing reports whether a job has to start now to be completed in time.
 func (c *candidate) pressing(now unit.Instant) bool {
-	return now.Add(scale(c.step.job.chain, pressingFactor)) > c.deadline
+	return now.Add(scale(c.step.job.spec.LongestChain(), pressingFactor)) > c.deadline
 }
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"curlewsill.org/curlewsill/core/chart"
 	"curlewsill.org/curlewsill/core/charts"
@@ -48,9 +47,6 @@
 	changed bool
 	// open counts the steps that are not done.
 	open int
-	// takes is how long each of the spec's steps is expected to take, chain how long the longest chain of them.
-	takes []time.Duration
-	chain time.Duration
 	// seen is when this owner learned of the job.
 	seen unit.Instant
 	// blamed holds the workers on which a run of the job failed at once.
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -139,11 +139,6 @@
 
 // LongestChain returns the estimated time of the longest chain of steps.
 func (s *Spec) LongestChain() time.Duration {
-	return s.ChainOf(func(step *Step) time.Duration { return step.Estimate })
-}
-
-// ChainOf is LongestChain with other times of the steps.
-func (s *Spec) ChainOf(takes func(*Step) time.Duration) time.Duration {
 	ends := make([]time.Duration, len(s.Steps))
 	var longest time.Duration
 	for i := range s.Steps {
@@ -153,7 +148,7 @@
 				before = max(before, ends[dep])
 			}
 		}
-		ends[i] = before + takes(&s.Steps[i])
+		ends[i] = before + s.Steps[i].Estimate
 		longest = max(longest, ends[i])
 	}
 	return longest
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -32,8 +32,6 @@
 	IsolateSuspects bool
 	// KeepGangRoom: room is kept where it will be free soonest for gangs that have to start soon.
 	KeepGangRoom bool
-	// LearnTimes: how long work will take goes by what work of its queue has taken, as far as the customers' guesses are off. Off: by the guesses.
-	LearnTimes bool
 	// BoundStarts: a window bounds the orders to start that have no verdict.
 	BoundStarts bool
 }
@@ -56,7 +54,6 @@
 	{"suspend_at_once", func(p *Policy) *bool { return &p.SuspendAtOnce }},
 	{"isolate_suspects", func(p *Policy) *bool { return &p.IsolateSuspects }},
 	{"keep_gang_room", func(p *Policy) *bool { return &p.KeepGangRoom }},
-	{"learn_times", func(p *Policy) *bool { return &p.LearnTimes }},
 	{"bound_starts", func(p *Policy) *bool { return &p.BoundStarts }},
 }
 
