--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -74,7 +74,11 @@
 	if d.uninformed {
 		event = EventStartsWithheld
 	}
-	d.note(Note{Event: event, Why: "what the operator has evacuated", Age: now.Sub(d.informed)})
+	n := Note{Event: event, Why: "what the operator has evacuated"}
+	if d.informed != 0 {
+		n.Age = now.Sub(d.informed)
+	}
+	d.note(n)
 }
 
 // Evacuate takes in which failure domains are evacuated; all others are open.
