--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -26,5 +26,5 @@
 //   - Where tasks go: candidate orders what waits, pool and room are what is free, place, gang and rack choose, preempt, claim and reserve free and keep
 //     room, loss is what a stop costs, window bounds the starts under way, flush writes a placement before its order.
 //   - Kinds of work: jobs (from acceptance to the end), lasting, permit and advice (steps that need leave), pace (tasks that disturb each other),
-//     upkeep (machines that are taken down), evacuation (failure domains where nothing may start).
+//     upkeep and machine (machines that are taken down, and their lives), evacuation (failure domains where nothing may start).
 package dispatch
--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -66,19 +66,7 @@
 
 // noteNews notes when nothing starts any more because the operator's records are not known, and when that is over.
 func (d *Dispatcher) noteNews(now unit.Instant) {
-	if d.knowsEvacuations(now) != d.uninformed {
-		return
-	}
-	d.uninformed = !d.uninformed
-	event := EventStartsResumed
-	if d.uninformed {
-		event = EventStartsWithheld
-	}
-	n := Note{Event: event, Why: "what the operator has evacuated"}
-	if d.informed != 0 {
-		n.Age = now.Sub(d.informed)
-	}
-	d.note(n)
+	d.noteWithheld(&d.uninformed, !d.knowsEvacuations(now), EventStartsWithheld, EventStartsResumed, age(now, d.informed))
 }
 
 // Evacuate takes in which failure domains are evacuated; all others are open.
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -26,15 +26,28 @@
 
 // noteGrants notes when leases are no longer extended, and when they are again.
 func (d *Dispatcher) noteGrants(now unit.Instant) {
-	if d.grants(now) != d.withholds {
+	d.noteWithheld(&d.withholds, !d.grants(now), EventLeasesWithheld, EventLeasesGranted, age(now, d.assured))
+}
+
+// noteWithheld notes a change of whether something is withheld, with the age of what that rests on.
+func (d *Dispatcher) noteWithheld(was *bool, is bool, begins, ends Event, age time.Duration) {
+	if *was == is {
 		return
 	}
-	d.withholds = !d.withholds
-	event := EventLeasesGranted
-	if d.withholds {
-		event = EventLeasesWithheld
+	*was = is
+	event := ends
+	if is {
+		event = begins
+	}
+	d.note(Note{Event: event, Age: age})
+}
+
+// age returns how long ago something was known; 0 if it never was.
+func age(now, known unit.Instant) time.Duration {
+	if known == 0 {
+		return 0
 	}
-	d.note(Note{Event: event, Age: now.Sub(d.assured)})
+	return now.Sub(known)
 }
 
 // lease returns the end of a lease granted now.
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -45,56 +45,31 @@
 
 func newMetrics() *metrics {
 	m := &metrics{registry: prometheus.NewRegistry()}
-	m.takeovers = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_takeovers_total", Help: "Times that this host became the owner.",
-	})
-	m.decisions = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "curlewsill_decisions_total", Help: "Decisions of the owner by event.",
-	}, []string{"event"})
-	m.faults = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_faults_total", Help: "Invariants found violated.",
-	})
-	m.rejected = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_listings_rejected_total", Help: "Entries of the list of workers that no worker has written, or that were damaged.",
-	})
-	m.evacuationsRejected = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_evacuations_rejected_total", Help: "Operators' records on evacuations that were not understood.",
-	})
-	evacuated := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "curlewsill_evacuated_domains", Help: "Failure domains that are evacuated, as this host has read.",
-	}, func() float64 { return float64(m.evacuated.Load()) })
-	m.suspensions = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_suspensions_total", Help: "Times that this machine was suspended.",
-	})
+	m.takeovers = counter("curlewsill_takeovers_total", "Times that this host became the owner.")
+	m.decisions = counters("curlewsill_decisions_total", "Decisions of the owner by event.", "event")
+	m.faults = counter("curlewsill_faults_total", "Invariants found violated.")
+	m.rejected = counter("curlewsill_listings_rejected_total", "Entries of the list of workers that no worker has written, or that were damaged.")
+	m.evacuationsRejected = counter("curlewsill_evacuations_rejected_total", "Operators' records on evacuations that were not understood.")
+	evacuated := gauge("curlewsill_evacuated_domains", "Failure domains that are evacuated, as this host has read.",
+		func() float64 { return float64(m.evacuated.Load()) })
+	m.suspensions = counter("curlewsill_suspensions_total", "Times that this machine was suspended.")
 	m.requests = histogram("curlewsill_request_seconds", "Clients' calls by method and status.", "method", "status")
 	m.store = histogram("curlewsill_store_seconds", "Calls to the store by kind and outcome.", "call", "outcome")
 	m.orders = histogram("curlewsill_order_seconds", "Orders to workers by kind and verdict.", "order", "verdict")
-	owning := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "curlewsill_owner", Help: "1 if this host is the owner.",
-	}, func() float64 {
+	owning := gauge("curlewsill_owner", "1 if this host is the owner.", func() float64 {
 		if m.owning.Load() {
 			return 1
 		}
 		return 0
 	})
-	inPlace := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "curlewsill_runs", Help: "Runs that take room on workers, as the owner sees it; 0 on the other hosts.",
-	}, func() float64 { return float64(m.inPlace.Load()) })
-	m.gathered = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_gathered_records_total", Help: "Records of other hosts that this one appended for them.",
-	})
-	m.deadFound = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "curlewsill_connections_dead_total", Help: "Connections found dead by a call without an answer, and whether it was the first there.",
-	}, []string{"to", "first"})
-	m.suspects = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "curlewsill_connections_suspect_total", Help: "Idle connections closed because another one to the same address was found dead.",
-	}, []string{"to"})
-	m.heard = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_owner_answers_total", Help: "Answers of the owner to this host's questions whether it lives.",
-	})
-	m.ordersDropped = prometheus.NewCounter(prometheus.CounterOpts{
-		Name: "curlewsill_orders_dropped_total", Help: "Orders to workers for which there was no room to wait.",
-	})
+	inPlace := gauge("curlewsill_runs", "Runs that take room on workers, as the owner sees it; 0 on the other hosts.",
+		func() float64 { return float64(m.inPlace.Load()) })
+	m.gathered = counter("curlewsill_gathered_records_total", "Records of other hosts that this one appended for them.")
+	m.deadFound = counters("curlewsill_connections_dead_total",
+		"Connections found dead by a call without an answer, and whether it was the first there.", "to", "first")
+	m.suspects = counters("curlewsill_connections_suspect_total", "Idle connections closed because another one to the same address was found dead.", "to")
+	m.heard = counter("curlewsill_owner_answers_total", "Answers of the owner to this host's questions whether it lives.")
+	m.ordersDropped = counter("curlewsill_orders_dropped_total", "Orders to workers for which there was no room to wait.")
 	m.registry.MustRegister(m.deadFound, m.suspects, m.gathered, m.heard, m.ordersDropped, m.takeovers, m.faults, m.rejected, m.suspensions, m.decisions,
 		m.requests, m.store, m.orders, owning, inPlace, m.evacuationsRejected, evacuated)
 	return m
@@ -106,12 +81,22 @@
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Name: "curlewsill_links_found_dead_total", Help: "Connections to and from other hosts that ended because nothing came from the peer.",
 		}, func() float64 { return float64(l.Silent()) }),
-		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "curlewsill_links_open", Help: "Open connections to and from other hosts.",
-		}, func() float64 { return float64(l.Open()) }),
+		gauge("curlewsill_links_open", "Open connections to and from other hosts.", func() float64 { return float64(l.Open()) }),
 	)
 }
 
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string, now func() float64) prometheus.GaugeFunc {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, now)
+}
+
 func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, labels)
 }
