--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,7 +116,10 @@
 // New returns a path to the address base (with its scheme) whose direct calls are made
 // by the given client. Peers take its calls on the route, over connections of the given set.
 func New(base string, route Route, direct *http.Client, conns *wslink.Links, log *zap.Logger) *Path {
-	return &Path{base: base, route: route, direct: direct, conns: conns, log: log, links: map[string]*link{}, opening: map[string]*opening{}, refusedUntil: map[string]time.Time{}}
+	return &Path{
+		base: base, route: route, direct: direct, conns: conns, log: log,
+		links: map[string]*link{}, opening: map[string]*opening{}, refusedUntil: map[string]time.Time{},
+	}
 }
 
 // SetPeers takes over which peers there are.
--- a/soak/event_test.go
+++ b/soak/event_test.go
@@ -72,11 +72,11 @@
 	Version int      `json:",omitempty"`
 	Keys    []string `json:",omitempty"`
 	// What is what a fault strikes, or a failure domain: of an evacuation, or in which a task is started.
-	What    string   `json:",omitempty"`
-	Planned bool     `json:",omitempty"`
-	Killed  bool     `json:",omitempty"`
-	Count   int      `json:",omitempty"`
-	Bytes   int64    `json:",omitempty"`
+	What    string `json:",omitempty"`
+	Planned bool   `json:",omitempty"`
+	Killed  bool   `json:",omitempty"`
+	Count   int    `json:",omitempty"`
+	Bytes   int64  `json:",omitempty"`
 }
 
 // readEvents reads a file of events.
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -14,12 +14,12 @@
 type judge struct {
 	// evacuated holds since when failure domains are evacuated.
 	evacuated map[string]time.Duration
-	now     time.Duration
-	jobs    map[string]*jobSeen
-	tasks   map[string]*taskSeen
-	workers map[string]*workerSeen
-	hosts   map[string]*hostSeen
-	calls   map[int]event
+	now       time.Duration
+	jobs      map[string]*jobSeen
+	tasks     map[string]*taskSeen
+	workers   map[string]*workerSeen
+	hosts     map[string]*hostSeen
+	calls     map[int]event
 	// configs holds the versions in order.
 	configs []event
 	// faults counts the open faults of each kind of target, ceasedAt is when the last one ended.
