--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -85,6 +85,3 @@
 	_, has := s.since[domain]
 	return has
 }
-
-// Clone returns a copy that later changes leave alone.
-func (s *Set) Clone() *Set { return &Set{since: maps.Clone(s.since), next: s.next} }
