experiment: evacuations, where a file has that fault

Change: [bounds] evacuation and [store] poll; where a file has the fault, the owner reads the operator's records.

--- a/internal/experiment/setup/setup.go
+++ b/internal/experiment/setup/setup.go
@@ -186,7 +186,15 @@
 	for _, x := range f.Sections("fault") {
 		s.Faults = append(s.Faults, readFault(x))
 	}
-	if slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == world.Reborn }) {
+	has := func(kind world.FaultKind) bool {
+		return slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == kind })
+	}
+	if has(world.Evacuate) {
+		s.World.Evacuation = s.Bounds.Evacuation
+	} else {
+		s.Bounds.Evacuation = 0 // there is no operator whose records are read
+	}
+	if has(world.Reborn) {
 		s.World.TellStart, s.World.Times.MaxLease = true, s.Bounds.MaxLease
 	}
 	s.Policies = readPolicies(f)
@@ -234,6 +242,8 @@
 		KeepEnded: b.Duration("keep_ended", 2*time.Minute, time.Second, maxTime),
 		Handover:  b.Duration("handover", 3*time.Second, time.Millisecond, time.Minute),
 		Away:      b.Duration("away", 2*time.Second, time.Millisecond, time.Hour),
+
+		Evacuation: b.Duration("evacuation", evacuation, evacuation/5, time.Minute),
 	}
 }
 
--- a/internal/experiment/setup/world.go
+++ b/internal/experiment/setup/world.go
@@ -30,6 +30,7 @@
 	appending = 8 * time.Millisecond
 	appendGap = 2 * time.Millisecond
 	reading   = 10 * time.Millisecond
+	polling   = 700 * time.Millisecond
 	timeout   = 800 * time.Millisecond
 	listing   = 800 * time.Millisecond
 	whole     = 3 * time.Second
@@ -42,6 +43,8 @@
 	drift     = 0.02
 	restart   = 3 * time.Second
 	far       = 3
+	// evacuation is how long after an operator has evacuated a failure domain a task may still start there.
+	evacuation = 5 * time.Second
 	// crashAfter is how long after its start a task crashes its worker.
 	crashAfter = 10 * time.Millisecond
 )
@@ -67,6 +70,7 @@
 			Append:    store.Duration("append", appending, 0, time.Minute),
 			AppendGap: store.Duration("append_gap", appendGap, 0, time.Minute),
 			Read:      store.Duration("read", reading, 0, time.Minute),
+			Poll:      store.Duration("poll", polling, time.Millisecond, time.Minute),
 			MemberTTL: store.Duration("member_ttl", memberTTL, 0, time.Hour),
 			Trip:      network.Duration("trip", trip, 0, time.Minute),
 			Timeout:   network.Duration("timeout", timeout, time.Millisecond, time.Minute),
