core/world: one loop for the seeds of the long runs

Cause: seven tests had the same loop over seeds, the newest one among them. Change: eachSeed; names of cases, draws and checks stay.

--- a/core/world/evacuation_test.go
+++ b/core/world/evacuation_test.go
@@ -37,12 +37,7 @@
 // TestLongEvacuations is TestLong with an operator who evacuates failure domains, beside owners that change, late orders, cuts, workers that begin
 // again under their names and outages of the store.
 func TestLongEvacuations(t *testing.T) {
-	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			checkLong(t, playEvacuations(t, seed, time.Duration(*longSeconds)*time.Second))
-		})
-	}
+	eachSeed(t, playEvacuations)
 }
 
 // playEvacuations plays one seed of TestLongEvacuations. In each other one workers tell their starts, so that they may begin again under their names.
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -23,12 +23,9 @@
 //
 //	go test ./core/world -run Long -args -seconds 36000 -seed 7 -seeds 1
 func TestLong(t *testing.T) {
-	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			checkLong(t, playLong(t, seed, longKinds, time.Duration(*longSeconds)*time.Second))
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
+		return playLong(t, seed, longKinds, length)
+	})
 }
 
 // TestLongLives is TestLong with workers that come back while the list shows their earlier lives, and workers that
@@ -37,31 +34,32 @@
 // An owner that took such entries, or the lack of them, for proof that a life had ended ran tasks twice: with it
 // seeds 1 to 8 of 300 s broke 6 to 47 checks each ("was started again after its end was noted").
 func TestLongLives(t *testing.T) {
-	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			checkLong(t, playLong(t, seed, livesKinds, time.Duration(*longSeconds)*time.Second))
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
+		return playLong(t, seed, livesKinds, length)
+	})
 }
 
 // TestLongRooms is TestLong with workers whose room shrinks and comes back.
 func TestLongRooms(t *testing.T) {
-	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			checkLong(t, playLong(t, seed, roomKinds, time.Duration(*longSeconds)*time.Second))
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
+		return playLong(t, seed, roomKinds, length)
+	})
 }
 
 // TestLongCrashes is TestLong with jobs that crash their workers, one in crashOneIn, beside workers that crash of other causes and owners that
 // change.
 func TestLongCrashes(t *testing.T) {
+	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
+		return playJobs(t, seed, crashKinds, crashingJobs(seed), length)
+	})
+}
+
+// eachSeed plays the seeds of a long run, one beside the other, and checks each.
+func eachSeed(t *testing.T, play func(*testing.T, uint64, time.Duration) *world.World) {
 	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			t.Parallel()
-			checkLong(t, playJobs(t, seed, crashKinds, crashingJobs(seed), time.Duration(*longSeconds)*time.Second))
+			checkLong(t, play(t, seed, time.Duration(*longSeconds)*time.Second))
 		})
 	}
 }
--- a/core/world/reborn_test.go
+++ b/core/world/reborn_test.go
@@ -26,12 +26,9 @@
 // On the code that kept what it knew of a life by the worker's name, 12 of seeds 1 to 20 of 60 s failed, with jobs that stayed open and tasks that
 // were started again after their ends were noted.
 func TestLongReborn(t *testing.T) {
-	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			checkLong(t, playTold(t, seed, rebornKinds, time.Duration(*longSeconds)*time.Second))
-		})
-	}
+	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
+		return playTold(t, seed, rebornKinds, length)
+	})
 }
 
 // rebornKinds are the kinds of faults of TestLongReborn. Their order belongs to what a seed plays.
@@ -53,12 +50,7 @@
 
 // TestLongCrashesReborn is TestLongCrashes with workers that begin again under their names, whatever has crashed them.
 func TestLongCrashesReborn(t *testing.T) {
-	for seed := *longSeed; seed < *longSeed+*longSeeds; seed++ {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			checkLong(t, playCrashesReborn(t, seed, time.Duration(*longSeconds)*time.Second))
-		})
-	}
+	eachSeed(t, playCrashesReborn)
 }
 
 // playCrashesReborn plays one seed of TestLongCrashesReborn.
