core/world: what a life of a worker has taken is over with that life

Change: in the model a late order is on its way for at most the owner's time limit, and may meet either life; the life that has taken it carries it out late, or ends before.

--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -168,11 +168,20 @@
 // silent reports whether the worker hears and says nothing.
 func (m *machine) silent() bool { return m.world.now < m.silentUntil }
 
-// meet says what becomes of an order as far as the worker itself goes: Carried if it listens.
+// listens reports whether orders reach the worker.
+func (m *machine) listens() bool { return m.up && m.world.now >= m.apartUntil }
+
+// meet says what becomes of an order as far as the worker itself goes: Carried if it listens and obeys.
 func (m *machine) meet(t dispatch.Target) fleet.Verdict {
-	switch {
-	case !m.up, m.world.now < m.apartUntil:
+	if !m.listens() {
 		return fleet.Unreachable
+	}
+	return m.obey(t)
+}
+
+// obey says whether the worker's present life carries out an order that it has got: Carried if so.
+func (m *machine) obey(t dispatch.Target) fleet.Verdict {
+	switch {
 	case fleet.NameOf(m.name) != fleet.NameOf(t.Worker):
 		return fleet.Replaced
 	case t.Epoch < m.epoch:
