core/jobtable, entry: the owner's memory in a log of its own

Ruled out: the compaction (the reads are lost before it begins); appends (0.01 s each, up to 98 a second); the hosts' own links (20 Mbit/s each, a tenth used). Weighed: hosts that read nothing and ask the owner (each call needs a host that may be gone); a record for each task (9 MB a second still, and thousands of keys to recover from).

Change: progress goes to keyed.progress, which the owner alone writes and the first three hosts in rank follow. All hosts follow specs, cancellations, claims and a summary of each job: begun, ended. A claim closes the memory to earlier owners by a record under its epoch, reads it to its end and takes over then. Progress is dropped only once the outcome is in the other log. core/world writes both logs at the same time, fences them apart, and lets owners die between the two.

--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -107,13 +107,13 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.apply(b.Records)
+	s.apply(append(b.Jobs, b.Progress...))
 	s.d.Committed(s.now, b)
 }
 
 // checkState compares a job's outcome in the store's records.
 func (s *script) checkState(name id.Job, want string) {
-	got := [...]string{"open", "completed", "failed", "cancelled"}[s.table.Get(name).Progress.Outcome]
+	got := [...]string{"open", "completed", "failed", "cancelled"}[s.table.Get(name).Resumed().Outcome]
 	if got != want {
 		s.t.Errorf("job %s is %s, want %s", name, got, want)
 	}
@@ -177,7 +177,7 @@
 		s.t.Fatal(err)
 	}
 	s.apply([]jobtable.Record{r})
-	s.d.AddJob(s.now, name, &spec, job.Progress{}, false)
+	s.d.AddJob(s.now, name, &jobtable.Entry{Spec: &spec})
 }
 
 // advised answers the oldest open question to the advice service.
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -13,21 +14,19 @@
 	var b Batch
 	for _, js := range d.changed {
 		js.changed = false
-		r, err := d.table.ProgressRecord(js.id, js.progress)
-		if err != nil {
+		if err := d.record(&b, js); err != nil {
 			return Batch{}, false, fmt.Errorf("dispatch: job %s: %w", js.id, err)
 		}
-		b.Records = append(b.Records, r)
 	}
 	for _, name := range d.forget {
-		b.Records = append(b.Records, d.table.ForgetRecords(name)...)
+		b.Jobs = append(b.Jobs, d.table.ForgetRecords(name)...)
 	}
 	d.changed, d.forget = nil, nil
 	records, err := d.waveRecords()
 	if err != nil {
 		return Batch{}, false, err
 	}
-	b.Records = append(b.Records, records...)
+	b.Progress = append(b.Progress, records...)
 	b.starts, d.starts = d.starts, nil
 	if d.acks {
 		for _, w := range d.order {
@@ -37,7 +36,40 @@
 		}
 		d.acks = false
 	}
-	return b, len(b.Records)+len(b.starts)+len(b.acks) > 0, nil
+	return b, !b.Empty() || len(b.starts)+len(b.acks) > 0, nil
+}
+
+// Empty reports whether nothing of the batch has to be in the store.
+func (b *Batch) Empty() bool { return len(b.Jobs)+len(b.Progress) == 0 }
+
+// record adds the records of a job that has changed. What callers are told of it is written as it begins and as it ends. Its progress is dropped
+// once its outcome is in the store: with neither, the next owner would take it for a new job.
+func (d *Dispatcher) record(b *Batch, js *jobState) error {
+	ended := js.progress.Outcome != job.Open
+	if ended && !js.telling || !js.begun && js.progress.Began() {
+		r, err := d.table.SummaryRecord(js.id, jobtable.Summary{Outcome: js.progress.Outcome, Ended: js.progress.Ended})
+		if err != nil {
+			return err
+		}
+		b.Jobs = append(b.Jobs, r)
+		js.begun, js.telling = true, ended
+		if ended {
+			b.ended = append(b.ended, js)
+		}
+	}
+	switch {
+	case len(js.progress.Tasks) > 0:
+		r, err := d.table.ProgressRecord(js.id, js.progress)
+		if err != nil {
+			return err
+		}
+		b.Progress = append(b.Progress, r)
+		js.kept = true
+	case js.kept && js.told:
+		b.Progress = append(b.Progress, jobtable.DropProgressRecord(js.id))
+		js.kept = false
+	}
+	return nil
 }
 
 // Committed takes in that a batch is in the store: its orders may leave.
@@ -47,6 +79,12 @@
 			d.firstOrder(now, r)
 		}
 	}
+	for _, js := range b.ended {
+		js.told = true
+		if js.kept && len(js.progress.Tasks) == 0 {
+			d.mark(js)
+		}
+	}
 	for _, a := range b.acks {
 		a.worker.durable = max(a.worker.durable, a.seen)
 		if !a.worker.holding {
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -7,6 +7,7 @@
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -19,13 +20,16 @@
 	expireEvery = 500 * time.Millisecond
 )
 
-// AddJob takes in a job with the progress that the store has.
-func (d *Dispatcher) AddJob(now unit.Instant, name id.Job, s *job.Spec, p job.Progress, cancelled bool) {
+// AddJob takes in a job as the store has it. The entry has a spec.
+func (d *Dispatcher) AddJob(now unit.Instant, name id.Job, e *jobtable.Entry) {
 	if d.jobs[name] != nil {
 		return
 	}
+	s, p := e.Spec, e.Resumed()
 	p.Tasks, p.Crashes = slices.Clone(p.Tasks), slices.Clone(p.Crashes)
-	js := &jobState{id: name, spec: s, progress: p, seen: now}
+	js := &jobState{id: name, spec: s, progress: p, seen: now, begun: e.Summary != nil, kept: len(p.Tasks) > 0}
+	js.told = e.Ended()
+	js.telling = js.told
 	d.jobs[name] = js
 	if p.Outcome == job.Open {
 		d.insertOpen(js)
@@ -47,14 +51,29 @@
 		d.resume(now, js)
 	}
 	if p.Outcome != job.Open {
-		d.stopAll(now, js, "job ended")
+		d.resumeEnded(now, js)
 		return
 	}
-	if cancelled {
+	if !js.begun && p.Began() {
+		d.mark(js)
+	}
+	if e.Cancelled {
 		d.CancelJob(now, name)
 	}
 }
 
+// resumeEnded goes on with a job that has ended under an earlier owner: what still runs of it is stopped, and the store gets what that owner has
+// not written any more.
+func (d *Dispatcher) resumeEnded(now unit.Instant, js *jobState) {
+	d.stopAll(now, js, "job ended")
+	if !js.busy() {
+		js.dropTasks()
+	}
+	if js.kept || !js.told {
+		d.mark(js)
+	}
+}
+
 // insertOpen takes a job among the open ones.
 func (d *Dispatcher) insertOpen(js *jobState) {
 	at, _ := slices.BinarySearchFunc(d.open, js, compareJobs)
@@ -118,7 +137,7 @@
 	d.expired = now
 	kept := d.ended[:0]
 	for _, js := range d.ended {
-		if js.busy() || js.changed || len(d.forget) >= forgetJobs || now.Sub(js.progress.Ended) <= d.config.KeepEnded {
+		if js.busy() || js.changed || js.kept || !js.told || len(d.forget) >= forgetJobs || now.Sub(js.progress.Ended) <= d.config.KeepEnded {
 			kept = append(kept, js)
 			continue
 		}
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -158,9 +158,12 @@
 
 // Batch is a set of records for the store, and what waits for them.
 type Batch struct {
-	Records []jobtable.Record
-	starts  []*run
-	acks    []ack
+	// Jobs goes to the log that every host follows, Progress to the owner's memory. Neither waits for the other.
+	Jobs, Progress []jobtable.Record
+	starts         []*run
+	acks           []ack
+	// ended holds the jobs whose outcome is in Jobs.
+	ended []*jobState
 }
 
 // ack is an end that a worker may forget once the batch is in the store.
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -115,7 +115,9 @@
 	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
 		e := s.table.Get(j)
-		s.d.AddJob(s.now, j, e.Spec, e.Progress, e.Cancelled)
+		if e.Spec != nil {
+			s.d.AddJob(s.now, j, e)
+		}
 	}
 	for _, name := range sorted(s.workers) {
 		s.d.List(s.now, s.workers[name])
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -43,8 +43,11 @@
 	cancelled bool
 	// steps are ordered by round and step.
 	steps []*stepState
-	// changed is set while the store's record is older than progress.
+	// changed is set while the store's records are older than progress.
 	changed bool
+	// begun is set once a summary of the job is in the store or on its way, telling once one with its outcome is, and told once that is in
+	// the store. kept is set while the store has progress of the job, or is about to.
+	begun, telling, told, kept bool
 	// open counts the steps that are not done.
 	open int
 	// seen is when this owner learned of the job.
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -1,11 +1,14 @@
 // Package jobtable holds the state of all jobs as the platform's store has it.
 //
-// The store keeps the newest record of each key. A job has up to three keys, and each
-// has one kind of writer: the spec (the entry host that accepted the job), the
-// cancellation (the entry host that took it) and the progress (the owner). The keys
-// are apart, so that a submission repeated late can't undo a cancellation or an end.
-// One more key names the owner, and the owner writes one for each wave of maintenance. Every
-// host applies the same records in the order of their offsets and so holds the same table.
+// The store keeps the newest record of each key, in two logs. Every host follows the first one, which has what callers
+// are told. A job has up to three keys there, and each has one kind of writer: the spec (the entry host that accepted the
+// job), the cancellation (the entry host that took it) and the summary (the owner). The keys are apart, so that a submission
+// repeated late can't undo a cancellation or an end. One more key names the owner.
+//
+// The second log is the owner's memory: the progress of jobs, task by task, and of waves of maintenance. Only the owner
+// writes it, and only hosts that may be the next owner read it: it is rewritten with each start and end of a task, a
+// hundred times as many bytes as the first one. A job's progress stands there from its first placement until nothing of it runs any more and its
+// outcome is in the first log.
 package jobtable
 
 import (
@@ -29,18 +32,34 @@
 	// Spec is nil if only other records of the job are known.
 	Spec      *job.Spec
 	Cancelled bool
-	Progress  job.Progress
+	// Summary is nil if the owner has written nothing of the job: no task has been placed.
+	Summary *Summary
+	// Progress is what the owner's memory has of the job; of one that has ended the outcome is in Summary.
+	Progress job.Progress
+}
+
+// Ended reports whether callers are told of an outcome. An entry that isn't there has none.
+func (e *Entry) Ended() bool { return e != nil && e.Summary != nil && e.Summary.Outcome != job.Open }
+
+// Resumed returns the progress from which an owner goes on.
+func (e *Entry) Resumed() job.Progress {
+	p := e.Progress
+	if e.Ended() {
+		p.Outcome, p.Ended = e.Summary.Outcome, e.Summary.Ended
+	}
+	return p
 }
 
 // Table is the state of all jobs and waves. The zero value is not ready; call New.
 type Table struct {
 	jobs  map[id.Job]*Entry
 	waves map[id.Wave]Wave
-	// next is the offset of the first record that was not applied.
+	// next is the offset of the first record of the log that every host follows which was not applied.
 	next  id.Offset
 	owner Owner
 
 	specs     codec.Codec[job.Spec]
+	summaries codec.Codec[Summary]
 	progress  codec.Codec[job.Progress]
 	plain     codec.Codec[plainProgress]
 	owners    codec.Codec[Owner]
@@ -53,6 +72,7 @@
 		jobs:      map[id.Job]*Entry{},
 		waves:     map[id.Wave]Wave{},
 		specs:     codec.New[job.Spec](),
+		summaries: codec.New[Summary](),
 		progress:  codec.New[job.Progress](),
 		plain:     codec.New[plainProgress](),
 		owners:    codec.New[Owner](),
@@ -85,7 +105,7 @@
 func (t *Table) Waiting(q id.Queue) int {
 	n := 0
 	for _, e := range t.jobs {
-		if e.Spec != nil && e.Spec.Queue == q && !e.Cancelled && !e.Progress.Began() {
+		if e.Spec != nil && e.Spec.Queue == q && !e.Cancelled && e.Summary == nil {
 			n++
 		}
 	}
@@ -108,6 +128,8 @@
 	case cancelPrefix:
 		t.applyCancel(j, r.Value)
 		return j, nil
+	case summaryPrefix:
+		return j, t.applySummary(j, r.Value)
 	case progressPrefix:
 		return j, t.applyProgress(j, r.Value)
 	case wavePrefix:
@@ -155,7 +177,7 @@
 // prune drops an entry of which nothing is left.
 func (t *Table) prune(j id.Job) {
 	e := t.jobs[j]
-	if e != nil && e.Spec == nil && !e.Cancelled && !e.Progress.Began() {
+	if e != nil && e.Spec == nil && !e.Cancelled && e.Summary == nil && !e.Progress.Began() {
 		delete(t.jobs, j)
 	}
 }
@@ -184,6 +206,21 @@
 	t.prune(j)
 }
 
+// applySummary takes in what callers are told of a job, or drops that.
+func (t *Table) applySummary(j id.Job, value []byte) error {
+	if len(value) == 0 {
+		t.entry(j).Summary = nil
+		t.prune(j)
+		return nil
+	}
+	s, err := t.summaries.Decode(value)
+	if err != nil {
+		return fmt.Errorf("jobtable: summary of %s: %w", j, err)
+	}
+	t.entry(j).Summary = &s
+	return nil
+}
+
 // applyProgress takes in how far a job is, or drops that.
 func (t *Table) applyProgress(j id.Job, value []byte) error {
 	if len(value) == 0 {
@@ -198,3 +235,22 @@
 	t.entry(j).Progress = p
 	return nil
 }
+
+// ForgetProgress drops all that the table has of the owner's memory.
+func (t *Table) ForgetProgress() {
+	t.waves = map[id.Wave]Wave{}
+	for _, j := range t.Jobs() {
+		t.jobs[j].Progress = job.Progress{}
+		t.prune(j)
+	}
+}
+
+// KeepProgress takes over all that another table has of the owner's memory.
+func (t *Table) KeepProgress(o *Table) {
+	t.waves = o.waves
+	for j, e := range o.jobs {
+		if len(e.Progress.Tasks) > 0 {
+			t.entry(j).Progress = e.Progress
+		}
+	}
+}
--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -13,7 +13,10 @@
 
 // TestScripts applies records and looks at the table. A line is a command:
 //
-//	spec JOB QUEUE | cancel JOB | began JOB | ended JOB | owner HOST EPOCH
+//	spec JOB QUEUE | cancel JOB | owner HOST EPOCH
+//	began JOB | ended JOB     the owner's summary of a job
+//	placed JOB | dropped JOB  its progress, with one task
+//	resumes JOB OUTCOME N     how an owner goes on with it, and with how many tasks
 //	forget JOB N          the first N of the records that drop a job
 //	show JOB STATE        none if the table has no spec of it
 //	waiting QUEUE N
@@ -63,9 +66,13 @@
 	case "cancel":
 		s.apply(s.table.CancelRecord(j), nil)
 	case "began":
-		s.apply(s.table.ProgressRecord(j, job.Progress{Tasks: []job.TaskState{{Run: 1, Phase: job.Placed}}}))
+		s.apply(s.table.SummaryRecord(j, jobtable.Summary{}))
 	case "ended":
-		s.apply(s.table.ProgressRecord(j, job.Progress{Outcome: job.Completed}))
+		s.apply(s.table.SummaryRecord(j, jobtable.Summary{Outcome: job.Completed}))
+	case "placed":
+		s.apply(s.table.ProgressRecord(j, job.Progress{Tasks: []job.TaskState{{Run: 1, Phase: job.Placed}}}))
+	case "dropped":
+		s.apply(jobtable.DropProgressRecord(j), nil)
 	case "owner":
 		s.apply(s.table.OwnerRecord(jobtable.Owner{Host: id.Host(f[1]), Epoch: id.Epoch(s.number(f[2]))}))
 	case "forget":
@@ -89,6 +96,12 @@
 		if e := s.table.Get(id.Job(f[1])); e != nil && e.Spec != nil {
 			got = string(e.Show())
 		}
+	case "resumes":
+		p := s.table.Get(id.Job(f[1])).Resumed()
+		got = [...]string{"open", "completed", "failed", "cancelled"}[p.Outcome]
+		if n := strconv.Itoa(len(p.Tasks)); n != f[3] {
+			got += " with " + n
+		}
 	case "waiting":
 		got = strconv.Itoa(s.table.Waiting(id.Queue(f[1])))
 	case "owned":
--- a/core/jobtable/record.go
+++ b/core/jobtable/record.go
@@ -12,6 +12,7 @@
 const (
 	specPrefix     = "spec/"
 	cancelPrefix   = "cancel/"
+	summaryPrefix  = "summary/"
 	progressPrefix = "progress/"
 	wavePrefix     = "wave/"
 	ownerKey       = "owner"
@@ -32,6 +33,14 @@
 	Epoch id.Epoch
 }
 
+// Summary is what callers are told of a job that an owner has placed, or ended.
+type Summary struct {
+	_       struct{} `cbor:",toarray"`
+	Outcome job.Outcome
+	// Ended is when Outcome was reached.
+	Ended unit.Instant
+}
+
 // Wave is how far a wave of maintenance is.
 type Wave struct {
 	_ struct{} `cbor:",toarray"`
@@ -52,6 +61,15 @@
 	return Record{Key: cancelPrefix + string(j), Value: []byte{1}}
 }
 
+// SummaryRecord returns the record of what callers are told of a job.
+func (t *Table) SummaryRecord(j id.Job, s Summary) (Record, error) {
+	b, err := t.summaries.Encode(s)
+	return Record{Key: summaryPrefix + string(j), Value: b}, err
+}
+
+// DropProgressRecord returns the record that drops a job's progress.
+func DropProgressRecord(j id.Job) Record { return Record{Key: progressPrefix + string(j)} }
+
 // ProgressRecord returns the record of a job's progress.
 func (t *Table) ProgressRecord(j id.Job, p job.Progress) (Record, error) {
 	b, err := t.encodeProgress(p)
@@ -70,12 +88,15 @@
 	return Record{Key: ownerKey, Value: b}, err
 }
 
-// ForgetRecords returns the records that drop an ended job. The spec goes first: what
+// IsOwner reports whether a record is a claim. Those of the owner's memory close it to earlier owners.
+func IsOwner(r Record) bool { return r.Key == ownerKey }
+
+// ForgetRecords returns the records that drop an ended job, whose progress has gone before. The spec goes first: what
 // has no spec is no job, so no prefix of them makes an ended job look new.
 func (t *Table) ForgetRecords(j id.Job) []Record {
 	return []Record{
 		{Key: specPrefix + string(j)},
 		{Key: cancelPrefix + string(j)},
-		{Key: progressPrefix + string(j)},
+		{Key: summaryPrefix + string(j)},
 	}
 }
--- a/core/jobtable/shown.go
+++ b/core/jobtable/shown.go
@@ -18,14 +18,18 @@
 
 // Show returns the state of an accepted job.
 func (e *Entry) Show() Shown {
+	outcome := job.Open
+	if e.Summary != nil {
+		outcome = e.Summary.Outcome
+	}
 	switch {
-	case e.Progress.Outcome == job.Completed:
+	case outcome == job.Completed:
 		return ShownCompleted
-	case e.Progress.Outcome == job.Failed:
+	case outcome == job.Failed:
 		return ShownFailed
-	case e.Cancelled || e.Progress.Outcome == job.Cancelled:
+	case e.Cancelled || outcome == job.Cancelled:
 		return ShownCancelled
-	case e.Progress.Began():
+	case e.Summary != nil:
 		return ShownRunning
 	}
 	return ShownQueued
--- a/core/world/host.go
+++ b/core/world/host.go
@@ -117,21 +117,32 @@
 		w.violated("a claim has no record: " + err.Error())
 		return
 	}
-	w.store.append(epoch, []jobtable.Record{r}, func(bool) { h.claimed(life, epoch) })
+	w.store.append(jobsLog, epoch, []jobtable.Record{r}, func(bool) { h.claimed(life, epoch) })
 }
 
-// claimed takes in that a host's claim is in the store: all hosts read it, and it takes over.
+// claimed takes in that a host's claim is in the store: all hosts read it, and it closes the owner's memory to earlier owners.
 func (h *host) claimed(life int, epoch id.Epoch) {
 	w := h.world
-	h.claiming = false
 	for _, o := range w.hosts {
 		o.election.Claimed(w.now)
 	}
-	if h.life != life || !h.up || w.table.Owner().Epoch != epoch {
+	if !h.claims(life, epoch) {
+		h.claiming = false
 		return
 	}
-	w.tally.Claims++
-	w.takeOver(h, epoch)
+	w.store.append(progressLog, epoch, nil, func(taken bool) {
+		h.claiming = false
+		if !taken || !h.claims(life, epoch) {
+			return
+		}
+		w.tally.Claims++
+		w.takeOver(h, epoch)
+	})
+}
+
+// claims reports whether a life of the host has made the newest claim.
+func (h *host) claims(life int, epoch id.Epoch) bool {
+	return h.life == life && h.up && h.world.table.Owner().Epoch == epoch
 }
 
 // yield gives the ownership back, so that an abler host claims.
@@ -146,7 +157,7 @@
 		w.violated("a hand-over has no record: " + err.Error())
 		return
 	}
-	w.store.append(epoch, []jobtable.Record{r}, func(bool) {
+	w.store.append(jobsLog, epoch, []jobtable.Record{r}, func(bool) {
 		for _, o := range w.hosts {
 			o.election.Released(w.now)
 			life := o.life
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -6,6 +6,7 @@
 	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -71,7 +72,7 @@
 		return
 	}
 	now := o.world.now
-	o.core.AddJob(now, name, e.Spec, e.Progress, e.Cancelled)
+	o.core.AddJob(now, name, e)
 	if e.Cancelled {
 		o.core.CancelJob(now, name)
 	}
@@ -208,16 +209,12 @@
 	if !some {
 		return
 	}
-	if len(b.Records) == 0 {
+	if b.Empty() {
 		o.core.Committed(w.now, b)
 		return
 	}
 	o.writing = true
-	w.store.append(o.epoch, b.Records, func(taken bool) {
-		if !taken {
-			o.end()
-			return
-		}
+	o.write(b, func() {
 		o.take(func(*owner) {
 			o.writing = false
 			o.core.Committed(w.now, b)
@@ -227,6 +224,32 @@
 	})
 }
 
+// write puts a batch into both logs at the same time, and calls done once it is there. An owner that a log refuses has ended.
+func (o *owner) write(b dispatch.Batch, done func()) {
+	left := 0
+	taken := func(taken bool) {
+		if !taken {
+			o.end()
+			return
+		}
+		left--
+		if left == 0 && !o.ended {
+			done()
+		}
+	}
+	parts := [logs][]jobtable.Record{jobsLog: b.Jobs, progressLog: b.Progress}
+	for _, recs := range parts {
+		if len(recs) > 0 {
+			left++
+		}
+	}
+	for l, recs := range parts {
+		if len(recs) > 0 {
+			o.world.store.append(logName(l), o.epoch, recs, taken)
+		}
+	}
+}
+
 // handOut sends what was decided.
 func (o *owner) handOut() {
 	orders := o.core.Take()
--- a/core/world/store.go
+++ b/core/world/store.go
@@ -14,24 +14,34 @@
 	free, up unit.Instant
 	// slow times the usual time is how long an append takes.
 	slow float64
-	// fence is the highest epoch that it has seen.
-	fence id.Epoch
+	// fences are the highest epochs that its logs have seen.
+	fences [logs]id.Epoch
 }
 
-// append puts records into the store and calls done, with false if the epoch is below one that
-// the store has seen. Epoch 0 is for records of clients' calls. An append that meets a store
+// logName names a log of the store.
+type logName int
+
+// The logs: the one that every host follows, and the owner's memory.
+const (
+	jobsLog logName = iota
+	progressLog
+	logs
+)
+
+// append puts records into a log of the store and calls done, with false if the epoch is below one that
+// the log has seen. Epoch 0 is for records of clients' calls. An append that meets a store
 // that is away is repeated until it is taken.
-func (s *store) append(e id.Epoch, recs []jobtable.Record, done func(bool)) {
+func (s *store) append(l logName, e id.Epoch, recs []jobtable.Record, done func(bool)) {
 	w := s.world
 	t := w.setup.Times
 	begin := max(w.now, s.free, s.up)
 	s.free = begin.Add(stretch(t.AppendGap, s.slow))
 	w.agenda.Plan(begin.Add(stretch(t.Append, s.slow)), func() {
-		if e != 0 && e < s.fence {
+		if e != 0 && e < s.fences[l] {
 			done(false)
 			return
 		}
-		s.fence = max(s.fence, e)
+		s.fences[l] = max(s.fences[l], e)
 		for _, r := range recs {
 			w.apply(r)
 		}
@@ -50,7 +60,10 @@
 	if e == nil || s == nil || s.state != Open {
 		return
 	}
-	switch e.Progress.Outcome {
+	if e.Summary == nil {
+		return
+	}
+	switch e.Summary.Outcome {
 	case job.Completed:
 		w.finish(s, Completed)
 	case job.Failed:
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	w.store.append(0, []jobtable.Record{r}, func(bool) { w.announce(j.Name) })
+	w.store.append(jobsLog, 0, []jobtable.Record{r}, func(bool) { w.announce(j.Name) })
 	if j.CancelAfter > 0 {
 		w.Plan(j.CancelAfter, func() { w.cancel(s) })
 	}
@@ -170,7 +170,7 @@
 	if s.state != Open {
 		return
 	}
-	w.store.append(0, []jobtable.Record{w.table.CancelRecord(s.Name)}, func(bool) { w.announce(s.Name) })
+	w.store.append(jobsLog, 0, []jobtable.Record{w.table.CancelRecord(s.Name)}, func(bool) { w.announce(s.Name) })
 }
 
 // announce lets the owner read what the store says of a job. An owner that takes over later reads it then.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -30,7 +30,7 @@
 // mayClaim reports whether this host is to claim, as far as its table says. An owner that was
 // fenced without a successor has to claim again itself: the others see that it lives.
 func (h *Host) mayClaim(now unit.Instant) bool {
-	if !h.loaded || h.stopping.Load() || h.owner != nil {
+	if !h.loaded || h.stopping.Load() || h.owner != nil || h.succession != nil {
 		return false
 	}
 	vacant := h.lost != 0 && h.table.Owner().Epoch == h.lost
@@ -83,7 +83,7 @@
 	h.log.Info("claim", zap.Uint64("epoch", uint64(epoch)), zap.String("previous", string(h.table.Owner().Host)))
 	go func() {
 		left := h.now()
-		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: 1})
+		end, err := h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, platform.Writer{Name: ownerWriter, Epoch: epoch, Seq: firstSeq})
 		h.post(ctx, func(now unit.Instant) {
 			if err == nil {
 				h.assure(left) // a later claim would have fenced it
@@ -126,8 +126,11 @@
 	if h.owner != nil && (o.Host != h.self || o.Epoch != h.owner.epoch) {
 		h.stepDown("a later claim is in the store")
 	}
-	if h.owner == nil && o.Host == h.self && o.Epoch != h.lost && !h.stopping.Load() {
-		h.takeOver(now, o.Epoch)
+	if h.succession != nil && (o.Host != h.self || o.Epoch != h.succession.epoch) {
+		h.abandonClaim()
+	}
+	if h.owner == nil && h.succession == nil && o.Host == h.self && o.Epoch != h.lost && !h.stopping.Load() {
+		h.succeed(o.Epoch)
 	}
 	if o.Host == "" && o.Epoch > 0 && h.released != o.Epoch {
 		h.released = o.Epoch
@@ -145,7 +148,7 @@
 	}
 	o := &owner{
 		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, h.settings.Policy, epoch, h.table), cancel: end,
-		boxes: boxes, seq: 1, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
+		boxes: boxes, jobs: ownerLog{topic: platform.TopicJobs, seq: firstSeq}, memory: ownerLog{topic: platform.TopicProgress, seq: firstSeq}, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
 		reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/platform"
@@ -169,7 +168,7 @@
 
 // watch closes c when a job has ended.
 func (h *Host) watch(j id.Job, c chan struct{}) {
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome != job.Open {
+	if e := h.table.Get(j); e.Ended() {
 		close(c)
 		return
 	}
@@ -178,7 +177,7 @@
 
 // tellWatchers tells those that wait for a job, unless it is still open.
 func (h *Host) tellWatchers(j id.Job) {
-	if e := h.table.Get(j); e != nil && e.Progress.Outcome == job.Open && !e.Cancelled {
+	if e := h.table.Get(j); e != nil && !e.Ended() && !e.Cancelled {
 		return
 	}
 	h.watchers.tell(j)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/maphash"
 	"maps"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -19,8 +20,24 @@
 	"curlewsill.org/curlewsill/platform"
 )
 
-// ownerWriter is the name under which owners write; their epochs tell them apart.
-const ownerWriter = "owner"
+// ownerWriter is the name under which owners write; their epochs tell them apart. firstSeq is the number of an owner's first append to each log,
+// its claim.
+const (
+	ownerWriter = "owner"
+	firstSeq    = 1
+)
+
+// ownerLog is a log of the store that the owner writes.
+type ownerLog struct {
+	topic platform.Topic
+	// seq is the number of the last append under the owner's epoch.
+	seq uint64
+}
+
+// writer identifies the append of a number.
+func (l ownerLog) writer(e id.Epoch, seq uint64) platform.Writer {
+	return platform.Writer{Name: ownerWriter, Epoch: e, Seq: seq}
+}
 
 // owner is a host's part as the owner of scheduling. It belongs to the deciding
 // goroutine, which also calls it with the results of orders.
@@ -32,8 +49,8 @@
 	cancel context.CancelFunc
 	// boxes hold the orders to workers that wait for their turn.
 	boxes outboxes
-	// seq is the number of the last append under this epoch.
-	seq uint64
+	// jobs is the log that every host follows, memory the owner's memory.
+	jobs, memory ownerLog
 	// writing is set while an append is under way.
 	writing bool
 	// rules say which orders to start may still leave.
@@ -52,7 +69,7 @@
 	if e == nil || e.Spec == nil {
 		return
 	}
-	o.core.AddJob(now, j, e.Spec, e.Progress, e.Cancelled)
+	o.core.AddJob(now, j, e)
 	if e.Cancelled {
 		o.core.CancelJob(now, j)
 	}
@@ -157,27 +174,62 @@
 	if !some {
 		return
 	}
-	if len(b.Records) == 0 {
+	if b.Empty() {
 		o.core.Committed(o.host.now(), b)
 		return
 	}
 	o.writing = true
-	o.seq++
-	w := platform.Writer{Name: ownerWriter, Epoch: o.epoch, Seq: o.seq}
+	appends := []func() written{o.append(ctx, &o.memory, b.Progress), o.append(ctx, &o.jobs, b.Jobs)}
 	go func() {
-		left, err := o.persist(ctx, b.Records, w)
-		o.host.post(ctx, func(now unit.Instant) { o.flushed(ctx, now, b, left, err) })
+		w := writeAll(appends)
+		o.host.post(ctx, func(now unit.Instant) { o.flushed(ctx, now, b, w) })
 	}()
 }
 
+// written is what became of appends: when the oldest of the tries that were answered left, and the first error.
+type written struct {
+	left unit.Instant
+	err  error
+}
+
+// writeAll makes appends to different logs at the same time.
+func writeAll(appends []func() written) written {
+	out := make(chan written, len(appends))
+	for _, do := range appends {
+		go func() { out <- do() }()
+	}
+	all := written{left: math.MaxInt64}
+	for range appends {
+		w := <-out
+		all.left = min(all.left, w.left)
+		if all.err == nil {
+			all.err = w.err
+		}
+	}
+	return all
+}
+
+// append numbers an append to a log and returns what makes it. Nothing is appended where there are no records.
+func (o *owner) append(ctx context.Context, l *ownerLog, recs []jobtable.Record) func() written {
+	if len(recs) == 0 {
+		return func() written { return written{left: math.MaxInt64} }
+	}
+	l.seq++
+	topic, w := l.topic, l.writer(o.epoch, l.seq)
+	return func() written {
+		left, err := o.persist(ctx, topic, recs, w)
+		return written{left: left, err: err}
+	}
+}
+
 // persist repeats an append until it is done, or until this host is not the owner any
 // more. It returns when the last try left.
-func (o *owner) persist(ctx context.Context, recs []jobtable.Record, w platform.Writer) (unit.Instant, error) {
+func (o *owner) persist(ctx context.Context, topic platform.Topic, recs []jobtable.Record, w platform.Writer) (unit.Instant, error) {
 	var bk backoff
-	dep := dependency{log: o.host.log, name: "store append"}
+	dep := dependency{log: o.host.log, name: "store append " + string(topic)}
 	for ctx.Err() == nil {
 		began, left := time.Now(), o.host.now()
-		_, err := o.host.store.Append(ctx, platform.TopicJobs, recs, w)
+		_, err := o.host.store.Append(ctx, topic, recs, w)
 		o.host.metrics.storeCall("append", began, err)
 		dep.note(err)
 		if settled(err) {
@@ -195,16 +247,16 @@
 
 // flushed takes in what became of an append of flush. One that can't be repeated ends the
 // ownership: the records may lack what the next decisions rest on.
-func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, left unit.Instant, err error) {
+func (o *owner) flushed(ctx context.Context, now unit.Instant, b dispatch.Batch, w written) {
 	o.writing = false
 	if o.host.owner != o {
 		return
 	}
-	if err != nil {
-		o.host.stepDown(err.Error())
+	if w.err != nil {
+		o.host.stepDown(w.err.Error())
 		return
 	}
-	o.host.assure(left) // a later claim would have fenced the append
+	o.host.assure(w.left) // a later claim would have fenced the append
 	o.core.Assure(o.host.assured)
 	o.core.Committed(now, b)
 	o.handOut(ctx)
--- a/internal/entry/put.go
+++ b/internal/entry/put.go
@@ -60,7 +60,7 @@
 	for {
 		select {
 		case err := <-p.done:
-			return written(err)
+			return outcomeOf(err)
 		case <-queuedTimer.C:
 			p.hurried.Store(true)
 			if p.withdraw() {
@@ -92,8 +92,8 @@
 	return min(wait, time.Duration(float64(time.Until(end))*part))
 }
 
-// written tells what became of a record when its write has ended.
-func written(err error) (outcome, string) {
+// outcomeOf tells what became of a record when its write has ended.
+func outcomeOf(err error) (outcome, string) {
 	switch {
 	case err == nil:
 		return stored, ""
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -77,6 +77,7 @@
 		}
 	}
 	table.Advance(end)
+	table.KeepProgress(h.table)
 	h.table, h.loaded = table, true
 	h.log.Info("jobs-loaded", zap.Int("records", len(recs)), zap.Uint64("end", uint64(end)))
 	h.noteFormerLife()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -9,7 +9,6 @@
 
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
-	"curlewsill.org/curlewsill/platform"
 )
 
 const (
@@ -83,7 +82,7 @@
 type retired struct {
 	// owner was in office until now; nil if there was none, or if it is busy.
 	owner *owner
-	// busy is set while an append of the owner is under way.
+	// busy is set while an append of the owner is under way, or the host is about to become it.
 	busy bool
 }
 
@@ -91,6 +90,8 @@
 func (h *Host) retire(why string) retired {
 	o := h.owner
 	switch {
+	case h.succession != nil:
+		return retired{busy: true}
 	case o == nil:
 		return retired{}
 	case o.writing:
@@ -104,8 +105,7 @@
 func (h *Host) release(ctx context.Context, o *owner) {
 	rec, err := jobtable.New().OwnerRecord(jobtable.Owner{Epoch: o.epoch + 1})
 	if err == nil {
-		w := platform.Writer{Name: ownerWriter, Epoch: o.epoch, Seq: o.seq + 1}
-		_, err = h.store.Append(ctx, platform.TopicJobs, []jobtable.Record{rec}, w)
+		_, err = h.store.Append(ctx, o.jobs.topic, []jobtable.Record{rec}, o.jobs.writer(o.epoch, o.jobs.seq+1))
 	}
 	h.log.Info("handed-over", zap.Uint64("epoch", uint64(o.epoch)), zap.Error(err))
 }
--- a/internal/entry/suspend_internal_test.go
+++ b/internal/entry/suspend_internal_test.go
@@ -55,10 +55,10 @@
 		o.core.Renewed(o.host.now(), dispatch.RenewResult{Renew: first, Sent: o.host.now(), Verdict: fleet.Carried})
 		spec := &job.Spec{Service: "s", MaxAttempts: 1, Steps: []job.Step{{Count: 1, Need: job.Resources{Accelerators: 1}}}}
 		clock.suspended = 10 * time.Second
-		o.core.AddJob(o.host.now(), "j", spec, job.Progress{}, false)
+		o.core.AddJob(o.host.now(), "j", &jobtable.Entry{Spec: spec})
 		pass()
 		if b, some, err := o.core.Flush(); some || err != nil {
-			t.Errorf("%d records were decided after the suspension, %v", len(b.Records), err)
+			t.Errorf("%d records were decided after the suspension, %v", len(b.Jobs)+len(b.Progress), err)
 		}
 		withheld := false
 		for _, n := range o.core.Notes() {
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -18,6 +18,9 @@
 	// wait is how long a read may wait for news; nil if it doesn't.
 	wait  func() time.Duration
 	pause func() time.Duration
+	// wanted reports whether the topic is to be followed; nil for always. Once it isn't any more, dropped is called.
+	wanted  func() bool
+	dropped func()
 	// wake cuts a pause short; nil if nobody does.
 	wake <-chan struct{}
 	// reached is called after each read that came to what was the end of the topic when it left, with that time; nil
@@ -35,6 +38,14 @@
 	dep := dependency{log: t.host.log, name: "store " + string(t.topic)}
 	next, loaded := id.Offset(0), false
 	for ctx.Err() == nil {
+		if t.wanted != nil && !t.wanted() {
+			if loaded {
+				loaded = false
+				t.dropped()
+			}
+			pause(ctx, memoryLook)
+			continue
+		}
 		var err error
 		began, left, reached := time.Now(), t.host.now(), false
 		if loaded {
@@ -65,19 +76,27 @@
 // load hands over the newest record of each key, and returns the offset from which to
 // read on: the end at the first page, since later pages may be newer.
 func (t *tail) load(ctx context.Context) (id.Offset, error) {
-	first, err := t.host.store.Newest(ctx, t.topic, "")
+	recs, end, err := newest(ctx, t.host.store, t.topic)
+	if err == nil {
+		t.whole(recs, end)
+	}
+	return end, err
+}
+
+// newest returns the newest record of each key of a topic, and where the topic ended as the first page was read.
+func newest(ctx context.Context, s *platform.Store, topic platform.Topic) ([]jobtable.Record, id.Offset, error) {
+	first, err := s.Newest(ctx, topic, "")
 	if err != nil {
-		return 0, err
+		return nil, 0, err
 	}
 	recs, page := first.Records, first
 	for page.More && len(page.Records) > 0 {
-		if page, err = t.host.store.Newest(ctx, t.topic, page.Records[len(page.Records)-1].Key); err != nil {
-			return 0, err
+		if page, err = s.Newest(ctx, topic, page.Records[len(page.Records)-1].Key); err != nil {
+			return nil, 0, err
 		}
 		recs = append(recs, page.Records...)
 	}
-	t.whole(recs, first.End)
-	return first.End, nil
+	return recs, first.End, nil
 }
 
 // read hands over what was added from an offset on. It returns the next offset, and whether that is the end.
