platform: a read is lost when nothing arrives, not when it is long

Cause: a read had 1 s beyond its wait for its whole answer. Its like: pages of the newest records had 4 s for all of their arrival, which is a total limit as well.

Appends keep their limit: they are bounded in size.

Answers that come through a peer are still bounded as a whole, by their calls' limits.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -205,13 +205,28 @@
 		return 0, nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+	data, err := io.ReadAll(io.LimitReader(arriving{resp.Body, arrivalOf(ctx)}, maxBody+1))
 	if err == nil && len(data) > maxBody {
 		err = errTooLarge
 	}
 	return resp.StatusCode, data, err
 }
 
+// arriving is the body of an answer. It tells of each part that arrives.
+type arriving struct {
+	io.Reader
+	arrives func()
+}
+
+// Read implements io.Reader.
+func (a arriving) Read(p []byte) (int, error) {
+	n, err := a.Reader.Read(p)
+	if n > 0 {
+		a.arrives()
+	}
+	return n, err
+}
+
 // bodyOf reads a copy of the body, so that both ways can send it.
 func bodyOf(req *http.Request) ([]byte, error) {
 	if req.GetBody == nil {
@@ -232,11 +247,11 @@
 	}
 }
 
-// arrivalKey carries what is to be called when an answer begins to arrive.
+// arrivalKey carries what is to be called when a part of an answer arrives.
 type arrivalKey struct{}
 
 // WithArrival notes in ctx what is to be called when the answer to a call on the direct way begins to
-// arrive.
+// arrive, and with each further part of it.
 func WithArrival(ctx context.Context, arrives func()) context.Context {
 	if outer, ok := ctx.Value(arrivalKey{}).(func()); ok {
 		inner := arrives
@@ -248,13 +263,17 @@
 	return context.WithValue(ctx, arrivalKey{}, arrives)
 }
 
-// traced lets what WithArrival has noted be called.
-func traced(ctx context.Context) context.Context {
-	arrives, ok := ctx.Value(arrivalKey{}).(func())
-	if !ok {
-		return ctx
+// arrivalOf returns what WithArrival has noted.
+func arrivalOf(ctx context.Context) func() {
+	if arrives, ok := ctx.Value(arrivalKey{}).(func()); ok {
+		return arrives
 	}
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: arrives})
+	return func() {}
+}
+
+// traced lets what WithArrival has noted be called as an answer begins to arrive.
+func traced(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: arrivalOf(ctx)})
 }
 
 // waitOf returns how long a call may wait at its other end by conntrack.WithWait, or 0.
