entry, dispatch: how many renewals wait for news goes by the host's descriptors and memory

Cause: 1,024 renewals at most were under way, on any host. On 1,100 workers those of 76 waited until another one's wait of 2 s was over, and an end there was heard of as late; at 3,000 workers two in three. Ruled out: shorter waits for all, which cost every worker a call more a second.

Change: half of the descriptors (a new setting) and a quarter of the memory at 32 KiB each. What goes beyond asks without a wait, each 0.5 s, so that no worker's news hang on another's. 32,768 orders of one kind may wait instead of 8,192.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -165,6 +165,10 @@
 		return
 	}
 	w.holding = false
+	if w.waits {
+		w.waits = false
+		d.awaiting--
+	}
 	w.nextHold = now.Add(renewPause)
 	w.lastUnanswered = res.Verdict == fleet.Unknown
 	if w.lastUnanswered {
--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -66,6 +66,9 @@
 		s.d.Inform(s.informed)
 	case "upkeep":
 		s.d.Upkept(s.now, dispatch.UpkeepResult{Upkeep: s.upkeeps[f[1]], Verdict: verdict(s.t, f[2])})
+	case "mostwaits":
+		s.mostWaits = number(s.t, f[1])
+		s.takeOver()
 	case "lease":
 		s.lease = duration(s.t, f[1])
 		s.takeOver()
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -6,6 +6,9 @@
 type Config struct {
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
+	// MostWaits is how many renewals may wait for news at workers at a time, which the owner's connections and memory bound; 0 for
+	// any number.
+	MostWaits int
 	// StopTime is how long a worker may take to stop a task.
 	StopTime time.Duration
 	// SaveEvery is how much of a task's run time passes between two checkpoints.
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -27,6 +27,8 @@
 	// expired is when ended was last looked through.
 	expired unit.Instant
 	workers map[id.Worker]*worker
+	// awaiting counts the renewals that wait for news at workers.
+	awaiting int
 	// order holds the workers by id, so that walks are the same on every host.
 	order []*worker
 	// guaranteed is how many accelerators each customer can always have.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -196,6 +196,13 @@
 			o.Wait = min(o.Wait, shieldedWait)
 		}
 	}
+	if d.config.MostWaits > 0 && d.awaiting >= d.config.MostWaits {
+		o.Wait = 0 // others have all the connections on which news may be waited for: this worker is asked again and again
+	}
+	if o.Wait > 0 {
+		w.waits = true
+		d.awaiting++
+	}
 	w.holding = true
 	d.orders.Renews = append(d.orders.Renews, o)
 }
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -32,6 +32,7 @@
 //	stop NAME VERDICT
 //	pace NAME VERDICT        the last order on that task's speed is answered
 //	renew WORKER VERDICT [by WORKER, the life that answered] [in-part] [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
+//	mostwaits N               from now on so many renewals may wait for news at a time, under another owner
 //	waits WORKER D           the last renewal there may wait so long
 //	advised VERDICT [valid=D] [WORKER=TICKET]...    the oldest open question to the advice service
 //	advisers N               so many hosts can ask the advice service
@@ -84,6 +85,8 @@
 
 	// lease is the longest lease if it isn't that of config, evacuation how long after an evacuation a task may still start.
 	lease, evacuation time.Duration
+	// mostWaits is how many renewals may wait for news at a time; 0 for any number.
+	mostWaits int
 	// lines are the orders since the last command.
 	lines []string
 }
@@ -110,7 +113,7 @@
 	if s.lease > 0 {
 		c.MaxLease = s.lease
 	}
-	c.Evacuation = s.evacuation
+	c.Evacuation, c.MostWaits = s.evacuation, s.mostWaits
 	s.d = dispatch.New(c, s.policy, s.epoch, s.table)
 	s.d.SetAdvisers(1)
 	for _, j := range s.table.Jobs() {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -191,9 +191,10 @@
 	synced unit.Instant
 	// askedAgain is when it was last wanted that the worker answers anew; answers to renewals that had left don't count.
 	askedAgain unit.Instant
-	// holding is set while a renewal is on its way; nextHold is when the next
+	// holding is set while a renewal is on its way, waits if that one waits for news; nextHold is when the next
 	// one is due.
 	holding  bool
+	waits    bool
 	nextHold unit.Instant
 	// lastUnanswered is set if the last renewal got no answer. The next one doesn't wait for news, so that
 	// its loss shows 2 s earlier.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -141,13 +141,15 @@
 // takeOver begins to schedule, from the state in the table.
 func (h *Host) takeOver(now unit.Instant, epoch id.Epoch) {
 	ctx, cancel := context.WithCancel(context.Background())
-	boxes := newOutboxes()
+	config := h.settings.Workers
+	config.MostWaits = mostWaits(h.settings)
+	boxes := newOutboxes(config.MostWaits)
 	end := func() {
 		cancel()
 		boxes.close()
 	}
 	o := &owner{
-		host: h, epoch: epoch, core: dispatch.New(h.settings.Workers, h.settings.Policy, epoch, h.table), cancel: end,
+		host: h, epoch: epoch, core: dispatch.New(config, h.settings.Policy, epoch, h.table), cancel: end,
 		boxes: boxes, jobs: ownerLog{topic: platform.TopicJobs, seq: firstSeq}, memory: ownerLog{topic: platform.TopicProgress, seq: firstSeq}, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
 		reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -12,6 +12,7 @@
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/outbox"
+	"curlewsill.org/curlewsill/internal/settings"
 )
 
 const (
@@ -21,35 +22,42 @@
 	// of a core. What hangs for longer makes room for others.
 	freshOrders  = 64
 	orderSettles = 100 * time.Millisecond
-	// mostStarts, mostStops and mostRenewals bound the goroutines for each kind of order. A window
-	// bounds the starts under way. Renewals wait at the worker for news, one for each that is at
-	// work: 990 of them at the size that curlewsill is built for.
-	mostStarts   = 512
-	mostStops    = 512
-	mostRenewals = 1024
+	// mostStarts and mostStops bound the goroutines for each kind of order. A window bounds the starts under way.
+	mostStarts = 512
+	mostStops  = 512
+	// renewalDescriptors and renewalMemory are the parts of the host's descriptors and memory for the renewals that wait for news, one for
+	// each worker that is at work; renewalBytes is what one takes: a goroutine, a connection and its buffers.
+	renewalDescriptors = 0.5
+	renewalMemory      = 0.25
+	renewalBytes       = 32 * unit.KiB
 	// startsEach, stopsEach and renewalsEach bound the orders under way to one worker. Together
 	// they are workerConns, so that none of them waits for another kind's connections.
 	startsEach   = 4
 	stopsEach    = 3
 	renewalsEach = workerConns - startsEach - stopsEach
-	// waitingOrders is how many orders of one kind may wait: one for each of the 5,600 tasks that
-	// run at the size that curlewsill is built for.
-	waitingOrders = 8192
+	// waitingOrders is how many orders of one kind may wait: more than there are tasks on 3,000 workers of 8 accelerators. One takes some 200 bytes.
+	waitingOrders = 1 << 15
 )
 
+// mostWaits returns how many renewals may wait for news at workers at a time.
+func mostWaits(s settings.Site) int {
+	byMemory := renewalMemory * float64(s.Memory) / float64(renewalBytes)
+	return int(min(renewalDescriptors*float64(s.Descriptors), byMemory))
+}
+
 // outboxes hold the orders to workers that wait for their turn, so that renewals and stops never wait
 // behind starts.
 type outboxes struct {
 	starts, stops, renewals *outbox.Box[id.Worker]
 }
 
-// newOutboxes returns empty ones.
-func newOutboxes() outboxes {
+// newOutboxes returns empty ones, for so many renewals that wait for news.
+func newOutboxes(waits int) outboxes {
 	box := func(all, each int) *outbox.Box[id.Worker] {
 		return outbox.New[id.Worker](outbox.Limits{Waiting: waitingOrders, Fresh: freshOrders, All: all, Settles: orderSettles, Each: each})
 	}
 	return outboxes{
-		starts: box(mostStarts, startsEach), stops: box(mostStops, stopsEach), renewals: box(mostRenewals, renewalsEach),
+		starts: box(mostStarts, startsEach), stops: box(mostStops, stopsEach), renewals: box(waits+freshOrders, renewalsEach),
 	}
 }
 
--- a/internal/entry/orders_internal_test.go
+++ b/internal/entry/orders_internal_test.go
@@ -177,7 +177,7 @@
 		log: zap.NewNop(), metrics: newMetrics(), events: ring.New[event](events), clock: newTestClock(),
 		workers: platform.NewWorkers(&http.Client{Transport: workers}, zap.NewNop()),
 	}
-	boxes := newOutboxes()
+	boxes := newOutboxes(1024)
 	t.Cleanup(boxes.close)
 	o := &owner{
 		host: h, boxes: boxes, cancel: boxes.close, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -27,6 +27,8 @@
 	ConfigBound time.Duration
 	// Memory is what the process may use before the platform ends it.
 	Memory unit.Bytes
+	// Descriptors is how many files and connections the process may have open.
+	Descriptors int
 	// Cores is the part of a core that the process may use, 1 for a whole one.
 	Cores float64
 	// Link is what the host can send or receive.
@@ -52,6 +54,8 @@
 	maxPeriod     = 24 * time.Hour
 	// leastEvacuation is the shortest bound that a host keeps: an order takes up to 1 s of it.
 	leastEvacuation = 1500 * time.Millisecond
+	// leastDescriptors leaves some beside the connections to the store, to peers and to callers.
+	leastDescriptors, mostDescriptors = 256, 1 << 24
 	// leastCores and mostCores bound the processor share, leastLink and mostLink the link in
 	// Mbit/s.
 	leastCores, mostCores = 0.01, 1024
@@ -85,6 +89,7 @@
 		// The default is the bound of the users' small sites.
 		ConfigBound: store.Duration("config_bound", 2*time.Second, time.Second, time.Minute),
 		Memory:      limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
+		Descriptors: limits.Int("descriptors", 1024, leastDescriptors, mostDescriptors),
 		Cores:       limits.Number("cores", 1, leastCores, mostCores),
 		Link:        unit.MegabitsPerSecond(limits.Number("link_mbps", 1000, leastLink, mostLink)),
 		Grace:       limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
