logging: a line tells how many others were left out; 1,000 of a kind a second

Cause: beyond 400 lines of one message a second one in 50 was kept and nothing told so; 1,100 workers start some 600 tasks a second and end as many, so that the start of a task in question was often not there. Change: 1,000 of a kind, and a line a second for each message of which some were left out. Calls and jobs are far below that on any host. Ruled out: a bound by kind of event, which each new event would have to be sorted into.

TestLeftOut waits for the line, and so didn't end before.

--- a/internal/logging/stream.go
+++ b/internal/logging/stream.go
@@ -20,7 +20,7 @@
 	// sampleEvery, sampleFirst and sampleThen bound repeats: of lines with the
 	// same message in one period, the first are kept and then one in so many.
 	sampleEvery = time.Second
-	sampleFirst = 400
+	sampleFirst = 1000
 	sampleThen  = 50
 	// flushWait is how long a process that ends waits for its last lines.
 	flushWait = 200 * time.Millisecond
@@ -34,6 +34,8 @@
 type Stream struct {
 	*zap.Logger
 	lines *ring.Ring[[]byte]
+	// left counts the lines that were left out because others with the same message were too many.
+	left leftOut
 	// written and taken count lines, so that Flush knows what is under way.
 	taken, written atomic.Uint64
 }
@@ -66,8 +68,9 @@
 	s := &Stream{lines: ring.New[[]byte](streamLines)}
 	lines := format.encoder()
 	core := zapcore.NewCore(lines, s, l)
-	s.Logger = zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen))
+	s.Logger = zap.New(zapcore.NewSamplerWithOptions(core, sampleEvery, sampleFirst, sampleThen, zapcore.SamplerHook(s.left.note)))
 	go s.copy(out, lines.Clone())
+	go s.tellLeftOut(zap.New(core))
 	return s, nil
 }
 
@@ -102,6 +105,15 @@
 	}
 }
 
+// tellLeftOut tells once a period how many lines of which message were left out.
+func (s *Stream) tellLeftOut(log *zap.Logger) {
+	for range time.Tick(sampleEvery) {
+		for _, x := range s.left.take() {
+			log.Info("log-lines-left-out", zap.String("of", x.message), zap.Int("count", x.lines))
+		}
+	}
+}
+
 // lostLine returns the line that tells how many were lost.
 func lostLine(lines zapcore.Encoder, lost uint64) []byte {
 	entry := zapcore.Entry{Level: zapcore.WarnLevel, Time: time.Now(), Message: "log-lines-lost"}
--- a/internal/logging/stream_test.go
+++ b/internal/logging/stream_test.go
@@ -1,9 +1,12 @@
 package logging_test
 
 import (
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -62,6 +65,36 @@
 	}
 }
 
+// TestLeftOut logs more lines with one message than are kept in a second, and a few with another: a line tells how many of which were left out.
+//
+// On 1,100 workers some 600 tasks start in a second and as many end. Beyond 400 lines one in 50 was kept and nothing told so, so that a start that was
+// looked for seemed not to have happened.
+func TestLeftOut(t *testing.T) {
+	const lines = 5000
+	out := &stuck{free: make(chan struct{})}
+	close(out.free)
+	log, err := logging.NewStream(out, "info", logging.JSON)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range lines {
+		log.Info("many")
+		time.Sleep(10 * time.Microsecond) // the reader keeps up
+	}
+	log.Info("few")
+	told := regexp.MustCompile(`"msg":"log-lines-left-out","of":"(\w+)","count":(\d+)}`)
+	for left := 0; left == 0 || left+strings.Count(out.read(), `"msg":"many"`) < lines; time.Sleep(time.Millisecond) {
+		left = 0
+		for _, m := range told.FindAllStringSubmatch(out.read(), -1) {
+			n, err := strconv.Atoi(m[2])
+			if err != nil || m[1] != "many" {
+				t.Fatalf("%s, %v", m[0], err)
+			}
+			left += n
+		}
+	}
+}
+
 // TestLevel refuses a level that there isn't.
 func TestLevel(t *testing.T) {
 	if _, err := logging.NewStream(&stuck{}, "loud", logging.JSON); err == nil {
