entry, platform: a reader of a store that is behind waits longer, and asks once

What it gives then nobody takes, each host asks again, with a second copy through a peer after 0.5 s: the newest records of the operator's log are lost 146 times a second for five seconds, though 0.06 MB a second are written. Ruled out: longer limits for all calls, which would hide a silent store; jitter alone (the answers take as long together).

A store that is silent is asked as often as before.

TestOverload, burst.txt, failed before (150 of 150 hosts behind 24 s later).

--- a/internal/entry/assured_internal_test.go
+++ b/internal/entry/assured_internal_test.go
@@ -45,7 +45,7 @@
 // newAssured returns a host between a store and nobody else, whose decisions are taken as they come.
 func newAssured(ctx context.Context, store *storeScript) *Host {
 	h := &Host{
-		log: zap.NewNop(), metrics: newMetrics(), self: "a#1", table: jobtable.New(), events: ring.New[event](events),
+		log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop()), self: "a#1", table: jobtable.New(), events: ring.New[event](events),
 		clock: newTestClock(), watchers: watchers{},
 		store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1", Ability: 100}),
 	}
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -26,6 +26,8 @@
 	// reached is called after each read that came to what was the end of the topic when it left, with that time; nil
 	// if nobody wants to know.
 	reached func(left unit.Instant)
+	// patience times the usual time is how long a read waits for its answer, 0 for the usual one.
+	patience int
 	// whole is called with the newest records of all keys, and more with those
 	// that follow from an offset on.
 	whole func(recs []jobtable.Record, end id.Offset)
@@ -48,10 +50,11 @@
 		}
 		var err error
 		began, left, reached := time.Now(), t.host.now(), false
+		patient := platform.WithPatience(ctx, max(1, t.patience))
 		if loaded {
-			next, reached, err = t.read(ctx, next)
+			next, reached, err = t.read(patient, next)
 		} else {
-			next, err = t.load(ctx)
+			next, err = t.load(patient)
 			loaded, reached = err == nil, err == nil
 		}
 		if errors.Is(err, platform.ErrForgotten) {
@@ -62,6 +65,7 @@
 			return
 		}
 		dep.note(err)
+		t.learn(err)
 		if err != nil {
 			b.wait(ctx, began)
 			continue
@@ -73,6 +77,20 @@
 	}
 }
 
+// learn doubles the patience after a read without an answer from a store that answers short calls: it is behind, and a reader that gives up and
+// asks again gets further back. A store that is silent is asked as often as ever, to hear of its return.
+func (t *tail) learn(err error) {
+	switch {
+	case err == nil:
+		t.patience = 1
+	case errors.Is(err, platform.ErrUnknown) && !t.host.health.hanging():
+		t.patience = min(mostPatience, 2*max(1, t.patience))
+	}
+}
+
+// mostPatience bounds how many times the usual time a read waits.
+const mostPatience = 8
+
 // load hands over the newest record of each key, and returns the offset from which to
 // read on: the end at the first page, since later pages may be newer.
 func (t *tail) load(ctx context.Context) (id.Offset, error) {
--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -47,7 +47,7 @@
 	req = req.WithContext(WithArrival(req.Context(), func() { arriving.Store(true) }))
 	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: usePeers, spareDirect: !directFirst}
 	r.begin(directFirst)
-	timer := time.NewTimer(r.wait + hedgeAfter)
+	timer := time.NewTimer(r.wait + hedgeOf(req.Context()))
 	defer timer.Stop()
 	var last outcome
 	for {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -247,6 +247,22 @@
 	}
 }
 
+// hedgeKey carries after which time another way is tried.
+type hedgeKey struct{}
+
+// WithHedge lets a call take so long on its first way, beyond the time that it may wait, before another one is tried as well, instead of hedgeAfter.
+func WithHedge(ctx context.Context, after time.Duration) context.Context {
+	return context.WithValue(ctx, hedgeKey{}, after)
+}
+
+// hedgeOf returns what WithHedge has set.
+func hedgeOf(ctx context.Context) time.Duration {
+	if after, ok := ctx.Value(hedgeKey{}).(time.Duration); ok {
+		return after
+	}
+	return hedgeAfter
+}
+
 // arrivalKey carries what is to be called when a part of an answer arrives.
 type arrivalKey struct{}
 
