--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -53,8 +53,7 @@
 
 // mayLeave reports whether a step may give up the room that is kept for it for other room that is
 // free. Urgent work so begins up to the time of a stop earlier, and what was freed for it goes to the
-// next that waits. Of 100 urgent jobs 3.7, 1.0 and 0.0 more were in time on three deployments with 48
-// workers, 4.1, 0.9 and 2.8 more on those with 350, in 40 and 8 pairs of plays each.
+// next that waits.
 func (d *Dispatcher) mayLeave(s *stepState) bool {
 	return s.job.spec.Priority > 0 || d.policy.TakeFreed
 }
--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -13,7 +13,7 @@
 const (
 	// commonCause is within which time crashes of massLeast workers of a service, and massShare of all its workers, under which nothing
 	// had just begun are taken to have one cause: a rack that loses power takes all its workers. They are noticed when the next lives answer. Without
-	// it 33 jobs that can be done were given up instead of 17, in 24 plays of a minute with a seventh of 48 workers crashing each 5 s.
+	// it jobs that can be done are given up for crashes that they have nothing to do with.
 	commonCause = time.Second
 	massLeast   = 3
 	massShare   = 1.0 / 30
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -21,11 +21,10 @@
 	// mostCrashes is the same for crashes at any time after its starts: the third and two more.
 	mostCrashes = 5
 	// settledAfter is how long after a run's start its worker must have answered for a crash not to count as one soon after the
-	// start. Tasks that crash workers did so within 10 ms on the users' sites. The longer, the more often a crash of another cause falls
-	// into it.
+	// start. Most tasks that crash workers do so at once. The longer, the more often a crash of another cause falls into it.
 	settledAfter = 300 * time.Millisecond
 	// repeatedFrom is the count of crashes from which one more under a task doesn't speak for a cause in common: without it tasks that crash workers
-	// 0.4 s after their starts excused each other, 703 starts too many of 58 tasks instead of none, 6 seeds.
+	// a while after their starts excuse each other for good.
 	repeatedFrom = 2
 	// soundAfter is how long after a run's start its worker must have answered for nothing to be held against the task any more,
 	// so that workers that crash of other causes, hours apart, don't end a long-running task.
@@ -40,7 +39,6 @@
 
 // refused takes in that an order to start was refused by whoever got it, or that nobody got it. Unless an earlier copy of it may have been carried
 // out, the run hasn't begun: a worker that has crashed meanwhile did so without it.
-// Without it 10 instead of 6 jobs that can be done were given up, of 65,000 in storms of crashes (core/world TestStorms, 6 seeds).
 func (d *Dispatcher) refused(s Start) {
 	w := d.addressee(s.Target)
 	if w == nil || s.Unsure {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -175,8 +175,7 @@
 }
 
 // forgetGone drops the workers that are surely gone. Otherwise passes would cost by all lives that
-// the owner has ever known: 0.68 ms instead of 0.013 ms over 350 idle workers after 40 more lives
-// of each.
+// the owner has ever known.
 func (d *Dispatcher) forgetGone(now unit.Instant) {
 	d.order = slices.DeleteFunc(d.order, func(w *worker) bool {
 		gone := w.gone(now, d.config.KeepEnded)
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -13,11 +13,11 @@
 // A worker may begin again under its name, and its next life takes orders that were meant for the one before. All that ran there is
 // over; what may have come to the next life is looked for there before its task is placed anew.
 
-// lateOrders is how long after it left an order without an answer may be carried out. Up to 12 s were seen on the users' sites.
+// lateOrders is how long after it left an order without an answer may be carried out, by the platform's pages.
 const lateOrders = 12 * time.Second
 
 // tellWithin is how old a worker's last answer may be as it is told which ends it may forget. It takes some 10 ms to note an end; a worker that
-// begins again takes half a second or more on the users' sites, and longer until it has ended something.
+// begins again takes longer, and longer still until it has ended something.
 const tellWithin = 250 * time.Millisecond
 
 // strayOrder is why a run is stopped on the next life under its worker's name.
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -16,7 +16,7 @@
 	// three records.
 	forgetJobs = 20
 	// expireEvery is how often ended jobs are looked through: with forgetJobs, 40 a second
-	// can be dropped, three times what the users' sites end.
+	// can be dropped.
 	expireEvery = 500 * time.Millisecond
 )
 
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -8,7 +8,7 @@
 )
 
 // A machine has one life after the other, each a worker of its own, and the list may show two of them, in an order that
-// says nothing of age. Of 8,009 runs given up by that order, over 264 days played, 6,361 were still there. Only answers tell.
+// says nothing of age: most runs that were given up by that order would still be there. Only answers tell.
 
 // evidence is what shows that nothing runs any more on a worker that hasn't said so.
 type evidence string
--- a/core/dispatch/pool.go
+++ b/core/dispatch/pool.go
@@ -10,8 +10,7 @@
 )
 
 // pool is what a pass knows of the workers of one service. It is made anew in each pass, so that
-// the many tasks that wait need no walk over all workers each. Measured with 350 workers and
-// 1,000 waiting tasks: docs/CAPACITY.md.
+// the many tasks that wait need no walk over all workers each.
 type pool struct {
 	// workers are those that new tasks may go to, by id; labelled those of them with a label,
 	// filled when it is asked for.
--- a/core/dispatch/rack.go
+++ b/core/dispatch/rack.go
@@ -2,7 +2,7 @@
 
 // rackWeight is added for opening a worker of a rack that is wholly empty, less for
 // one that is partly so. It outweighs the most that leftover returns, so that whole
-// racks are kept. Measured: docs/design/07-worth.md.
+// racks are kept for gangs that ask for one.
 const rackWeight = 4
 
 // opening returns what it costs, beside the leftover, to place something on a worker:
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -10,8 +10,7 @@
 
 const (
 	// reserveTime is how much urgent work is expected ahead, as the time in which
-	// it arrives: room for it can be freed in about half of that. Measured with
-	// 0 to 3 s; see docs/design/07-worth.md.
+	// it arrives: room for it can be freed in about half of that.
 	reserveTime = 3000 * time.Millisecond
 	// reserveMemory is the time constant of the arrival rate.
 	reserveMemory = 6 * time.Second
@@ -69,8 +68,7 @@
 // heldBack reports whether a candidate has to wait because fewer workers are empty than are kept.
 // Single tasks fill what others leave of workers in use, so that under load no worker becomes empty
 // again: urgent work then stops such tasks, often within a second of their start, and gangs find no
-// room. Work that presses, and work that finds more than enough room, isn't held back. Measured:
-// docs/design/09-load.md.
+// room. Work that presses, and work that finds more than enough room, isn't held back.
 func (d *Dispatcher) heldBack(now unit.Instant, c candidate, p *pool, fits []*worker) bool {
 	step := c.step.step
 	if !d.policy.HoldBack || p.spare >= 0 || step.Gang || step.LongRunning {
--- a/core/dispatch/upkeep.go
+++ b/core/dispatch/upkeep.go
@@ -17,8 +17,8 @@
 // The platform answers one that was done in the same way.
 const upkeepAgain = time.Second
 
-// unsureFor is how long an order without an answer may be why its machine is down: orders were carried out up to 12 s
-// late on the users' sites, and a machine is down for 2 s.
+// unsureFor is how long an order without an answer may be why its machine is down: orders may be carried out 12 s
+// late, and a machine is down for 2 s.
 const unsureFor = 15 * time.Second
 
 // wave is one wave of maintenance and what the store knows of it.
--- a/core/dispatch/window.go
+++ b/core/dispatch/window.go
@@ -8,11 +8,11 @@
 
 const (
 	// slowStart is how long the answer to an order to start takes at least when the owner's host
-	// or link can't keep up: thirty times the usual time on the users' sites.
+	// or link can't keep up: workers answer within a few milliseconds.
 	slowStart = 250 * time.Millisecond
 	// leastStarts and mostStarts bound the window of starts under way. The least one still
 	// starts 100 tasks a second at slowStart; the most is what an able host sends in half a
-	// second at the peak of a burst on 350 workers.
+	// second.
 	leastStarts = 24
 	mostStarts  = 512
 	// firstStarts is the window of a new owner, which doesn't know its host's speed yet; it doubles
--- a/core/election/election.go
+++ b/core/election/election.go
@@ -35,13 +35,12 @@
 	lookEvery = 500 * time.Millisecond
 	lookSoon  = 120 * time.Millisecond
 	// lookRarely is the pause of hosts from place rareFrom on. They claim 2 s after they have first missed the owner, when all before them have
-	// not; a look may be so old then. Looks were a quarter of the calls to the store of 45 hosts on a calm day; with this, and reads of the operator's records
-	// that wait by the bound for configurations, a day takes 18,400 calls instead of 22,700.
+	// not; a look may be so old then. On many hosts looks are a good part of all calls to the store.
 	lookRarely = 1200 * time.Millisecond
 	rareFrom   = 8
 	// settle is how long a new owner isn't suspected. The group shows a host only once it holds
-	// a partition, and while many hosts join at once they are dealt anew again and again: three
-	// owners within 0.8 s after 41 hosts came back. A dead one is missed for a second anyway.
+	// a partition, and while many hosts join at once they are dealt anew again and again, so that one owner would
+	// follow the other. A dead one is missed for a second anyway.
 	settle = time.Second
 	// ablerFactor is how much abler another host must be for the owner to hand over, and
 	// ablerFor how long it must have been in the group without a break: a change of owner
@@ -128,8 +127,7 @@
 }
 
 // Claimed notes that some host has claimed. It is taken to live until looks miss it: without
-// that, all hosts that have missed the former owner go on to claim, a hundred times within 0.1 s
-// on 41 hosts that come back together.
+// that, all hosts that have missed the former owner go on to claim.
 func (e *Election) Claimed(now unit.Instant) {
 	e.missed, e.since, e.claimed = 0, now, now
 	e.silence = silence{}
--- a/core/jobtable/progress.go
+++ b/core/jobtable/progress.go
@@ -16,8 +16,7 @@
 const mostTasks = 1 << 20
 
 // packedProgress is a job's progress as it is written. Of a job that is repeated most tasks are done or wait, and many share a worker or a
-// checkpoint: like tasks that follow each other are written once, and each name once. A gang of 26 takes 0.3 kB so, instead of 0.9, and a round
-// that waits 6 bytes.
+// checkpoint: like tasks that follow each other are written once, and each name once.
 type packedProgress struct {
 	_       struct{} `cbor:",toarray"`
 	Outcome job.Outcome
--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -3,8 +3,7 @@
 // A path between two machines may lose all its connections at once without a reset, while new ones
 // work. Nothing but a call that gets no answer shows it, and only for the connection of that call.
 // So each such call makes the other connections to its address suspect: those that have not been
-// proven since are not used again. Without it each of them costs the time limit of one more call:
-// with eight to one address eight in a row.
+// proven since are not used again. Without it each of them costs the time limit of one more call.
 //
 // No connection becomes suspect while bytes still come on one that is as old: the service, or the link
 // to it, is slow then, and new connections would add to that.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -48,8 +48,7 @@
 }
 
 // prepareClaim reads what others have written lately, and then claims if that is still due.
-// Without it hosts that have not heard of each other's claims take the ownership in turns: 50
-// claims within 0.5 s by two hosts of 41.
+// Without it hosts that have not heard of each other's claims take the ownership in turns.
 func (h *Host) prepareClaim(ctx context.Context) {
 	h.claiming = true
 	go func() {
@@ -69,8 +68,7 @@
 
 // claim asks the store to make this host the owner. The claim may follow records that this host
 // hasn't read: it becomes the owner when it reads its own claim, and has read all before that by
-// then. Waiting for a moment in which nobody writes cost five claims and 0.25 s while 41 hosts
-// took in clients that came back.
+// then. A moment in which nobody writes may not come while many hosts take in clients.
 func (h *Host) claim(ctx context.Context) {
 	at := h.table.Next()
 	epoch := epochAt(at)
--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -10,14 +10,13 @@
 
 const (
 	// passEvery is the least time between two passes over the owner's state;
-	// what happens meanwhile is decided together. Measured: docs/design/07-worth.md.
+	// what happens meanwhile is decided together.
 	passEvery = 5 * time.Millisecond
 	// idleEvery is the time between two passes when nothing happens.
 	idleEvery = 200 * time.Millisecond
 	// passShare times what a pass took is how long events are taken in before the next one.
-	// Without it a pass that takes longer than passEvery follows on every event: with 1,000
-	// waiting tasks and a fifth of a core 7 ms each, so that answers wait for seconds and
-	// leases run out.
+	// Without it a pass that takes longer than passEvery follows on every event, so that answers
+	// wait for seconds and leases run out.
 	passShare = 3
 	// longestPause bounds that: a pass in which the process stood still would else silence the
 	// owner, whose renewals leave in passes only, for three times as long, beyond the leases of 6 s.
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -16,8 +16,7 @@
 
 // While the store is slow, hosts hand their records to the owner, which appends all that wait at
 // once. The store takes the appends to a topic one after the other: at 60 times its usual time
-// it takes three a second, which 41 hosts with records of their own would wait for in vain.
-// Measured there: 25 of 80 jobs were accepted within 6 s without this.
+// it takes three a second, which dozens of hosts with records of their own would wait for in vain.
 
 // recordsBase is the address under which a host's own writer is called on the relay's path.
 const recordsBase = "http://records"
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -26,14 +26,11 @@
 	lookAgain = 500 * time.Millisecond
 	// fewMembers is how many hosts the group has room for at first, and mostMembers at most: a
 	// member shows only if it holds a partition, and an owner that doesn't show is taken for
-	// dead. Each look returns all partitions, so there are no more of them than needed: with
-	// room for 512, a look on a site of 41 hosts would be seven times as long.
+	// dead. Each look returns all partitions, so there are no more of them than needed.
 	fewMembers  = 64
 	mostMembers = 512
-	// tasksPerCore is how many tasks a second an owner with a whole core can start: 0.35 of a
-	// core were used at 250 a second with 350 workers. tasksPerMegabit is how many one Mbit/s
-	// carries at 4 kB a task with its renewals and records, an estimate from their sizes. What
-	// counts is the proportion between hosts.
+	// tasksPerCore is how many tasks a second an owner with a whole core can start, tasksPerMegabit how many one Mbit/s
+	// carries at 4 kB a task with its renewals and records. What counts is the proportion between hosts.
 	tasksPerCore    = 700
 	tasksPerMegabit = 31
 )
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -14,7 +14,7 @@
 )
 
 // The owner's memory is the log that has the progress of jobs and waves. It is rewritten with each start and end of a task, so that only hosts that
-// may be the next owner follow it: read by all of 147 hosts it took more than the store gives in a second. A host that becomes the owner
+// may be the next owner follow it: all hosts of a large site together would read more than the store gives. A host that becomes the owner
 // closes it to earlier ones and then reads it to its end, so that it goes on from all that any of them has written.
 
 // memoryLook is the pause of a host that doesn't follow the memory, until it looks whether it is to.
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -14,13 +14,12 @@
 
 const (
 	// operatorLoss is the part of the time in which a configuration must be in force that is left when half of it is over: a read of what the
-	// operator writes waits for the rest of that half, so that there is time for another one if the store has lost it. With a bound of 2 s it
-	// waits 0.7 s, with 3 s 1.2 s. leastOperatorWait is for shorter bounds.
+	// operator writes waits for the rest of that half, so that there is time for another one if the store has lost it. leastOperatorWait is for shorter bounds.
 	operatorLoss      = 300 * time.Millisecond
 	leastOperatorWait = 200 * time.Millisecond
 	// newsReads is how many reads the owner makes within the time for which it goes by one: what a read tells is as old as its wait and
-	// its way when it comes, and as old again when the next one does. With a bound of 2 s and reads of 0.7 s starts were withheld 142
-	// times in 90 s on an owner whose calls took 0.12 s.
+	// its way when it comes, and as old again when the next one does. With fewer, starts are withheld again and again while the
+	// store is slow.
 	newsReads = 4
 )
 
--- a/internal/entry/put.go
+++ b/internal/entry/put.go
@@ -29,7 +29,7 @@
 	unknownWait = time.Second
 	// waitShare and unknownShare bound the two above by the part of its remaining time that a
 	// call may spend on them. A client that is refused late has no time left to ask another
-	// host: calls that were refused after 180 ms of their last 250 ms were lost.
+	// host.
 	waitShare    = 0.25
 	unknownShare = 0.45
 	// slowFactor times the length of the last append is what a call waits at least while
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -23,7 +23,7 @@
 	jobsPause    = 500 * time.Millisecond
 	standbyPause = 100 * time.Millisecond
 	// waitedPause is the pause where a job waits for it: on the owner, and while a
-	// client waits for a job's end. Measured: docs/design/07-worth.md.
+	// client waits for a job's end.
 	waitedPause = 8 * time.Millisecond
 	// serversPause is the pause between two reads of the list of workers. A
 	// worker that leaves must get nothing new after 2 s.
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -25,11 +25,11 @@
 	// watchBase is the address under which a host's own answers are called on the relay's path.
 	watchBase = "http://watch"
 	// askEvery is the pause between two questions to the owner: eight a second from each of four
-	// watchers cost it about 0.2 percent of a core. askSoon is the pause while it is missed.
+	// watchers cost it little. askSoon is the pause while it is missed.
 	askEvery = 120 * time.Millisecond
 	askSoon  = 40 * time.Millisecond
-	// askWait is how long the owner may take to answer. The longest way on the users' sites is a
-	// few milliseconds; an owner that is busy answers within some 50 ms.
+	// askWait is how long the owner may take to answer. A way takes a few milliseconds; an owner
+	// that is busy answers within some 50 ms.
 	askWait = 150 * time.Millisecond
 	// askAgainWait is the same for a question after one without an answer, which goes on a new link.
 	askAgainWait = 200 * time.Millisecond
--- a/internal/faultproxy/shut.go
+++ b/internal/faultproxy/shut.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	// An accept that is under way may take one connection more: filled before, the queue had room again in 38 of 2,400 times.
+	// An accept that is under way may take one connection more: filled before, the queue would have room again.
 	select {
 	case <-muted.idle:
 		return p.fill(muted)
--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -14,15 +14,14 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a link: the longest way on the users' sites is a
+	// dialTimeout bounds the opening of a link: a way takes a
 	// few milliseconds, and a peer behind a cut never answers.
 	dialTimeout = 400 * time.Millisecond
 	// writeTimeout bounds the writing of one message beside what its size takes; it is as long as a
 	// way may take before the other one is tried.
 	writeTimeout = 500 * time.Millisecond
-	// thinnest is how many bytes a second a message may be written with at least. The thinnest link
-	// of the users' sites, 10 Mbit/s, carries 1.2 MB a second. With writeTimeout alone a page of 1 MB
-	// ended each link that it was written to.
+	// thinnest is how many bytes a second a message may be written with at least, so that
+	// a large page doesn't end each thin link that it is written to.
 	thinnest = 1 << 20
 	// servedAtOnce bounds the calls that are made for one peer at a time: twice the
 	// connections of a host to the store.
@@ -39,7 +38,7 @@
 	// pinged. A usual answer takes a few milliseconds, so that most calls cost no ping.
 	waitingQuiet = 250 * time.Millisecond
 	// linkAnswer is how long a peer may take to answer a ping. 512 kB that stand before the ping
-	// take 420 ms on the thinnest link of the users' sites, and a quota of processor time ends for
+	// take 420 ms over 10 Mbit/s, and a quota of processor time ends for
 	// 100 ms at most.
 	linkAnswer = 500 * time.Millisecond
 	// linkQuiet is the same for a link that no call waits on: found within 1.5 s together with
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -20,8 +20,8 @@
 // linkChoice returns the link to the peer that makes a call.
 type linkChoice func(context.Context) (*link, error)
 
-// mostPeers bounds through how many peers a call is tried that is refused by each: what turns away a third of the hosts refuses three
-// of them once in 27 times.
+// mostPeers bounds through how many peers a call is tried that is refused by each: what turns away a third of the hosts seldom
+// refuses three of them.
 const mostPeers = 3
 
 // tryPeer makes the call through some peer, and through others while it is refused: a refusal says that nothing was done, and the other end may
@@ -130,7 +130,7 @@
 
 // retireQuiet retires the links that may have died together with one that was found silent: those from
 // which nothing has come for waitingQuiet. The dead one was silent for linkAnswer at least. Without it
-// the next tries went to such links, and two of three calls ended unknown.
+// the next tries go to such links, and calls end unknown.
 func (p *Path) retireQuiet() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
