--- a/core/jobtable/progress_test.go
+++ b/core/jobtable/progress_test.go
@@ -1,7 +1,6 @@
 package jobtable_test
 
 import (
-	"os"
 	"reflect"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/scripttest"
 )
 
 // TestProgress writes the progress of testdata/progress/sizes.txt and reads it again. A line has the most bytes that a record may take, and groups
@@ -18,15 +18,7 @@
 // Each start and end of a task writes its job anew. A site of 1,100 workers wrote 1.4 MB of progress a second as work began, 2.6 kB a record,
 // most of it tasks of later rounds, and the same names again and again.
 func TestProgress(t *testing.T) {
-	data, err := os.ReadFile("testdata/progress/sizes.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(data)) {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
+	scripttest.EachLine(t, "progress/sizes.txt", func(f []string) {
 		t.Run(strings.Join(f[1:], "+"), func(t *testing.T) {
 			p := job.Progress{Ended: 17}
 			for _, g := range f[1:] {
@@ -50,7 +42,7 @@
 				t.Errorf("%d bytes, at most %s are wanted, %v", len(r.Value), f[0], err)
 			}
 		})
-	}
+	})
 }
 
 // tasksOf returns a group of tasks.
--- a/core/scripttest/scripttest.go
+++ b/core/scripttest/scripttest.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -32,3 +33,17 @@
 		})
 	}
 }
+
+// EachLine calls check with the words of each line of a file below testdata, in their order. Empty lines, and those that begin with #, are passed over.
+func EachLine(t *testing.T, file string, check func(words []string)) {
+	t.Helper()
+	data, err := os.ReadFile(filepath.Join("testdata", file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if words := strings.Fields(line); len(words) > 0 && !strings.HasPrefix(words[0], "#") {
+			check(words)
+		}
+	}
+}
--- a/internal/entry/clients_internal_test.go
+++ b/internal/entry/clients_internal_test.go
@@ -5,15 +5,14 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"slices"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/internal/relay"
 )
 
@@ -34,15 +33,7 @@
 
 // TestSilentClients plays clients that go silent at each listener.
 func TestSilentClients(t *testing.T) {
-	data, err := os.ReadFile("testdata/silent/clients.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(data)) {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
+	scripttest.EachLine(t, "silent/clients.txt", func(f []string) {
 		t.Run(f[0]+" "+f[1], func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				if got := playClient(t, f[0], f[1]); got != f[2] {
@@ -50,7 +41,7 @@
 				}
 			})
 		})
-	}
+	})
 }
 
 // playClient returns after which time the host has let go of a client's connection, or good if the
--- a/internal/entry/operator_internal_test.go
+++ b/internal/entry/operator_internal_test.go
@@ -1,28 +1,20 @@
 package entry
 
 import (
-	"os"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/internal/settings"
 )
 
 // TestWaitOfOperator looks how long a read of what the operator writes waits, by testdata/waits/operator.txt. A line has the bound of a configuration,
 // that of an evacuation, 0 for none, whether the host is the owner, and the wait.
 func TestWaitOfOperator(t *testing.T) {
-	data, err := os.ReadFile("testdata/waits/operator.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(data)) {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
+	scripttest.EachLine(t, "waits/operator.txt", func(f []string) {
 		times := make([]time.Duration, 0, 3)
 		for _, x := range []string{f[0], f[1], f[3]} {
 			d, err := time.ParseDuration(x)
@@ -38,7 +30,7 @@
 		}
 		h.metrics.owning.Store(owning)
 		if got := h.waitOfOperator(); got != times[2] {
-			t.Errorf("%s: got %s", strings.TrimSpace(line), got)
+			t.Errorf("%s: got %s", strings.Join(f, " "), got)
 		}
-	}
+	})
 }
--- a/internal/settings/site_test.go
+++ b/internal/settings/site_test.go
@@ -3,10 +3,10 @@
 import (
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
+	"curlewsill.org/curlewsill/core/scripttest"
 	"curlewsill.org/curlewsill/internal/settings"
 )
 
@@ -16,15 +16,7 @@
 // Where no bound was set 5 s counted. On a site where nobody evacuates, an owner that couldn't read the operator's records for 4 s started
 // nothing at all, for 4 to 7 s at a time ("starts-withheld").
 func TestEvacuationBound(t *testing.T) {
-	data, err := os.ReadFile("testdata/evacuation.txt")
-	if err != nil {
-		t.Fatal(err)
-	}
-	for line := range strings.Lines(string(data)) {
-		f := strings.Fields(line)
-		if len(f) == 0 || f[0] == "#" {
-			continue
-		}
+	scripttest.EachLine(t, "evacuation.txt", func(f []string) {
 		t.Run(f[0], func(t *testing.T) {
 			text := "[host]\nid = h\ndomain = d\n[store]\naddress = 127.0.0.1:1\n[workers]\n"
 			if f[0] != "none" {
@@ -42,5 +34,5 @@
 				t.Errorf("got %s, %v; want %s", s.Workers.Evacuation, err, want)
 			}
 		})
-	}
+	})
 }
