entry, jobtable: an owner drops the memory that it has taken over, and no host what it knows of waves

Found by reading. A host that became the owner without having followed the memory kept the progress that it took over for good: it follows the memory no more, and entries of forgotten jobs stayed because of it. And a host that stopped following dropped how far waves are, so that as the owner it would have taken a wave of which it hears only later for a new one, with machines down that it doesn't know of.

--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -268,9 +268,8 @@
 	return nil
 }
 
-// ForgetProgress drops all that the table has of the owner's memory.
+// ForgetProgress drops the progress of all jobs. How far waves are stays: an owner may hear of a wave that an earlier one has begun only later.
 func (t *Table) ForgetProgress() {
-	t.waves = map[id.Wave]Wave{}
 	for _, j := range t.Jobs() {
 		t.jobs[j].Progress = job.Progress{}
 		t.prune(j)
--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -16,6 +16,9 @@
 //	spec JOB QUEUE | cancel JOB | owner HOST EPOCH
 //	began JOB | ended JOB     the owner's summary of a job
 //	placed JOB | dropped JOB  its progress, with one task
+//	wave N                    how far a wave is
+//	seen N BOOL               whether an owner has seen a wave
+//	forgetmemory              the host follows the owner's memory no more
 //	former JOB | former-dropped JOB    progress as an earlier version writes it
 //	earlier JOB BOOL          whether there is such progress of any job
 //	resumes JOB OUTCOME N     how an owner goes on with it, and with how many tasks
@@ -72,6 +75,10 @@
 }
 
 func (s *script) do(f []string) {
+	if f[0] == "forgetmemory" {
+		s.table.ForgetProgress()
+		return
+	}
 	j := id.Job(f[1])
 	switch f[0] {
 	case "spec":
@@ -86,6 +93,8 @@
 		s.remember(s.table.ProgressRecord(j, job.Progress{Tasks: []job.TaskState{{Run: 1, Phase: job.Placed}}}))
 	case "dropped":
 		s.remember(jobtable.DropProgressRecord(j), nil)
+	case "wave":
+		s.remember(s.table.WaveRecord(id.Wave(s.number(f[1])), jobtable.Wave{Seen: 5}))
 	case "former":
 		s.apply(s.table.ProgressRecord(j, job.Progress{Tasks: []job.TaskState{{Run: 1}}}))
 	case "former-dropped":
@@ -119,6 +128,9 @@
 		if n := strconv.Itoa(len(p.Tasks)); n != f[3] {
 			got += " with " + n
 		}
+	case "seen":
+		_, known := s.table.Wave(id.Wave(s.number(f[1])))
+		got = strconv.FormatBool(known)
 	case "earlier":
 		got = strconv.FormatBool(s.table.Former())
 	case "waiting":
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -168,6 +168,7 @@
 	for _, n := range slices.Sorted(maps.Keys(h.waves)) {
 		o.setWave(now, h.waves[n])
 	}
+	h.forgetMemory() // the dispatcher has it now
 	go h.readServers(ctx, o)
 	go o.report(ctx)
 	go o.followMachines(ctx)
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -127,24 +127,38 @@
 	var b backoff
 	for ctx.Err() == nil {
 		began := time.Now()
-		m, ok := ask(ctx, h, func(now unit.Instant) memory {
-			if h.memory.whole && h.memory.next >= end && h.succession != nil && h.succession.epoch == epoch {
-				h.succession = nil
-				h.takeOver(now, epoch)
-			}
-			return h.memory
-		})
-		if !ok || m.whole && m.next >= end {
+		r, ok := ask(ctx, h, func(now unit.Instant) reached { return h.takeOverAt(now, epoch, end) })
+		if !ok || r.done {
 			return ctx.Err()
 		}
-		if err := h.catchUpMemory(ctx, m); err != nil {
-			h.log.Info("memory-not-read", zap.Uint64("from", uint64(m.next)), zap.Uint64("end", uint64(end)), zap.Error(err))
+		if err := h.catchUpMemory(ctx, r.memory); err != nil {
+			h.log.Info("memory-not-read", zap.Uint64("from", uint64(r.memory.next)), zap.Uint64("end", uint64(end)), zap.Error(err))
 			b.wait(ctx, began)
 		}
 	}
 	return ctx.Err()
 }
 
+// reached is how far a claim has come.
+type reached struct {
+	memory memory
+	// done is set once nothing is left to do for it: the host is the owner, or another claim has come.
+	done bool
+}
+
+// takeOverAt makes the host the owner if the table has the memory up to its end.
+func (h *Host) takeOverAt(now unit.Instant, epoch id.Epoch, end id.Offset) reached {
+	switch {
+	case h.succession == nil || h.succession.epoch != epoch:
+		return reached{done: true}
+	case !h.memory.whole || h.memory.next < end:
+		return reached{memory: h.memory}
+	}
+	h.succession = nil
+	h.takeOver(now, epoch)
+	return reached{done: true}
+}
+
 // catchUpMemory reads what the table lacks of the owner's memory, or all of it.
 func (h *Host) catchUpMemory(ctx context.Context, m memory) error {
 	if m.whole {
