entry, dispatch, jobtable: the progress log, fencing and takeover by their usual names; the phases of a summary as a type

The log that the owner writes for the next one was called its memory, the way from a claim to the ownership a succession, and four flags told how far a job's summary is. Names and comments, one type in place of the flags, shorter functions in stall.go; no decision is changed.

--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -46,14 +46,15 @@
 // once its outcome is in the store: with neither, the next owner would take it for a new job.
 func (d *Dispatcher) record(b *Batch, js *jobState) error {
 	ended := js.progress.Outcome != job.Open
-	if ended && !js.telling || !js.begun && js.progress.Began() {
+	if ended && js.summary < summaryEnding || js.summary == summaryNone && js.progress.Began() {
 		r, err := d.table.SummaryRecord(js.id, jobtable.Summary{Outcome: js.progress.Outcome, Ended: js.progress.Ended})
 		if err != nil {
 			return err
 		}
 		b.Jobs = append(b.Jobs, r)
-		js.begun, js.telling = true, ended
+		js.summary = summaryBegun
 		if ended {
+			js.summary = summaryEnding
 			b.ended = append(b.ended, js)
 		}
 	}
@@ -64,10 +65,10 @@
 			return err
 		}
 		b.Progress = append(b.Progress, r)
-		js.kept = true
-	case js.kept && js.told:
+		js.hasProgress = true
+	case js.hasProgress && js.summary == summaryEnded:
 		b.Progress = append(b.Progress, jobtable.DropProgressRecord(js.id))
-		js.kept = false
+		js.hasProgress = false
 	}
 	return nil
 }
@@ -80,8 +81,8 @@
 		}
 	}
 	for _, js := range b.ended {
-		js.told = true
-		if js.kept && len(js.progress.Tasks) == 0 {
+		js.summary = summaryEnded
+		if js.hasProgress && len(js.progress.Tasks) == 0 {
 			d.mark(js)
 		}
 	}
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -27,9 +27,7 @@
 	}
 	s, p := e.Spec, e.Resumed()
 	p.Tasks, p.Crashes = slices.Clone(p.Tasks), slices.Clone(p.Crashes)
-	js := &jobState{id: name, spec: s, progress: p, seen: now, begun: e.Summary != nil, kept: len(p.Tasks) > 0}
-	js.told = e.Ended()
-	js.telling = js.told
+	js := &jobState{id: name, spec: s, progress: p, seen: now, summary: summaryOf(e), hasProgress: len(p.Tasks) > 0}
 	d.jobs[name] = js
 	if p.Outcome == job.Open {
 		d.insertOpen(js)
@@ -54,7 +52,7 @@
 		d.resumeEnded(now, js)
 		return
 	}
-	if !js.begun && p.Began() {
+	if js.summary == summaryNone && p.Began() {
 		d.mark(js)
 	}
 	if e.Cancelled {
@@ -69,11 +67,22 @@
 	if !js.busy() {
 		js.dropTasks()
 	}
-	if js.kept || !js.told {
+	if js.hasProgress || js.summary != summaryEnded {
 		d.mark(js)
 	}
 }
 
+// summaryOf returns how far the summary of a job is that the store has.
+func summaryOf(e *jobtable.Entry) summaryPhase {
+	switch {
+	case e.Ended():
+		return summaryEnded
+	case e.Summary != nil:
+		return summaryBegun
+	}
+	return summaryNone
+}
+
 // insertOpen takes a job among the open ones.
 func (d *Dispatcher) insertOpen(js *jobState) {
 	at, _ := slices.BinarySearchFunc(d.open, js, compareJobs)
@@ -129,6 +138,11 @@
 	d.occupy(r)
 }
 
+// forgettable reports whether nothing of an ended job runs, and the store has its outcome and no progress of it.
+func (js *jobState) forgettable() bool {
+	return !js.busy() && !js.changed && !js.hasProgress && js.summary == summaryEnded
+}
+
 // expire forgets jobs whose end nobody needs to know any more.
 func (d *Dispatcher) expire(now unit.Instant) {
 	if now.Sub(d.expired) < expireEvery {
@@ -137,7 +151,7 @@
 	d.expired = now
 	kept := d.ended[:0]
 	for _, js := range d.ended {
-		if js.busy() || js.changed || js.kept || !js.told || len(d.forget) >= forgetJobs || now.Sub(js.progress.Ended) <= d.config.KeepEnded {
+		if !js.forgettable() || len(d.forget) >= forgetJobs || now.Sub(js.progress.Ended) <= d.config.KeepEnded {
 			kept = append(kept, js)
 			continue
 		}
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -158,7 +158,7 @@
 
 // Batch is a set of records for the store, and what waits for them.
 type Batch struct {
-	// Jobs goes to the log that every host follows, Progress to the owner's memory. Neither waits for the other.
+	// Jobs goes to the log that every host follows, Progress to the progress log. Neither waits for the other.
 	Jobs, Progress []jobtable.Record
 	starts         []*run
 	acks           []ack
--- a/core/dispatch/stall.go
+++ b/core/dispatch/stall.go
@@ -19,8 +19,8 @@
 	aheadPercent = 20
 	// almostDone is the progress from which a run may be waiting for the others of its gang.
 	almostDone = 98
-	// slowestEstimate times the customer's guess is how long a task may take: guesses were ten times too short on the users' sites. It shows a
-	// percent of that for each hundredth of the time.
+	// slowestEstimate times the customer's guess is how long a task may take, since guesses may be far too short. It shows another percent in each
+	// hundredth of that.
 	slowestEstimate = 10
 	// mostStalls is how many runs of one task, or gang, are stopped for it. Beyond, it is taken to be the task's way.
 	mostStalls = 2
@@ -53,28 +53,32 @@
 		}
 	}
 	for _, r := range stalled {
-		if r.state != runRunning {
-			continue // it was stopped with another member of its gang
+		if r.state == runRunning { // else it was stopped with another member of its gang
+			d.stopStalledRun(now, r)
 		}
-		s := r.step
-		if s.stalls == nil {
-			s.stalls = map[int]int{}
-		}
-		s.stalls[s.failureKey(r.task.Index)]++
-		s.noteFailure(now, r.task.Index, w)
-		w.streak = failStreak
-		d.suspendFailing(now, w, "a task makes no progress there")
-		d.stopRun(now, r, whyStalled)
 	}
 }
 
+// stopStalledRun stops one run that makes no progress.
+func (d *Dispatcher) stopStalledRun(now unit.Instant, r *run) {
+	s, w := r.step, r.worker
+	if s.stalls == nil {
+		s.stalls = map[int]int{}
+	}
+	s.stalls[s.failureKey(r.task.Index)]++
+	s.noteFailure(now, r.task.Index, w)
+	w.streak = failStreak
+	d.suspendFailing(now, w, "a task makes no progress there")
+	d.stopRun(now, r, whyStalled)
+}
+
 // stalled reports whether a run that its worker has just told of makes no progress.
 func (d *Dispatcher) stalled(now unit.Instant, r *run) bool {
 	s := r.step
-	if s == nil || r.state != runRunning || r.reported != now || r.percent >= almostDone || s.step.LongRunning || r.fills() {
+	if s == nil || r.state != runRunning || r.reported != now || r.percent >= almostDone {
 		return false
 	}
-	if s.stalls[s.failureKey(r.task.Index)] >= mostStalls {
+	if s.step.LongRunning || r.fills() || s.stalls[s.failureKey(r.task.Index)] >= mostStalls {
 		return false
 	}
 	since, atWork := s.atWorkSince(r)
@@ -82,11 +86,7 @@
 		return false
 	}
 	quiet := now.Sub(max(since, r.advanced))
-	least := patientStall
-	if s.job.spec.Priority == 0 {
-		least = stallAfter
-	}
-	if quiet < max(least, r.lostWork(since, d.config.SaveEvery)) {
+	if quiet < max(s.stallLimit(), r.lostWork(since, d.config.SaveEvery)) {
 		return false
 	}
 	if s.step.Gang {
@@ -95,6 +95,14 @@
 	return quiet >= slowestEstimate*s.step.Estimate/100 && r.worker.standsStill(now)
 }
 
+// stallLimit returns the least time without progress for which a run of the step is stopped.
+func (s *stepState) stallLimit() time.Duration {
+	if s.job.spec.Priority == 0 {
+		return stallAfter
+	}
+	return patientStall
+}
+
 // atWorkSince returns when a run began to work, which for a member of a gang is when all had begun, and false if it isn't at work.
 func (s *stepState) atWorkSince(r *run) (unit.Instant, bool) {
 	if !s.step.Gang {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -45,9 +45,9 @@
 	steps []*stepState
 	// changed is set while the store's records are older than progress.
 	changed bool
-	// begun is set once a summary of the job is in the store or on its way, telling once one with its outcome is, and told once that is in
-	// the store. kept is set while the store has progress of the job, or is about to.
-	begun, telling, told, kept bool
+	// summary is what callers are told of the job. hasProgress is set while the progress log has the job, or is about to.
+	summary     summaryPhase
+	hasProgress bool
 	// open counts the steps that are not done.
 	open int
 	// seen is when this owner learned of the job.
@@ -58,6 +58,21 @@
 	atRisk bool
 }
 
+// summaryPhase is how far the summary of a job is.
+type summaryPhase int
+
+// The phases of a summary, each later than those before.
+const (
+	// summaryNone: none was written, since no task was placed.
+	summaryNone summaryPhase = iota
+	// summaryBegun: one is in the store, or on its way, that tells that the job has begun.
+	summaryBegun
+	// summaryEnding: one with the outcome is on its way.
+	summaryEnding
+	// summaryEnded: one with the outcome is in the store.
+	summaryEnded
+)
+
 // stepState is one step of one round of a job.
 type stepState struct {
 	job   *jobState
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -5,7 +5,7 @@
 // job), the cancellation (the entry host that took it) and the summary (the owner). The keys are apart, so that a submission
 // repeated late can't undo a cancellation or an end. One more key names the owner.
 //
-// The second log is the owner's memory: the progress of jobs, task by task, and of waves of maintenance. Only the owner
+// The second one, the progress log, has how far jobs are, task by task, and waves of maintenance. Only the owner
 // writes it, and only hosts that may be the next owner read it: it is rewritten with each start and end of a task, a
 // hundred times as many bytes as the first one. A job's progress stands there from its first placement until nothing of it runs any more and its
 // outcome is in the first log.
@@ -34,7 +34,7 @@
 	Cancelled bool
 	// Summary is nil if the owner has written nothing of the job: no task has been placed.
 	Summary *Summary
-	// Progress is what the owner's memory has of the job; of one that has ended the outcome is in Summary.
+	// Progress is what the progress log has of the job; of one that has ended the outcome is in Summary.
 	Progress job.Progress
 }
 
@@ -117,7 +117,7 @@
 // may go on from that: it would start their tasks again.
 func (t *Table) Former() bool { return len(t.former) > 0 }
 
-// ApplyProgress applies one record of the owner's memory.
+// ApplyProgress applies one record of the progress log.
 func (t *Table) ApplyProgress(r Record) error {
 	kind, name := splitKey(r.Key)
 	switch kind {
@@ -276,7 +276,7 @@
 	}
 }
 
-// KeepProgress takes over all that another table has of the owner's memory.
+// KeepProgress takes over all that another table has of the progress log.
 func (t *Table) KeepProgress(o *Table) {
 	t.waves = o.waves
 	for j, e := range o.jobs {
--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -18,7 +18,7 @@
 //	placed JOB | dropped JOB  its progress, with one task
 //	wave N                    how far a wave is
 //	seen N BOOL               whether an owner has seen a wave
-//	forgetmemory              the host follows the owner's memory no more
+//	forgetprogress            the host follows the progress log no more
 //	former JOB | former-dropped JOB    progress as an earlier version writes it
 //	earlier JOB BOOL          whether there is such progress of any job
 //	resumes JOB OUTCOME N     how an owner goes on with it, and with how many tasks
@@ -55,7 +55,7 @@
 	}
 }
 
-// remember applies a record of the owner's memory.
+// remember applies a record of the progress log.
 func (s *script) remember(r jobtable.Record, err error) {
 	s.t.Helper()
 	if err == nil {
@@ -75,7 +75,7 @@
 }
 
 func (s *script) do(f []string) {
-	if f[0] == "forgetmemory" {
+	if f[0] == "forgetprogress" {
 		s.table.ForgetProgress()
 		return
 	}
--- a/core/world/host.go
+++ b/core/world/host.go
@@ -120,7 +120,7 @@
 	w.store.append(jobsLog, epoch, []jobtable.Record{r}, func(bool) { h.claimed(life, epoch) })
 }
 
-// claimed takes in that a host's claim is in the store: all hosts read it, and it closes the owner's memory to earlier owners.
+// claimed takes in that a host's claim is in the store: all hosts read it, and it fences earlier owners in the progress log.
 func (h *host) claimed(life int, epoch id.Epoch) {
 	w := h.world
 	for _, o := range w.hosts {
--- a/core/world/store.go
+++ b/core/world/store.go
@@ -21,7 +21,7 @@
 // logName names a log of the store.
 type logName int
 
-// The logs: the one that every host follows, and the owner's memory.
+// The logs: the one that every host follows, and the progress log.
 const (
 	jobsLog logName = iota
 	progressLog
@@ -53,7 +53,7 @@
 func (w *World) apply(l logName, r jobtable.Record) {
 	if l == progressLog {
 		if err := w.table.ApplyProgress(r); err != nil {
-			w.violated("the owner's memory has a record that isn't one: " + err.Error())
+			w.violated("the progress log has a record that isn't one: " + err.Error())
 		}
 		return
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -30,7 +30,7 @@
 // mayClaim reports whether this host is to claim, as far as its table says. An owner that was
 // fenced without a successor has to claim again itself: the others see that it lives.
 func (h *Host) mayClaim(now unit.Instant) bool {
-	if !h.loaded || h.table.Former() || h.stopping.Load() || h.owner != nil || h.succession != nil {
+	if !h.loaded || h.table.Former() || h.stopping.Load() || h.owner != nil || h.takeover != nil {
 		return false
 	}
 	vacant := h.lost != 0 && h.table.Owner().Epoch == h.lost
@@ -124,11 +124,11 @@
 	if h.owner != nil && (o.Host != h.self || o.Epoch != h.owner.epoch) {
 		h.stepDown("a later claim is in the store")
 	}
-	if h.succession != nil && (o.Host != h.self || o.Epoch != h.succession.epoch) {
-		h.abandonClaim()
+	if h.takeover != nil && (o.Host != h.self || o.Epoch != h.takeover.epoch) {
+		h.abandonTakeover()
 	}
-	if h.owner == nil && h.succession == nil && o.Host == h.self && o.Epoch != h.lost && !h.stopping.Load() {
-		h.succeed(o.Epoch)
+	if h.owner == nil && h.takeover == nil && o.Host == h.self && o.Epoch != h.lost && !h.stopping.Load() {
+		h.beginTakeover(o.Epoch)
 	}
 	if o.Host == "" && o.Epoch > 0 && h.released != o.Epoch {
 		h.released = o.Epoch
@@ -147,8 +147,10 @@
 		boxes.close()
 	}
 	o := &owner{
-		host: h, epoch: epoch, core: dispatch.New(config, h.settings.Policy, epoch, h.table), cancel: end,
-		boxes: boxes, jobs: ownerLog{topic: platform.TopicJobs, seq: firstSeq}, memory: ownerLog{topic: platform.TopicProgress, seq: firstSeq}, listed: map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
+		host: h, epoch: epoch, core: dispatch.New(config, h.settings.Policy, epoch, h.table), cancel: end, boxes: boxes,
+		jobs:     ownerLog{topic: platform.TopicJobs, seq: firstSeq},
+		progress: ownerLog{topic: platform.TopicProgress, seq: firstSeq},
+		listed:   map[id.WorkerName]id.Worker{}, rejected: map[id.WorkerName]uint64{},
 		reports: ring.New[dispatch.WaveReport](reportsWaiting),
 	}
 	h.owner = o
@@ -168,7 +170,7 @@
 	for _, n := range slices.Sorted(maps.Keys(h.waves)) {
 		o.setWave(now, h.waves[n])
 	}
-	h.forgetMemory() // the dispatcher has it now
+	h.forgetProgress() // the dispatcher has it now
 	go h.readServers(ctx, o)
 	go o.report(ctx)
 	go o.followMachines(ctx)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -122,13 +122,13 @@
 	evacuations evacuation.Set
 	informed    unit.Instant
 	election    *election.Election
-	// memory is how much of the owner's memory the table has.
-	memory memory
+	// progress is how much of the progress log the table has.
+	progress progressAt
 	// owner is nil unless this host schedules; claiming is set while an append that
-	// is to make it the owner is under way, succession from then on until it is.
-	owner      *owner
-	claiming   bool
-	succession *succession
+	// is to make it the owner is under way, takeover from then on until it is.
+	owner    *owner
+	claiming bool
+	takeover *takeover
 	// newest is the epoch of the newest claim that was seen.
 	newest id.Epoch
 	// lost is the last epoch under which this host gave up scheduling.
@@ -234,7 +234,7 @@
 	}
 	go h.writer.run(ctx)
 	go h.readJobs(ctx)
-	go h.readMemory(ctx)
+	go h.readProgress(ctx)
 	go h.readOperator(ctx)
 	go h.keepMembership(ctx)
 	go h.watchOwner(ctx)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -49,8 +49,8 @@
 	cancel context.CancelFunc
 	// boxes hold the orders to workers that wait for their turn.
 	boxes outboxes
-	// jobs is the log that every host follows, memory the owner's memory.
-	jobs, memory ownerLog
+	// jobs is the log that every host follows, progress the one for the next owner.
+	jobs, progress ownerLog
 	// writing is set while an append is under way.
 	writing bool
 	// rules say which orders to start may still leave.
@@ -179,7 +179,7 @@
 		return
 	}
 	o.writing = true
-	appends := []func() written{o.append(ctx, &o.memory, b.Progress), o.append(ctx, &o.jobs, b.Jobs)}
+	appends := []func() written{o.append(ctx, &o.progress, b.Progress), o.append(ctx, &o.jobs, b.Jobs)}
 	go func() {
 		w := writeAll(appends)
 		o.host.post(ctx, func(now unit.Instant) { o.flushed(ctx, now, b, w) })
--- a/internal/entry/memory_internal_test.go
+++ b/internal/entry/progress_internal_test.go
@@ -17,7 +17,7 @@
 	"curlewsill.org/curlewsill/platform"
 )
 
-// emptyStore answers that each topic has no records, and counts the calls about the owner's memory.
+// emptyStore answers that each topic has no records, and counts the calls about the progress log.
 type emptyStore struct {
 	mu    sync.Mutex
 	calls int
@@ -51,12 +51,12 @@
 	return n
 }
 
-// TestWhoReadsMemory counts the calls of a host to the owner's memory while it is far from claiming, while it is among the first to claim, and
+// TestWhoReadsProgress counts the calls of a host to the progress log while it is far from claiming, while it is among the first to claim, and
 // while it is the owner.
 //
 // All 147 hosts of a site read what the owner wrote, 1.4 MB a second as work began, from a store that gives 80 MB a second to all of them. Reads
 // came 2 s late and then not at all, each was begun anew, and the configuration wasn't read any more either: no call was answered for the whole day.
-func TestWhoReadsMemory(t *testing.T) {
+func TestWhoReadsProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &emptyStore{}
@@ -65,7 +65,7 @@
 			store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1"}), watchers: watchers{},
 		}
 		go decideEach(ctx, h.events, h.now, func(unit.Instant) {})
-		go h.readMemory(ctx)
+		go h.readProgress(ctx)
 		for _, c := range []struct {
 			standby, owning bool
 			follows         bool
@@ -77,11 +77,11 @@
 			time.Sleep(10 * time.Second)
 			synctest.Wait()
 			if got := store.since() > 0; got != c.follows {
-				t.Errorf("standby %t, owner %t: the host follows the memory: %t", c.standby, c.owning, got)
+				t.Errorf("standby %t, owner %t: the host follows it: %t", c.standby, c.owning, got)
 			}
-			known, _ := ask(ctx, h, func(unit.Instant) bool { return h.memory.whole })
+			known, _ := ask(ctx, h, func(unit.Instant) bool { return h.progress.whole })
 			if known != c.follows {
-				t.Errorf("standby %t, owner %t: the host keeps the memory: %t", c.standby, c.owning, known)
+				t.Errorf("standby %t, owner %t: the host keeps it: %t", c.standby, c.owning, known)
 			}
 		}
 		cancel()
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -90,7 +90,7 @@
 func (h *Host) retire(why string) retired {
 	o := h.owner
 	switch {
-	case h.succession != nil:
+	case h.takeover != nil:
 		return retired{busy: true}
 	case o == nil:
 		return retired{}
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -45,7 +45,7 @@
 				loaded = false
 				t.dropped()
 			}
-			pause(ctx, memoryLook)
+			pause(ctx, followLook)
 			continue
 		}
 		var err error
