--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -22,7 +22,7 @@
 //     what a life takes over from the one before under its name, health who is kept away from for a while.
 //   - When a run is given up: pass (lapsed leases, orders that are repeated), lease, crash, crashcount
 //     and commoncause (what crashes of workers say of tasks), suspect
-//     (tasks that are started apart), stop.
+//     (tasks that are started apart), stall (runs without progress), stop.
 //   - Where tasks go: candidate orders what waits, pool and room are what is free, place, gang and rack choose, preempt, claim and reserve free and keep
 //     room, loss is what a stop costs, window bounds the starts under way, flush writes a placement before its order.
 //   - Kinds of work: jobs (from acceptance to the end), lasting, permit and advice (steps that need leave), pace (tasks that disturb each other),
