--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -6,9 +6,9 @@
 // repeated late can't undo a cancellation or an end. One more key names the owner.
 //
 // The second one, the progress log, has how far jobs are, task by task, and waves of maintenance. Only the owner
-// writes it, and only hosts that may be the next owner read it: it is rewritten with each start and end of a task, a
-// hundred times as many bytes as the first one. A job's progress stands there from its first placement until nothing of it runs any more and its
-// outcome is in the first log.
+// writes it, and only hosts that may be the next owner read it: it is rewritten with each start and end of a task, and
+// grows many times as fast as the first one. A job's progress stands there from its first placement until nothing of it
+// runs any more and its outcome is in the first log.
 package jobtable
 
 import (
