--- /dev/null
+++ b/internal/entry/flush_internal_test.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
+	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/platform"
+)
+
+// twoLogs answers the appends to each log by a word: ok, busy once and then ok, fenced, or silent.
+type twoLogs struct {
+	mu    sync.Mutex
+	words map[platform.Topic]string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *twoLogs) RoundTrip(req *http.Request) (*http.Response, error) {
+	topic := platform.Topic(req.URL.Query().Get("topic"))
+	s.mu.Lock()
+	word := s.words[topic]
+	if word == "busy" {
+		s.words[topic] = "ok"
+	}
+	s.mu.Unlock()
+	status, body := http.StatusOK, `{"offset":0,"end":1}`
+	switch word {
+	case "busy":
+		status = http.StatusServiceUnavailable
+	case "fenced":
+		status, body = http.StatusConflict, `{"Reason":"fenced"}`
+	case "silent":
+		<-req.Context().Done()
+		return nil, req.Context().Err()
+	}
+	return &http.Response{StatusCode: status, Body: io.NopCloser(strings.NewReader(body)), Header: http.Header{}, Request: req}, nil
+}
+
+// TestFlushToTwoLogs places a task and lets the two logs answer by testdata/flush/logs.txt. Its order leaves once both have the records, and an owner
+// that either log has fenced has ended.
+func TestFlushToTwoLogs(t *testing.T) {
+	scripttest.EachLine(t, "flush/logs.txt", func(f []string) {
+		t.Run(f[0]+"-"+f[1], func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playFlush(t, f) })
+		})
+	})
+}
+
+// playFlush plays one line: the answers of the two logs, and what is wanted.
+func playFlush(t *testing.T, f []string) {
+	ctx, cancel := context.WithCancel(t.Context())
+	workers := &hangingWorkers{under: map[string]int{}}
+	o := newOwnerOf(t, workers)
+	h := o.host
+	h.owner = o
+	h.store = platform.NewStore("store", &http.Client{Transport: &twoLogs{
+		words: map[platform.Topic]string{platform.TopicProgress: f[0], platform.TopicJobs: f[1]},
+	}})
+	o.epoch, o.jobs.topic, o.progress.topic = 1, platform.TopicJobs, platform.TopicProgress
+	o.core = dispatch.New(dispatch.Config{MaxLease: 6 * time.Second}, policy.New(), o.epoch, jobtable.New())
+	o.core.List(h.now(), fleet.Listing{ID: "worker-0", Address: "worker-0", Service: "s", Capacity: job.Resources{Accelerators: 1}})
+	o.core.Pass(h.now(), h.now())
+	o.core.Renewed(h.now(), dispatch.RenewResult{Renew: o.core.Take().Renews[0], Sent: h.now(), Verdict: fleet.Carried})
+	spec := &job.Spec{Service: "s", MaxAttempts: 1, Steps: []job.Step{{Count: 1, Need: job.Resources{Accelerators: 1}}}}
+	o.core.AddJob(h.now(), "j", &jobtable.Entry{Spec: spec})
+	o.core.Pass(h.now(), h.now())
+	o.flush(ctx)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case e := <-h.events.C():
+				e(h.now())
+			}
+		}
+	}()
+	time.Sleep(700 * time.Millisecond) // a refused append is repeated after 0.1 s
+	synctest.Wait()
+	owner, order := "ended", "held"
+	if h.owner == o {
+		owner = "owns"
+	}
+	if workers.at("/run-start") > 0 {
+		order = "started"
+	}
+	if owner != f[2] || order != f[3] {
+		t.Errorf("the owner %s, its order is %s; want %s, %s", owner, order, f[2], f[3])
+	}
+	cancel()
+	o.cancel()
+	synctest.Wait()
+}
