--- a/cmd/curlewsill/cmd/explain.go
+++ b/cmd/curlewsill/cmd/explain.go
@@ -10,6 +10,8 @@
 	"os"
 	"slices"
 	"strings"
+
+	"curlewsill.org/curlewsill/internal/dayreport"
 )
 
 // maxLine bounds one line of a log in bytes.
@@ -21,9 +23,9 @@
 // explainCmd is the subcommand explain.
 type explainCmd struct {
 	env  *env
+	Day  bool `long:"day" description:"tell where all jobs of the logs lost time, instead of one job's history"`
 	Args struct {
-		Job  string   `positional-arg-name:"JOB" required:"yes"`
-		Logs []string `positional-arg-name:"LOG" required:"1" description:"logs of the hosts; the file's name tells the host"`
+		Names []string `positional-arg-name:"[JOB] LOG" required:"1" description:"a job, but not with --day, and logs of the hosts; the file's name tells the host"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -36,16 +38,46 @@
 	Fields string `json:"fields"`
 }
 
-// Execute implements flags.Commander. It prints the lines of all logs that have the
-// job, oldest first.
+// errNoLog reports that no log was named.
+var errNoLog = errors.New("explain needs a JOB and a LOG, or --day and a LOG")
+
+// Execute implements flags.Commander.
 func (c *explainCmd) Execute([]string) error {
+	if c.Day {
+		return c.explainDay(c.Args.Names)
+	}
+	if len(c.Args.Names) < 2 {
+		return errNoLog
+	}
+	return c.explainJob(c.Args.Names[0], c.Args.Names[1:])
+}
+
+// explainDay prints where the jobs of some logs lost time.
+func (c *explainCmd) explainDay(logs []string) error {
+	r := dayreport.New()
+	for _, name := range logs {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = r.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return r.Print(c.env.stdout)
+}
+
+// explainJob prints the lines of all logs that have a job, oldest first.
+func (c *explainCmd) explainJob(job string, logs []string) error {
 	var lines []logLine
-	for _, name := range c.Args.Logs {
+	for _, name := range logs {
 		f, err := os.Open(name)
 		if err != nil {
 			return err
 		}
-		found, err := linesOf(f, name, c.Args.Job)
+		found, err := linesOf(f, name, job)
 		_ = f.Close()
 		if err != nil {
 			return fmt.Errorf("%s: %w", name, err)
@@ -53,7 +85,7 @@
 		lines = append(lines, found...)
 	}
 	if len(lines) == 0 {
-		return fmt.Errorf("%w: %s", errNoLines, c.Args.Job)
+		return fmt.Errorf("%w: %s", errNoLines, job)
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.When, b.When) })
 	return c.env.print(lines, func(w io.Writer) {
