--- a/cmd/curlewsill/cmd/explain.go
+++ b/cmd/curlewsill/cmd/explain.go
@@ -25,7 +25,7 @@
 	env  *env
 	Day  bool `long:"day" description:"tell where all jobs of the logs lost time, instead of one job's history"`
 	Args struct {
-		Names []string `positional-arg-name:"[JOB] LOG" required:"1" description:"a job, but not with --day, and logs of the hosts; the file's name tells the host"`
+		Names []string `positional-arg-name:"[JOB] LOG" required:"1" description:"a job (not with --day), then logs; a log's name tells its host"`
 	} `positional-args:"yes" required:"yes"`
 }
 
--- a/core/world/fault.go
+++ b/core/world/fault.go
@@ -65,7 +65,8 @@
 // FaultKinds returns all kinds.
 func FaultKinds() []FaultKind {
 	return []FaultKind{
-		Kill, Reborn, Silence, Drain, Apart, StaleEntry, ReadList, Fail, Busy, Mute, Shrink, Slow, Still, Evacuate, Late, StoreDown, StoreSlow, KillOwner, KillHosts,
+		Kill, Reborn, Silence, Drain, Apart, StaleEntry, ReadList, Fail, Busy, Mute, Shrink, Slow, Still, Evacuate, Late,
+		StoreDown, StoreSlow, KillOwner, KillHosts,
 	}
 }
 
--- a/internal/entry/claim_internal_test.go
+++ b/internal/entry/claim_internal_test.go
@@ -65,7 +65,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &storeAnswer{status: http.StatusServiceUnavailable}
 		h := &Host{
-			log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop()), self: "a#1", table: jobtable.New(), events: ring.New[event](events), clock: newTestClock(),
+			log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop()), self: "a#1",
+			table: jobtable.New(), events: ring.New[event](events), clock: newTestClock(),
 			store: platform.NewStore("store", &http.Client{Transport: store}), loaded: true,
 			election: election.New(election.Member{Host: "a#1", Ability: 100}),
 		}
--- a/internal/entry/progress_internal_test.go
+++ b/internal/entry/progress_internal_test.go
@@ -61,7 +61,8 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &emptyStore{}
 		h := &Host{
-			log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop()), self: "a#1", table: jobtable.New(), events: ring.New[event](events), clock: newTestClock(),
+			log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop()), self: "a#1",
+			table: jobtable.New(), events: ring.New[event](events), clock: newTestClock(),
 			store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1"}), watchers: watchers{},
 		}
 		go decideEach(ctx, h.events, h.now, func(unit.Instant) {})
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -81,7 +81,8 @@
 	h.table, h.loaded = table, true
 	h.log.Info("jobs-loaded", zap.Int("records", len(recs)), zap.Uint64("end", uint64(end)))
 	if table.Former() {
-		h.log.Error("earlier-version", zap.String("why", "jobs have progress in "+string(platform.TopicJobs)+": this host claims nothing before they are forgotten"))
+		why := "jobs have progress in " + string(platform.TopicJobs) + ": this host claims nothing before they are forgotten"
+		h.log.Error("earlier-version", zap.String("why", why))
 	}
 	h.noteFormerLife()
 	h.election.Known(table.Owner().Host)
