core/jobtable: a damaged record of progress ends no host

Cause, found by reading: the counts of two groups of tasks were added before they were compared with the bound, and a count near the largest number made the sum negative; what followed asked for that many tasks, and the process ended. Every host that follows the progress log would have. Ruled out: names and counts below one, which were checked. Change: the count is compared with what is left below the bound. TestDamagedProgress has the record and failed by a panic before.

--- a/core/jobtable/progress.go
+++ b/core/jobtable/progress.go
@@ -70,7 +70,7 @@
 	for _, g := range p.Groups {
 		worker, ok := p.name(g.Worker)
 		checkpoint, also := p.name(g.Checkpoint)
-		if !ok || !also || g.Count < 1 || len(out.Tasks)+g.Count > mostTasks {
+		if !ok || !also || g.Count < 1 || g.Count > mostTasks-len(out.Tasks) {
 			return job.Progress{}, errGroup
 		}
 		t := job.TaskState{Phase: g.Phase, Run: g.Run, Failed: g.Failed, Worker: id.Worker(worker), Checkpoint: checkpoint}
--- a/core/jobtable/progress_test.go
+++ b/core/jobtable/progress_test.go
@@ -79,8 +79,10 @@
 		"no such name":     "\x85\x00\x00\x80\x81\x86\x01\x01\x01\x00\x01\x00\x80",
 		"a negative count": "\x85\x00\x00\x80\x81\x86\x20\x01\x01\x00\x00\x00\x80",
 		"a huge count":     "\x85\x00\x00\x80\x81\x86\x1a\xff\xff\xff\xff\x01\x01\x00\x00\x00\x80",
-		"another form":     "\x83\x00\x00\x80",
-		"half of one":      "\x85\x00\x00",
+		// One group that may be, and another whose count passes the largest number together with it.
+		"counts that overflow": "\x85\x00\x00\x80\x82\x86\x01\x01\x01\x00\x00\x00\x86\x1b\x7f\xff\xff\xff\xff\xff\xff\xff\x01\x01\x00\x00\x00\x80",
+		"another form":         "\x83\x00\x00\x80",
+		"half of one":          "\x85\x00\x00",
 	} {
 		t.Run(name, func(t *testing.T) {
 			if err := jobtable.New().ApplyProgress(jobtable.Record{Key: "progress/j", Value: []byte(value)}); err == nil {
@@ -89,3 +91,33 @@
 		})
 	}
 }
+
+// FuzzProgress checks that no value breaks the reading of progress, and that what is taken comes back when it is written again.
+func FuzzProgress(f *testing.F) {
+	full := job.Progress{Ended: 17, Crashes: []job.CrashCount{{Task: 0, Run: 2, Worker: "i-0", AtOnce: 1, All: 2}}}
+	full.Tasks = []job.TaskState{{Phase: job.Done, Run: 1}, {Phase: job.Placed, Run: 3, Failed: 1, Worker: "i-1", Checkpoint: "c"}, {}}
+	for _, p := range []job.Progress{{}, full} {
+		r, err := jobtable.New().ProgressRecord("j", p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(r.Value)
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		table := jobtable.New()
+		if err := table.ApplyProgress(jobtable.Record{Key: "progress/j", Value: value}); err != nil || table.Get("j") == nil {
+			return
+		}
+		taken := table.Get("j").Progress
+		r, err := table.ProgressRecord("j", taken)
+		if err != nil {
+			t.Fatalf("%q was taken, and can't be written: %v", value, err)
+		}
+		if err := table.ApplyProgress(r); err != nil {
+			t.Fatalf("%q was taken, and not what it was written as: %v", value, err)
+		}
+		if got := table.Get("j").Progress; len(got.Tasks) != len(taken.Tasks) || len(got.Tasks) < 100 && !reflect.DeepEqual(got, taken) {
+			t.Errorf("%q comes back as %+v instead of %+v", value, got, taken)
+		}
+	})
+}
