--- a/cmd/curlewsill/cmd/explain.go
+++ b/cmd/curlewsill/cmd/explain.go
@@ -17,8 +17,12 @@
 // maxLine bounds one line of a log in bytes.
 const maxLine = 1 << 20
 
-// errNoLines reports logs that don't have the job.
-var errNoLines = errors.New("no line of these logs has the job")
+var (
+	// errNoLines reports logs that don't have the job.
+	errNoLines = errors.New("no line of these logs has the job")
+	// errNoLog reports that no log was named.
+	errNoLog = errors.New("explain needs a JOB and a LOG, or --day and a LOG")
+)
 
 // explainCmd is the subcommand explain.
 type explainCmd struct {
@@ -38,9 +42,6 @@
 	Fields string `json:"fields"`
 }
 
-// errNoLog reports that no log was named.
-var errNoLog = errors.New("explain needs a JOB and a LOG, or --day and a LOG")
-
 // Execute implements flags.Commander.
 func (c *explainCmd) Execute([]string) error {
 	if c.Day {
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -13,7 +13,7 @@
 // A worker may begin again under its name, and its next life takes orders that were meant for the one before. All that ran there is
 // over; what may have come to the next life is looked for there before its task is placed anew.
 
-// lateOrders is how long after it left an order without an answer may be carried out, by the platform's pages.
+// lateOrders is how long after it left an order without an answer may be carried out on the platform.
 const lateOrders = 12 * time.Second
 
 // tellWithin is how old a worker's last answer may be as it is told which ends it may forget. It takes some 10 ms to note an end; a worker that
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -329,7 +329,7 @@
 }
 
 // deliverLate carries an order out late. Part of that time, at most as long as the owner waits for an answer, the order is on its way and whichever
-// life the worker then has takes it. What a life has taken ends with it: by the platform's pages a worker that begins again holds nothing of before.
+// life the worker then has takes it. What a life has taken ends with it: a worker that begins again holds nothing of before.
 func (w *World) deliverLate(m *machine, t dispatch.Target, by time.Duration, carry func(*machine) fleet.Verdict) {
 	way := min(by, stretch(w.setup.Times.Timeout, w.chance("way", t.Worker, w.late.sent)))
 	w.Plan(way, func() {
--- a/internal/dayreport/cause.go
+++ b/internal/dayreport/cause.go
@@ -27,7 +27,8 @@
 	other cause = "another reason"
 )
 
-// words lead from what a line says to a cause. The first one that is found counts.
+// words lead from what a line says to a cause. The first one that is found counts. "running" and "stopping" stand in lines of runs that their worker
+// doesn't list any more: what they were then.
 var words = []struct {
 	word  string
 	cause cause
