core/dispatch: a job whose spec and progress have different tasks fails, and no owner with it

Cause, found by reading: a host that has read a job's first spec keeps it, and one that begins to read meets only the newest. If somebody else's record stands there with another number of tasks, the next owner looked for a task that the progress doesn't have and ended, and each one after it. Ruled out: taking the job for a new one (its tasks would run twice); leaving it open (nobody would ever be told). AddJob is divided into what makes a job's state and what is done with it.

--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -26,6 +26,9 @@
 		s.d.Unlist(s.now, id.Worker(f[1]))
 	case "job":
 		s.addJob(id.Job(f[1]), o)
+	case "replaced":
+		s.apply([]jobtable.Record{s.table.ForgetRecords(id.Job(f[1]))[0]}) // a host that begins to read meets the last spec alone
+		s.writeSpec(id.Job(f[1]), o)
 	case "cancel":
 		s.apply([]jobtable.Record{s.table.CancelRecord(id.Job(f[1]))})
 		s.d.CancelJob(s.now, id.Job(f[1]))
@@ -159,6 +162,12 @@
 
 // addJob puts a job into the store and hands it to the dispatcher.
 func (s *script) addJob(name id.Job, o opts) {
+	spec := s.writeSpec(name, o)
+	s.d.AddJob(s.now, name, &jobtable.Entry{Spec: &spec})
+}
+
+// writeSpec puts a job into the store.
+func (s *script) writeSpec(name id.Job, o opts) job.Spec {
 	step := job.Step{
 		Count: o.number("count", 1), Need: job.Resources{CPU: 1000, Memory: unit.GiB, Accelerators: o.number("gpus", 1)},
 		Estimate: max(time.Second, o.duration("estimate")), Gang: o.has("gang"), SameRack: o.has("samerack"), Checkpointing: o.has("saves"),
@@ -185,7 +194,7 @@
 		s.t.Fatal(err)
 	}
 	s.apply([]jobtable.Record{r})
-	s.d.AddJob(s.now, name, &jobtable.Entry{Spec: &spec})
+	return spec
 }
 
 // advised answers the oldest open question to the advice service.
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -25,34 +25,28 @@
 	if d.jobs[name] != nil {
 		return
 	}
-	s, p := e.Spec, e.Resumed()
-	p.Tasks, p.Crashes = slices.Clone(p.Tasks), slices.Clone(p.Crashes)
-	js := &jobState{id: name, spec: s, progress: p, seen: now, summary: summaryOf(e), hasProgress: len(p.Tasks) > 0}
+	js := newJobState(now, name, e)
 	d.jobs[name] = js
-	if p.Outcome == job.Open {
-		d.insertOpen(js)
-	} else {
-		d.ended = append(d.ended, js)
-	}
-	base := 0
-	for r := range s.RoundCount() {
-		for i := range s.Steps {
-			js.steps = append(js.steps, &stepState{job: js, round: r, index: i, step: &s.Steps[i], base: base, runs: map[int]*run{}})
-			base += s.Steps[i].Count
-		}
-	}
-	js.open = len(js.steps)
-	if s.Priority == 0 && p.Outcome == job.Open && len(p.Tasks) == 0 {
-		d.expect(now, s)
-	}
-	if len(p.Tasks) == base {
-		d.resume(now, js)
+	fits := js.fits()
+	if !fits {
+		js.dropTasks()
 	}
-	if p.Outcome != job.Open {
+	d.resume(now, js)
+	if js.progress.Outcome != job.Open {
+		d.ended = append(d.ended, js)
 		d.resumeEnded(now, js)
 		return
 	}
-	if js.summary == summaryNone && p.Began() {
+	d.insertOpen(js)
+	if !fits {
+		// Nobody can tell which of its tasks have been done, and none may be done twice.
+		d.finish(now, js, job.Failed, "its spec and its progress have different tasks")
+		return
+	}
+	if js.spec.Priority == 0 && len(js.progress.Tasks) == 0 {
+		d.expect(now, js.spec)
+	}
+	if js.summary == summaryNone && js.progress.Began() {
 		d.mark(js)
 	}
 	if e.Cancelled {
@@ -60,6 +54,30 @@
 	}
 }
 
+// newJobState returns a job with all its steps, none of which runs.
+func newJobState(now unit.Instant, name id.Job, e *jobtable.Entry) *jobState {
+	p := e.Resumed()
+	p.Tasks, p.Crashes = slices.Clone(p.Tasks), slices.Clone(p.Crashes)
+	js := &jobState{id: name, spec: e.Spec, progress: p, seen: now, summary: summaryOf(e), hasProgress: len(p.Tasks) > 0}
+	base := 0
+	for r := range e.Spec.RoundCount() {
+		for i := range e.Spec.Steps {
+			step := &e.Spec.Steps[i]
+			js.steps = append(js.steps, &stepState{job: js, round: r, index: i, step: step, base: base, runs: map[int]*run{}})
+			base += step.Count
+		}
+	}
+	js.open = len(js.steps)
+	return js
+}
+
+// fits reports whether a job's progress is of the tasks that its spec has. Another writer's spec, which a host that begins to read finds alone, may
+// have others.
+func (js *jobState) fits() bool {
+	n := len(js.progress.Tasks)
+	return n == 0 || n == js.spec.RoundCount()*js.spec.Width()
+}
+
 // resumeEnded goes on with a job that has ended under an earlier owner: what still runs of it is stopped, and the store gets what that owner has
 // not written any more.
 func (d *Dispatcher) resumeEnded(now unit.Instant, js *jobState) {
@@ -105,6 +123,9 @@
 
 // resume takes over what an earlier owner has placed.
 func (d *Dispatcher) resume(now unit.Instant, js *jobState) {
+	if len(js.progress.Tasks) == 0 {
+		return
+	}
 	for _, s := range js.steps {
 		for i := range s.step.Count {
 			t := &js.progress.Tasks[s.base+i]
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -42,6 +42,7 @@
 //	informed D               what the operator has evacuated is known as of so long ago
 //	upkeep MACHINE VERDICT   the last order to take that machine down is answered
 //	lease D                  another owner starts, on a deployment with leases of at most D
+//	replaced NAME [as job]   somebody else writes this over the job's spec; owners that have read it before go on with the first one
 //	takeover                 another owner starts from the store's records
 //	state NAME OUTCOME       checks a job's outcome: open completed failed cancelled
 //	crashes NAME N...        checks the counts of crashes in the store's record of a job, those of all kinds, in the order of their tasks
