--- a/internal/entry/assured_internal_test.go
+++ b/internal/entry/assured_internal_test.go
@@ -91,11 +91,11 @@
 // The answer tells that nobody had claimed later when the claim was written, and that may be as long ago as the claim left.
 // The new owner took the time of the answer, so that it granted leases for longer than 3 s after the claim of yet another host.
 func TestAssuredByClaim(t *testing.T) {
-	// The claim, the record that closes the owner's memory to earlier owners, and what that holds.
-	const claimed, closed, memory = `{"offset":0,"end":1}`, `{"offset":0,"end":1}`, `{"items":[],"end":1}`
+	// The claim, the record that fences earlier owners in the progress log, and what that log holds.
+	const claimed, closed, progress = `{"offset":0,"end":1}`, `{"offset":0,"end":1}`, `{"items":[],"end":1}`
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		h := newAssured(ctx, &storeScript{after: 900 * time.Millisecond, answers: []string{claimed, closed, memory}})
+		h := newAssured(ctx, &storeScript{after: 900 * time.Millisecond, answers: []string{claimed, closed, progress}})
 		left := h.now()
 		h.post(ctx, func(unit.Instant) {
 			h.loaded = true
