core/dispatch: tasks that never show progress aren't taken for ones that stand still

Cause: two runs on a worker without progress for 6 s were taken as the worker's fault, also where their tasks show no percent by their nature. Ruled out: the change of owners (its start goes on from the progress log; the script passes within 6 s), load as such (it only made the script long enough).

--- a/core/dispatch/stall.go
+++ b/core/dispatch/stall.go
@@ -39,6 +39,9 @@
 	case r.advanced == 0, percent > r.percent:
 		r.advanced = now
 	}
+	if percent > 0 && r.step != nil {
+		r.step.showsProgress = true
+	}
 }
 
 // stopStalled stops the runs on a worker that has just answered which make no progress, and suspends the worker.
@@ -140,9 +143,10 @@
 	return false
 }
 
-// standsStill reports whether nothing on a worker has made progress lately, of two runs at least: one alone may show none by its nature.
+// standsStill reports whether nothing on a worker has made progress lately, of two runs at least, one of them of a step that shows some: others may
+// show none by their nature.
 func (w *worker) standsStill(now unit.Instant) bool {
-	atWork := 0
+	atWork, shows := 0, false
 	for _, r := range w.runs {
 		if r.state != runRunning || r.reported != now {
 			continue
@@ -151,8 +155,9 @@
 			return false
 		}
 		atWork++
+		shows = shows || r.step != nil && r.step.showsProgress
 	}
-	return atWork >= 2
+	return atWork >= 2 && shows
 }
 
 // urgent reports whether an urgent run is at work on a worker.
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -99,6 +99,8 @@
 	// failures holds the newest failure of each task, by its index; that of a gang is
 	// under 0.
 	failures map[int]failure
+	// showsProgress is set once a run of the step has shown some.
+	showsProgress bool
 	// stalls counts the runs of each task that were stopped because they made no progress, by the same.
 	stalls map[int]int
 	// excused counts the crashes soon after their starts that this owner has excused, by task index.
