--- a/internal/entry/assured_internal_test.go
+++ b/internal/entry/assured_internal_test.go
@@ -49,16 +49,7 @@
 		clock: newTestClock(), watchers: watchers{},
 		store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1", Ability: 100}),
 	}
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case e := <-h.events.C():
-				e(h.now())
-			}
-		}
-	}()
+	go decideEach(ctx, h.events, h.now, func(unit.Instant) {})
 	return h
 }
 
--- a/internal/entry/flush_internal_test.go
+++ b/internal/entry/flush_internal_test.go
@@ -16,6 +16,7 @@
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -76,16 +77,7 @@
 	o.core.AddJob(h.now(), "j", &jobtable.Entry{Spec: spec})
 	o.core.Pass(h.now(), h.now())
 	o.flush(ctx)
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case e := <-h.events.C():
-				e(h.now())
-			}
-		}
-	}()
+	go decideEach(ctx, h.events, h.now, func(unit.Instant) {})
 	time.Sleep(700 * time.Millisecond) // a refused append is repeated after 0.1 s
 	synctest.Wait()
 	owner, order := "ended", "held"
