--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -22,7 +22,7 @@
 	allLeast = 5
 	allShare = 1.0 / 8
 	// mostExcused is how many crashes soon after its starts a task may be excused. With the three that end its job they are the starts that the
-	// platform allows; without it tasks that crash their workers at once excused each other, 18 workers each where a quarter of all jobs do so.
+	// platform allows; without it tasks that crash their workers at once excuse each other for good.
 	mostExcused = 2
 )
 
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -66,7 +66,7 @@
 }
 
 // grantedBy takes in what became of an order that was to grant a lease until a time. One that was surely not sent has
-// granted none: without that, what was placed on a worker that has crashed waited 3.5 s longer, on an idle one 10.4 s.
+// granted none: without that, what was placed on a worker that has crashed waits until a lease lapses that nobody holds.
 func (w *worker) grantedBy(until unit.Instant, v fleet.Verdict) {
 	if v != fleet.Unreachable {
 		w.grantedUntil = max(w.grantedUntil, until)
--- a/core/election/silence.go
+++ b/core/election/silence.go
@@ -21,8 +21,8 @@
 	silentAfter = 250 * time.Millisecond
 	// fewestUnanswered is how many questions in a row must have gone unanswered as well, 0.8 s in all. The
 	// first one may have gone on a link that has died without a sign; the others go on new links. With
-	// two, an owner with a fifth of a core that was busy for some tenths of a second lost its office five
-	// times within 40 s on a site of 34 such hosts.
+	// two, an owner with little of a core that is busy for some tenths of a second loses its office
+	// again and again.
 	fewestUnanswered = 4
 	// witnessAfter is the same for a host that is asked by one that misses the owner. It may have
 	// asked a little later than that one.
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -38,8 +38,7 @@
 }
 
 // noteFormerLife notes that the ownership is vacant if the owner is an earlier life of this host: that
-// process has surely ended. The store would show it until its time to live is over, 0.8 s after 301
-// hosts came back.
+// process has surely ended. The store would show it until its time to live is over.
 func (h *Host) noteFormerLife() {
 	o := h.table.Owner()
 	if o.Host != h.self && machineOf(o.Host) == h.settings.Host {
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -9,8 +9,7 @@
 )
 
 // countAge is how long a count of waiting jobs is told again. Counting walks over the whole table on the
-// deciding goroutine, 0.7 ms with 10,000 jobs: 300 callers a second at a fifth of a core would keep the
-// answers of workers waiting for 6 s. With the pause between two reads of the jobs it stays well below the
+// deciding goroutine: for each of many callers it would keep the answers of workers waiting. With the pause between two reads of the jobs it stays well below the
 // 2 s that the platform allows.
 const countAge = 500 * time.Millisecond
 
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -18,8 +18,8 @@
 const (
 	// freshOrders is how many orders of one kind may be under way that left within orderSettles.
 	// Workers answer within a few milliseconds, so 64 carry several thousand orders a second; all
-	// 3,000 renewals of a new owner at once left the deciding goroutine no turn for 0.75 s on 0.4
-	// of a core. What hangs for longer makes room for others.
+	// renewals of a new owner at once would leave the deciding goroutine no turn. What hangs for
+	// longer makes room for others.
 	freshOrders  = 64
 	orderSettles = 100 * time.Millisecond
 	// mostStarts and mostStops bound the goroutines for each kind of order. A window bounds the starts under way.
--- a/internal/experiment/setup/world.go
+++ b/internal/experiment/setup/world.go
@@ -12,10 +12,8 @@
 	"curlewsill.org/curlewsill/internal/inifile"
 )
 
-// Defaults of the owner's work. An owner used 0.35 of a core at 250 tasks a second with 350 workers,
-// so a task costs 1.4 ms: two orders and two answers, and its part of the passes. A pass over 350
-// workers took 0.08 ms with 1,000 waiting tasks and 0.35 ms with 10,000 (BenchmarkPass of
-// core/dispatch).
+// Defaults of the owner's work in processor time. A task costs two orders, two answers and its part of the passes; a pass costs by workers and
+// waiting tasks (BenchmarkPass of core/dispatch).
 const (
 	orderCost  = 500 * time.Microsecond
 	eventCost  = 100 * time.Microsecond
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -77,16 +77,15 @@
 	host, store, limits := f.Section("host"), f.Section("store"), f.Section("limits")
 	workers, machines := f.Section("workers"), f.Section("machines")
 	return Site{
-		Host:       id.Host(host.Need("id")),
-		Domain:     id.Domain(host.Need("domain")),
-		Callers:    host.Address("callers", "127.0.0.1:8080"),
-		Readiness:  host.Address("readiness", "127.0.0.1:8081"),
-		Peers:      host.Address("peers", "127.0.0.1:8082"),
-		Metrics:    host.Address("metrics", "127.0.0.1:8083"),
-		Store:      store.Address("address", ""),
-		Partitions: store.Int("partitions", 12, 1, maxPartitions),
-		LeastTTL:   store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
-		// The default is the bound of the users' small sites.
+		Host:        id.Host(host.Need("id")),
+		Domain:      id.Domain(host.Need("domain")),
+		Callers:     host.Address("callers", "127.0.0.1:8080"),
+		Readiness:   host.Address("readiness", "127.0.0.1:8081"),
+		Peers:       host.Address("peers", "127.0.0.1:8082"),
+		Metrics:     host.Address("metrics", "127.0.0.1:8083"),
+		Store:       store.Address("address", ""),
+		Partitions:  store.Int("partitions", 12, 1, maxPartitions),
+		LeastTTL:    store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
 		ConfigBound: store.Duration("config_bound", 2*time.Second, time.Second, time.Minute),
 		Memory:      limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
 		Descriptors: limits.Int("descriptors", 1024, leastDescriptors, mostDescriptors),
