internal/entry: a script of TestPath that fails keeps its hosts' logs

The driver writes all lines of the hosts, and the script's own, to a file of the temporary folder and names it. Nothing of the scripts or their checks changes.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"curlewsill.org/curlewsill/core/scripttest"
 )
 
@@ -71,6 +73,7 @@
 			continue
 		}
 		s.line = i + 1
+		s.logs.log.Info("script", zap.Int("line", s.line), zap.Strings("command", f))
 		s.do(f)
 		if s.t.Failed() {
 			return
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -27,7 +27,8 @@
 
 // site is entry hosts between stand-ins of what the platform has.
 type site struct {
-	t *testing.T
+	t    *testing.T
+	logs *hostLogs
 	// store stands at address, advice is the address of the advice service.
 	store           *standin.Store
 	address, advice string
@@ -83,7 +84,7 @@
 // newSite starts a site without hosts and workers.
 func newSite(t *testing.T) *site {
 	s := &site{
-		t: t, store: standin.NewStore(), bodies: map[string]string{}, addresses: map[int]string{}, domains: map[int]string{},
+		t: t, logs: newHostLogs(t), store: standin.NewStore(), bodies: map[string]string{}, addresses: map[int]string{}, domains: map[int]string{},
 		key: "key", lease: 2 * time.Second,
 	}
 	s.between = &between{t: t, store: s.store, proxies: map[string]*faultproxy.Proxy{}}
@@ -118,7 +119,7 @@
 			MaxLease: s.lease, StopTime: 200 * time.Millisecond, SaveEvery: time.Second, KeepEnded: time.Minute,
 			Handover: 100 * time.Millisecond, Away: 100 * time.Millisecond, Evacuation: 5 * time.Second,
 		},
-	}, clock, zap.NewNop())
+	}, clock, s.logs.log.With(zap.Int("host", n)))
 	if err != nil {
 		s.t.Fatal(err)
 	}
