internal/relay: a direct way that is silent while peers are answered carries no calls

TestSilentDirectWay, known red: 2 of 2 calls were tried on the silent way first.

Cause: each call waits half a second on the direct way; then a peer answers, the direct try is given up, and learn passes over tries that are given up. So the way stays the first choice until a call fails on it by itself, 7 s later.

The way counts as silent only if nothing has arrived on it since the call began, and the peer needed less than half a second. On a store that is slow for all, other calls are answered meanwhile, or the peer needs as long.

A silent way is the first choice again after an answer only.

--- a/internal/relay/race.go
+++ b/internal/relay/race.go
@@ -19,14 +19,38 @@
 	under int
 	// spare is set while the second way is not tried; spareDirect says which it is.
 	spare, spareDirect bool
+	// directSince and peerSince are when the ways were begun; zero for one that isn't under way.
+	directSince, peerSince time.Time
 }
 
+// patience returns how long a way may take before the other one is tried as well.
+func (r *race) patience() time.Duration { return r.wait + hedgeOf(r.req.Context()) }
+
 // begin tries one way.
 func (r *race) begin(direct bool) {
 	r.under++
+	*r.since(direct) = time.Now()
 	go func() { r.out <- r.path.try(r.req, direct, r.wait) }()
 }
 
+// since returns when a way was begun.
+func (r *race) since(direct bool) *time.Time {
+	if direct {
+		return &r.directSince
+	}
+	return &r.peerSince
+}
+
+// end notes that a way has ended.
+func (r *race) end(o outcome) {
+	r.under--
+	r.path.learn(o)
+	if !o.direct && !o.failed() {
+		r.path.learnSilence(r)
+	}
+	*r.since(o.direct) = time.Time{}
+}
+
 // beginSpare tries the second way, unless it was tried or there is none.
 func (r *race) beginSpare() {
 	if r.spare {
@@ -42,12 +66,15 @@
 	if w, bound := req.Context().Value(wayKey{}).(Way); bound {
 		return p.by(req, w)
 	}
-	directFirst, usePeers := p.firstWay()
+	plan := p.plan()
 	var arriving atomic.Bool
 	req = req.WithContext(WithArrival(req.Context(), func() { arriving.Store(true) }))
-	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: usePeers, spareDirect: !directFirst}
-	r.begin(directFirst)
-	timer := time.NewTimer(r.wait + hedgeOf(req.Context()))
+	r := &race{path: p, req: req, wait: waitOf(req), out: make(chan outcome, 2), spare: plan.usePeers, spareDirect: !plan.directFirst}
+	r.begin(plan.directFirst)
+	if plan.probe {
+		go p.probe(req, r.wait)
+	}
+	timer := time.NewTimer(r.patience())
 	defer timer.Stop()
 	var last outcome
 	for {
@@ -57,8 +84,7 @@
 				r.beginSpare()
 			}
 		case o := <-r.out:
-			r.under--
-			p.learn(o)
+			r.end(o)
 			if !o.failed() {
 				return o.resp, nil
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,7 +99,7 @@
 type Path struct {
 	base   string
 	route  Route
-	direct *http.Client
+	client *http.Client
 	conns  *wslink.Links
 	log    *zap.Logger
 
@@ -110,15 +110,16 @@
 	opening map[string]*opening
 	// refusedUntil holds until when peers are not chosen, because a call through them was refused.
 	refusedUntil map[string]time.Time
-	// suspect and peersSuspect are until when a way is not the first choice.
-	suspect, peersSuspect time.Time
+	direct       directWay
+	// peersSuspect is until when peers are not asked.
+	peersSuspect time.Time
 }
 
 // New returns a path to the address base (with its scheme) whose direct calls are made
 // by the given client. Peers take its calls on the route, over connections of the given set.
 func New(base string, route Route, direct *http.Client, conns *wslink.Links, log *zap.Logger) *Path {
 	return &Path{
-		base: base, route: route, direct: direct, conns: conns, log: log,
+		base: base, route: route, client: direct, conns: conns, log: log,
 		links: map[string]*link{}, opening: map[string]*opening{}, refusedUntil: map[string]time.Time{},
 	}
 }
@@ -137,14 +138,24 @@
 	}
 }
 
-// firstWay tells which way comes first and whether peers can be asked. The direct way comes
-// first if they can't.
-func (p *Path) firstWay() (directFirst, usePeers bool) {
+// plan says which ways a call takes.
+type plan struct {
+	// directFirst is set if the direct way comes first, as it does if peers can't be asked.
+	directFirst, usePeers bool
+	// probe is set if the direct way is to be probed beside the call.
+	probe bool
+}
+
+// plan returns the plan of a call that begins now.
+func (p *Path) plan() plan {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	usePeers = len(p.peers) > 0 && now.After(p.peersSuspect)
-	return !usePeers || now.After(p.suspect), usePeers
+	usePeers := len(p.peers) > 0 && now.After(p.peersSuspect)
+	if usePeers && p.direct.silent {
+		return plan{usePeers: true, probe: p.probeDue(now)}
+	}
+	return plan{directFirst: !usePeers || now.After(p.direct.suspect), usePeers: usePeers}
 }
 
 // learn notes which ways work.
@@ -154,16 +165,20 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	until := &p.peersSuspect
-	if o.direct {
-		until = &p.suspect
-	}
-	was := time.Now().Before(*until)
-	*until = time.Time{}
+	now, until := time.Now(), time.Time{}
 	if o.failed() {
-		*until = time.Now().Add(suspectFor)
+		until = now.Add(suspectFor)
+	}
+	if !o.direct {
+		p.peersSuspect = until
+		return
+	}
+	was := p.direct.silent || now.Before(p.direct.suspect)
+	p.direct.suspect = until
+	if !o.failed() {
+		p.direct.silent = false
 	}
-	if o.direct && was != o.failed() {
+	if was != o.failed() {
 		p.log.Info("direct-path", zap.String("to", p.base), zap.Bool("works", !o.failed()))
 	}
 }
@@ -200,10 +215,11 @@
 	if kind != "" {
 		req.Header.Set("Content-Type", kind)
 	}
-	resp, err := p.direct.Do(req)
+	resp, err := p.client.Do(req)
 	if err != nil {
 		return 0, nil, err
 	}
+	p.hear()
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(arriving{resp.Body, arrivalOf(ctx)}, maxBody+1))
 	if err == nil && len(data) > maxBody {
