internal/relay: a peer that got no answer is left out for a while

A call that ends without an answer, or that is given up after it had its time, now counts like a refusal for the choice of peers, and its link is retired.

TestSilentPeer failed before: "the silent peer is not avoided".

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -209,6 +209,7 @@
 	go l.send(raw)
 	overdue := time.NewTimer(c.Limit + hedgeAfter)
 	defer overdue.Stop()
+	sent := time.Now()
 	select {
 	case res, ok := <-answer:
 		if !ok {
@@ -222,8 +223,9 @@
 		l.retire()
 		return result{}, errOverdue
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Since(sent) >= c.Limit-hedgeAfter {
 			l.retire() // the answer is overdue, though the peer lives
+			return result{}, fmt.Errorf("%w: %w", errOverdue, ctx.Err())
 		}
 		return result{}, ctx.Err()
 	}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -43,21 +43,21 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 }
 
-// noteRefusal notes that a call through a peer was refused.
-func (p *Path) noteRefusal(address string) {
+// avoid lets other peers be chosen for a while, because a call through one was refused or not answered.
+func (p *Path) avoid(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.refusedUntil[address] = time.Now().Add(suspectFor)
+	p.avoidedUntil[address] = time.Now().Add(suspectFor)
 }
 
-// refused reports whether a call through a peer was refused lately. The path is locked.
-func (p *Path) refused(address string) bool { return time.Now().Before(p.refusedUntil[address]) }
+// avoided reports whether a call through a peer was refused or not answered lately. The path is locked.
+func (p *Path) avoided(address string) bool { return time.Now().Before(p.avoidedUntil[address]) }
 
-// othersLeft reports whether there is a peer through which no call was refused lately.
+// othersLeft reports whether there is a peer that isn't avoided.
 func (p *Path) othersLeft() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.ContainsFunc(p.peers, func(x Peer) bool { return !p.refused(x.Address) })
+	return slices.ContainsFunc(p.peers, func(x Peer) bool { return !p.avoided(x.Address) })
 }
 
 // through makes the call through a peer. It may wait at its other end for a time.
@@ -119,11 +119,11 @@
 	if errors.Is(err, errDied) && errors.Is(l.conn.Cause(), wslink.ErrSilent) {
 		p.retireQuiet()
 	}
-	if err == nil && refuses(res.Status) {
-		p.noteRefusal(l.address)
-	}
 	if err == nil && res.Status == 0 {
-		return result{}, fmt.Errorf("%w: %s", errNoAnswer, l.address)
+		err = fmt.Errorf("%w: %s", errNoAnswer, l.address)
+	}
+	if errors.Is(err, errNoAnswer) || errors.Is(err, errOverdue) || err == nil && refuses(res.Status) {
+		p.avoid(l.address)
 	}
 	return res, err
 }
@@ -141,17 +141,17 @@
 	}
 }
 
-// pick returns a link to a peer: one that is open, or else to one drawn at random. Peers through which a call was refused lately are left
-// out while there are others.
+// pick returns a link to a peer: one that is open, or else to one drawn at random. Peers that are avoided are left out while
+// there are others.
 func (p *Path) pick(ctx context.Context) (*link, error) {
 	p.mu.Lock()
 	for a, l := range p.links {
-		if l.works() && !p.refused(a) {
+		if l.works() && !p.avoided(a) {
 			p.mu.Unlock()
 			return l, nil
 		}
 	}
-	left := slices.DeleteFunc(slices.Clone(p.peers), func(x Peer) bool { return p.refused(x.Address) })
+	left := slices.DeleteFunc(slices.Clone(p.peers), func(x Peer) bool { return p.avoided(x.Address) })
 	if len(left) == 0 {
 		left = p.peers
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,8 +108,8 @@
 	// links holds the newest link to each peer, opening those that are being opened.
 	links   map[string]*link
 	opening map[string]*opening
-	// refusedUntil holds until when peers are not chosen, because a call through them was refused.
-	refusedUntil map[string]time.Time
+	// avoidedUntil holds until when peers are not chosen, because a call through them was refused or not answered.
+	avoidedUntil map[string]time.Time
 	direct       directWay
 	// peersSuspect is until when peers are not asked.
 	peersSuspect time.Time
@@ -120,7 +120,7 @@
 func New(base string, route Route, direct *http.Client, conns *wslink.Links, log *zap.Logger) *Path {
 	return &Path{
 		base: base, route: route, client: direct, conns: conns, log: log,
-		links: map[string]*link{}, opening: map[string]*opening{}, refusedUntil: map[string]time.Time{},
+		links: map[string]*link{}, opening: map[string]*opening{}, avoidedUntil: map[string]time.Time{},
 	}
 }
 
@@ -129,7 +129,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers = peers
-	maps.DeleteFunc(p.refusedUntil, func(a string, _ time.Time) bool { return !p.refused(a) })
+	maps.DeleteFunc(p.avoidedUntil, func(a string, _ time.Time) bool { return !p.avoided(a) })
 	for a, l := range p.links {
 		if !slices.Contains(peers, Peer{Address: a}) {
 			l.close()
--- a/internal/relay/silence_internal_test.go
+++ b/internal/relay/silence_internal_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -110,6 +111,30 @@
 	return p.direct.silent
 }
 
+// TestSilentPeer checks that a peer that got no answer is left out while there are others, as one is whose call was refused. Without it each
+// call was tried through the one peer to which a link was open.
+func TestSilentPeer(t *testing.T) {
+	p := newPeeredPath(t, refusedWay{}, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, p.base+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := p.RoundTrip(req); !errors.Is(err, errNoAnswer) {
+		t.Errorf("the call ended with %v", err)
+	}
+	if p.othersLeft() {
+		t.Error("the silent peer is not avoided")
+	}
+}
+
+// refusedWay is a direct way on which all calls are refused.
+type refusedWay struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (refusedWay) RoundTrip(req *http.Request) (*http.Response, error) {
+	return Answer(req, http.StatusServiceUnavailable, nil), nil
+}
+
 // newPeeredPath returns a path with a direct way and one peer, whose own direct way leads to a store.
 func newPeeredPath(t *testing.T, direct http.RoundTripper, store http.HandlerFunc) *Path {
 	s := httptest.NewServer(store)
