core, platform: the fence is raised with each life of a worker, and with each lost renewal

The model now plays both readings of the pages (world.Delivery): an order that is late waits at a life and is over with it, or is on its way for all of its delay and reaches whichever life is there.

Callers: a task that was done, or runs elsewhere, runs once more.

Change: the fence that workers are shown is the owner's epoch and a count, one number on the wire. It is raised as a life becomes known and as a renewal is lost, so that the first renewal which a life gets keeps all orders out that left before it. Refusals of what left before the last raise don't end the ownership. Epochs leave room for 2^19 raises; what was drawn of an epoch has 19 bits instead of 20.

Weighed and not built: no second order to start, and no new run elsewhere, for 12 s after one got no answer. It is the only way that we see, and half of all tasks would wait for that long while workers leave orders unanswered.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -20,7 +20,7 @@
 // addressee returns the worker that an order went to, or nil if it isn't known any more or the
 // order was another owner's.
 func (d *Dispatcher) addressee(t Target) *worker {
-	if t.Epoch != d.epoch {
+	if t.Fence.Epoch != d.epoch {
 		return nil
 	}
 	return d.workers[t.Worker]
@@ -45,7 +45,7 @@
 
 // judge takes in what a verdict says of the worker itself. It reports whether the
 // worker answered under this epoch.
-func (d *Dispatcher) judge(now unit.Instant, w *worker, v fleet.Verdict, c fleet.Clock) bool {
+func (d *Dispatcher) judge(now unit.Instant, w *worker, t Target, v fleet.Verdict, c fleet.Clock) bool {
 	switch v {
 	case fleet.Unknown, fleet.Unreachable:
 		return false
@@ -53,6 +53,9 @@
 		d.replace(now, w, anotherAnswers, nil)
 		return false
 	case fleet.Fenced:
+		if d.outraised(t) {
+			return false
+		}
 		if !d.fenced {
 			d.note(Note{Event: EventOwnerFenced, Worker: w.ID, Why: "the worker has seen a later epoch"})
 		}
@@ -72,7 +75,7 @@
 		return nil
 	}
 	if v == fleet.Replaced || v == fleet.Fenced || !fleet.TellsStart(w.ID) {
-		d.judge(now, w, v, c)
+		d.judge(now, w, t, v, c)
 	} // else the answer doesn't say which life under the name gave it
 	return w.run(task, number)
 }
@@ -171,6 +174,9 @@
 	}
 	w.nextHold = now.Add(renewPause)
 	w.lastUnanswered = res.Verdict == fleet.Unknown
+	if w.lastUnanswered || res.Verdict == fleet.Unreachable {
+		d.raiseFence(w)
+	}
 	if w.lastUnanswered {
 		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
 		w.nextHold = max(now, res.Sent.Add(renewPause))
@@ -189,7 +195,7 @@
 		}
 		return
 	}
-	if !d.judge(now, w, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
+	if !d.judge(now, w, res.Renew.Target, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
 	w.told = max(w.told, res.Renew.Told)
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -70,6 +70,8 @@
 	// acks is set if some worker's ends were noted since the last batch.
 	acks   bool
 	fenced bool
+	// raise is the last one that was given to a worker's fence; it never falls.
+	raise id.Raise
 	// assured is as of when it is known that nobody else was the owner; 0 if nobody tells, as in a model that has no
 	// other host: leases are granted then.
 	assured unit.Instant
@@ -168,6 +170,7 @@
 	}
 	w = &worker{Listing: fleet.Listing{ID: name}, name: fleet.NameOf(name), clockAt: now, since: now}
 	w.grantedUntil = d.lapseOf(now)
+	d.raiseFence(w)
 	d.workers[name] = w
 	at, _ := slices.BinarySearchFunc(d.order, w, func(a, b *worker) int { return cmp.Compare(a.ID, b.ID) })
 	d.order = slices.Insert(d.order, at, w)
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -96,7 +96,7 @@
 
 // target returns where an order to a worker goes, under this owner's epoch.
 func (d *Dispatcher) target(w *worker) Target {
-	return Target{Worker: w.ID, Address: w.Address, Epoch: d.epoch}
+	return Target{Worker: w.ID, Address: w.Address, Fence: d.fence(w)}
 }
 
 // firstOrder sends the order of a run whose placement is in the store, unless that has
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -60,6 +60,9 @@
 		d.countCrashes(now, w)
 	}
 	if next != nil {
+		if next.raise < w.raise {
+			d.raiseFence(next)
+		}
 		d.inherit(now, w, next)
 	}
 	d.loseRuns(now, w, e)
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -14,7 +14,7 @@
 type Target struct {
 	Worker  id.Worker
 	Address string
-	Epoch   id.Epoch
+	Fence   fleet.Fence
 }
 
 // Start orders a worker to run a task.
--- a/core/id/id.go
+++ b/core/id/id.go
@@ -51,6 +51,15 @@
 	// Epoch is the offset of the record that made a host the owner of scheduling.
 	// A larger epoch always supersedes a smaller one.
 	Epoch uint64
+	// Raise counts how often an owner has raised the fence that it shows to workers.
+	Raise uint64
 	// Seq numbers the batches of one writer, from 1 upwards without reuse.
 	Seq uint64
 )
+
+// RaiseBits is how many bits a Raise has. Epochs are 1 << RaiseBits apart at least, so that the sum of both is
+// below the next owner's epoch; MostRaises is the largest one.
+const (
+	RaiseBits  = 19
+	MostRaises = 1<<RaiseBits - 1
+)
--- a/core/world/evacuation_test.go
+++ b/core/world/evacuation_test.go
@@ -37,11 +37,11 @@
 // TestLongEvacuations is TestLong with an operator who evacuates failure domains, beside owners that change, late orders, cuts, workers that begin
 // again under their names and outages of the store.
 func TestLongEvacuations(t *testing.T) {
-	eachSeed(t, playEvacuations)
+	eachDelivery(t, playEvacuations)
 }
 
 // playEvacuations plays one seed of TestLongEvacuations. In each other one workers tell their starts, so that they may begin again under their names.
-func playEvacuations(t *testing.T, seed uint64, length time.Duration) *world.World {
+func playEvacuations(t *testing.T, seed uint64, length time.Duration, d world.Delivery) *world.World {
 	kinds := []world.FaultKind{
 		world.Evacuate, world.KillOwner, world.Evacuate, world.Late, world.Apart, world.Evacuate, world.Silence, world.StoreDown, world.Evacuate,
 		world.StoreSlow, world.Drain, world.KillHosts, world.Kill,
@@ -52,6 +52,6 @@
 	}
 	return playSite(t, seed, kinds, randomJob, length, func(s *world.Setup) {
 		evacuates(s)
-		s.TellStart = tells
+		s.TellStart, s.Delivery = tells, d
 	})
 }
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -124,8 +124,8 @@
 }
 
 // playTold is playLong with workers that tell their starts.
-func playTold(t *testing.T, seed uint64, kinds []world.FaultKind, length time.Duration) *world.World {
-	return playSite(t, seed, kinds, randomJob, length, func(s *world.Setup) { s.TellStart = true })
+func playTold(t *testing.T, seed uint64, kinds []world.FaultKind, length time.Duration, d world.Delivery) *world.World {
+	return playSite(t, seed, kinds, randomJob, length, func(s *world.Setup) { s.TellStart, s.Delivery = true, d })
 }
 
 // playJobs is playLong with jobs that are drawn by job.
--- a/core/world/machine.go
+++ b/core/world/machine.go
@@ -39,7 +39,7 @@
 	// rate is how fast its clock is, by ours.
 	rate  float64
 	until fleet.Clock
-	epoch id.Epoch
+	fence fleet.Fence
 	// held answers the renewal that waits for an end; nil if none does.
 	held func()
 	// apartUntil is until when hosts can't connect to it and the list doesn't hear of it,
@@ -115,7 +115,7 @@
 	if w := m.world; w.setup.TellStart {
 		m.name = fleet.Life(id.WorkerName(m.name), w.start(m))
 	}
-	m.up, m.epoch, m.until = true, 0, 0
+	m.up, m.fence, m.until = true, fleet.Fence{}, 0
 	m.ends, m.seq, m.highest = nil, 0, map[job.Task]job.Run{}
 	m.world.byLife[m.name] = m
 }
@@ -200,10 +200,10 @@
 	switch {
 	case fleet.NameOf(m.name) != fleet.NameOf(t.Worker):
 		return fleet.Replaced
-	case t.Epoch < m.epoch:
+	case t.Fence.Below(m.fence):
 		return fleet.Fenced
 	}
-	m.epoch = t.Epoch
+	m.fence = t.Fence
 	return fleet.Carried
 }
 
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -328,10 +328,12 @@
 	})
 }
 
-// deliverLate carries an order out late. Part of that time, at most as long as the owner waits for an answer, the order is on its way and whichever
-// life the worker then has takes it. What a life has taken ends with it: a worker that begins again holds nothing of before.
+// deliverLate carries an order out late, by the setup's Delivery.
 func (w *World) deliverLate(m *machine, t dispatch.Target, by time.Duration, carry func(*machine) fleet.Verdict) {
-	way := min(by, stretch(w.setup.Times.Timeout, w.chance("way", t.Worker, w.late.sent)))
+	way := by
+	if w.setup.Delivery == AtWorker {
+		way = min(by, stretch(w.setup.Times.Timeout, w.chance("way", t.Worker, w.late.sent)))
+	}
 	w.Plan(way, func() {
 		if !m.listens() {
 			return
--- a/core/world/reborn_test.go
+++ b/core/world/reborn_test.go
@@ -26,9 +26,27 @@
 // On the code that kept what it knew of a life by the worker's name, 12 of seeds 1 to 20 of 60 s failed, with jobs that stayed open and tasks that
 // were started again after their ends were noted.
 func TestLongReborn(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
-		return playTold(t, seed, rebornKinds, length)
-	})
+	eachDelivery(t, playReborn)
+}
+
+// playReborn plays one seed of TestLongReborn.
+func playReborn(t *testing.T, seed uint64, length time.Duration, d world.Delivery) *world.World {
+	return playTold(t, seed, rebornKinds, length, d)
+}
+
+// deliveryPlay plays one seed of a long run by one delivery of late orders.
+type deliveryPlay func(*testing.T, uint64, time.Duration, world.Delivery) *world.World
+
+// by returns the play of one delivery.
+func (p deliveryPlay) by(d world.Delivery) func(*testing.T, uint64, time.Duration) *world.World {
+	return func(t *testing.T, seed uint64, length time.Duration) *world.World { return p(t, seed, length, d) }
+}
+
+// eachDelivery is eachSeed by each delivery of late orders.
+func eachDelivery(t *testing.T, play deliveryPlay) {
+	for _, d := range world.Deliveries() {
+		t.Run(d.String(), func(t *testing.T) { eachSeed(t, play.by(d)) })
+	}
 }
 
 // rebornKinds are the kinds of faults of TestLongReborn. Their order belongs to what a seed plays.
@@ -42,7 +60,7 @@
 		for name, kinds := range map[string][]world.FaultKind{"long": longKinds, "lives": livesKinds} {
 			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				checkLong(t, playTold(t, seed, kinds, time.Duration(*longSeconds)*time.Second))
+				checkLong(t, playTold(t, seed, kinds, time.Duration(*longSeconds)*time.Second, world.AtWorker))
 			})
 		}
 	}
@@ -50,12 +68,12 @@
 
 // TestLongCrashesReborn is TestLongCrashes with workers that begin again under their names, whatever has crashed them.
 func TestLongCrashesReborn(t *testing.T) {
-	eachSeed(t, playCrashesReborn)
+	eachDelivery(t, playCrashesReborn)
 }
 
 // playCrashesReborn plays one seed of TestLongCrashesReborn.
-func playCrashesReborn(t *testing.T, seed uint64, length time.Duration) *world.World {
+func playCrashesReborn(t *testing.T, seed uint64, length time.Duration, d world.Delivery) *world.World {
 	kinds := []world.FaultKind{world.Reborn, world.KillOwner, world.Late, world.StoreSlow, world.Reborn, world.KillHosts, world.Drain}
-	tell := func(s *world.Setup) { s.TellStart = true }
+	tell := func(s *world.Setup) { s.TellStart, s.Delivery = true, d }
 	return playSite(t, seed, kinds, crashingJobs(seed, "reborn"), length, tell)
 }
--- a/core/world/seeds_test.go
+++ b/core/world/seeds_test.go
@@ -15,14 +15,15 @@
 
 // seedPlays are the long runs whose seeds testdata/seeds.txt names.
 var seedPlays = map[string]func(*testing.T, uint64, time.Duration) *world.World{
-	"reborn": func(t *testing.T, seed uint64, length time.Duration) *world.World {
-		return playTold(t, seed, rebornKinds, length)
-	},
-	"crashes-reborn": playCrashesReborn,
+	"reborn":                    deliveryPlay(playReborn).by(world.AtWorker),
+	"reborn-on-the-way":         deliveryPlay(playReborn).by(world.OnTheWay),
+	"crashes-reborn":            deliveryPlay(playCrashesReborn).by(world.AtWorker),
+	"crashes-reborn-on-the-way": deliveryPlay(playCrashesReborn).by(world.OnTheWay),
 	"long": func(t *testing.T, seed uint64, length time.Duration) *world.World {
 		return playLong(t, seed, longKinds, length)
 	},
-	"evacuations": playEvacuations,
+	"evacuations":            deliveryPlay(playEvacuations).by(world.AtWorker),
+	"evacuations-on-the-way": deliveryPlay(playEvacuations).by(world.OnTheWay),
 }
 
 // TestSeeds plays the seeds of long runs that have failed. Each line of the file names a run, a seed and what was seen.
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -32,10 +32,33 @@
 	Evacuation time.Duration
 	// TellStart lets workers tell when their lives began, so that one may begin again under the name that it had.
 	TellStart bool
+	// Delivery says where a late order is until it is carried out, which matters where a worker begins again under its name.
+	Delivery Delivery
 	// Seed decides failures, clocks and which orders are late.
 	Seed uint64
 }
 
+// Delivery says where a late order is until it is carried out. The platform's pages leave it open.
+type Delivery int
+
+const (
+	// AtWorker: the order reaches a life of the worker within the time limit of a call, waits there, and is over with that life.
+	AtWorker Delivery = iota
+	// OnTheWay: the order is on its way all the while, and whichever life the worker then has takes it.
+	OnTheWay
+)
+
+// Deliveries returns all of them.
+func Deliveries() []Delivery { return []Delivery{AtWorker, OnTheWay} }
+
+// String implements fmt.Stringer.
+func (d Delivery) String() string {
+	if d == OnTheWay {
+		return "on-the-way"
+	}
+	return "at-worker"
+}
+
 // Worker is one worker of the site.
 type Worker struct {
 	ID       id.Worker
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -20,12 +20,15 @@
 // writer, epoch and number for the same one, so two hosts that claim at the same offset
 // must not have the same epoch.
 func epochAt(at id.Offset) id.Epoch {
-	return id.Epoch(at+1)<<epochDrawBits | id.Epoch(rand.Uint64N(1<<epochDrawBits))
+	return id.Epoch(at+1)<<epochBits | id.Epoch(rand.Uint64N(1<<epochDrawBits))
 }
 
-// epochDrawBits is how many bits of an epoch are drawn. With the offset they stay
-// below 2^53, which every JSON number keeps.
-const epochDrawBits = 20
+const (
+	// epochDrawBits is how many bits of an epoch are drawn, epochBits how many stand below the offset. What is drawn
+	// leaves room for all raises of one owner's fence. With the offset they stay below 2^53, which every JSON number keeps.
+	epochDrawBits = id.RaiseBits
+	epochBits     = id.RaiseBits + 1
+)
 
 // mayClaim reports whether this host is to claim, as far as its table says. An owner that was
 // fenced without a successor has to claim again itself: the others see that it lives.
--- a/internal/entry/claim_internal_test.go
+++ b/internal/entry/claim_internal_test.go
@@ -16,6 +16,15 @@
 	"curlewsill.org/curlewsill/platform"
 )
 
+// TestEpochsApart checks that no raise of an owner's fence reaches the epoch of the next claim.
+func TestEpochsApart(t *testing.T) {
+	for range 1000 {
+		if now, next := epochAt(7), epochAt(8); now+id.MostRaises >= next {
+			t.Fatalf("epochs %d and %d are %d apart", now, next, next-now)
+		}
+	}
+}
+
 // TestLoadedLate checks that a host that loads the jobs after it has looked at the group doesn't claim
 // against an owner that the group shows.
 //
