core/dispatch: an owner that stood still asks before it gives runs up

TestPath/abler_host.txt, known red: 4 runs of two tasks were started instead of 2. Callers of work that isn't to be repeated get it twice: tasks that have ended with success while the owner stood still are started again before their ends are read.

The hosts' logs: task-lost "its lease has lapsed" of both runs in the first pass, 7 ms later task-stop "no placement is known for it", then both are placed as run 2.

Ruled out: move_stalled (no run was stopped for it), a change of owner (it comes later).

Cause: that a lease has run out is inferred from time alone. While the owner's host stands still it renews nothing and hears nothing. Runs are now given up only if the last renewal that has ended got no answer; one that ended long after its limit doesn't count, since the host stood still meanwhile.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -174,7 +174,9 @@
 	}
 	w.nextHold = now.Add(renewPause)
 	w.lastUnanswered = res.Verdict == fleet.Unknown
+	w.askedInVain = false
 	if w.lastUnanswered || res.Verdict == fleet.Unreachable {
+		w.askedInVain = now.Sub(res.Sent) <= res.Renew.Wait+renewLimit+lateResult
 		d.raiseFence(w)
 	}
 	if w.lastUnanswered {
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -26,6 +26,8 @@
 	// renewLimit is how long after its wait a renewal without an answer counts as lost, by the limit
 	// of the platform's client.
 	renewLimit = 800 * time.Millisecond
+	// lateResult is how long after its limit the end of a renewal may be taken in to tell something of the worker.
+	lateResult = 500 * time.Millisecond
 	// leaseShare is the part of a lease within which a renewal must come after two were lost. The
 	// worker's clock may run 2 % off; the rest is for the way.
 	leaseShare = 0.95
@@ -72,9 +74,10 @@
 }
 
 // giveUp loses the runs of a worker whose lease has surely run out. That it is off the list and takes no connections
-// is not enough: such a worker may run on, cut off.
+// is not enough: such a worker may run on, cut off. Nor is the time alone: while this host stood still it hasn't asked, and the worker's answer
+// tells how the runs have ended.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
-	if w.leased() && now > w.lapse() {
+	if w.leased() && now > w.lapse() && (w.askedInVain || w.Address == "") {
 		d.loseAll(now, w, leaseLapsed)
 		w.synced = 0 // it seems to be empty: without an answer it would get the same tasks again
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -217,6 +217,9 @@
 	holding  bool
 	waits    bool
 	nextHold unit.Instant
+	// askedInVain is set if the last renewal that has ended got no answer, and ended in time. This host may have stood still while one
+	// was under way that ended later.
+	askedInVain bool
 	// lastUnanswered is set if the last renewal got no answer. The next one doesn't wait for news, so that
 	// its loss shows 2 s earlier.
 	lastUnanswered bool
