core/dispatch: an answer that has waited in the owner's host stops no run for making no progress

The same fault as in runs that are given up by an owner that stood still, found by looking for it elsewhere: progress is judged by when an answer is taken in, and one that has waited in the host tells an old progress. A gang that goes on was stopped, and begun once more.

Answers taken in later than their renewal's limit judge nothing; the next one does. The script standstill.txt failed before ("got stop j1.0.0.0 run 1 on w1; stop j1.0.0.1 run 1 on w2"); no other script changed.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -217,7 +217,9 @@
 		return // it answered before the next life did: what it lists as running is over
 	}
 	d.compare(now, w, res, ended)
-	d.stopStalled(now, w)
+	if now.Sub(res.Sent) <= res.Renew.Wait+renewLimit { // else the answer has waited in this host, and tells an old progress
+		d.stopStalled(now, w)
+	}
 	w.endTrial(now)
 	d.pace(now, w)
 	d.back(w)
