--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -161,12 +161,8 @@
 	}
 }
 
-// Renewed takes in a worker's answer to a renewal.
-func (d *Dispatcher) Renewed(now unit.Instant, res RenewResult) {
-	w := d.addressee(res.Renew.Target)
-	if w == nil {
-		return
-	}
+// endRenewal takes in that a renewal is no longer under way, and whether it was answered.
+func (d *Dispatcher) endRenewal(now unit.Instant, w *worker, res RenewResult) {
 	w.holding = false
 	if w.waits {
 		w.waits = false
@@ -191,6 +187,15 @@
 	if w.lastUnanswered && res.Renew.Told > 0 {
 		w.toldStray = res.Sent
 	}
+}
+
+// Renewed takes in a worker's answer to a renewal.
+func (d *Dispatcher) Renewed(now unit.Instant, res RenewResult) {
+	w := d.addressee(res.Renew.Target)
+	if w == nil {
+		return
+	}
+	d.endRenewal(now, w, res)
 	if res.Verdict == fleet.Replaced && res.Report.Life != "" {
 		if !w.replaced {
 			d.replace(now, w, sameName, d.successor(now, w, res.Report.Life))
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -42,9 +42,9 @@
 type Delivery int
 
 const (
-	// AtWorker: the order reaches a life of the worker within the time limit of a call, waits there, and is over with that life.
+	// AtWorker is an order that reaches a life of the worker within the time limit of a call, waits there, and is over with that life.
 	AtWorker Delivery = iota
-	// OnTheWay: the order is on its way all the while, and whichever life the worker then has takes it.
+	// OnTheWay is an order that is on its way all the while; whichever life the worker then has takes it.
 	OnTheWay
 )
 
--- a/internal/entry/counts.go
+++ b/internal/entry/counts.go
@@ -9,8 +9,8 @@
 )
 
 // countAge is how long a count of waiting jobs is told again. Counting walks over the whole table on the
-// deciding goroutine: for each of many callers it would keep the answers of workers waiting. With the pause between two reads of the jobs it stays well below the
-// 2 s that the platform allows.
+// deciding goroutine: for each of many callers it would keep the answers of workers waiting. With the pause
+// between two reads of the jobs it stays well below the 2 s that the platform allows.
 const countAge = 500 * time.Millisecond
 
 // count is how many jobs of a queue waited at a time.
