--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -53,7 +53,7 @@
 		d.replace(now, w, anotherAnswers, nil)
 		return false
 	case fleet.Fenced:
-		if d.outraised(t) {
+		if d.raisedSince(t) {
 			return false
 		}
 		if !d.fenced {
--- a/core/dispatch/fence.go
+++ b/core/dispatch/fence.go
@@ -23,8 +23,8 @@
 	w.raise = d.raise
 }
 
-// outraised reports whether this owner has raised the fence at an order's addressee, or for another life under its name, after the order left.
-func (d *Dispatcher) outraised(t Target) bool {
+// raisedSince reports whether this owner has raised the fence at an order's addressee, or for another life under its name, after the order left.
+func (d *Dispatcher) raisedSince(t Target) bool {
 	name := fleet.NameOf(t.Worker)
 	for _, w := range d.order {
 		if w.name == name && t.Fence.Below(d.fence(w)) {
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -75,7 +75,7 @@
 
 // giveUp loses the runs of a worker whose lease has surely run out. That it is off the list and takes no connections
 // is not enough: such a worker may run on, cut off. Nor is the time alone: while this host stood still it hasn't asked, and the worker's answer
-// tells how the runs have ended.
+// tells how the runs have ended. One whose address isn't known can't be asked.
 func (d *Dispatcher) giveUp(now unit.Instant, w *worker) {
 	if w.leased() && now > w.lapse() && (w.askedInVain || w.Address == "") {
 		d.loseAll(now, w, leaseLapsed)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -153,7 +153,7 @@
 	now := time.Now()
 	usePeers := len(p.peers) > 0 && now.After(p.peersSuspect)
 	if usePeers && p.direct.silent {
-		return plan{usePeers: true, probe: p.probeDue(now)}
+		return plan{usePeers: true, probe: p.takeProbe(now)}
 	}
 	return plan{directFirst: !usePeers || now.After(p.direct.suspect), usePeers: usePeers}
 }
--- a/internal/relay/silence.go
+++ b/internal/relay/silence.go
@@ -29,8 +29,8 @@
 	p.direct.heard = time.Now()
 }
 
-// probeDue reports whether the direct way is to be probed now. The next probe is due after another suspectFor. The path is locked.
-func (p *Path) probeDue(now time.Time) bool {
+// takeProbe reports whether a probe of the direct way is due, and puts the next one off by suspectFor if so. The path is locked.
+func (p *Path) takeProbe(now time.Time) bool {
 	if !p.direct.silent || !now.After(p.direct.suspect) {
 		return false
 	}
