--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,8 @@
 // The platform's store may turn some hosts away while it serves the others. A Path
 // tries the direct way; when that fails or is slow, it sends the same call to a peer
 // over WebSocket with CBOR, and the peer makes it on its own direct path; while peers are
-// refused, up to mostPeers of them are asked in turn. Every call
+// refused, up to mostPeers of them are asked in turn. A direct way on which nothing arrives
+// while peers are answered carries no calls until a probe is answered. Every call
 // that goes this way may be made twice without harm: appends carry a number, and all
 // others are reads or say the same again. A peer never passes a call on.
 //
