core/dispatch: a lost renewal raises the fence only if something left that it must keep out

Callers: on a site whose workers tell their starts, the owner gives way every few minutes while a large failure domain is out of reach, and nothing is placed until the next one has taken over.

Cause: each lost renewal raised the fence, and an owner has 524,287 raises. A worker out of reach is asked twice a second: 1,100 workers use them up in 8 minutes.

Change: a raise needs an order that must not reach the next life and that may have left under the present fence: a start, or a renewal without an answer that grants a lease or tells of ends. These end 3.5 s after a worker's last answer.

Ruled out: stops needn't be kept out. A late one keeps a run from starting that is over, or ends one that was ordered to end.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -173,7 +173,8 @@
 	w.askedInVain = false
 	if w.lastUnanswered || res.Verdict == fleet.Unreachable {
 		w.askedInVain = now.Sub(res.Sent) <= res.Renew.Wait+renewLimit+lateResult
-		d.raiseFence(w)
+		w.exposed = w.exposed || w.lastUnanswered && (res.Renew.Until != 0 || res.Renew.Told > 0)
+		d.raiseAfterLoss(w)
 	}
 	if w.lastUnanswered {
 		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -172,6 +172,7 @@
 	}
 	r.asked, r.inFlight, r.startLapse = now, true, d.lapseOf(now)
 	r.orders++
+	r.worker.exposed = true
 	s := r.step
 	d.orders.Starts = append(d.orders.Starts, Start{
 		Target: d.target(r.worker), Domain: r.worker.Domain, Task: r.task, Run: r.number, Text: s.job.spec.Text,
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -187,8 +187,10 @@
 	// held is set while the worker's machine is to go down for maintenance, evacuated while the operator has evacuated its
 	// failure domain.
 	held, evacuated bool
-	// raise is that of the fence of orders to the worker; it never falls.
-	raise id.Raise
+	// raise is that of the fence of orders to the worker; it never falls. exposed is set once an order to start, a lease or news of ends may have
+	// left under it.
+	raise   id.Raise
+	exposed bool
 	// since is when this owner first knew of the worker.
 	since unit.Instant
 	// listed is set while the platform's list has the worker.
