platform, conntrack: an order leaves only on a connection on which the life that is meant has answered

Callers: a task that is done, or runs elsewhere, runs once more on a worker that has begun again under its name.

Cause: orders name a worker, not its life. One that leaves after the life has ended is carried out by the next one at the address, and nothing in the order tells them apart. Only the answer to a renewal does.

Change: connections to workers are kept by life already. The first call on a new one is now a renewal that grants no lease and tells of no ends. If another life answers, or nobody, the connection is closed and the order was surely not sent (unreachable, not unknown); a renewal hands on what the other life lists. TCP delivers to the process that has accepted the connection or to nobody, so that an order can reach no other life. Workers that tell no start get none: their ids name one life, and any other answers 421.

Ruled out: a renewal of the owner's in place of a handshake, when it happens to be the first on a connection: it may tell of ends, which another life would forget.

--- a/internal/conntrack/conntrack.go
+++ b/internal/conntrack/conntrack.go
@@ -77,6 +77,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := by.shake(ctx, c); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
 		out := t.track(c, by)
 		if out == nil {
 			_ = c.Close()
@@ -116,6 +120,7 @@
 	trace := &httptrace.ClientTrace{GotConn: c.got}
 	resp, err := c.send(httptrace.WithClientTrace(req.Context(), trace), req)
 	if err != nil {
+		err = c.unsent(err)
 		c.failed(err)
 		return nil, err
 	}
