core/world: orders that leave on a connection to one life, a third delivery of late orders

Change: by world.OnConnection an order to a worker that tells its start leaves on a connection to one life, after a handshake there that may itself get no answer, and reaches this life or nobody.

--- a/core/world/check_internal_test.go
+++ b/core/world/check_internal_test.go
@@ -79,7 +79,7 @@
 		c.w.byLife[id.Worker(f[1])].start(c.order(f))
 	case "late":
 		m, o := c.w.byLife[id.Worker(f[1])], c.order(f)
-		c.w.deliverLate(m, o.Target, c.duration(f[5]), func(m *machine) fleet.Verdict { return m.start(o) })
+		c.w.deliverLate(connection{machine: m}, o.Target, c.duration(f[5]), func(m *machine) fleet.Verdict { return m.start(o) })
 	case "reborn":
 		c.w.byLife[id.Worker(f[1])].die(100*time.Millisecond, sameName)
 	case "told":
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -24,6 +24,8 @@
 	// next is when the next pass may begin, planned when one is planned for; 0 for none.
 	next, planned unit.Instant
 	writing       bool
+	// connected holds the life of each worker to which a connection is open, by OnConnection.
+	connected map[*machine]int
 }
 
 // duty is something that the processor does.
@@ -41,7 +43,7 @@
 	if w.owner != nil {
 		w.owner.end()
 	}
-	o := &owner{world: w, host: h, epoch: epoch, core: w.setup.Make(epoch, w.table), next: w.now}
+	o := &owner{world: w, host: h, epoch: epoch, core: w.setup.Make(epoch, w.table), next: w.now, connected: map[*machine]int{}}
 	w.owner = o
 	h.election.Owned(w.now)
 	for _, g := range w.setup.Guarantees {
@@ -289,53 +291,64 @@
 // order carries one order out, if it may leave when its turn has come, and takes its answer in. One that comes too late is lost.
 func (o *owner) order(t dispatch.Target, leaves func() bool, carry func(*machine) fleet.Verdict, answered func(fleet.Verdict, fleet.Clock)) {
 	w := o.world
-	half := w.setup.Times.Trip / 2
 	decided := w.now
 	o.send(func() {
 		m := w.byLife[t.Worker]
 		answer := func(v fleet.Verdict, after time.Duration) {
 			w.Plan(after, func() { o.take(func(*owner) { answered(v, m.clock()) }) })
 		}
-		give := func() {
-			v := m.meet(t)
-			if v == fleet.Carried {
-				v = carry(m)
-			}
-			if v == fleet.Unknown {
-				answer(v, w.setup.Times.Timeout)
-				return
-			}
-			late := w.now.Add(half).Sub(decided) > w.setup.Times.Timeout
-			if m.silent() || late {
-				answer(fleet.Unknown, half)
-				return
-			}
-			answer(v, half)
-		}
 		if !leaves() {
 			answer(fleet.Unreachable, 0)
 			return
 		}
-		switch by := w.late.delay(w, t); {
-		case m.silent():
-			answer(fleet.Unknown, w.setup.Times.Timeout)
-		case by > 0:
-			answer(fleet.Unknown, w.setup.Times.Timeout)
-			w.deliverLate(m, t, by, carry)
-		default:
-			w.Plan(half, give)
-		}
+		refused := func(r refusal) { answer(r.verdict, r.after) }
+		o.connect(m, t, refused, func(c connection) { o.leave(c, t, decided, carry, answer) })
 	})
 }
 
+// leave lets an order that was decided at a time leave on a connection.
+func (o *owner) leave(c connection, t dispatch.Target, decided unit.Instant, carry func(*machine) fleet.Verdict, answer func(fleet.Verdict, time.Duration)) {
+	w, m := o.world, c.machine
+	half := w.setup.Times.Trip / 2
+	give := func() {
+		if !c.open() {
+			answer(fleet.Unknown, half)
+			return
+		}
+		v := m.meet(t)
+		if v == fleet.Carried {
+			v = carry(m)
+		}
+		if v == fleet.Unknown {
+			answer(v, w.setup.Times.Timeout)
+			return
+		}
+		late := w.now.Add(half).Sub(decided) > w.setup.Times.Timeout
+		if m.silent() || late {
+			answer(fleet.Unknown, half)
+			return
+		}
+		answer(v, half)
+	}
+	switch by := w.late.delay(w, t); {
+	case m.silent():
+		answer(fleet.Unknown, w.setup.Times.Timeout)
+	case by > 0:
+		answer(fleet.Unknown, w.setup.Times.Timeout)
+		w.deliverLate(c, t, by, carry)
+	default:
+		w.Plan(half, give)
+	}
+}
+
 // deliverLate carries an order out late, by the setup's Delivery.
-func (w *World) deliverLate(m *machine, t dispatch.Target, by time.Duration, carry func(*machine) fleet.Verdict) {
-	way := by
+func (w *World) deliverLate(c connection, t dispatch.Target, by time.Duration, carry func(*machine) fleet.Verdict) {
+	m, way := c.machine, by
 	if w.setup.Delivery == AtWorker {
 		way = min(by, stretch(w.setup.Times.Timeout, w.chance("way", t.Worker, w.late.sent)))
 	}
 	w.Plan(way, func() {
-		if !m.listens() {
+		if !m.listens() || !c.open() {
 			return
 		}
 		life := m.life
@@ -366,27 +379,40 @@
 			})
 		})
 	}
-	if m.silent() {
-		answer(fleet.Unknown, fleet.Report{}, x.Wait+w.setup.Times.Timeout)
-		return
+	refused := func(r refusal) {
+		if r.other != nil {
+			answer(fleet.Replaced, *r.other, r.after)
+			return
+		}
+		answer(r.verdict, fleet.Report{Clock: m.clock()}, r.after)
 	}
-	// The answer never comes if the worker's life ends while the renewal waits there.
-	answer(fleet.Unknown, fleet.Report{}, x.Wait+w.setup.Times.Timeout)
-	w.Plan(half, func() {
-		if v := m.meet(x.Target); v != fleet.Carried {
-			answer(v, fleet.Report{Clock: m.clock()}, half)
+	o.connect(m, x.Target, refused, func(c connection) {
+		if m.silent() {
+			answer(fleet.Unknown, fleet.Report{}, x.Wait+w.setup.Times.Timeout)
 			return
 		}
-		m.renew(x, func(rep fleet.Report) {
-			if m.silent() {
-				answer(fleet.Unknown, fleet.Report{}, w.setup.Times.Timeout)
+		// The answer never comes if the worker's life ends while the renewal waits there.
+		answer(fleet.Unknown, fleet.Report{}, x.Wait+w.setup.Times.Timeout)
+		w.Plan(half, func() {
+			if !c.open() {
+				answer(fleet.Unknown, fleet.Report{}, half)
 				return
 			}
-			v := fleet.Carried
-			if rep.Life != x.Worker {
-				v = fleet.Replaced
+			if v := m.meet(x.Target); v != fleet.Carried {
+				answer(v, fleet.Report{Clock: m.clock()}, half)
+				return
 			}
-			answer(v, rep, half)
+			m.renew(x, func(rep fleet.Report) {
+				if m.silent() {
+					answer(fleet.Unknown, fleet.Report{}, w.setup.Times.Timeout)
+					return
+				}
+				v := fleet.Carried
+				if rep.Life != x.Worker {
+					v = fleet.Replaced
+				}
+				answer(v, rep, half)
+			})
 		})
 	})
 }
--- a/core/world/seeds_test.go
+++ b/core/world/seeds_test.go
@@ -15,15 +15,18 @@
 
 // seedPlays are the long runs whose seeds testdata/seeds.txt names.
 var seedPlays = map[string]func(*testing.T, uint64, time.Duration) *world.World{
-	"reborn":                    deliveryPlay(playReborn).by(world.AtWorker),
-	"reborn-on-the-way":         deliveryPlay(playReborn).by(world.OnTheWay),
-	"crashes-reborn":            deliveryPlay(playCrashesReborn).by(world.AtWorker),
-	"crashes-reborn-on-the-way": deliveryPlay(playCrashesReborn).by(world.OnTheWay),
+	"reborn":                       deliveryPlay(playReborn).by(world.AtWorker),
+	"reborn-on-the-way":            deliveryPlay(playReborn).by(world.OnTheWay),
+	"crashes-reborn":               deliveryPlay(playCrashesReborn).by(world.AtWorker),
+	"crashes-reborn-on-the-way":    deliveryPlay(playCrashesReborn).by(world.OnTheWay),
+	"reborn-on-connection":         deliveryPlay(playReborn).by(world.OnConnection),
+	"crashes-reborn-on-connection": deliveryPlay(playCrashesReborn).by(world.OnConnection),
 	"long": func(t *testing.T, seed uint64, length time.Duration) *world.World {
 		return playLong(t, seed, longKinds, length)
 	},
-	"evacuations":            deliveryPlay(playEvacuations).by(world.AtWorker),
-	"evacuations-on-the-way": deliveryPlay(playEvacuations).by(world.OnTheWay),
+	"evacuations":               deliveryPlay(playEvacuations).by(world.AtWorker),
+	"evacuations-on-the-way":    deliveryPlay(playEvacuations).by(world.OnTheWay),
+	"evacuations-on-connection": deliveryPlay(playEvacuations).by(world.OnConnection),
 }
 
 // TestSeeds plays the seeds of long runs that have failed. Each line of the file names a run, a seed and what was seen.
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -1,6 +1,7 @@
 package world
 
 import (
+	"fmt"
 	"time"
 
 	"curlewsill.org/curlewsill/core/dispatch"
@@ -46,17 +47,25 @@
 	AtWorker Delivery = iota
 	// OnTheWay is an order that is on its way all the while; whichever life the worker then has takes it.
 	OnTheWay
+	// OnConnection is an order that leaves on a connection to one life, which has answered a handshake there, and that reaches this life or
+	// nobody; workers that tell no start are as with OnTheWay. With the others no connection is played: any life gets what is sent.
+	OnConnection
 )
 
 // Deliveries returns all of them.
-func Deliveries() []Delivery { return []Delivery{AtWorker, OnTheWay} }
+func Deliveries() []Delivery { return []Delivery{AtWorker, OnTheWay, OnConnection} }
 
 // String implements fmt.Stringer.
 func (d Delivery) String() string {
-	if d == OnTheWay {
+	switch d {
+	case AtWorker:
+		return "at-worker"
+	case OnTheWay:
 		return "on-the-way"
+	case OnConnection:
+		return "on-connection"
 	}
-	return "at-worker"
+	return fmt.Sprintf("delivery %d", int(d))
 }
 
 // Worker is one worker of the site.
