core/world: a member that joins a gang which has broken ends after its wait

The gang had been whole and had broken; the owner's host died, the next one ordered two members again, whose records said that they were placed, and the model let them wait for the others for ever: it ended a wait only for gangs that had never been whole.

Change: a member that doesn't work when its wait is over ends alone.

--- a/core/world/gang.go
+++ b/core/world/gang.go
@@ -40,8 +40,8 @@
 		g.open(w)
 		return
 	}
-	w.Plan(w.setup.Times.Whole, func() {
-		if !r.gone && !g.whole {
+	w.Plan(w.setup.Times.Whole, func() { // also of a gang that has broken: its other members are gone
+		if !r.gone && r.began == 0 {
 			r.finish(fleet.EndAlone)
 		}
 	})
