core/dispatch: a leaving worker that is gone before it meant to leave has crashed

Cause: any end of a worker that had said that it leaves was taken for the announced one. Its entry tells the time that is left at least ("RemainingMs, the time that is left at least"), so that an end before that is another one.

Change: by the worker's own clock, which shows at most what its last answer told and what has passed since that was asked for: a worker that should surely be there as its end becomes known, or as it stopped answering, has crashed.

crashes/leaving.txt expected that a worker which stays for 1 s and is gone after 20 ms hasn't crashed. It is leaving_early.txt now and expects the crash; leaving.txt is the end at the announced time, with the former expectations and the count beside.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -175,6 +175,9 @@
 		w.askedInVain = now.Sub(res.Sent) <= res.Renew.Wait+renewLimit+lateResult
 		w.exposed = w.exposed || w.lastUnanswered && (res.Renew.Until != 0 || res.Renew.Told > 0)
 		d.raiseAfterLoss(w)
+		if w.lostAt == 0 {
+			w.lostAt = now
+		}
 	}
 	if w.lastUnanswered {
 		// It has kept its pause already. Two in a row may be lost before a lease of 6 s runs out.
@@ -206,9 +209,9 @@
 	if !d.judge(now, w, res.Renew.Target, res.Verdict, res.Report.Clock) || res.Verdict != fleet.Carried {
 		return
 	}
-	w.told = max(w.told, res.Renew.Told)
+	w.told, w.lostAt = max(w.told, res.Renew.Told), 0
 	if res.Sent > w.askedAgain {
-		w.synced = res.Sent
+		w.synced, w.toldClock = res.Sent, res.Report.Clock
 	}
 	d.follow(now, w)
 	ended := map[job.Task]bool{}
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
@@ -31,10 +32,23 @@
 	soundAfter = 30 * time.Second
 )
 
-// crashed reports whether a worker's life seems to end now, without a word and by no order of ours. Each later answer of its successor in
-// its place tells of the same end. One whose leases have lapsed and that the list still shows is taken to be cut off.
-func (w *worker) crashed(e evidence) bool {
-	return !w.replaced && !w.Draining && !w.held && (e != leaseLapsed || !w.listed)
+// crashed reports whether a worker's life seems to have ended without a word and by no order of ours, as is known from now on. Each later answer
+// of its successor in its place tells of the same end. One whose leases have lapsed and that the list still shows is taken to be cut off.
+func (w *worker) crashed(now unit.Instant, e evidence) bool {
+	announced := w.Draining && !w.endedEarly(now)
+	return !w.replaced && !announced && !w.held && (e != leaseLapsed || !w.listed)
+}
+
+// endedEarly reports whether a worker that has said that it leaves was over before it meant to: that is known by now, or it had stopped answering.
+// Without this, tasks that crash workers which are leaving are started again for as long as there are such workers.
+func (w *worker) endedEarly(now unit.Instant) bool {
+	return w.staysAt(now) || w.lostAt != 0 && w.staysAt(w.lostAt)
+}
+
+// staysAt reports whether a worker that has said that it leaves should surely still be there at a time. It tells by its own clock how long it stays at
+// least; that shows at most what its last answer told and what has passed since that was asked for.
+func (w *worker) staysAt(at unit.Instant) bool {
+	return w.synced != 0 && w.toldClock+fleet.Clock(at.Sub(w.synced)) < w.leavesAt
 }
 
 // refused takes in that an order to start was refused by whoever got it, or that nobody got it. Unless an earlier copy of it may have been carried
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -133,6 +133,7 @@
 	if l.Machine == "" {
 		l.Machine = w.Machine // it may be known from elsewhere
 	}
+	told := l.Clock
 	if l.Clock > w.Clock {
 		w.clockAt = now
 	} else {
@@ -145,7 +146,10 @@
 		w.reshield()
 	}
 	if l.Draining {
-		w.leaves = now.Add(l.Remaining)
+		w.leaves, w.leavesAt = now.Add(l.Remaining), 0
+		if told > 0 {
+			w.leavesAt = told + fleet.Clock(l.Remaining)
+		}
 	}
 	d.contest(now, w)
 }
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -29,7 +29,7 @@
 // loseAll gives up every run on a worker. A lease that may still hold is an invariant that is violated:
 // nothing is given up then.
 func (d *Dispatcher) loseAll(now unit.Instant, w *worker, e evidence) {
-	if w.crashed(e) {
+	if w.crashed(now, e) {
 		d.countCrashes(now, w)
 	}
 	d.loseRuns(now, w, e)
@@ -56,7 +56,7 @@
 		n.Why += ", " + string(next.ID)
 	}
 	d.note(n)
-	if w.crashed(e) && (next == nil || fleet.TellsStart(w.ID)) {
+	if w.crashed(now, e) && (next == nil || fleet.TellsStart(w.ID)) {
 		d.countCrashes(now, w)
 	}
 	if next != nil {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -195,8 +195,9 @@
 	since unit.Instant
 	// listed is set while the platform's list has the worker.
 	listed bool
-	// leaves is when a draining worker may be gone.
-	leaves unit.Instant
+	// leaves is when a draining worker may be gone, leavesAt what its clock shows then at least; 0 if its entry tells no clock.
+	leaves   unit.Instant
+	leavesAt fleet.Clock
 	// used is what runs take of the capacity, reserved what claims do.
 	used, reserved job.Resources
 	runs           runSet
@@ -210,8 +211,9 @@
 	// pacedAt is when the runs that use what others leave were last slowed down or up.
 	pacedAt unit.Instant
 	// synced is when a renewal was sent that the worker answered, under the
-	// present epoch; 0 before the first.
-	synced unit.Instant
+	// present epoch; 0 before the first. toldClock is what its clock showed in the answer.
+	synced    unit.Instant
+	toldClock fleet.Clock
 	// askedAgain is when it was last wanted that the worker answers anew; answers to renewals that had left don't count.
 	askedAgain unit.Instant
 	// holding is set while a renewal is on its way, waits if that one waits for news; nextHold is when the next
@@ -222,6 +224,8 @@
 	// askedInVain is set if the last renewal that has ended got no answer, and ended in time. This host may have stood still while one
 	// was under way that ended later.
 	askedInVain bool
+	// lostAt is when the first renewal since its last answer had got none; 0 if none has.
+	lostAt unit.Instant
 	// lastUnanswered is set if the last renewal got no answer. The next one doesn't wait for news, so that
 	// its loss shows 2 s earlier.
 	lastUnanswered bool
