internal/relay, wslink: a call that is overdue on a silent link is made again

Cause, one of two: while the store is slow a host hands records to the owner and waits for 1 s. A silent link is found dead by its ping, 0.75 s after the call at the latest. A host that stands still for 0.25 s or more meanwhile finds both limits over together; the call's was taken, or drawn.

Logs of 200 ms + 300 ms: "the owner has not answered in time" after 1.0007 s, and "link-found-dead" of the same link 2 ms later, unheard for 1.02 s.

Change: a call that is overdue on a link from which nothing has come for as long as a ping takes to find it dead ends that link, and is made again like all others whose link dies. An answer that is there already is taken first.

Test: TestOverdueOnSilentLink, with a ping whose limit is late; before: "the answer is overdue". Every call on this path may be made twice.

--- a/internal/relay/link.go
+++ b/internal/relay/link.go
@@ -212,25 +212,46 @@
 	sent := time.Now()
 	select {
 	case res, ok := <-answer:
-		if !ok {
-			return result{}, errDied
-		}
-		if res.Status == 0 {
-			l.retire() // this peer's own path fails too; the next call tries another
-		}
-		return res, nil
+		return l.taken(res, ok)
 	case <-overdue.C:
-		l.retire()
-		return result{}, errOverdue
+		return l.overdue(answer, errOverdue)
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) || time.Since(sent) >= c.Limit-hedgeAfter {
-			l.retire() // the answer is overdue, though the peer lives
-			return result{}, fmt.Errorf("%w: %w", errOverdue, ctx.Err())
+			return l.overdue(answer, fmt.Errorf("%w: %w", errOverdue, ctx.Err()))
 		}
 		return result{}, ctx.Err()
 	}
 }
 
+// taken returns what has come for a call, or that the link has died under it.
+func (l *link) taken(res result, ok bool) (result, error) {
+	if !ok {
+		return result{}, errDied
+	}
+	if res.Status == 0 {
+		l.retire() // this peer's own path fails too; the next call tries another
+	}
+	return res, nil
+}
+
+// overdue takes in that a call's time is over. A host that has stood still finds the call overdue and the link silent at the same moment, or
+// before its ping has failed: the call is lost with the link then, and made again on another one. Else the peer lives, though the answer is overdue.
+func (l *link) overdue(answer <-chan result, err error) (result, error) {
+	if time.Since(l.conn.LastHeard()) >= waitingQuiet+linkAnswer {
+		l.conn.EndSilent()
+	}
+	select {
+	case res, ok := <-answer:
+		return l.taken(res, ok)
+	default:
+	}
+	if errors.Is(l.conn.Cause(), wslink.ErrSilent) {
+		return result{}, errDied
+	}
+	l.retire()
+	return result{}, err
+}
+
 // forget drops a call that nobody waits for.
 func (l *link) forget(n uint64) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/relay/overdue_internal_test.go
@@ -0,0 +1,102 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/internal/wslink"
+)
+
+// TestOverdueOnSilentLink checks that a call which is overdue on a silent link is made again on a new one, though no ping has failed yet.
+//
+// Symptom: calls ended unknown after all links had gone silent, though new links work. Sequence: a host stands still while a call waits on a
+// silent link; when it goes on, the call's limit of 1 s and the ping's, 0.75 s after the call at the latest, are over together. Cause: of the two
+// the call's was taken, or drawn. Settled by: the call ends with "the owner has not answered in time" after 1.0007 s, and its link is found dead
+// 0.002 s later, unheard for 1.02 s.
+func TestOverdueOnSilentLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := &thinListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		cuts := &cutDialer{dial: lis.dial}
+		policies := Policies()
+		policies.Dialed.Answer = time.Minute // as of a host on which the ping's timer is late
+		links := wslink.New(wslink.NewClient(cuts.open), policies, maxBody, zap.NewNop())
+		peer := New("http://store", RouteStore, &http.Client{Transport: pageStore{}}, links, zap.NewNop())
+		s := &http.Server{Handler: peer.Handler(), ReadHeaderTimeout: time.Second}
+		go func() { _ = s.Serve(lis) }()
+		path := New("http://store", RouteStore, http.DefaultClient, links, zap.NewNop())
+		for _, silent := range []bool{false, true} {
+			if silent {
+				cuts.silence()
+			}
+			status, _, err := path.To(t.Context(), "peer", Request{Method: http.MethodGet, Path: "/", Limit: time.Second})
+			if err != nil || status != http.StatusOK {
+				t.Errorf("with a silent link %t: status %d, %v", silent, status, err)
+			}
+		}
+		links.Close()
+		_ = s.Close()
+		time.Sleep(time.Minute) // the bubble's time; what a link still carries comes to its end
+	})
+}
+
+// cutDialer opens connections and makes those that are open silent.
+type cutDialer struct {
+	dial wslink.DialFunc
+
+	mu    sync.Mutex
+	conns []*cutConn
+}
+
+// open opens a connection.
+func (d *cutDialer) open(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := d.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	out := &cutConn{Conn: c}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.conns = append(d.conns, out)
+	return out, nil
+}
+
+// silence makes the open connections silent.
+func (d *cutDialer) silence() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.conns {
+		c.cut()
+	}
+}
+
+// cutConn drops what is written once it is cut.
+type cutConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	silent bool
+}
+
+func (c *cutConn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = true
+}
+
+// Write implements net.Conn.
+func (c *cutConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	silent := c.silent
+	c.mu.Unlock()
+	if silent {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
--- a/internal/wslink/conn.go
+++ b/internal/wslink/conn.go
@@ -140,6 +140,9 @@
 // Close ends the connection. It may be called again.
 func (c *Conn) Close() { c.finish(ErrClosed) }
 
+// EndSilent ends the connection because nothing has come on it for as long as a peer may be silent. It may be called again.
+func (c *Conn) EndSilent() { c.finish(fmt.Errorf("%w: a call has waited in vain", ErrSilent)) }
+
 // finish ends the connection for a reason, unless it has ended.
 func (c *Conn) finish(cause error) {
 	c.end.Do(func() {
