internal/entry: the owner waits for another host's record for the time that this host has left it

Callers: calls end unknown (504) while the store is slow, though their records are written in time (TestPath/links_silent.txt, the second cause).

Cause: a host hands a record to the owner with 1 s, 0.45 of its client's time. The owner took 0.45 of that second once more. With 0.15 s an append, and up to two before an answer, a host that stands still for 0.15 s ends the call unknown.

Change: a record of another host may take 0.9 of the time that it comes with, 0.5 until it leaves. Whoever gives up takes a result that is there already.

Ruled out: a longer limit for the host's call. The client would have no time left to ask another host.

--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -42,7 +42,7 @@
 		h.log.Error("record-not-encoded", zap.String("key", rec.Key), zap.Error(err))
 		return notStored, "", false
 	}
-	_, limit := h.patience(ctx)
+	_, limit := h.patience(ctx, callerShares)
 	status, why, err := h.recordsPath.To(ctx, *address, relay.Request{Method: http.MethodPost, Path: "/", Body: body, Limit: limit})
 	switch {
 	case errors.Is(err, relay.ErrNoPeer):
@@ -72,7 +72,7 @@
 		return relay.Answer(req, http.StatusBadRequest, []byte("not a record")), nil
 	}
 	t.host.metrics.gathered.Inc()
-	got, why := t.host.append(req.Context(), jobtable.Record{Key: rec.Key, Value: rec.Value})
+	got, why := t.host.append(req.Context(), jobtable.Record{Key: rec.Key, Value: rec.Value}, gatheredShares)
 	return relay.Answer(req, got.status(), []byte(why)), nil
 }
 
--- a/internal/entry/pending.go
+++ b/internal/entry/pending.go
@@ -29,8 +29,13 @@
 // whether that was so.
 func (p *pending) withdraw() bool { return p.state.CompareAndSwap(writeQueued, writeWithdrawn) }
 
-// giveUp ends the waiting for a record.
+// giveUp ends the waiting for a record. What is known by then goes first: a host that has stood still finds both at once.
 func (p *pending) giveUp() (outcome, string) {
+	select {
+	case err := <-p.done:
+		return outcomeOf(err)
+	default:
+	}
 	if p.withdraw() {
 		return notStored, "the store doesn't answer"
 	}
