internal/relay: a call whose repeat is refused after its link has died is made once more

Cause: what the copy on the dead link did isn't known, so that a refusal of its repeat can't be passed on. But the repeat was the last try: a record that had waited in the owner's host while that stood still made the call end unknown.

Change: a refused repeat counts as one of the three tries that a call has anyway. Test: TestRefusedRepeat; before: "the link has died; again: status 503".

--- a/internal/relay/overdue_internal_test.go
+++ b/internal/relay/overdue_internal_test.go
@@ -21,31 +21,64 @@
 // the call's was taken, or drawn. Settled by: the call ends with "the owner has not answered in time" after 1.0007 s, and its link is found dead
 // 0.002 s later, unheard for 1.02 s.
 func TestOverdueOnSilentLink(t *testing.T) {
+	late := Policies()
+	late.Dialed.Answer = time.Minute // as of a host on which the ping's timer is late
+	synctest.Test(t, func(t *testing.T) { callAfterSilence(t, late, http.StatusOK, http.StatusOK) })
+}
+
+// TestRefusedRepeat checks that a call whose link has died is made once more when its repeat is refused.
+//
+// Symptom: calls ended unknown after all links had gone silent, though the owner took records a moment later. Sequence: a call's link dies, the call is
+// made again, and the owner refuses it, since its host has stood still while the record waited behind an append. What the first copy did isn't known, so
+// that the refusal can't be passed on. Cause: a refused repeat was the last try. Settled by: "peer-call-again" with status 503, then the call's 504.
+func TestRefusedRepeat(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		lis := &thinListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-		cuts := &cutDialer{dial: lis.dial}
-		policies := Policies()
-		policies.Dialed.Answer = time.Minute // as of a host on which the ping's timer is late
-		links := wslink.New(wslink.NewClient(cuts.open), policies, maxBody, zap.NewNop())
-		peer := New("http://store", RouteStore, &http.Client{Transport: pageStore{}}, links, zap.NewNop())
-		s := &http.Server{Handler: peer.Handler(), ReadHeaderTimeout: time.Second}
-		go func() { _ = s.Serve(lis) }()
-		path := New("http://store", RouteStore, http.DefaultClient, links, zap.NewNop())
-		for _, silent := range []bool{false, true} {
-			if silent {
-				cuts.silence()
-			}
-			status, _, err := path.To(t.Context(), "peer", Request{Method: http.MethodGet, Path: "/", Limit: time.Second})
-			if err != nil || status != http.StatusOK {
-				t.Errorf("with a silent link %t: status %d, %v", silent, status, err)
-			}
-		}
-		links.Close()
-		_ = s.Close()
-		time.Sleep(time.Minute) // the bubble's time; what a link still carries comes to its end
+		callAfterSilence(t, Policies(), http.StatusOK, http.StatusServiceUnavailable, http.StatusOK)
 	})
 }
 
+// callAfterSilence makes a call on a link, and another one after that has gone silent. Both are to succeed; the calls that reach the peer get the
+// statuses in turn.
+func callAfterSilence(t *testing.T, policies wslink.Policies, statuses ...int) {
+	lis := &thinListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	cuts := &cutDialer{dial: lis.dial}
+	links := wslink.New(wslink.NewClient(cuts.open), policies, maxBody, zap.NewNop())
+	peer := New("http://store", RouteStore, &http.Client{Transport: &statusStore{statuses: statuses}}, links, zap.NewNop())
+	s := &http.Server{Handler: peer.Handler(), ReadHeaderTimeout: time.Second}
+	go func() { _ = s.Serve(lis) }()
+	path := New("http://store", RouteStore, http.DefaultClient, links, zap.NewNop())
+	for _, silent := range []bool{false, true} {
+		if silent {
+			cuts.silence()
+		}
+		status, _, err := path.To(t.Context(), "peer", Request{Method: http.MethodGet, Path: "/", Limit: time.Second})
+		if err != nil || status != http.StatusOK {
+			t.Errorf("with a silent link %t: status %d, %v", silent, status, err)
+		}
+	}
+	links.Close()
+	_ = s.Close()
+	time.Sleep(time.Minute) // the bubble's time; what a link still carries comes to its end
+}
+
+// statusStore answers calls with the statuses in turn, each after a time.
+type statusStore struct {
+	takes time.Duration
+
+	mu       sync.Mutex
+	statuses []int
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *statusStore) RoundTrip(req *http.Request) (*http.Response, error) {
+	time.Sleep(s.takes)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	status := s.statuses[0]
+	s.statuses = s.statuses[1:]
+	return Answer(req, status, nil), nil
+}
+
 // cutDialer opens connections and makes those that are open silent.
 type cutDialer struct {
 	dial wslink.DialFunc
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -82,7 +82,7 @@
 
 // ask makes a call on a link, and again on another one if the link dies under it. What was sent on
 // the dead link may have had its effect: a refusal of a later try doesn't tell, so the outcome stays
-// unknown then.
+// unknown unless a further try is answered.
 func (p *Path) ask(ctx context.Context, choose linkChoice, c call) (result, error) {
 	res, err := p.askOnce(ctx, choose, c)
 	if errors.Is(err, errUnsent) {
@@ -97,7 +97,8 @@
 			continue
 		}
 		if refuses(again.Status) {
-			return result{}, fmt.Errorf("%w; again: status %d", err, again.Status)
+			err = fmt.Errorf("%w; again: status %d", err, again.Status)
+			continue
 		}
 		return again, nil
 	}
