--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -49,9 +49,12 @@
 // TestLongCrashes is TestLong with jobs that crash their workers, one in crashOneIn, beside workers that crash of other causes and owners that
 // change.
 func TestLongCrashes(t *testing.T) {
-	eachSeed(t, func(t *testing.T, seed uint64, length time.Duration) *world.World {
-		return playJobs(t, seed, crashKinds, crashingJobs(seed), length)
-	})
+	eachSeed(t, playCrashes)
+}
+
+// playCrashes plays one seed of TestLongCrashes.
+func playCrashes(t *testing.T, seed uint64, length time.Duration) *world.World {
+	return playJobs(t, seed, crashKinds, crashingJobs(seed), length)
 }
 
 // TestLongStills is TestLong with workers on which nothing makes progress for a while.
--- a/core/world/seeds_test.go
+++ b/core/world/seeds_test.go
@@ -21,6 +21,7 @@
 	"crashes-reborn-on-the-way":    deliveryPlay(playCrashesReborn).by(world.OnTheWay),
 	"reborn-on-connection":         deliveryPlay(playReborn).by(world.OnConnection),
 	"crashes-reborn-on-connection": deliveryPlay(playCrashesReborn).by(world.OnConnection),
+	"crashes":                      playCrashes,
 	"long": func(t *testing.T, seed uint64, length time.Duration) *world.World {
 		return playLong(t, seed, longKinds, length)
 	},
