internal/relay: links to a peer that isn't listed are left to the calls under way

Cause: a host that the platform doesn't list for a moment, as after a stand of all hosts for 0.6 s, lost its links with the calls under way on them. With its two repeats used up such a call ends unknown.

Evidence: process stopped at 0.8 s for 0.6 s: "link-closed" of all links to the owner's host at 8.4351 s, "peer-call-again" with "the link has died", 504 at 8.4353 s.

Change: such a link is retired, not closed. Test: TestUnlistedPeerAnswers; before: "the link has died; again: status 503".

--- a/internal/relay/overdue_internal_test.go
+++ b/internal/relay/overdue_internal_test.go
@@ -37,6 +37,39 @@
 	})
 }
 
+// TestUnlistedPeerAnswers checks that a call under way at a peer is answered though the platform doesn't list the peer for a moment.
+//
+// Symptom: calls ended unknown after all links had gone silent, though the owner took records. Sequence: the hosts stand still for longer than the
+// platform lists one that is silent, while the last try of a call is under way. Cause: links to peers that aren't listed were closed with the calls
+// under way. Settled by: "link-closed" with "wslink: closed" for all links to the owner's host, and the calls' 504 0.1 ms later.
+func TestUnlistedPeerAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lis := &thinListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		links := NewLinks(lis.dial, zap.NewNop())
+		store := &statusStore{statuses: []int{http.StatusOK}, takes: 500 * time.Millisecond}
+		peer := New("http://store", RouteStore, &http.Client{Transport: store}, links, zap.NewNop())
+		s := &http.Server{Handler: peer.Handler(), ReadHeaderTimeout: time.Second}
+		go func() { _ = s.Serve(lis) }()
+		path := New("http://store", RouteStore, http.DefaultClient, links, zap.NewNop())
+		path.SetPeers([]Peer{{Address: "peer"}})
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			path.SetPeers(nil)
+		}()
+		status, _, err := path.To(t.Context(), "peer", Request{Method: http.MethodGet, Path: "/", Limit: time.Second})
+		if err != nil || status != http.StatusOK {
+			t.Errorf("status %d, %v", status, err)
+		}
+		time.Sleep(2 * linkIdle)
+		if n := links.Open(); n != 0 {
+			t.Errorf("%d links are open", n)
+		}
+		links.Close()
+		_ = s.Close()
+		time.Sleep(time.Minute) // the bubble's time; what a link still carries comes to its end
+	})
+}
+
 // callAfterSilence makes a call on a link, and another one after that has gone silent. Both are to succeed; the calls that reach the peer get the
 // statuses in turn.
 func callAfterSilence(t *testing.T, policies wslink.Policies, statuses ...int) {
@@ -61,7 +94,7 @@
 	time.Sleep(time.Minute) // the bubble's time; what a link still carries comes to its end
 }
 
-// statusStore answers calls with the statuses in turn, each after a time.
+// statusStore answers calls with the statuses in turn, each after a time, and refuses all others.
 type statusStore struct {
 	takes time.Duration
 
@@ -74,6 +107,9 @@
 	time.Sleep(s.takes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.statuses) == 0 {
+		return Answer(req, http.StatusServiceUnavailable, nil), nil
+	}
 	status := s.statuses[0]
 	s.statuses = s.statuses[1:]
 	return Answer(req, status, nil), nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,7 +125,8 @@
 	}
 }
 
-// SetPeers takes over which peers there are.
+// SetPeers takes over which peers there are. A link to another one is left to the calls under way on it, and closed when it lies idle: a peer that the
+// platform doesn't list for a moment goes on to answer.
 func (p *Path) SetPeers(peers []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,7 +134,7 @@
 	maps.DeleteFunc(p.avoidedUntil, func(a string, _ time.Time) bool { return !p.avoided(a) })
 	for a, l := range p.links {
 		if !slices.Contains(peers, Peer{Address: a}) {
-			l.close()
+			l.retire()
 			delete(p.links, a)
 		}
 	}
