core/dispatch: a leaving worker whose answers tell no clock is taken as before

Found by reading the change as a newcomer would: an answer without a reading of the clock counts as 0 elsewhere (`answered`), and would have made any end of a leaving worker an early one.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -32,7 +32,7 @@
 	soundAfter = 30 * time.Second
 )
 
-// crashed reports whether a worker's life seems to have ended without a word and by no order of ours, as is known from now on. Each later answer
+// crashed reports whether a worker's life, of whose end evidence has come, seems to have ended without a word and by no order of ours. Each later answer
 // of its successor in its place tells of the same end. One whose leases have lapsed and that the list still shows is taken to be cut off.
 func (w *worker) crashed(now unit.Instant, e evidence) bool {
 	announced := w.Draining && !w.endedEarly(now)
@@ -48,7 +48,10 @@
 // staysAt reports whether a worker that has said that it leaves should surely still be there at a time. It tells by its own clock how long it stays at
 // least; that shows at most what its last answer told and what has passed since that was asked for.
 func (w *worker) staysAt(at unit.Instant) bool {
-	return w.synced != 0 && w.toldClock+fleet.Clock(at.Sub(w.synced)) < w.leavesAt
+	if w.synced == 0 || w.toldClock == 0 {
+		return false
+	}
+	return w.toldClock+fleet.Clock(at.Sub(w.synced)) < w.leavesAt
 }
 
 // refused takes in that an order to start was refused by whoever got it, or that nobody got it. Unless an earlier copy of it may have been carried
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -211,7 +211,8 @@
 	// pacedAt is when the runs that use what others leave were last slowed down or up.
 	pacedAt unit.Instant
 	// synced is when a renewal was sent that the worker answered, under the
-	// present epoch; 0 before the first. toldClock is what its clock showed in the answer.
+	// present epoch; 0 before the first. toldClock is what its clock showed in the answer,
+	// 0 if that told none.
 	synced    unit.Instant
 	toldClock fleet.Clock
 	// askedAgain is when it was last wanted that the worker answers anew; answers to renewals that had left don't count.
