faultproxy: a connect that goes unanswered beside an empty queue doesn't mute a proxy

Cause: Mute fills the queue until a connect goes unanswered for 30 ms. A process without a processor for that long sees that with an empty queue. The test is as it was. The product doesn't import the proxy.

--- a/internal/faultproxy/shut.go
+++ b/internal/faultproxy/shut.go
@@ -75,12 +75,17 @@
 	}
 }
 
-// fill opens connections until one goes unanswered, or until the Mute that it is part of has ended.
+// fill opens connections until one goes unanswered, or until the Mute that it is part of has ended. A connect may also go unanswered because this
+// machine is busy: only one that follows on a connection which waits in the queue shows that the queue is full, or else mostFill of them in a row.
 func (p *Proxy) fill(muted *muting) error {
+	waits := false
 	for range mostFill {
 		c, err := net.DialTimeout("tcp", p.address, fillTime)
 		if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
-			return nil
+			if waits {
+				return nil
+			}
+			continue
 		}
 		if !p.keepFiller(muted, c) {
 			return nil
@@ -88,8 +93,12 @@
 		if err != nil {
 			return fmt.Errorf("faultproxy: %w", err)
 		}
+		waits = true
+	}
+	if waits {
+		return errNotFull
 	}
-	return errNotFull
+	return nil
 }
 
 // keepFiller keeps a connection that fills the queue; nil if it wasn't opened. It reports false, and closes it, if the
