core/dispatch, core/jobtable: the number of excused crashes outlasts its owner

Cause: an owner excuses at most two crashes soon after a start for one task; the count lay in its memory. Ruled out: a longer array for a count (earlier versions then reject the whole progress of the job), a key of its own in the progress log (earlier versions log an error for each record). Change: the count is part of job.CrashCount and is written as a second entry for the task; earlier versions use the first entry only, as before.

--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -88,21 +88,13 @@
 		return
 	}
 	if r.confirmedRuntime() < earlyCrashTime {
-		if r.step.excusedCrashes[r.task.Index] >= maxExcused {
+		if c.Excused >= maxExcused {
 			return
 		}
-		r.step.noteExcused(r.task.Index)
+		c.Excused++
 	}
 	c.Total--
 	c.Early = max(0, c.Early-1)
 	d.markChanged(r.step.job)
 	d.noteRun(EventCrashExcused, r, fmt.Sprintf("%d workers crashed together, which suggests a common cause", crashes), r.confirmedRuntime())
 }
-
-// noteExcused counts an excused crash that came soon after a start of the task.
-func (s *stepState) noteExcused(index int) {
-	if s.excusedCrashes == nil {
-		s.excusedCrashes = map[int]int{}
-	}
-	s.excusedCrashes[index]++
-}
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -180,7 +180,7 @@
 	c.Worker = ""
 	c.Total--
 	c.Early = max(0, c.Early-1)
-	if c.Total <= 0 {
+	if c.Total <= 0 && c.Excused == 0 {
 		s.dropCrash(s.base + t.Index)
 	}
 	delete(s.lastFailures, s.failureKey(t.Index))
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -110,9 +110,6 @@
 	// stallStops counts the runs of each task that were stopped because they
 	// made no progress, with the same keys as lastFailures.
 	stallStops map[int]int
-	// excusedCrashes counts the crashes soon after a start that this owner
-	// didn't hold against a task, by task index.
-	excusedCrashes map[int]int
 	// permits holds the answer of the advice service for each worker.
 	permits map[id.Worker]permit
 	// adviceInFlight is set while a question to the advice service about the
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -258,6 +258,9 @@
 	Early int
 	// Total is the number of crashes since a run last worked for a long time.
 	Total int
+	// Excused is the number of crashes soon after a start that were not held
+	// against the task, because they seemed to have another cause.
+	Excused int `cbor:"-"`
 }
 
 // Outcome is how a job ended, or Open if it has not ended.
--- a/core/jobtable/progress.go
+++ b/core/jobtable/progress.go
@@ -25,8 +25,11 @@
 	Outcome job.Outcome
 	Ended   unit.Instant
 	// Names has the names of workers and checkpoints.
-	Names   []string
-	Groups  []taskGroup
+	Names  []string
+	Groups []taskGroup
+	// Crashes has an entry for each crash count. If crashes of its task were
+	// excused, a second entry for the task follows, whose Run is their number.
+	// Hosts that don't know such entries use only the first one.
 	Crashes []job.CrashCount
 }
 
@@ -43,7 +46,7 @@
 
 // pack returns the encoded form of a job's progress.
 func pack(p job.Progress) packedProgress {
-	out := packedProgress{Outcome: p.Outcome, Ended: p.Ended, Crashes: p.Crashes}
+	out := packedProgress{Outcome: p.Outcome, Ended: p.Ended, Crashes: packCrashes(p.Crashes)}
 	positions := map[string]int{"": 0}
 	name := func(s string) int {
 		n, ok := positions[s]
@@ -69,7 +72,7 @@
 
 // unpack returns the job's progress from its encoded form.
 func (p packedProgress) unpack() (job.Progress, error) {
-	out := job.Progress{Outcome: p.Outcome, Ended: p.Ended, Crashes: p.Crashes}
+	out := job.Progress{Outcome: p.Outcome, Ended: p.Ended, Crashes: unpackCrashes(p.Crashes)}
 	for _, g := range p.Groups {
 		worker, workerOK := p.name(g.Worker)
 		checkpoint, checkpointOK := p.name(g.Checkpoint)
@@ -82,6 +85,31 @@
 	return out, nil
 }
 
+// packCrashes returns the encoded form of crash counts.
+func packCrashes(counts []job.CrashCount) []job.CrashCount {
+	var out []job.CrashCount
+	for _, c := range counts {
+		out = append(out, c)
+		if c.Excused > 0 {
+			out = append(out, job.CrashCount{Task: c.Task, Run: job.RunNumber(c.Excused)})
+		}
+	}
+	return out
+}
+
+// unpackCrashes returns the crash counts from their encoded form.
+func unpackCrashes(entries []job.CrashCount) []job.CrashCount {
+	var out []job.CrashCount
+	for _, e := range entries {
+		if last := len(out) - 1; last >= 0 && out[last].Task == e.Task {
+			out[last].Excused = max(0, int(e.Run))
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 // name returns the name at a position in Names, or false if there is none.
 func (p packedProgress) name(pos int) (string, bool) {
 	if pos == 0 {
--- a/core/jobtable/progress_test.go
+++ b/core/jobtable/progress_test.go
@@ -49,6 +49,30 @@
 	})
 }
 
+// TestExcusedCrashes checks that a progress record keeps the number of excused
+// crashes.
+//
+// It guards against a new owner that excuses as many crashes as the one before
+// again: a task that crashes its workers was started three times too often.
+func TestExcusedCrashes(t *testing.T) {
+	counts := []job.CrashCount{
+		{Task: 0, Run: 2, Worker: "i-0", Early: 1, Total: 2, Excused: 1},
+		{Task: 1, Run: 4, Worker: "i-1", Total: 1},
+		{Task: 2, Run: 3, Worker: "i-2", Excused: 2},
+	}
+	table := jobtable.New()
+	r, err := table.ProgressRecord("j", job.Progress{Crashes: counts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := table.ApplyProgress(r); err != nil {
+		t.Fatal(err)
+	}
+	if got := table.Get("j").Progress.Crashes; !reflect.DeepEqual(got, counts) {
+		t.Errorf("%+v is decoded as %+v", counts, got)
+	}
+}
+
 // tasksOf returns the tasks of a group in the form COUNTxPHASE[/N].
 func tasksOf(t *testing.T, group string) []job.TaskState {
 	count, phase, _ := strings.Cut(group, "x")
@@ -101,7 +125,7 @@
 // FuzzProgress checks that decoding a progress record never panics, and that an
 // accepted value is the same after it is encoded and decoded again.
 func FuzzProgress(f *testing.F) {
-	full := job.Progress{Ended: 17, Crashes: []job.CrashCount{{Task: 0, Run: 2, Worker: "i-0", Early: 1, Total: 2}}}
+	full := job.Progress{Ended: 17, Crashes: []job.CrashCount{{Task: 0, Run: 2, Worker: "i-0", Early: 1, Total: 2, Excused: 1}}}
 	full.Tasks = []job.TaskState{{Phase: job.Done, Run: 1}, {Phase: job.Placed, Run: 3, Failures: 1, Worker: "i-1", Checkpoint: "c"}, {}}
 	for _, p := range []job.Progress{{}, full} {
 		r, err := jobtable.New().ProgressRecord("j", p)
