core/election, internal/entry: hosts that wouldn't claim renew and poll the group rarely

Cause: each host renews its membership every 0.33 s and reads all members every 1.2 s, so that the bytes read by all hosts grow with the square of their number (583 hosts: some 20 MB a second), and the group had room for 512 hosts only. A host without a partition isn't listed: it can't claim, and an owner that loses its partition when the store deals them anew is taken for dead. Weighed: a group of the 64 ablest hosts that others join when it shrinks. Then the owner doesn't know all hosts that may claim, and its assurance while the store is away (all others confirm that no other owner is known) proves nothing against a host that is outside. So all stay in the group. Change: the first 64 hosts in the order of claims are candidates and do as before. The others, reserves, renew every 3.3 s for 10 s and poll every 4 ms for each member. A new incarnation takes the membership of its predecessor out. Calls to the store are relayed through candidates only, since a dead reserve is listed for up to 10 s. Sites of up to 64 hosts do as before.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -46,6 +46,16 @@
 	// often. With many hosts, polls are a large part of all calls to the store.
 	slowPollInterval = 1200 * time.Millisecond
 	slowPollFrom     = 8
+	// candidateHosts is the number of highest-ranked hosts that are candidates.
+	// The other hosts, the reserves, renew their membership of the group rarely
+	// and poll it rarely. If all candidates fail, the reserves that now rank
+	// highest become candidates.
+	candidateHosts = 64
+	// pollTimePerMember times the number of members is the minimum pause
+	// between two polls of a reserve. Each poll returns all members, so with a
+	// fixed pause the bytes that all hosts read would grow with the square of
+	// their number.
+	pollTimePerMember = 4 * time.Millisecond
 	// newOwnerGrace is how long after a claim no host claims again, even if the
 	// group lacks the new owner. The store shows a host in the group only once
 	// it has assigned a partition to it. While many hosts join at once, it
@@ -206,13 +216,22 @@
 // claim. It also reports true before the first poll of the group.
 func (e *Election) Standby() bool { return len(e.members) == 0 || e.position() < standbyHosts }
 
+// Candidate reports whether this host is among the first candidateHosts that
+// would claim. It also reports true before the first poll of the group.
+func (e *Election) Candidate() bool { return len(e.members) == 0 || e.position() < candidateHosts }
+
+// Candidates returns the members that are candidates, the highest-ranked first.
+func (e *Election) Candidates() []id.Host { return e.highestRanked(candidateHosts) }
+
 // PollInterval returns the pause until the next poll of the group. Every host
 // polls fast while the owner is missing; otherwise hosts that would claim late
-// poll slowly.
+// poll slowly, and reserves the more slowly the more members there are.
 func (e *Election) PollInterval() time.Duration {
 	switch {
 	case e.OwnerMissing():
 		return fastPollInterval
+	case !e.Candidate():
+		return max(slowPollInterval, time.Duration(len(e.members))*pollTimePerMember)
 	case len(e.members) > 0 && e.position() >= slowPollFrom:
 		return slowPollInterval
 	}
--- a/core/election/election_test.go
+++ b/core/election/election_test.go
@@ -1,6 +1,7 @@
 package election_test
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -18,7 +19,8 @@
 //
 //	self HOST[=ABILITY]
 //	look TIME OWNER MEMBER[=ABILITY]...  records a poll of the group;
-//	                                     OWNER is - if there is none
+//	                                     OWNER is - if there is none;
+//	                                     MEMBER*N stands for MEMBER1 to MEMBERN
 //	owned TIME                           this host has become the owner
 //	yields TIME true|false               checks whether it hands over to another host
 //	released TIME                        the owner has released ownership
@@ -26,6 +28,7 @@
 //	known OWNER                          this host learns who the owner is
 //	claim TIME true|false                checks whether this host claims
 //	standby true|false                   checks whether it is among the first to claim
+//	candidate true|false                 checks whether it is a candidate
 //	next D                               checks the pause until the next poll
 //	heard TIME OWNER                     the owner has answered a probe of this host
 //	unanswered OWNER                     a probe of this host timed out
@@ -67,6 +70,8 @@
 			}
 		case "standby":
 			expect(t, i, l, e.Standby(), f[1])
+		case "candidate":
+			expect(t, i, l, e.Candidate(), f[1])
 		default:
 			runProbeCommand(t, e, i, f)
 		}
@@ -114,7 +119,25 @@
 func members(t *testing.T, names []string) []election.Member {
 	var out []election.Member
 	for _, n := range names {
-		out = append(out, member(t, n))
+		out = append(out, repeatedMember(t, n)...)
+	}
+	return out
+}
+
+// repeatedMember parses MEMBER[=ABILITY] or MEMBER*N[=ABILITY].
+func repeatedMember(t *testing.T, text string) []election.Member {
+	name, rest, repeated := strings.Cut(text, "*")
+	if !repeated {
+		return []election.Member{member(t, text)}
+	}
+	count, ability, _ := strings.Cut(rest, "=")
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []election.Member
+	for i := range n {
+		out = append(out, member(t, fmt.Sprintf("%s%d=%s", name, i+1, cmp.Or(ability, "0"))))
 	}
 	return out
 }
--- a/core/election/silence.go
+++ b/core/election/silence.go
@@ -70,14 +70,18 @@
 // Watchers returns the hosts that probe the owner: the highest-ranked hosts without
 // the owner itself.
 func (e *Election) Watchers(owner id.Host) []id.Host {
-	first := slices.SortedFunc(slices.Values(e.members), func(a, b Member) int {
+	return slices.DeleteFunc(e.highestRanked(watchers), func(h id.Host) bool { return h == owner })
+}
+
+// highestRanked returns the first n members in the order in which they would
+// claim, or all if there are fewer.
+func (e *Election) highestRanked(n int) []id.Host {
+	ranked := slices.SortedFunc(slices.Values(e.members), func(a, b Member) int {
 		return cmp.Or(cmp.Compare(b.Ability, a.Ability), rank.Compare(a.Host, b.Host, rankKey))
 	})
 	var out []id.Host
-	for _, m := range first[:min(watchers, len(first))] {
-		if m.Host != owner {
-			out = append(out, m.Host)
-		}
+	for _, m := range ranked[:min(n, len(ranked))] {
+		out = append(out, m.Host)
 	}
 	return out
 }
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -110,6 +110,9 @@
 	// standby is set while this host would be among the first hosts to claim
 	// the ownership.
 	standby atomic.Bool
+	// reserve is set while enough other hosts would claim the ownership before
+	// this host, so that it isn't a candidate.
+	reserve atomic.Bool
 	// waitingCalls counts the calls that wait for a job's end.
 	waitingCalls atomic.Int32
 	stopping     atomic.Bool
--- a/internal/entry/members_internal_test.go
+++ b/internal/entry/members_internal_test.go
@@ -1,15 +1,37 @@
 package entry
 
-import "testing"
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/election"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/internal/relay"
+	"curlewsill.org/curlewsill/internal/ring"
+	"curlewsill.org/curlewsill/internal/settings"
+	"curlewsill.org/curlewsill/platform"
+)
 
 // TestRoomForMembers checks that the group's room, the number of hosts for
 // which it has partitions, grows before it is full. It also checks that a small
 // site has no more partitions than needed.
 func TestRoomForMembers(t *testing.T) {
 	for _, c := range []struct{ listed, room, want int }{
-		{0, 64, 64}, {8, 64, 64}, {41, 64, 64}, {47, 64, 64}, {48, 64, 128}, {72, 64, 128}, {100, 128, 256}, {301, 256, 512}, {512, 512, 512},
+		{0, 64, 64}, {8, 64, 64}, {41, 64, 64}, {47, 64, 64}, {48, 64, 128}, {72, 64, 128}, {100, 128, 256}, {301, 256, 512},
+		{583, 512, 1024}, {1000, 1024, 1080}, {1080, 1080, 1080},
 	} {
-		if got := roomForMembers(c.listed, c.room); got != c.want {
+		if got := roomForMembers(c.listed, c.room, 12); got != c.want {
 			t.Errorf("%d hosts listed with room for %d: new room %d, want %d", c.listed, c.room, got, c.want)
 		}
 		if got := len(memberTopics(12, c.want)) * 12; got < c.want {
@@ -17,3 +39,125 @@
 		}
 	}
 }
+
+// groupStore is a store without a network that has one group. It counts the
+// calls and the bytes of its answers.
+type groupStore struct {
+	mu           sync.Mutex
+	members      []string
+	joins, polls int
+	bytes        int
+	left         []string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *groupStore) RoundTrip(req *http.Request) (*http.Response, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	body := `{"generation":1}`
+	switch req.URL.Path {
+	case "/log-join":
+		s.joins++
+	case "/log-leave":
+		sent, err := io.ReadAll(req.Body)
+		if err != nil {
+			return nil, err
+		}
+		s.left = append(s.left, string(sent))
+	case "/log-owners":
+		s.polls++
+		var rows []string
+		for i, m := range s.members {
+			rows = append(rows, fmt.Sprintf(`["hosts.%d",%d,%q,0]`, i/24, i%24, m))
+		}
+		body = `{"parts":[` + strings.Join(rows, ",") + `]}`
+	}
+	s.bytes += len(body)
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body)), Header: http.Header{}, Request: req}, nil
+}
+
+// newMember returns a host of low ability whose store is s.
+func newMember(s *groupStore) *Host {
+	links := relay.NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
+	path := func() *relay.Transport {
+		return relay.New("http://store", relay.RouteStore, &http.Client{Transport: s}, links, zap.NewNop())
+	}
+	h := &Host{
+		log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop()), self: "a#2", clock: newTestClock(),
+		table: jobtable.New(), loaded: true, events: ring.New[event](eventCapacity), watchers: watchers{}, others: map[id.Host]otherHost{},
+		store: platform.NewStore("store", &http.Client{Transport: s}), settings: settings.Site{Host: "a", Partitions: 24},
+		storePath: path(), advicePath: path(), recordsPath: path(), watchPath: path(),
+		election: election.New(election.Member{Host: "a#2", Ability: 100}),
+	}
+	h.groupCapacity.Store(initialGroupRoom)
+	return h
+}
+
+// TestGroupLoad checks that the calls and bytes for the group, for each host,
+// don't grow with the number of hosts.
+//
+// Each host polled the whole group every 1.2 s and renewed its membership every
+// 0.33 s, so that the hosts together read bytes that grew with the square of
+// their number.
+func TestGroupLoad(t *testing.T) {
+	const (
+		duration       = 60 * time.Second
+		maxBytesPerSec = 24 << 10
+		maxCallsPerSec = 1.25
+	)
+	for _, hosts := range []int{150, 600, 1200} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s := &groupStore{members: []string{"a#2@a:1@100"}}
+				for i := 1; i < hosts; i++ {
+					s.members = append(s.members, fmt.Sprintf("edge-kafrsheikh-hall-%d#01234567@10.20.30.40:7000@500", i))
+				}
+				h := newMember(s)
+				rec, err := h.table.OwnerRecord(jobtable.Owner{Host: "edge-kafrsheikh-hall-1#01234567", Epoch: 7})
+				if err != nil {
+					t.Fatal(err)
+				}
+				h.loadJobs(h.now(), []jobtable.Record{rec}, 1)
+				go h.decide(ctx)
+				go h.keepMembership(ctx)
+				time.Sleep(duration)
+				synctest.Wait()
+				bytes, calls := float64(s.bytes)/duration.Seconds(), float64(s.joins+s.polls)/duration.Seconds()
+				t.Logf("%d hosts: %.0f B/s, %.2f calls/s, %d joins, %d polls", hosts, bytes, calls, s.joins, s.polls)
+				if bytes > maxBytesPerSec || calls > maxCallsPerSec {
+					t.Errorf("%d hosts: %.0f B/s and %.2f calls/s, want at most %d and %.2f", hosts, bytes, calls, maxBytesPerSec, maxCallsPerSec)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestFormerMembership checks that a host removes the membership of its earlier
+// incarnation from the group, unless that one is the owner.
+//
+// The membership of a reserve lasts for 10 s. After a restart of all hosts of a
+// fleet, the memberships of both incarnations wouldn't fit into the group.
+func TestFormerMembership(t *testing.T) {
+	for owner, want := range map[id.Host]string{"b#1": `{"group":"curlewsill-hosts","member":"a#1@a:1@100"}`, "a#1": ""} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			s := &groupStore{members: []string{"a#1@a:1@100", "a#2@a:1@100", "b#1@b:1@100"}}
+			h := newMember(s)
+			rec, err := h.table.OwnerRecord(jobtable.Owner{Host: owner, Epoch: 7})
+			if err != nil {
+				t.Fatal(err)
+			}
+			h.loadJobs(h.now(), []jobtable.Record{rec}, 1)
+			go h.decide(ctx)
+			h.observeMembers(ctx, s.members)
+			if got := strings.Join(s.left, ","); got != want {
+				t.Errorf("the owner is %s: the host removed %s, want %s", owner, got, want)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
