core/candidacy, internal/entry: only some 64 hosts follow the jobs and stand for the ownership

In operation each host reads the job log. Weighed for the group: one group in which reserves renew rarely (the store hands a partition over only at the next heartbeat of its holder, so that a new owner might stay unlisted for 3.3 s); a bounded group alone (the owner must know all hosts that may claim, for its assurance while the store is away); two groups, chosen. Change: core/candidacy decides whether a host is a candidate or a reserve. Candidates do what all hosts did. A reserve renews its membership of a second group every 3.3 s, polls the candidates every 2 s, and asks a candidate about jobs over the links that exist (WebSocket, CBOR); its records it appends itself. If no candidate answers, it follows the jobs itself for 30 s. A reserve that starts again stays one, by its own membership of 10 s. The owner polls the reserves every 3 s, so that its assurance covers them. A host that doesn't know the jobs accepts jobs all the same: a second record of a job has no effect. A host is ready as soon as it has a configuration. A full group shows no failure of the owner. Sites of up to 64 hosts: candidates all, as before.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -46,16 +46,6 @@
 	// often. With many hosts, polls are a large part of all calls to the store.
 	slowPollInterval = 1200 * time.Millisecond
 	slowPollFrom     = 8
-	// candidateHosts is the number of highest-ranked hosts that are candidates.
-	// The other hosts, the reserves, renew their membership of the group rarely
-	// and poll it rarely. If all candidates fail, the reserves that now rank
-	// highest become candidates.
-	candidateHosts = 64
-	// pollTimePerMember times the number of members is the minimum pause
-	// between two polls of a reserve. Each poll returns all members, so with a
-	// fixed pause the bytes that all hosts read would grow with the square of
-	// their number.
-	pollTimePerMember = 4 * time.Millisecond
 	// newOwnerGrace is how long after a claim no host claims again, even if the
 	// group lacks the new owner. The store shows a host in the group only once
 	// it has assigned a partition to it. While many hosts join at once, it
@@ -193,12 +183,12 @@
 	if e.claimsByProbes(now) {
 		return true
 	}
-	return e.misses >= missesBeforeClaim && now.Sub(e.missingSince) >= time.Duration(e.position())*claimStagger
+	return e.misses >= missesBeforeClaim && now.Sub(e.missingSince) >= time.Duration(e.Position())*claimStagger
 }
 
-// position returns how many members claim before this host: all members of higher
+// Position returns how many members claim before this host: all members of higher
 // ability, and those of equal ability that rank before it.
-func (e *Election) position() int {
+func (e *Election) Position() int {
 	before := 0
 	var equals []id.Host
 	for _, m := range e.members {
@@ -214,25 +204,26 @@
 
 // Standby reports whether this host is among the first standbyHosts that would
 // claim. It also reports true before the first poll of the group.
-func (e *Election) Standby() bool { return len(e.members) == 0 || e.position() < standbyHosts }
+func (e *Election) Standby() bool { return len(e.members) == 0 || e.Position() < standbyHosts }
 
-// Candidate reports whether this host is among the first candidateHosts that
-// would claim. It also reports true before the first poll of the group.
-func (e *Election) Candidate() bool { return len(e.members) == 0 || e.position() < candidateHosts }
+// ObserveGroupOnly records a poll of the group by a host that doesn't know the
+// owner and doesn't claim.
+func (e *Election) ObserveGroupOnly(now unit.Instant, members []Member) {
+	e.members, e.polledAt, e.misses = members, now, 0
+}
 
-// Candidates returns the members that are candidates, the highest-ranked first.
-func (e *Election) Candidates() []id.Host { return e.highestRanked(candidateHosts) }
+// Members returns the hosts of the newest poll in the order in which they would
+// claim.
+func (e *Election) Members() []id.Host { return e.highestRanked(len(e.members)) }
 
 // PollInterval returns the pause until the next poll of the group. Every host
 // polls fast while the owner is missing; otherwise hosts that would claim late
-// poll slowly, and reserves the more slowly the more members there are.
+// poll slowly.
 func (e *Election) PollInterval() time.Duration {
 	switch {
 	case e.OwnerMissing():
 		return fastPollInterval
-	case !e.Candidate():
-		return max(slowPollInterval, time.Duration(len(e.members))*pollTimePerMember)
-	case len(e.members) > 0 && e.position() >= slowPollFrom:
+	case len(e.members) > 0 && e.Position() >= slowPollFrom:
 		return slowPollInterval
 	}
 	return pollInterval
--- a/internal/entry/assured_internal_test.go
+++ b/internal/entry/assured_internal_test.go
@@ -51,6 +51,7 @@
 		events: ring.New[event](eventCapacity), clock: newTestClock(), watchers: watchers{},
 		store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1", Ability: 100}),
 	}
+	h.following.Store(true)
 	go decideEach(ctx, h.events, h.now, func(unit.Instant) {})
 	return h
 }
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -20,27 +20,35 @@
 // none.
 const maxBody = 256 << 10
 
-// notLoaded replaces the number of waiting jobs while the job table is not
-// loaded.
-const notLoaded = -1
-
-// pending answers a request for the number of waiting jobs of a queue. If an
-// outdated table can't be brought up to date, the answer is by that table.
+// pending answers a request for the number of waiting jobs of a queue.
 func (f *clientHandler) pending(ctx context.Context, q *catalog.Queue) reply {
+	n, ok := f.countWaiting(ctx, q.Name)
+	if !ok {
+		answer, err := f.host.askAboutJobs(ctx, jobQuery{Queue: q.Name})
+		if err != nil {
+			return refused("the jobs are not known yet")
+		}
+		n = answer.Waiting
+	}
+	return reply{status: http.StatusOK, body: platform.PendingBody{Pending: n}}
+}
+
+// countWaiting returns the number of waiting jobs of a queue by the table. It
+// reports false if the table isn't loaded. If an outdated table can't be brought
+// up to date, it counts by that table.
+func (f *clientHandler) countWaiting(ctx context.Context, q id.Queue) (int, bool) {
 	outdated, ok := query(ctx, f.host, func(now unit.Instant) bool { return f.host.loaded && f.host.jobsOutdated(now) })
 	if ok && outdated && !f.host.health.hanging() {
 		f.host.catchUpForCall(ctx)
 	}
+	const notLoaded = -1
 	n, ok := query(ctx, f.host, func(now unit.Instant) int {
 		if !f.host.loaded {
 			return notLoaded
 		}
-		return f.host.counts.get(now, q.Name, f.host.table.QueuedCount)
+		return f.host.counts.get(now, q, f.host.table.QueuedCount)
 	})
-	if !ok || n == notLoaded {
-		return refused("the jobs are not known yet")
-	}
-	return reply{status: http.StatusOK, body: platform.PendingBody{Pending: n}}
+	return n, ok && n != notLoaded
 }
 
 // state answers a request for the state of a job.
@@ -75,7 +83,8 @@
 
 // submit accepts a job. The answer is sent when the job's record is in the
 // store. A job that is already known gets the same status as a new one, so that
-// clients may retry the request.
+// clients may retry the request. A host that doesn't know the jobs accepts as
+// well: a second record of the same job has no effect.
 func (f *clientHandler) submit(ctx context.Context, c *call) reply {
 	limit := c.catalog.Limits.BodyBytes
 	if limit <= 0 {
@@ -97,9 +106,9 @@
 	if err != nil {
 		return reply{status: http.StatusBadRequest, why: err.Error()}
 	}
-	v, ok := f.awaitLoaded(ctx, c.job)
-	if !ok || !v.loaded {
-		return refused("the jobs are not known yet")
+	v, ok := f.queryJob(ctx, c.job)
+	if !ok {
+		return refused("the host is busy")
 	}
 	if v.known {
 		return reply{status: http.StatusOK, why: "accepted before"}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -181,6 +181,7 @@
 		reports: ring.New[dispatch.WaveReport](maxQueuedReports),
 	}
 	h.owner = o
+	h.updateRole(now)
 	h.election.BecomeOwner(now)
 	h.metrics.owning.Store(true)
 	h.metrics.takeovers.Inc()
--- a/internal/entry/decide.go
+++ b/internal/entry/decide.go
@@ -71,7 +71,8 @@
 // should.
 func (h *Host) pass(ctx context.Context, now unit.Instant) {
 	h.noteSuspension()
-	h.ready.Store(h.loaded && h.catalog.Load() != nil && !h.stopping.Load())
+	h.ready.Store(h.catalog.Load() != nil && !h.stopping.Load())
+	h.updateFollowing(now)
 	if h.owner != nil {
 		h.owner.pass(ctx, now)
 		h.yield(ctx, now)
--- /dev/null
+++ b/internal/entry/follow.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
+)
+
+// Only the candidates, which would claim the ownership first, follow the job
+// log and hold the table of jobs. If all hosts of a large site did, the bytes
+// that they read together would exceed what the store can deliver as soon as
+// they all start at once. A reserve asks the candidates about jobs, and appends
+// the records of its own callers to the log without the table.
+
+// unaidedTime is how long a reserve follows the jobs itself after no candidate
+// has answered a question about a job.
+const unaidedTime = 30 * time.Second
+
+// shouldFollow reports whether this host needs the table of jobs. Only the
+// deciding goroutine may call it.
+func (h *Host) shouldFollow(now unit.Instant) bool {
+	return h.candidacy.Candidate() || h.owner != nil || h.takeover != nil || h.claiming || now < h.unaidedUntil
+}
+
+// updateFollowing starts or stops following the jobs according to this host's
+// role. Only the deciding goroutine may call it.
+func (h *Host) updateFollowing(now unit.Instant) {
+	follow := h.shouldFollow(now)
+	if h.following.Swap(follow) == follow {
+		return
+	}
+	h.log.Info("jobs-followed", zap.Bool("follows", follow), zap.Bool("candidate", h.candidacy.Candidate()), zap.Bool("unaided", now < h.unaidedUntil))
+	if follow {
+		h.wakeReader()
+	}
+}
+
+// unloadJobs drops the table after the reader has stopped to follow the jobs.
+// It would become outdated.
+func (h *Host) unloadJobs(now unit.Instant) {
+	if h.shouldFollow(now) {
+		return // the reader loads the jobs again and replaces the table
+	}
+	h.table, h.loaded, h.progress = jobtable.New(), false, progressPosition{}
+	h.followOwner()
+}
+
+// followUnaided makes a reserve follow the jobs itself for some time.
+func (h *Host) followUnaided(ctx context.Context) {
+	h.post(ctx, func(now unit.Instant) {
+		h.unaidedUntil = now.Add(unaidedTime)
+		h.updateFollowing(now)
+	})
+}
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/codec"
+	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/internal/relay"
 )
@@ -93,10 +94,23 @@
 // updateForwardAddress sets the address at which the owner accepts records, or
 // none if this host is the owner. Only the deciding goroutine may call it.
 func (h *Host) updateForwardAddress() {
-	address, ok := h.peerAddresses[h.table.Owner().Host]
+	address, ok := h.peerAddresses[h.recordGatherer()]
 	if !ok || h.owner != nil {
 		h.forwardAddress.Store(nil)
 		return
 	}
 	h.forwardAddress.Store(&address)
 }
+
+// recordGatherer returns the host to which this host forwards records. A host
+// that doesn't follow the jobs doesn't know the owner, and takes the host that
+// would claim first. Only the deciding goroutine may call it.
+func (h *Host) recordGatherer() id.Host {
+	if h.loaded {
+		return h.table.Owner().Host
+	}
+	if candidates := h.election.Members(); len(candidates) > 0 && candidates[0] != h.self {
+		return candidates[0]
+	}
+	return ""
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -24,6 +24,7 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/candidacy"
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/evacuation"
@@ -81,6 +82,9 @@
 	// owner if this host is to check whether it is alive, else nil.
 	watchPath *relay.Transport
 	watched   atomic.Pointer[watched]
+	// jobsPath carries questions about jobs to the candidates in jobHosts.
+	jobsPath *relay.Transport
+	jobHosts jobHosts
 	// deciding is set while the deciding goroutine runs.
 	deciding atomic.Bool
 	store    *platform.Store
@@ -104,15 +108,18 @@
 	catalog atomic.Pointer[catalog.Catalog]
 	// ready is the readiness that the load balancer sees.
 	ready atomic.Bool
-	// groupCapacity is the number of hosts that fit into the group, as last
-	// seen by this host.
-	groupCapacity atomic.Int32
+	// candidates and reserves are the memberships of the two groups of hosts.
+	// member is the one that this host should have by its role; nil while the
+	// role is unknown.
+	candidates, reserves *membership
+	member               atomic.Pointer[membership]
+	// roleChanged receives a value when member or the room of a group changes.
+	roleChanged chan struct{}
 	// standby is set while this host would be among the first hosts to claim
 	// the ownership.
 	standby atomic.Bool
-	// reserve is set while enough other hosts would claim the ownership before
-	// this host, so that it isn't a candidate.
-	reserve atomic.Bool
+	// following is set while this host follows the jobs.
+	following atomic.Bool
 	// waitingCalls counts the calls that wait for a job's end.
 	waitingCalls atomic.Int32
 	stopping     atomic.Bool
@@ -134,6 +141,11 @@
 	// jobsReadAt is when the newest read that came to the end of the jobs was
 	// sent; 0 before the first.
 	jobsReadAt unit.Instant
+	// unaidedUntil is the time until which the host follows the jobs although it
+	// is a reserve.
+	unaidedUntil unit.Instant
+	// reservesPolledAt is when the reserves were last polled.
+	reservesPolledAt unit.Instant
 	// waves holds the maintenance waves that the operator has requested.
 	waves map[id.Wave]upkeep.Wave
 	// evacuations holds the failure domains that the operator has evacuated.
@@ -142,6 +154,7 @@
 	evacuations    evacuation.Set
 	operatorReadAt unit.Instant
 	election       *election.Election
+	candidacy      candidacy.Candidacy
 	// progress is the position in the progress log up to which the table is
 	// complete.
 	progress progressPosition
@@ -200,6 +213,7 @@
 		return nil, err
 	}
 	m := newMetrics()
+	member := election.Member{Host: self, Ability: ability(s)}
 	client := func(kind peerKind, conns int) *http.Client {
 		return platform.NewHTTPClient(conns, m.deadConnHandler(log, kind))
 	}
@@ -214,13 +228,15 @@
 		advice:   platform.NewAdviceClient(s.Advice, &http.Client{Transport: advicePath}, log),
 		machines: platform.NewMachineClient(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](eventCapacity), stopped: make(chan struct{}),
-		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, election: election.New(election.Member{Host: self, Ability: ability(s)}), clock: clock,
-		others: map[id.Host]otherHost{}, watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1),
+		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, clock: clock,
+		election: election.New(member), candidacy: *candidacy.New(member, machineOf),
+		others: map[id.Host]otherHost{}, watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1), roleChanged: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
+	h.jobsPath = relay.New(jobsBase, relay.RouteJobs, &http.Client{Transport: jobQueryTransport{newClientHandler(h)}}, links, log)
 	h.metrics.registerLinks(links)
-	h.groupCapacity.Store(initialGroupRoom)
+	h.candidates, h.reserves = newMemberships(s.LeastTTL)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
--- /dev/null
+++ b/internal/entry/jobquery.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/codec"
+	"curlewsill.org/curlewsill/core/id"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/internal/relay"
+)
+
+const (
+	// jobsBase is the URL under which the relay path calls a host's own
+	// jobQueryTransport.
+	jobsBase = "http://jobs"
+	// jobQueryTimeout is how long a candidate may take to answer. It first
+	// brings its table up to date, or waits for the end of a job. jobQueryShare
+	// limits this time to a share of the remaining time of the client's call.
+	jobQueryTimeout = 600 * time.Millisecond
+	jobQueryShare   = 0.3
+	// maxJobQueries is how many candidates are asked one after the other.
+	maxJobQueries = 3
+)
+
+// jobQuery asks a host that follows the jobs about a job, or how many jobs of a
+// queue wait if Job is empty.
+type jobQuery struct {
+	_     struct{} `cbor:",toarray"`
+	Job   id.Job
+	Queue id.Queue
+	// AwaitEnd makes the host wait some time for the end of a running job.
+	AwaitEnd bool
+}
+
+// jobReply is the answer to a jobQuery. Loaded is false if the host doesn't
+// follow the jobs, and Readable is false if the newest state can't be read. The
+// other fields are valid only if both are true.
+type jobReply struct {
+	_                       struct{} `cbor:",toarray"`
+	Loaded, Readable, Known bool
+	State                   jobtable.State
+	Customer                id.Customer
+	Waiting                 int
+}
+
+var (
+	jobQueries = codec.New[jobQuery]()
+	jobReplies = codec.New[jobReply]()
+)
+
+// errNoTable reports that no host that follows the jobs has answered.
+var errNoTable = errors.New("entry: no host that follows the jobs answers")
+
+// askAboutJobs asks candidates, one after the other, until one answers from its
+// table. If none does, this host follows the jobs itself for some time.
+func (h *Host) askAboutJobs(ctx context.Context, q jobQuery) (jobReply, error) {
+	body, err := jobQueries.Encode(q)
+	if err != nil {
+		return jobReply{}, err
+	}
+	for range maxJobQueries {
+		candidate, ok := h.jobHosts.first()
+		if !ok {
+			break
+		}
+		reply, err := h.askCandidate(ctx, candidate, body)
+		if err == nil && reply.Loaded {
+			return reply, nil
+		}
+		h.log.Info("job-query-failed", zap.String("to", candidate), zap.String("job", string(q.Job)), zap.Bool("loaded", reply.Loaded), zap.Error(err))
+		h.jobHosts.postpone(candidate)
+	}
+	h.followUnaided(ctx)
+	return jobReply{}, errNoTable
+}
+
+// askCandidate sends an encoded jobQuery to the host at an address.
+func (h *Host) askCandidate(ctx context.Context, address string, body []byte) (jobReply, error) {
+	limit := boundedWait(ctx, jobQueryTimeout, jobQueryShare)
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_, raw, err := h.jobsPath.CallPeer(ctx, address, relay.Request{Method: http.MethodPost, Path: "/", Body: body, Timeout: limit})
+	if err != nil {
+		return jobReply{}, err
+	}
+	return jobReplies.Decode(raw)
+}
+
+// jobQueryTransport answers other hosts' questions about jobs.
+type jobQueryTransport struct{ handler *clientHandler }
+
+// RoundTrip implements http.RoundTripper.
+func (t jobQueryTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	q, err := jobQueries.Decode(body)
+	if err != nil {
+		t.handler.host.log.Warn("question-rejected", zap.Error(err))
+		return nil, err
+	}
+	raw, err := jobReplies.Encode(t.handler.answerJobQuery(req.Context(), q))
+	if err != nil {
+		return nil, err
+	}
+	return relay.NewResponse(req, http.StatusOK, raw), nil
+}
+
+// answerJobQuery answers a question from this host's own table.
+func (f *clientHandler) answerJobQuery(ctx context.Context, q jobQuery) jobReply {
+	if q.Job == "" {
+		n, loaded := f.countWaiting(ctx, q.Queue)
+		return jobReply{Loaded: loaded, Readable: loaded, Waiting: n}
+	}
+	v, readable := f.findInTable(ctx, q.Job)
+	if q.AwaitEnd && readable && v.state == jobtable.StateRunning {
+		v = f.awaitEndInTable(ctx, q.Job, v)
+	}
+	return jobReply{Loaded: v.loaded, Readable: readable, Known: v.known, State: v.state, Customer: v.customer}
+}
+
+// view returns the reply as the state of a job.
+func (r jobReply) view() jobView {
+	return jobView{known: r.Known, state: r.State, customer: r.Customer}
+}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -61,6 +61,7 @@
 	mux.Handle(string(relay.RouteAdvice), h.advicePath.Handler())
 	mux.Handle(string(relay.RouteRecords), h.recordsPath.Handler())
 	mux.Handle(string(relay.RouteWatch), h.watchPath.Handler())
+	mux.Handle(string(relay.RouteJobs), h.jobsPath.Handler())
 	return mux
 }
 
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -14,13 +14,6 @@
 )
 
 const (
-	// loadWait is how long a call waits for a host that has just started to
-	// load its state. Loading takes about 30 ms, and some 300 ms with a slow
-	// store.
-	loadWait = 400 * time.Millisecond
-	// loadPollInterval is the pause between two checks whether the state is
-	// loaded.
-	loadPollInterval = 10 * time.Millisecond
 	// endWait is how long a query for the state of a running job waits for the
 	// job's end. Recording an end through the owner and the store takes about
 	// 30 ms.
@@ -66,20 +59,6 @@
 	return query(ctx, f.host, func(now unit.Instant) jobView { return f.host.lookUp(now, j) })
 }
 
-// awaitLoaded is like queryJob, but waits up to loadWait while the host loads
-// its state.
-func (f *clientHandler) awaitLoaded(ctx context.Context, j id.Job) (jobView, bool) {
-	for end := time.Now().Add(boundedWait(ctx, loadWait, waitShare)); ; {
-		v, ok := f.queryJob(ctx, j)
-		if !ok || v.loaded || time.Now().After(end) {
-			return v, ok
-		}
-		if !pause(ctx, loadPollInterval) {
-			return jobView{}, false
-		}
-	}
-}
-
 // lookUp returns what the table holds of a job. It must run on the deciding
 // goroutine.
 func (h *Host) lookUp(now unit.Instant, j id.Job) jobView {
@@ -95,10 +74,22 @@
 // on the deciding goroutine.
 func (h *Host) jobsOutdated(now unit.Instant) bool { return now.Sub(h.jobsReadAt) > maxJobsAge }
 
-// find looks a job up. If the table doesn't hold the job, or is outdated, find
-// first reads to the end of the log. It reports false if the job isn't known
-// and the newest state can't be read.
+// find looks a job up, in the table or by a question to a candidate. It reports
+// false if the newest state can't be read.
 func (f *clientHandler) find(ctx context.Context, j id.Job) (jobView, bool) {
+	v, ok := f.findInTable(ctx, j)
+	if v.loaded || ctx.Err() != nil {
+		return v, ok
+	}
+	answer, err := f.host.askAboutJobs(ctx, jobQuery{Job: j})
+	return answer.view(), err == nil && answer.Readable
+}
+
+// findInTable looks a job up in the table. If the table doesn't hold the job, or
+// is outdated, findInTable first reads to the end of the log. It reports false
+// if the table isn't loaded, or if the job isn't known and the newest state
+// can't be read.
+func (f *clientHandler) findInTable(ctx context.Context, j id.Job) (jobView, bool) {
 	v, ok := f.queryJob(ctx, j)
 	if !ok || !v.loaded || v.known && !v.outdated {
 		return v, ok && v.loaded
@@ -123,6 +114,18 @@
 // query just when the last task ends, before the host has read the record of
 // its end, and would otherwise have to ask again.
 func (f *clientHandler) awaitEnd(ctx context.Context, j id.Job, v jobView) jobView {
+	if v.loaded {
+		return f.awaitEndInTable(ctx, j, v)
+	}
+	answer, err := f.host.askAboutJobs(ctx, jobQuery{Job: j, AwaitEnd: true})
+	if err != nil || !answer.Readable || !answer.Known {
+		return v
+	}
+	return answer.view()
+}
+
+// awaitEndInTable is awaitEnd for a host that follows the jobs.
+func (f *clientHandler) awaitEndInTable(ctx context.Context, j id.Job, v jobView) jobView {
 	f.host.waitingCalls.Add(1)
 	defer f.host.waitingCalls.Add(-1)
 	ended := make(chan struct{})
@@ -214,9 +217,4 @@
 }
 
 // wakeReader starts the next read of the job log at once.
-func (h *Host) wakeReader() {
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
+func (h *Host) wakeReader() { wake(h.wake) }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,31 +18,39 @@
 )
 
 const (
-	// group is the name of the group of live hosts in the store.
-	group = "curlewsill-hosts"
-	// heartbeatInterval is the interval of a candidate's heartbeats to the
-	// group, a third of the shortest time after which the store may drop a
-	// member.
+	// candidateGroup and reserveGroup are the names of the groups of candidates
+	// and of reserves in the store. candidateTopics and reserveTopics begin the
+	// names of their topics.
+	candidateGroup  = "curlewsill-hosts"
+	reserveGroup    = "curlewsill-reserves"
+	candidateTopics = "hosts"
+	reserveTopics   = "reserves"
+	// heartbeatInterval is the interval of a candidate's heartbeats, a third of
+	// the shortest time after which the store may drop a member.
 	heartbeatInterval = 330 * time.Millisecond
-	// reserveTTL is how long the membership of a reserve lasts, and
-	// reserveHeartbeatInterval the interval of its heartbeats. The failure of a
-	// reserve needs no quick response, because it owns nothing and other hosts
-	// relay no calls through it.
+	// reserveTTL is how long the membership of a reserve lasts. The failure of a
+	// reserve needs no quick response, and after a restart the membership tells
+	// a host that it was a reserve. reserveHeartbeatInterval is the interval of
+	// its heartbeats.
 	reserveTTL               = 10 * time.Second
 	reserveHeartbeatInterval = reserveTTL / 3
-	// roleCheckInterval is how often a reserve checks whether it has become a
-	// candidate. Its membership must be short-lived then.
-	roleCheckInterval = heartbeatInterval
-	// membersRetryPause is the pause after a failed read of the group.
+	// membersRetryPause is the pause after a failed poll of a group.
 	membersRetryPause = 500 * time.Millisecond
-	// initialGroupRoom is the number of hosts for which the group initially has
+	// reservePollInterval is the pause between two polls of the candidates by a
+	// reserve, and shortPollInterval that pause while there are too few of them.
+	reservePollInterval = 2 * time.Second
+	shortPollInterval   = 500 * time.Millisecond
+	// reservesPollInterval is the interval at which the owner polls the
+	// reserves. It has to know all hosts that may become the owner.
+	reservesPollInterval = 3 * time.Second
+	// initialGroupRoom is the number of hosts for which a group initially has
 	// partitions. The store lists a member only if it holds a partition, and an
-	// owner that isn't listed is taken for dead. Each read of the group returns
+	// owner that isn't listed is taken for dead. Each poll of a group returns
 	// all partitions, so there should be no more of them than needed.
 	initialGroupRoom = 64
-	// maxGroupTopics limits the group's topics. The platform allows 100 topics;
-	// the others are for the logs.
-	maxGroupTopics = 90
+	// maxGroupTopics limits the topics of a group. The platform allows 100
+	// topics; the logs need the others.
+	maxGroupTopics = 45
 	// tasksPerCore is how many tasks a second an owner with one whole core can
 	// start. tasksPerMegabit is how many tasks a second 1 Mbit/s carries, at
 	// 4 kB for a task with its renewals and records. Only the ratio between
@@ -58,181 +67,252 @@
 // roomForMembers returns the room that the group should have: the number of
 // hosts for which it has partitions. listed is the number of hosts that the
 // group lists, room its present room, partitions the number of partitions of
-// each topic. The room doubles, as far as the topics allow, once three quarters
-// of it are taken.
+// each topic. The room doubles, as far as the topics allow, until less than
+// three quarters of it are taken.
 func roomForMembers(listed, room, partitions int) int {
-	if 4*listed >= 3*room {
-		return max(room, min(2*room, maxGroupTopics*partitions))
+	limit := max(room, maxGroupTopics*partitions)
+	for 4*listed >= 3*room && room < limit {
+		room = min(2*room, limit)
 	}
 	return room
 }
 
-// memberTopics returns the group's topics. Each topic has the given number of
-// partitions, and together they have at least one for each of room hosts.
-func memberTopics(partitions, room int) []string {
+// memberTopics returns a group's topics, whose names begin with prefix. Each
+// topic has the given number of partitions, and together they have at least one
+// for each of room hosts.
+func memberTopics(prefix string, partitions, room int) []string {
 	var out []string
 	for n := 0; n < room; n += partitions {
-		out = append(out, fmt.Sprintf("hosts.%d", len(out)))
+		out = append(out, fmt.Sprintf("%s.%d", prefix, len(out)))
 	}
 	return out
 }
 
-// keepMembership sends the host's heartbeats to the group, and starts to follow
-// the group's members.
+// membership is this host's membership of a group of hosts. Only the goroutine
+// that sends the heartbeats uses generation.
+type membership struct {
+	group, topics string
+	ttl, interval time.Duration
+	// room is the number of hosts for which the group has partitions, as last
+	// seen by this host.
+	room atomic.Int32
+	// generation is the generation of the group that the store last returned.
+	generation uint64
+}
+
+// newMemberships returns the membership of each group.
+func newMemberships(leastTTL time.Duration) (candidates, reserves *membership) {
+	candidates = &membership{group: candidateGroup, topics: candidateTopics, ttl: max(time.Second, leastTTL), interval: heartbeatInterval}
+	reserves = &membership{group: reserveGroup, topics: reserveTopics, ttl: max(reserveTTL, leastTTL), interval: reserveHeartbeatInterval}
+	candidates.room.Store(initialGroupRoom)
+	reserves.room.Store(initialGroupRoom)
+	return candidates, reserves
+}
+
+// currentMembership returns the membership that this host should have, or nil
+// while its role is unknown.
+func (h *Host) currentMembership() *membership { return h.member.Load() }
+
+// keepMembership sends the host's heartbeats to the group of its role, and
+// starts to follow the members of the groups.
 func (h *Host) keepMembership(ctx context.Context) {
 	go h.followMembers(ctx)
 	dep := dependency{log: h.log, name: "store group"}
-	generation := uint64(0)
+	var joined *membership
 	for ctx.Err() == nil && !h.stopping.Load() {
-		topics := memberTopics(h.settings.Partitions, int(h.groupCapacity.Load()))
-		candidate := h.isCandidate()
-		ended := h.health.begin()
-		g, err := h.store.Join(ctx, group, h.memberName(), topics, h.membershipTTL(candidate), generation)
-		ended(err)
+		m := h.currentMembership()
+		if joined != nil && m != joined {
+			h.leave(ctx, joined.group, h.memberName())
+		}
+		joined = m
+		if m == nil {
+			pauseUntilWoken(ctx, reservePollInterval, h.roleChanged)
+			continue
+		}
+		err := h.join(ctx, m)
 		if ctx.Err() != nil {
 			return
 		}
 		dep.note(err)
-		if err == nil {
-			generation = g
-		}
-		if candidate || err != nil {
+		if err != nil {
 			pause(ctx, heartbeatInterval)
-		} else {
-			h.pauseAsReserve(ctx)
+			continue
 		}
+		pauseUntilWoken(ctx, m.interval, h.roleChanged)
 	}
 }
 
-// isCandidate reports whether this host needs a short-lived membership, so that
-// its failure is noticed soon: it is among the hosts that would claim, or it is
-// the owner.
-func (h *Host) isCandidate() bool { return !h.reserve.Load() || h.metrics.owning.Load() }
-
-// membershipTTL returns for how long a heartbeat renews the membership.
-func (h *Host) membershipTTL(candidate bool) time.Duration {
-	if candidate {
-		return max(time.Second, h.settings.LeastTTL)
+// join sends one heartbeat.
+func (h *Host) join(ctx context.Context, m *membership) error {
+	topics := memberTopics(m.topics, h.settings.Partitions, int(m.room.Load()))
+	ended := h.health.begin()
+	g, err := h.store.Join(ctx, m.group, h.memberName(), topics, m.ttl, m.generation)
+	ended(err)
+	if err == nil {
+		m.generation = g
 	}
-	return max(reserveTTL, h.settings.LeastTTL)
+	return err
 }
 
-// pauseAsReserve pauses between two heartbeats of a reserve. The pause ends
-// early if the host becomes a candidate.
-func (h *Host) pauseAsReserve(ctx context.Context) {
-	end := time.Now().Add(reserveHeartbeatInterval)
-	for time.Now().Before(end) && !h.isCandidate() && !h.stopping.Load() {
-		if !pause(ctx, roleCheckInterval) {
-			return
-		}
+// leave takes a member out of a group.
+func (h *Host) leave(ctx context.Context, group, member string) {
+	if err := h.store.Leave(ctx, group, member); err != nil {
+		h.log.Info("leave-failed", zap.String("group", group), zap.Error(err))
 	}
 }
 
-// followMembers repeatedly reads the members of the group, and passes them to
-// the election and to the paths through peers.
+// followMembers repeatedly polls the candidates, and the reserves when they are
+// needed.
 func (h *Host) followMembers(ctx context.Context) {
 	dep := dependency{log: h.log, name: "store members"}
 	for ctx.Err() == nil {
-		wait := membersRetryPause
-		ended := h.health.begin()
-		names, err := h.store.Members(ctx, group)
-		ended(err)
+		wait, err := h.pollGroups(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		dep.note(err)
-		if err == nil {
-			wait = h.observeMembers(ctx, names)
-		}
 		pause(ctx, wait)
 	}
 }
 
-// observeMembers handles a read of the group that returned the given names, and
-// returns the pause until the next read.
-func (h *Host) observeMembers(ctx context.Context, names []string) time.Duration {
-	members, peers, addresses := h.parseMembers(names)
-	h.growGroup(len(members))
-	h.advicePath.SetPeers(peers)
-	h.recordsPath.SetPeers(peers)
-	h.watchPath.SetPeers(peers)
-	var former []string
-	missing := false
-	wait, ok := query(ctx, h, func(now unit.Instant) time.Duration {
-		h.election.ObserveGroup(now, members, h.table.Owner().Host)
-		h.standby.Store(h.election.Standby())
-		h.reserve.Store(!h.election.Candidate())
-		h.peerAddresses = addresses
-		h.followOwner()
-		h.rememberHosts(now, members, addresses)
-		h.storePath.SetPeers(h.relayPeers())
-		former = h.formerMemberships(names)
-		missing = h.election.OwnerMissing()
-		return h.election.PollInterval()
-	})
+// pollGroups polls the groups once and returns the pause until the next poll.
+func (h *Host) pollGroups(ctx context.Context) (time.Duration, error) {
+	names, full, err := h.poll(ctx, h.candidates)
+	if err != nil {
+		return membersRetryPause, err
+	}
+	view, ok := query(ctx, h, func(now unit.Instant) groupView { return h.observeCandidates(now, names, full) })
 	if !ok {
-		return membersRetryPause
+		return membersRetryPause, nil
 	}
-	if missing {
+	if view.ownerMissing {
 		h.wakeReader() // another host may have claimed
 	}
+	if !view.needsReserves {
+		return view.pause, nil
+	}
+	if names, _, err = h.poll(ctx, h.reserves); err != nil {
+		return membersRetryPause, err
+	}
+	former, _ := query(ctx, h, func(now unit.Instant) []string { return h.observeReserves(now, names) })
 	for _, name := range former {
-		if err := h.store.Leave(ctx, group, name); err != nil {
-			h.log.Info("leave-failed", zap.Error(err))
-		}
+		h.leave(ctx, reserveGroup, name)
 	}
-	return wait
+	return view.pause, nil
 }
 
-// relayPeers returns the peers through which calls to the store may be relayed:
-// the candidates, because the group lists a reserve for some time after its
-// failure. Only the deciding goroutine may call it.
-func (h *Host) relayPeers() []relay.Peer {
-	var out []relay.Peer
-	for _, c := range h.election.Candidates() {
-		if address := h.peerAddresses[c]; address != "" {
-			out = append(out, relay.Peer{Address: address})
-		}
+// poll returns the names of a group's members, and whether the group has no room
+// for more. It makes room if the members need it.
+func (h *Host) poll(ctx context.Context, m *membership) (names []string, full bool, err error) {
+	ended := h.health.begin()
+	names, err = h.store.Members(ctx, m.group)
+	ended(err)
+	if err == nil {
+		full = len(names) >= int(m.room.Load())
+		h.growGroup(m, len(names))
 	}
-	return out
+	return names, full, err
 }
 
-// formerMemberships returns those of the names that earlier incarnations of
-// this host have in the group. These incarnations have ended, but the membership
-// of a reserve lasts longer than a restart, and would use up the group's room.
-// The owner's is kept: if it ended before this host has claimed the ownership
-// again, other hosts would claim it too. Only the deciding goroutine may call
-// it.
-func (h *Host) formerMemberships(names []string) []string {
-	var out []string
-	for _, n := range names {
-		name, _, _ := strings.Cut(n, "@")
-		host := id.Host(name)
-		if host != h.self && machineOf(host) == h.settings.Host && host != h.table.Owner().Host {
-			out = append(out, n)
+// groupView is what follows from a poll of the candidates.
+type groupView struct {
+	pause                       time.Duration
+	ownerMissing, needsReserves bool
+}
+
+// observeCandidates handles a poll of the candidates. A group that was full may
+// lack live hosts, so that it shows no failure of the owner. Only the deciding
+// goroutine may call it.
+func (h *Host) observeCandidates(now unit.Instant, names []string, full bool) groupView {
+	members, peers, addresses := h.parseMembers(names)
+	if full || h.candidacy.Reserve() && !h.loaded {
+		h.election.ObserveGroupOnly(now, members)
+	} else {
+		h.election.ObserveGroup(now, members, h.table.Owner().Host)
+	}
+	h.candidacy.ObserveCandidates(len(members), h.election)
+	h.standby.Store(h.candidacy.Candidate() && h.election.Standby())
+	h.peerAddresses = addresses
+	h.setPeers(peers)
+	h.followOwner()
+	h.rememberHosts(now, members, addresses)
+	h.updateRole(now)
+	v := groupView{pause: h.election.PollInterval(), ownerMissing: h.election.OwnerMissing(), needsReserves: h.candidacy.NeedsReserves()}
+	switch {
+	case h.candidacy.Short():
+		v.pause = shortPollInterval
+	case h.candidacy.Reserve():
+		v.pause = reservePollInterval
+	}
+	if h.owner != nil && now.Sub(h.reservesPolledAt) >= reservesPollInterval {
+		v.needsReserves = true
+	}
+	return v
+}
+
+// observeReserves handles a poll of the reserves. It returns the memberships of
+// earlier incarnations of this host, which have ended. They would use up the
+// group's room after a restart of all hosts. Only the deciding goroutine may
+// call it.
+func (h *Host) observeReserves(now unit.Instant, names []string) []string {
+	members, _, addresses := h.parseMembers(names)
+	h.reservesPolledAt = now
+	h.candidacy.ObserveReserves(members)
+	h.rememberHosts(now, members, addresses)
+	h.updateRole(now)
+	var former []string
+	for i, m := range members {
+		if m.Host != h.self && machineOf(m.Host) == h.settings.Host {
+			former = append(former, names[i])
 		}
 	}
-	return out
+	return former
+}
+
+// updateRole applies a change of this host's role. Only the deciding goroutine
+// may call it.
+func (h *Host) updateRole(now unit.Instant) {
+	m := h.currentMembership()
+	switch {
+	case h.candidacy.Candidate(), h.owner != nil:
+		m = h.candidates // an owner that isn't listed among the candidates is taken for dead
+	case h.candidacy.Reserve():
+		m = h.reserves
+	}
+	if h.member.Swap(m) != m {
+		wake(h.roleChanged)
+		h.log.Info("role", zap.String("group", m.group), zap.Int("candidates", len(h.peerAddresses)))
+	}
+	h.updateFollowing(now)
+}
+
+// setPeers replaces the peers on all paths. Only candidates are used: they
+// follow the jobs, and their group drops them soon after they have failed.
+func (h *Host) setPeers(peers []relay.Peer) {
+	for _, p := range []*relay.Transport{h.storePath, h.advicePath, h.recordsPath, h.watchPath, h.jobsPath} {
+		p.SetPeers(peers)
+	}
+	h.jobHosts.set(h.self, peers)
 }
 
-// growGroup makes room for more hosts in the group if the listed members need
-// it.
-func (h *Host) growGroup(listed int) {
-	room := int(h.groupCapacity.Load())
+// growGroup makes room for more hosts in a group if the listed members need it.
+func (h *Host) growGroup(m *membership, listed int) {
+	room := int(m.room.Load())
 	larger := roomForMembers(listed, room, h.settings.Partitions)
 	if larger != room {
-		h.groupCapacity.Store(int32(larger))
-		h.log.Info("group-grows", zap.Int("members", listed), zap.Int("room", larger))
+		m.room.Store(int32(larger))
+		wake(h.roleChanged) // the next heartbeat adds the partitions
+		h.log.Info("group-grows", zap.String("group", m.group), zap.Int("members", listed), zap.Int("room", larger))
 	}
 }
 
-// memberName returns the host's name in the group: its id, the address on which
+// memberName returns the host's name in its group: its id, the address on which
 // it listens for peers, and its ability.
 func (h *Host) memberName() string {
 	return string(h.self) + "@" + h.peers + "@" + strconv.Itoa(ability(h.settings))
 }
 
-// parseMembers parses the names of the group's members, which memberName
+// parseMembers parses the names of a group's members, which memberName
 // describes. It returns all hosts of the group, the peers (all hosts but this
 // one), and the addresses on which the peers listen.
 func (h *Host) parseMembers(names []string) ([]election.Member, []relay.Peer, map[id.Host]string) {
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -38,9 +38,10 @@
 	workerListPause = 300 * time.Millisecond
 )
 
-// readJobs follows the job log.
+// readJobs follows the job log while this host needs the table of jobs.
 func (h *Host) readJobs(ctx context.Context) {
-	t := &tail{host: h, topic: platform.TopicJobs, wait: h.waitOfJobs, wake: h.wake, pause: h.pauseOfJobs}
+	t := &tail{host: h, topic: platform.TopicJobs, wait: h.waitOfJobs, wake: h.wake, pause: h.pauseOfJobs, enabled: h.following.Load}
+	t.disabled = func() { h.post(ctx, h.unloadJobs) }
 	t.onLoad = func(recs []jobtable.Record, end id.Offset) {
 		h.post(ctx, func(now unit.Instant) { h.loadJobs(now, recs, end) })
 	}
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -45,6 +45,25 @@
 	}
 }
 
+// pauseUntilWoken waits for d, or until a value arrives on woken, which may be
+// nil.
+func pauseUntilWoken(ctx context.Context, d time.Duration, woken <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-woken:
+	case <-time.After(d):
+	}
+}
+
+// wake ends a pauseUntilWoken. The channel has a capacity of 1, so that a value
+// that comes before the pause isn't lost.
+func wake(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // dependency logs once when a dependency is lost and once when it is available
 // again.
 type dependency struct {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -76,8 +76,8 @@
 		}
 		break
 	}
-	if err := h.store.Leave(ctx, group, h.memberName()); err != nil {
-		h.log.Info("leave-failed", zap.Error(err))
+	if m := h.currentMembership(); m != nil {
+		h.leave(ctx, m.group, h.memberName())
 	}
 }
 
--- a/internal/entry/tail.go
+++ b/internal/entry/tail.go
@@ -49,7 +49,7 @@
 				loaded = false
 				t.disabled()
 			}
-			pause(ctx, followPollInterval)
+			pauseUntilWoken(ctx, followPollInterval, t.wake)
 			continue
 		}
 		var err error
@@ -141,16 +141,7 @@
 	}
 	atEnd = p.Next >= p.End
 	if atEnd && (len(p.Records) > 0 || wait == 0) {
-		t.pauseAfterRead(ctx)
+		pauseUntilWoken(ctx, t.pause(), t.wake)
 	}
 	return p.Next, atEnd, nil
 }
-
-// pauseAfterRead pauses before the next read, until wake cuts the pause short.
-func (t *tail) pauseAfterRead(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-t.wake:
-	case <-time.After(t.pause()):
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,6 +101,8 @@
 	// RouteWatch serves questions to the peer itself about the owner of the
 	// scheduling, such as whether the owner is alive.
 	RouteWatch Route = "/v1/watch"
+	// RouteJobs serves questions to the peer itself about jobs.
+	RouteJobs Route = "/v1/jobs"
 )
 
 // Transport is an http.RoundTripper for calls to one server, made directly or
