core/dispatch: a task that saves nothing and may just end before its worker leaves runs on

Cause: evictDraining kept time for a stop after the expected end of each task, also where a stop saves nothing: work that would have ended in time was thrown away. Change: tasks without checkpoints need only the time of the report of their end. Test: leaving_just_in_time.txt, failed before (stopped 0.4 s before its end could be recorded).

--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -48,6 +48,9 @@
 	// stopOverhead is the time that an order to stop needs to reach the worker
 	// and its result to be recorded.
 	stopOverhead = 500 * time.Millisecond
+	// endReportTime is the time until the end of a run is reported and recorded.
+	// A worker that has left reports no ends any more.
+	endReportTime = 250 * time.Millisecond
 	// minTrustedPercent is the least progress, in percent, from which a run's
 	// remaining time is estimated; below it, the customer's estimate is used.
 	minTrustedPercent = 10
@@ -164,7 +167,8 @@
 
 // evictDraining stops the tasks on a draining worker that can't complete before
 // it ends. Tasks with checkpoints continue until there is only just enough time
-// to stop them.
+// to stop them. A stop saves nothing of the other tasks, so those that may just
+// complete in time are left to run.
 func (d *Dispatcher) evictDraining(now unit.Instant, w *worker) {
 	if !w.Draining || len(w.runs) == 0 {
 		return
@@ -175,8 +179,10 @@
 			continue
 		}
 		margin := d.config.StopTime + stopOverhead
-		needed := d.remaining(now, r)
-		if needed+margin <= left {
+		if !r.step.step.Checkpointing {
+			margin = endReportTime
+		}
+		if d.remaining(now, r)+margin <= left {
 			continue
 		}
 		if !r.step.step.Checkpointing || left <= margin+renewWait/2 {
