core/candidacy: a reserve polls its group until it is listed there

Change: a reserve that isn't listed polls its group, which makes room; the group starts with room for 256.

--- a/core/candidacy/candidacy.go
+++ b/core/candidacy/candidacy.go
@@ -53,6 +53,8 @@
 	candidates int
 	// short counts the consecutive polls with fewer than Wanted candidates.
 	short int
+	// listed is set once a poll of the reserves has shown this host.
+	listed bool
 }
 
 // New returns the candidacy of a host that has just started. The function
@@ -67,10 +69,11 @@
 // Reserve reports whether the host is a reserve.
 func (c *Candidacy) Reserve() bool { return c.role == reserve }
 
-// NeedsReserves reports whether the host's role depends on a poll of the
-// reserves: after its start, and while there are too few candidates.
+// NeedsReserves reports whether the reserves must be polled: after the host's
+// start, while there are too few candidates, and until this host is listed among
+// the reserves. If it isn't, their group needs more room.
 func (c *Candidacy) NeedsReserves() bool {
-	return c.role == undecided || c.Short() && c.short >= shortPolls
+	return c.role == undecided || c.role == reserve && (c.short >= shortPolls || !c.listed)
 }
 
 // Short reports whether the host is a reserve and the newest poll of the
@@ -87,7 +90,7 @@
 		c.short = 0
 	}
 	if c.role == candidate && e.Position() >= tooMany {
-		c.role = reserve
+		c.role, c.listed = reserve, false
 	}
 }
 
@@ -96,6 +99,7 @@
 // candidates' group is empty, and every host would become a candidate. The
 // membership of a reserve must last longer than a restart for this.
 func (c *Candidacy) ObserveReserves(reserves []election.Member) {
+	c.listed = slices.ContainsFunc(reserves, func(m election.Member) bool { return m.Host == c.self.Host })
 	switch {
 	case c.role == undecided && c.hasFormer(reserves):
 		c.role = reserve
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -48,6 +48,9 @@
 	// owner that isn't listed is taken for dead. Each poll of a group returns
 	// all partitions, so there should be no more of them than needed.
 	initialGroupRoom = 64
+	// initialReserveRoom is the same for the group of reserves, which only large
+	// sites have.
+	initialReserveRoom = 256
 	// maxGroupTopics limits the topics of a group. The platform allows 100
 	// topics; the logs need the others.
 	maxGroupTopics = 45
@@ -105,7 +108,7 @@
 	candidates = &membership{group: candidateGroup, topics: candidateTopics, ttl: max(time.Second, leastTTL), interval: heartbeatInterval}
 	reserves = &membership{group: reserveGroup, topics: reserveTopics, ttl: max(reserveTTL, leastTTL), interval: reserveHeartbeatInterval}
 	candidates.room.Store(initialGroupRoom)
-	reserves.room.Store(initialGroupRoom)
+	reserves.room.Store(initialReserveRoom)
 	return candidates, reserves
 }
 
--- a/internal/entry/members_internal_test.go
+++ b/internal/entry/members_internal_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -57,14 +59,10 @@
 	defer s.mu.Unlock()
 	body := `{"generation":1}`
 	switch req.URL.Path {
-	case "/log-join":
-		s.joins++
-	case "/log-leave":
-		sent, err := io.ReadAll(req.Body)
-		if err != nil {
+	case "/log-join", "/log-leave":
+		if err := s.change(req); err != nil {
 			return nil, err
 		}
-		s.left = append(s.left, string(sent))
 	case "/log-owners":
 		s.polls++
 		var rows []string
@@ -77,6 +75,23 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(body)), Header: http.Header{}, Request: req}, nil
 }
 
+// change handles a call to join or leave a group.
+func (s *groupStore) change(req *http.Request) error {
+	var in struct{ Group, Member string }
+	if err := json.NewDecoder(req.Body).Decode(&in); err != nil {
+		return err
+	}
+	rest := slices.DeleteFunc(s.members[in.Group], func(m string) bool { return m == in.Member })
+	if req.URL.Path == "/log-join" {
+		s.joins++
+		rest = append(rest, in.Member)
+	} else {
+		s.left = append(s.left, in.Group+" "+in.Member)
+	}
+	s.members[in.Group] = rest
+	return nil
+}
+
 // newMember returns a host of low ability whose store is s.
 func newMember(s *groupStore) *Host {
 	links := relay.NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
@@ -155,7 +170,7 @@
 		if _, err := h.pollGroups(ctx); err != nil {
 			t.Fatal(err)
 		}
-		if got, want := strings.Join(s.left, ","), `{"group":"curlewsill-reserves","member":"a#1@a:1@100"}`; got != want {
+		if got, want := strings.Join(s.left, ","), "curlewsill-reserves a#1@a:1@100"; got != want {
 			t.Errorf("the host removed %s, want %s", got, want)
 		}
 		if m := h.currentMembership(); m != h.reserves {
