core/dispatch: a gang is counted once when room is freed for urgent work

The cost of a stop was computed worker by worker, with the whole gang of a victim at each of them, and the room that the gang gives up elsewhere was not used. Change: an assignment keeps the runs that it stops. Members of a gang that is stopped already cost nothing more and their room counts as free; members of one gang on one worker are one choice; the cost of a stop covers all members.

--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -63,12 +63,30 @@
 	return a.leftover < b.leftover
 }
 
+// plannedStops are the runs that an assignment stops, together with their gangs.
+type plannedStops map[*run]bool
+
+// add adds runs and their gangs. It returns the workers of the runs that were
+// not planned to be stopped before.
+func (p plannedStops) add(victims []*run) []*worker {
+	var affected []*worker
+	for _, v := range victims {
+		for _, r := range v.stoppedWith() {
+			if !p[r] {
+				p[r] = true
+				affected = append(affected, r.worker)
+			}
+		}
+	}
+	return affected
+}
+
 // roomFunc returns how much of a worker's capacity a step can have, and which
-// runs must be stopped for it at what cost.
-type roomFunc func(now unit.Instant, c candidate, w *worker, need job.Resources) (free job.Resources, victims []*run, cost float64)
+// runs must be stopped for it at what cost, in addition to the planned stops.
+type roomFunc func(now unit.Instant, c candidate, w *worker, need job.Resources, planned plannedStops) (free job.Resources, victims []*run, cost float64)
 
 // freeRoom is a roomFunc that counts only the capacity that is free now.
-func (d *Dispatcher) freeRoom(_ unit.Instant, _ candidate, w *worker, _ job.Resources) (job.Resources, []*run, float64) {
+func (d *Dispatcher) freeRoom(_ unit.Instant, _ candidate, w *worker, _ job.Resources, _ plannedStops) (job.Resources, []*run, float64) {
 	return w.free(), nil, 0
 }
 
@@ -127,8 +145,11 @@
 
 // workerShare is the part of an assignment that goes to one worker so far.
 type workerShare struct {
-	worker   *worker
-	members  int
+	worker  *worker
+	members int
+	// victims are the runs, on this worker, that are stopped for these members;
+	// cost is that of these stops. A run whose gang is stopped already for
+	// another share isn't among them.
 	victims  []*run
 	cost     float64
 	leftover float64
@@ -138,24 +159,29 @@
 	penalty float64
 }
 
-// extension is the share that a worker would have with one more member. ok is
-// false if the worker has no room for another member.
+// extension is the share that a worker would have with one more member. added
+// are the runs that would have to be stopped for that member. ok is false if the
+// worker has no room for another member.
 type extension struct {
 	workerShare workerShare
+	added       []*run
 	ok          bool
 }
 
 // assign chooses workers for the members one by one, each time the worker where
-// one more member costs least. A choice changes only what the next member would
-// cost on the chosen worker, so only that extension is computed again.
+// one more member costs least. A choice changes what the next member would cost
+// on the chosen worker, and on the workers of the gangs that it stops: their
+// room becomes free without further cost. Only these extensions are computed
+// again.
 func (d *Dispatcher) assign(now unit.Instant, c candidate, workers []*worker, roomOf roomFunc) assignment {
 	s := c.step
 	need := s.step.Reserved()
 	shares := make([]workerShare, len(workers))
 	extensions := make([]extension, len(workers))
+	planned := plannedStops{}
 	for i, w := range workers {
 		shares[i].worker, shares[i].penalty = w, d.emptyWorkerPenalty(w)+w.failureStreakPenalty()+s.interferencePenalty(w)
-		extensions[i] = d.withOneMore(now, c, shares[i], need, roomOf)
+		extensions[i] = d.withOneMore(now, c, shares[i], need, roomOf, planned)
 	}
 	var out assignment
 	for range c.waiting {
@@ -164,7 +190,12 @@
 			return assignment{}
 		}
 		shares[best] = extensions[best].workerShare
-		extensions[best] = d.withOneMore(now, c, shares[best], need, roomOf)
+		affected := append(planned.add(extensions[best].added), workers[best])
+		for i, w := range workers {
+			if slices.Contains(affected, w) {
+				extensions[i] = d.withOneMore(now, c, shares[i], need, roomOf, planned)
+			}
+		}
 		out.workers = append(out.workers, workers[best])
 	}
 	for _, share := range shares {
@@ -200,7 +231,7 @@
 // withOneMore returns a worker's share with one more member, if there is room.
 // A worker on probation takes only one run, and the step may limit its tasks on
 // one worker.
-func (d *Dispatcher) withOneMore(now unit.Instant, c candidate, share workerShare, need job.Resources, roomOf roomFunc) extension {
+func (d *Dispatcher) withOneMore(now unit.Instant, c candidate, share workerShare, need job.Resources, roomOf roomFunc, planned plannedStops) extension {
 	if c.step.full(share.worker, share.members) || share.worker.onProbation() && len(share.worker.runs)+share.members > 0 {
 		return extension{}
 	}
@@ -208,11 +239,11 @@
 	all := job.Resources{
 		CPU: need.CPU * job.MilliCPU(share.members), Memory: need.Memory * unit.Bytes(share.members), Accelerators: need.Accelerators * share.members,
 	}
-	free, victims, cost := roomOf(now, c, share.worker, all)
+	free, added, cost := roomOf(now, c, share.worker, all, planned)
 	if !all.Fits(free) {
 		return extension{}
 	}
-	share.victims, share.cost = victims, cost
+	share.victims, share.cost = slices.Concat(share.victims, added), share.cost+cost
 	share.leftover = leftover(free.Sub(all), share.worker.Capacity) + share.penalty
-	return extension{workerShare: share, ok: true}
+	return extension{workerShare: share, added: added, ok: true}
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -13,8 +13,9 @@
 	// claimTime is how long room is reserved for a step that other runs were
 	// stopped for: twice the time that a stop may take by default.
 	claimTime = 2 * time.Second
-	// stopCost is added for each run that is stopped, in core-seconds, so that
-	// among choices that lose little work the one with the fewest stops wins.
+	// stopCost is added for each run that is stopped, members of its gang
+	// included, in core-seconds, so that among choices that lose little work the
+	// one with the fewest stops wins.
 	stopCost = 1
 	// minHorizon and maxHorizon bound how far ahead room is reserved for a
 	// step, such as a gang, without stopping any run for it. The search tries
@@ -106,7 +107,7 @@
 // roomWithin returns a roomFunc that counts the capacity that is free or is
 // expected to be free within the time horizon. It stops no runs.
 func (d *Dispatcher) roomWithin(horizon time.Duration) roomFunc {
-	return func(now unit.Instant, _ candidate, w *worker, _ job.Resources) (job.Resources, []*run, float64) {
+	return func(now unit.Instant, _ candidate, w *worker, _ job.Resources, _ plannedStops) (job.Resources, []*run, float64) {
 		free := w.free()
 		for _, r := range w.runs {
 			if r.state == runStopping || r.step != nil && !r.step.step.LongRunning && d.remaining(now, r) <= horizon {
@@ -119,14 +120,14 @@
 
 // preemptibleRoom is a roomFunc. It returns the capacity that is free or can be
 // freed for urgent work, the runs to stop for it, and the cost of stopping them.
-// The room of runs that are already being stopped counts as free, since it needs
-// no further stop.
-func (d *Dispatcher) preemptibleRoom(now unit.Instant, c candidate, w *worker, need job.Resources) (job.Resources, []*run, float64) {
+// The room of runs that are already being stopped, or are planned to be, counts
+// as free, since it needs no further stop.
+func (d *Dispatcher) preemptibleRoom(now unit.Instant, c candidate, w *worker, need job.Resources, planned plannedStops) (job.Resources, []*run, float64) {
 	free := w.free()
 	var others []*run
 	for _, r := range w.runs {
 		switch {
-		case r.state == runStopping:
+		case r.state == runStopping, planned[r]:
 			free = free.Add(r.taken())
 		case r.step != nil && d.suspect(r.step, r.task.Index):
 			// The task may have crashed workers. If its run were stopped, it
@@ -139,42 +140,58 @@
 	if need.Fits(free) {
 		return free, nil, 0
 	}
-	costs := make(map[*run]float64, len(others))
-	for _, r := range others {
-		costs[r] = d.lostByStopping(now, r)
-	}
-	slices.SortStableFunc(others, func(a, b *run) int { return cmp.Compare(costs[a], costs[b]) })
-	victims, cost := pickVictims(others, costs, free, need)
+	victims, cost := pickVictims(d.stopUnits(now, others), free, need)
 	for _, v := range victims {
 		free = free.Add(v.taken())
 	}
 	return free, victims, cost
 }
 
-// pickVictims returns runs whose room, together with the free room, is
-// sufficient. Runs that turn out to be unnecessary are dropped again, the most
-// expensive first.
-func pickVictims(others []*run, costs map[*run]float64, free, need job.Resources) ([]*run, float64) {
-	var victims []*run
-	for _, r := range others {
-		if need.Fits(free) {
-			break
+// stopUnit is a set of runs on one worker that are stopped together: a single
+// run, or all members of a gang there.
+type stopUnit struct {
+	runs []*run
+	room job.Resources
+	// cost is what the stop loses on all workers, in core-seconds.
+	cost float64
+}
+
+// stopUnits groups runs on one worker, the cheapest unit first.
+func (d *Dispatcher) stopUnits(now unit.Instant, runs []*run) []stopUnit {
+	var units []stopUnit
+	for _, r := range runs {
+		i := slices.IndexFunc(units, func(u stopUnit) bool { return r.step.step.Gang && u.runs[0].step == r.step })
+		if i < 0 {
+			i = len(units)
+			units = append(units, stopUnit{cost: d.lostByStopping(now, r) + stopCost*float64(len(r.stoppedWith()))})
 		}
-		free = free.Add(r.taken())
-		victims = append(victims, r)
+		units[i].runs = append(units[i].runs, r)
+		units[i].room = units[i].room.Add(r.taken())
+	}
+	slices.SortStableFunc(units, func(a, b stopUnit) int { return cmp.Compare(a.cost, b.cost) })
+	return units
+}
+
+// pickVictims returns runs whose room, together with the free room, is
+// sufficient, and the cost of stopping them. Units that turn out to be
+// unnecessary are dropped again, the most expensive first.
+func pickVictims(units []stopUnit, free, need job.Resources) ([]*run, float64) {
+	n := 0
+	for ; n < len(units) && !need.Fits(free); n++ {
+		free = free.Add(units[n].room)
 	}
 	if !need.Fits(free) {
 		return nil, 0
 	}
-	for i := len(victims) - 1; i >= 0; i-- {
-		if need.Fits(free.Sub(victims[i].taken())) {
-			free = free.Sub(victims[i].taken())
-			victims = slices.Delete(victims, i, i+1)
-		}
-	}
+	var victims []*run
 	cost := 0.0
-	for _, v := range victims {
-		cost += costs[v] + stopCost
+	for i := n - 1; i >= 0; i-- {
+		if without := free.Sub(units[i].room); need.Fits(without) {
+			free = without
+			continue
+		}
+		victims = append(victims, units[i].runs...)
+		cost += units[i].cost
 	}
 	return victims, cost
 }
