--- a/core/dispatch/gang.go
+++ b/core/dispatch/gang.go
@@ -205,31 +205,7 @@
 			out.leftover += share.leftover
 		}
 	}
-	return d.withoutNeedlessStops(now, c, workers, out)
-}
-
-// withoutNeedlessStops leaves out stops that later choices of an assignment have
-// made unnecessary, the most expensive first: a gang that is stopped gives up
-// room on many workers. workers are those from which the assignment was chosen.
-func (d *Dispatcher) withoutNeedlessStops(now unit.Instant, c candidate, workers []*worker, a assignment) assignment {
-	units := d.stopUnits(now, a.victims)
-	for i := len(units) - 1; i >= 0 && len(units) > 1; i-- {
-		rest := slices.Delete(slices.Clone(units), i, i+1)
-		planned, affected := plannedStops{}, slices.Clone(a.workers)
-		for _, u := range rest {
-			affected = append(affected, planned.add(u.runs)...)
-		}
-		concerned := slices.DeleteFunc(slices.Clone(workers), func(w *worker) bool { return !slices.Contains(affected, w) })
-		if smaller := d.assign(now, c, concerned, d.roomAfterStops(planned)); smaller.workers != nil {
-			units, a.workers, a.leftover = rest, smaller.workers, smaller.leftover
-		}
-	}
-	a.victims, a.cost = nil, 0
-	for _, u := range units {
-		a.victims = append(a.victims, u.runs...)
-		a.cost += u.cost
-	}
-	return a
+	return out
 }
 
 // cheapestExtension returns the index of the extension that adds the least
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -118,20 +118,6 @@
 	}
 }
 
-// roomAfterStops returns a roomFunc that counts the capacity that is free, or
-// becomes free by the planned stops. It stops no further runs.
-func (d *Dispatcher) roomAfterStops(planned plannedStops) roomFunc {
-	return func(_ unit.Instant, _ candidate, w *worker, _ job.Resources, _ plannedStops) (job.Resources, []*run, float64) {
-		free := w.free()
-		for _, r := range w.runs {
-			if r.state == runStopping || planned[r] {
-				free = free.Add(r.taken())
-			}
-		}
-		return free, nil, 0
-	}
-}
-
 // preemptibleRoom is a roomFunc. It returns the capacity that is free or can be
 // freed for urgent work, the runs to stop for it, and the cost of stopping them.
 // The room of runs that are already being stopped, or are planned to be, counts
