core/candidacy: only a listed reserve takes the place of a candidate

Cause, by reading: the owner relies on the confirmation of all hosts that it has seen while the store is away from it; a reserve that its group doesn't list isn't among them.

--- a/core/candidacy/candidacy.go
+++ b/core/candidacy/candidacy.go
@@ -97,7 +97,10 @@
 // ObserveReserves records a poll of the reserves. A host that has just started
 // remains what its earlier incarnation was: if all hosts start together, the
 // candidates' group is empty, and every host would become a candidate. The
-// membership of a reserve must last longer than a restart for this.
+// membership of a reserve must last longer than a restart for this. A reserve
+// that isn't listed doesn't become a candidate, because the owner doesn't know
+// it: while the store is unavailable, the owner relies on the confirmation of all
+// hosts that may take the ownership.
 func (c *Candidacy) ObserveReserves(reserves []election.Member) {
 	c.listed = slices.ContainsFunc(reserves, func(m election.Member) bool { return m.Host == c.self.Host })
 	switch {
@@ -105,7 +108,7 @@
 		c.role = reserve
 	case c.role == undecided:
 		c.role = candidate
-	case c.role == reserve && c.short >= shortPolls && c.takesPlace(reserves):
+	case c.role == reserve && c.short >= shortPolls && c.listed && c.takesPlace(reserves):
 		c.role = candidate
 	}
 }
