internal/entry: the group of candidates has room for 192 hosts at most

Cause, by the trial that runs: when 583 hosts start together the group's room grows to 512 and stays there; each poll returns all partitions, some 40 kB, although 96 hosts are left in the group. Change: room for 192 at most; hosts that aren't listed become reserves by the listed ones that rank before them.

--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -236,7 +236,7 @@
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
 	h.jobsPath = relay.New(jobsBase, relay.RouteJobs, &http.Client{Transport: jobQueryTransport{newClientHandler(h)}}, links, log)
 	h.metrics.registerLinks(links)
-	h.candidates, h.reserves = newMemberships(s.LeastTTL)
+	h.candidates, h.reserves = newMemberships(s.Partitions, s.LeastTTL)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -51,9 +51,12 @@
 	// initialReserveRoom is the same for the group of reserves, which only large
 	// sites have.
 	initialReserveRoom = 256
-	// maxGroupTopics limits the topics of a group. The platform allows 100
-	// topics; the logs need the others.
-	maxGroupTopics = 45
+	// maxCandidateRoom limits the room for candidates. If hundreds of hosts start
+	// together, those that aren't listed become reserves by the members that are.
+	maxCandidateRoom = 192
+	// maxReserveTopics limits the topics of the reserves. The platform allows 100
+	// topics; the logs and the candidates need the others.
+	maxReserveTopics = 80
 	// tasksPerCore is how many tasks a second an owner with one whole core can
 	// start. tasksPerMegabit is how many tasks a second 1 Mbit/s carries, at
 	// 4 kB for a task with its renewals and records. Only the ratio between
@@ -69,11 +72,9 @@
 
 // roomForMembers returns the room that the group should have: the number of
 // hosts for which it has partitions. listed is the number of hosts that the
-// group lists, room its present room, partitions the number of partitions of
-// each topic. The room doubles, as far as the topics allow, until less than
-// three quarters of it are taken.
-func roomForMembers(listed, room, partitions int) int {
-	limit := max(room, maxGroupTopics*partitions)
+// group lists, room its present room. The room doubles, up to a limit, until less
+// than three quarters of it are taken.
+func roomForMembers(listed, room, limit int) int {
 	for 4*listed >= 3*room && room < limit {
 		room = min(2*room, limit)
 	}
@@ -97,16 +98,23 @@
 	group, topics string
 	ttl, interval time.Duration
 	// room is the number of hosts for which the group has partitions, as last
-	// seen by this host.
-	room atomic.Int32
+	// seen by this host. It is at most maxRoom.
+	room    atomic.Int32
+	maxRoom int
 	// generation is the generation of the group that the store last returned.
 	generation uint64
 }
 
-// newMemberships returns the membership of each group.
-func newMemberships(leastTTL time.Duration) (candidates, reserves *membership) {
-	candidates = &membership{group: candidateGroup, topics: candidateTopics, ttl: max(time.Second, leastTTL), interval: heartbeatInterval}
-	reserves = &membership{group: reserveGroup, topics: reserveTopics, ttl: max(reserveTTL, leastTTL), interval: reserveHeartbeatInterval}
+// newMemberships returns the membership of each group, in a store that has the
+// given number of partitions in a topic and the given least time to live.
+func newMemberships(partitions int, leastTTL time.Duration) (candidates, reserves *membership) {
+	candidates = &membership{
+		group: candidateGroup, topics: candidateTopics, ttl: max(time.Second, leastTTL), interval: heartbeatInterval, maxRoom: maxCandidateRoom,
+	}
+	reserves = &membership{
+		group: reserveGroup, topics: reserveTopics, ttl: max(reserveTTL, leastTTL), interval: reserveHeartbeatInterval,
+		maxRoom: max(initialReserveRoom, maxReserveTopics*partitions),
+	}
 	candidates.room.Store(initialGroupRoom)
 	reserves.room.Store(initialReserveRoom)
 	return candidates, reserves
@@ -301,7 +309,7 @@
 // growGroup makes room for more hosts in a group if the listed members need it.
 func (h *Host) growGroup(m *membership, listed int) {
 	room := int(m.room.Load())
-	larger := roomForMembers(listed, room, h.settings.Partitions)
+	larger := roomForMembers(listed, room, m.maxRoom)
 	if larger != room {
 		m.room.Store(int32(larger))
 		wake(h.roleChanged) // the next heartbeat adds the partitions
