core/candidacy, internal/entry: reserves keep their name over restarts, and settle faster

The reserves weren't all listed yet: the group had room for 256 at first, and the store takes a partition from a member only at its next heartbeat, 3.3 s apart. And each return changed the group twice (the earlier incarnation out, the new one in), for which the store deals all partitions anew. Change: one name for all incarnations among the reserves, so that a return changes nothing there, also after a planned stop; room for 512 at first; heartbeats each second in the first 10 s of a membership.

--- a/core/candidacy/candidacy.go
+++ b/core/candidacy/candidacy.go
@@ -45,23 +45,21 @@
 // Candidacy is one host's view of its role. In the zero value the role is
 // unknown, and it may not be passed polls; call New.
 type Candidacy struct {
+	// self is the host as a member of the reserves. All its incarnations have the
+	// same name there.
 	self election.Member
 	role role
-	// machine returns the name that all incarnations of a host share.
-	machine func(id.Host) id.Host
 	// candidates is the number of candidates in the newest poll of their group.
 	candidates int
 	// short counts the consecutive polls with fewer than Wanted candidates.
 	short int
-	// listed is set once a poll of the reserves has shown this host.
+	// listed is set if the newest poll of the reserves has shown this host.
 	listed bool
 }
 
-// New returns the candidacy of a host that has just started. The function
-// machine returns the name that all incarnations of a host share.
-func New(self election.Member, machine func(id.Host) id.Host) *Candidacy {
-	return &Candidacy{self: self, machine: machine}
-}
+// New returns the candidacy of a host that has just started. self is the host as
+// a member of the reserves, under a name that all its incarnations share.
+func New(self election.Member) *Candidacy { return &Candidacy{self: self} }
 
 // Candidate reports whether the host is a candidate.
 func (c *Candidacy) Candidate() bool { return c.role == candidate }
@@ -104,7 +102,7 @@
 func (c *Candidacy) ObserveReserves(reserves []election.Member) {
 	c.listed = slices.ContainsFunc(reserves, func(m election.Member) bool { return m.Host == c.self.Host })
 	switch {
-	case c.role == undecided && c.hasFormer(reserves):
+	case c.role == undecided && c.listed:
 		c.role = reserve
 	case c.role == undecided:
 		c.role = candidate
@@ -113,13 +111,6 @@
 	}
 }
 
-// hasFormer reports whether an earlier incarnation of the host is a member.
-func (c *Candidacy) hasFormer(members []election.Member) bool {
-	return slices.ContainsFunc(members, func(m election.Member) bool {
-		return m.Host != c.self.Host && c.machine(m.Host) == c.machine(c.self.Host)
-	})
-}
-
 // takesPlace reports whether the host is among the reserves that take the places
 // of missing candidates: those of the highest ability, and of equal ones those
 // that rank first.
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -229,7 +229,7 @@
 		machines: platform.NewMachineClient(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](eventCapacity), stopped: make(chan struct{}),
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, clock: clock,
-		election: election.New(member), candidacy: *candidacy.New(member, machineOf),
+		election: election.New(member), candidacy: *candidacy.New(election.Member{Host: s.Host, Ability: member.Ability}),
 		others: map[id.Host]otherHost{}, watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1), roleChanged: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -34,6 +34,12 @@
 	// its heartbeats.
 	reserveTTL               = 10 * time.Second
 	reserveHeartbeatInterval = reserveTTL / 3
+	// settlingInterval takes the place of reserveHeartbeatInterval in the first
+	// settlingTime of a membership. The store takes a partition from a member
+	// only at the member's next heartbeat. When many hosts become reserves at
+	// once, the last ones would be listed late.
+	settlingInterval = time.Second
+	settlingTime     = 10 * time.Second
 	// membersRetryPause is the pause after a failed poll of a group.
 	membersRetryPause = 500 * time.Millisecond
 	// reservePollInterval is the pause between two polls of the candidates by a
@@ -50,7 +56,7 @@
 	initialGroupRoom = 64
 	// initialReserveRoom is the same for the group of reserves, which only large
 	// sites have.
-	initialReserveRoom = 256
+	initialReserveRoom = 512
 	// maxCandidateRoom limits the room for candidates. If hundreds of hosts start
 	// together, those that aren't listed become reserves by the members that are.
 	maxCandidateRoom = 192
@@ -120,6 +126,15 @@
 	return candidates, reserves
 }
 
+// pause returns the pause between two heartbeats of a membership of the given
+// age.
+func (m *membership) pause(age time.Duration) time.Duration {
+	if age < settlingTime {
+		return min(m.interval, settlingInterval)
+	}
+	return m.interval
+}
+
 // currentMembership returns the membership that this host should have, or nil
 // while its role is unknown.
 func (h *Host) currentMembership() *membership { return h.member.Load() }
@@ -130,12 +145,15 @@
 	go h.followMembers(ctx)
 	dep := dependency{log: h.log, name: "store group"}
 	var joined *membership
+	var joinedAt time.Time
 	for ctx.Err() == nil && !h.stopping.Load() {
 		m := h.currentMembership()
 		if joined != nil && m != joined {
-			h.leave(ctx, joined.group, h.memberName())
+			h.leave(ctx, joined)
+		}
+		if m != joined {
+			joined, joinedAt = m, time.Now()
 		}
-		joined = m
 		if m == nil {
 			pauseUntilWoken(ctx, reservePollInterval, h.roleChanged)
 			continue
@@ -149,7 +167,7 @@
 			pause(ctx, heartbeatInterval)
 			continue
 		}
-		pauseUntilWoken(ctx, m.interval, h.roleChanged)
+		pauseUntilWoken(ctx, m.pause(time.Since(joinedAt)), h.roleChanged)
 	}
 }
 
@@ -157,7 +175,7 @@
 func (h *Host) join(ctx context.Context, m *membership) error {
 	topics := memberTopics(m.topics, h.settings.Partitions, int(m.room.Load()))
 	ended := h.health.begin()
-	g, err := h.store.Join(ctx, m.group, h.memberName(), topics, m.ttl, m.generation)
+	g, err := h.store.Join(ctx, m.group, h.memberName(m), topics, m.ttl, m.generation)
 	ended(err)
 	if err == nil {
 		m.generation = g
@@ -165,10 +183,10 @@
 	return err
 }
 
-// leave takes a member out of a group.
-func (h *Host) leave(ctx context.Context, group, member string) {
-	if err := h.store.Leave(ctx, group, member); err != nil {
-		h.log.Info("leave-failed", zap.String("group", group), zap.Error(err))
+// leave ends a membership.
+func (h *Host) leave(ctx context.Context, m *membership) {
+	if err := h.store.Leave(ctx, m.group, h.memberName(m)); err != nil {
+		h.log.Info("leave-failed", zap.String("group", m.group), zap.Error(err))
 	}
 }
 
@@ -205,9 +223,12 @@
 	if names, _, err = h.poll(ctx, h.reserves); err != nil {
 		return membersRetryPause, err
 	}
-	former, _ := query(ctx, h, func(now unit.Instant) []string { return h.observeReserves(now, names) })
-	for _, name := range former {
-		h.leave(ctx, reserveGroup, name)
+	_, ok = query(ctx, h, func(now unit.Instant) bool {
+		h.observeReserves(now, names)
+		return true
+	})
+	if !ok {
+		return membersRetryPause, nil
 	}
 	return view.pause, nil
 }
@@ -261,23 +282,14 @@
 	return v
 }
 
-// observeReserves handles a poll of the reserves. It returns the memberships of
-// earlier incarnations of this host, which have ended. They would use up the
-// group's room after a restart of all hosts. Only the deciding goroutine may
+// observeReserves handles a poll of the reserves. Only the deciding goroutine may
 // call it.
-func (h *Host) observeReserves(now unit.Instant, names []string) []string {
+func (h *Host) observeReserves(now unit.Instant, names []string) {
 	members, _, addresses := h.parseMembers(names)
 	h.reservesPolledAt = now
 	h.candidacy.ObserveReserves(members)
 	h.rememberHosts(now, members, addresses)
 	h.updateRole(now)
-	var former []string
-	for i, m := range members {
-		if m.Host != h.self && machineOf(m.Host) == h.settings.Host {
-			former = append(former, names[i])
-		}
-	}
-	return former
 }
 
 // updateRole applies a change of this host's role. Only the deciding goroutine
@@ -317,10 +329,16 @@
 	}
 }
 
-// memberName returns the host's name in its group: its id, the address on which
-// it listens for peers, and its ability.
-func (h *Host) memberName() string {
-	return string(h.self) + "@" + h.peers + "@" + strconv.Itoa(ability(h.settings))
+// memberName returns the host's name in a group: its id, the address on which it
+// listens for peers, and its ability. Among the reserves all incarnations of a
+// host have the same name, so that a restart changes nothing there: the store
+// deals the partitions anew with each change.
+func (h *Host) memberName(m *membership) string {
+	name := h.self
+	if m == h.reserves {
+		name = h.settings.Host
+	}
+	return string(name) + "@" + h.peers + "@" + strconv.Itoa(ability(h.settings))
 }
 
 // parseMembers parses the names of a group's members, which memberName
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -57,7 +57,7 @@
 }
 
 // handOver releases the ownership, so that another host claims it at once, and
-// leaves the group of live hosts.
+// leaves the group of candidates.
 func (h *Host) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
@@ -76,8 +76,8 @@
 		}
 		break
 	}
-	if m := h.currentMembership(); m != nil {
-		h.leave(ctx, m.group, h.memberName())
+	if m := h.currentMembership(); m == h.candidates && m != nil {
+		h.leave(ctx, m) // as a reserve the host stays listed, so that it is one again after a restart
 	}
 }
 
