--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -229,14 +229,14 @@
 		machines: platform.NewMachineClient(s.Machines, s.Host, client(toMachines, machineConns), log),
 		events:   ring.New[event](eventCapacity), stopped: make(chan struct{}),
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, clock: clock,
-		election: election.New(member), candidacy: *candidacy.New(member, machineOf),
+		election: election.New(member), candidacy: *candidacy.New(election.Member{Host: s.Host, Ability: member.Ability}),
 		others: map[id.Host]otherHost{}, watchers: watchers{}, counts: counts{}, wake: make(chan struct{}, 1), roleChanged: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
 	h.jobsPath = relay.New(jobsBase, relay.RouteJobs, &http.Client{Transport: jobQueryTransport{newClientHandler(h)}}, links, log)
 	h.metrics.registerLinks(links)
-	h.candidates, h.reserves = newMemberships(s.LeastTTL)
+	h.candidates, h.reserves = newMemberships(s.Partitions, s.LeastTTL)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
 	if err := h.listen(); err != nil {
