--- a/internal/entry/clients_internal_test.go
+++ b/internal/entry/clients_internal_test.go
@@ -49,7 +49,7 @@
 // It returns good if the client gets an answer and the connection is still open
 // then.
 func playClient(t *testing.T, listener, behavior string) string {
-	h := &Host{log: zap.NewNop(), metrics: newMetrics(), health: newStoreHealth(zap.NewNop())}
+	h := &Host{log: zap.NewNop(), metrics: newMetrics()}
 	h.links = relay.NewLinks((&net.Dialer{}).DialContext, zap.NewNop())
 	h.storePath = relay.New("http://store", relay.RouteStore, http.DefaultClient, h.links, zap.NewNop())
 	h.advicePath, h.recordsPath = h.storePath, h.storePath
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -14,7 +14,6 @@
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
-	"curlewsill.org/curlewsill/core/retryafter"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -25,6 +24,9 @@
 	// answerMargin is the part of a call's time that is reserved for sending
 	// the answer.
 	answerMargin = 30 * time.Millisecond
+	// retryAfterSeconds is the Retry-After header of a refused call. The header
+	// takes whole seconds.
+	retryAfterSeconds = 1
 )
 
 // clientHandler serves the calls of clients.
@@ -131,7 +133,7 @@
 		h.Set("Connection", "close")
 	}
 	if rep.status == http.StatusServiceUnavailable || rep.status == http.StatusTooManyRequests {
-		h.Set("Retry-After", f.retryAfter())
+		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
 	}
 	body := rep.body
 	if body == nil && rep.status >= http.StatusBadRequest {
@@ -155,11 +157,6 @@
 	}
 }
 
-// retryAfter returns the Retry-After header of a refused call, in seconds.
-func (f *clientHandler) retryAfter() string {
-	return strconv.Itoa(int(retryafter.For(f.host.health.outage()) / time.Second))
-}
-
 // answer finds the queue, job and customer of a call, records them in the call,
 // and handles it.
 func (f *clientHandler) answer(ctx context.Context, c *call) reply {
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -42,9 +42,6 @@
 	lastCall uint64
 	// answered is when the last answer of any kind arrived.
 	answered time.Time
-	// failedSince is when the first call began of those that got a refusal or no
-	// answer since the last one that was carried out; zero if there is none.
-	failedSince time.Time
 	// refusedSince is when the first refusal of the current unbroken series
 	// arrived; zero if the newest answer wasn't a refusal.
 	refusedSince time.Time
@@ -78,7 +75,6 @@
 	began := h.inFlight[n]
 	delete(h.inFlight, n)
 	now := time.Now()
-	h.noteOutage(began, err)
 	if errors.Is(err, platform.ErrNoAnswer) {
 		if h.unanswered == 0 {
 			h.unansweredSince = now
@@ -97,36 +93,6 @@
 	}
 }
 
-// noteOutage records whether a call that began at the given time has shown that
-// the store is available.
-func (h *storeHealth) noteOutage(began time.Time, err error) {
-	if !errors.Is(err, platform.ErrNoAnswer) && !errors.Is(err, platform.ErrNotDone) {
-		h.failedSince = time.Time{}
-		return
-	}
-	if h.failedSince.IsZero() {
-		h.failedSince = began
-	}
-}
-
-// outage returns for how long the store has been unavailable to this host: since
-// the first of the calls that failed, or that have been in flight for at least
-// hangingAfter. It returns 0 while the store is available.
-func (h *storeHealth) outage() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	since := h.failedSince
-	for _, began := range h.inFlight {
-		if time.Since(began) >= hangingAfter && h.answered.Before(began) && (since.IsZero() || began.Before(since)) {
-			since = began
-		}
-	}
-	if since.IsZero() {
-		return 0
-	}
-	return time.Since(since)
-}
-
 // noteLatency records the latency of the newest answer, and logs a change
 // between slow and normal.
 func (h *storeHealth) noteLatency(took time.Duration) {
