--- a/core/candidacy/candidacy.go
+++ b/core/candidacy/candidacy.go
@@ -98,14 +98,7 @@
 // Observe records a poll of the candidates.
 func (c *Candidacy) Observe(now unit.Instant, members []election.Member) {
 	c.members = slices.SortedFunc(slices.Values(members), compare)
-	if len(members) >= Wanted {
-		c.short = 0
-	} else {
-		if c.short == 0 {
-			c.shortSince = now
-		}
-		c.short++
-	}
+	c.countShort(now)
 	switch {
 	case c.role == candidate && c.position() >= tooMany:
 		c.role = reserve
@@ -114,6 +107,18 @@
 	}
 }
 
+// countShort counts the newest poll if it showed too few candidates.
+func (c *Candidacy) countShort(now unit.Instant) {
+	if len(c.members) >= Wanted {
+		c.short = 0
+		return
+	}
+	if c.short == 0 {
+		c.shortSince = now
+	}
+	c.short++
+}
+
 // Last returns the last host that is to be a candidate, for the owner's record.
 // It reports false if there are fewer than Wanted hosts.
 func (c *Candidacy) Last() (election.Member, bool) {
--- a/core/election/election.go
+++ b/core/election/election.go
@@ -108,11 +108,7 @@
 // ObserveGroup records a poll of the group. The owner is the host that wrote the
 // newest claim, or empty if there is none.
 func (e *Election) ObserveGroup(now unit.Instant, members []Member, owner id.Host) {
-	if now.Sub(e.polledAt) > maxViewAge {
-		e.probes.agreedAt = 0 // this host may have been partitioned itself
-	}
-	e.members, e.polledAt = members, now
-	e.trackCandidate(now)
+	e.observeMembers(now, members)
 	if owner != "" && contains(members, owner) {
 		e.misses = 0
 		return
@@ -123,6 +119,23 @@
 	e.misses++
 }
 
+// ObserveMembers records a poll of the group that doesn't show whether the owner
+// is missing: the group lacks room for all hosts, or this host doesn't know the
+// owner.
+func (e *Election) ObserveMembers(now unit.Instant, members []Member) {
+	e.observeMembers(now, members)
+	e.misses = 0
+}
+
+// observeMembers records the members that a poll has returned.
+func (e *Election) observeMembers(now unit.Instant, members []Member) {
+	if now.Sub(e.polledAt) > maxViewAge {
+		e.probes.agreedAt = 0 // this host may have been partitioned itself
+	}
+	e.members, e.polledAt = members, now
+	e.trackCandidate(now)
+}
+
 // LearnOwner records the owner when this host first learns of it. Earlier polls
 // count as misses because no owner was known; if the newest poll shows the owner,
 // those misses are reset.
@@ -183,12 +196,12 @@
 	if e.claimsByProbes(now) {
 		return true
 	}
-	return e.misses >= missesBeforeClaim && now.Sub(e.missingSince) >= time.Duration(e.Position())*claimStagger
+	return e.misses >= missesBeforeClaim && now.Sub(e.missingSince) >= time.Duration(e.position())*claimStagger
 }
 
-// Position returns how many members claim before this host: all members of higher
+// position returns how many members claim before this host: all members of higher
 // ability, and those of equal ability that rank before it.
-func (e *Election) Position() int {
+func (e *Election) position() int {
 	before := 0
 	var equals []id.Host
 	for _, m := range e.members {
@@ -204,18 +217,18 @@
 
 // Standby reports whether this host is among the first standbyHosts that would
 // claim. It also reports true before the first poll of the group.
-func (e *Election) Standby() bool { return len(e.members) == 0 || e.Position() < standbyHosts }
-
-// ObserveGroupOnly records a poll of the group by a host that doesn't know the
-// owner and doesn't claim.
-func (e *Election) ObserveGroupOnly(now unit.Instant, members []Member) {
-	e.members, e.polledAt, e.misses = members, now, 0
+func (e *Election) Standby() bool { return len(e.members) == 0 || e.position() < standbyHosts }
+
+// First returns the member that would claim first. It reports false if there are
+// no members.
+func (e *Election) First() (id.Host, bool) {
+	first := e.highestRanked(1)
+	if len(first) == 0 {
+		return "", false
+	}
+	return first[0], true
 }
 
-// Members returns the hosts of the newest poll in the order in which they would
-// claim.
-func (e *Election) Members() []id.Host { return e.highestRanked(len(e.members)) }
-
 // PollInterval returns the pause until the next poll of the group. Every host
 // polls fast while the owner is missing; otherwise hosts that would claim late
 // poll slowly.
@@ -223,7 +236,7 @@
 	switch {
 	case e.OwnerMissing():
 		return fastPollInterval
-	case len(e.members) > 0 && e.Position() >= slowPollFrom:
+	case len(e.members) > 0 && e.position() >= slowPollFrom:
 		return slowPollInterval
 	}
 	return pollInterval
--- a/internal/entry/gather.go
+++ b/internal/entry/gather.go
@@ -109,8 +109,8 @@
 	if h.loaded {
 		return h.table.Owner().Host
 	}
-	if candidates := h.election.Members(); len(candidates) > 0 && candidates[0] != h.self {
-		return candidates[0]
+	if first, ok := h.election.First(); ok && first != h.self {
+		return first
 	}
 	return ""
 }
--- a/internal/entry/lastcandidate.go
+++ b/internal/entry/lastcandidate.go
@@ -75,8 +75,7 @@
 }
 
 // recordLastCandidate writes the record if this host is the owner and the last
-// candidate has changed. If the append fails, a later poll tries again. Only the
-// deciding goroutine may call it.
+// candidate has changed. Only the deciding goroutine may call it.
 func (h *Host) recordLastCandidate(ctx context.Context, now unit.Instant) {
 	o := h.owner
 	last, ok := h.candidacy.Last()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -155,7 +155,7 @@
 func (h *Host) observeCandidates(now unit.Instant, names []string, full bool) {
 	members, peers, addresses := h.parseMembers(names)
 	if full || h.candidacy.Reserve() && !h.loaded {
-		h.election.ObserveGroupOnly(now, members)
+		h.election.ObserveMembers(now, members)
 	} else {
 		h.election.ObserveGroup(now, members, h.table.Owner().Host)
 	}
