--- a/core/candidacy/fleet_test.go
+++ b/core/candidacy/fleet_test.go
@@ -22,6 +22,8 @@
 	shortPoll     = 500 * time.Millisecond
 	// fleetStep is the time between two moments of a simulated fleet.
 	fleetStep = 100 * time.Millisecond
+	// listingSteps is how many steps it takes until the group shows a change.
+	listingSteps = 5
 )
 
 // fleetHost is a simulated host.
@@ -39,6 +41,10 @@
 	// last is the owner's record; known is false if there is none.
 	last  election.Member
 	known bool
+	// history has the candidates of the last steps, the newest last.
+	history [][]election.Member
+	// peak is the greatest number of candidates since hosts were lost.
+	peak int
 }
 
 // TestFleets runs the scripts in testdata/fleets, each with many hosts:
@@ -49,6 +55,7 @@
 //	lose candidates|able     the candidates, or the hosts of ability 500, fail
 //	restart                  all hosts that are up start again
 //	candidates MIN MAX       checks how many candidates are up
+//	peak MAX                 checks how many were up at the same time since the loss
 //
 // It guards against fleets in which all hosts become candidates at the same
 // moment, and against fleets without candidates.
@@ -99,6 +106,11 @@
 		for _, h := range f.hosts {
 			h.up = h.up && !(w[1] == "able" && h.member.Ability == 500 || w[1] == "candidates" && h.role.Candidate())
 		}
+		f.peak = 0
+	case "peak":
+		if !between(f.peak, "0", w[1]) {
+			return fmt.Errorf("there were %d", f.peak)
+		}
 	case "restart":
 		for i, h := range f.hosts {
 			f.start(h, i)
@@ -131,7 +143,9 @@
 // step lets fleetStep pass.
 func (f *fleet) step() {
 	f.now = f.now.Add(fleetStep)
-	group := f.candidates()
+	f.history = append(f.history, f.candidates())
+	f.peak = max(f.peak, len(f.candidates()))
+	group := f.history[max(0, len(f.history)-1-listingSteps)]
 	for _, h := range f.hosts {
 		if !h.up || f.now < h.polls {
 			continue
