--- a/internal/entry/members_internal_test.go
+++ b/internal/entry/members_internal_test.go
@@ -122,7 +122,8 @@
 		table: jobtable.New(), loaded: true, events: ring.New[event](eventCapacity), watchers: watchers{}, others: map[id.Host]otherHost{},
 		store: platform.NewStore("store", &http.Client{Transport: s}), settings: settings.Site{Host: "a", Partitions: 24},
 		storePath: path(), advicePath: path(), recordsPath: path(), watchPath: path(), jobsPath: path(),
-		election: election.New(self), candidacy: *candidacy.New(election.Member{Host: "a", Ability: 100}, 0), roleChanged: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		election: election.New(self), candidacy: *candidacy.New(election.Member{Host: "a", Ability: 100}, 0),
+		roleChanged: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 	}
 	h.groupCapacity.Store(initialGroupRoom)
 	return h
