core/candidacy, internal/entry: an owner knows a large site by the record too

Cause, by reading: an owner that is cut off from the store prolongs leases if all other hosts that it has seen confirm that they know no other owner. It took itself to know all hosts if it had seen fewer than 64, which is also so in the first second after a return of all hosts of a large site. Change: a site counts as large once a poll has shown 64 candidates, or if the record of the last candidate exists. Sites without the record do as before. Test: TestKnowsAllHosts, failed before (record, 9 hosts listed).

--- a/core/candidacy/candidacy.go
+++ b/core/candidacy/candidacy.go
@@ -68,6 +68,8 @@
 	// shortSince is when the first of them was made.
 	short      int
 	shortSince unit.Instant
+	// large is set once the site is known to have had Wanted hosts.
+	large bool
 }
 
 // New returns the candidacy of a host that has just started. jitter is a random
@@ -89,7 +91,7 @@
 // Begin sets the role of a host that has just started. last is the last host that
 // is to be a candidate by the owner's record; known is false if there is none.
 func (c *Candidacy) Begin(last election.Member, known bool) {
-	c.role = candidate
+	c.role, c.large = candidate, known
 	if known && compare(c.self, last) > 0 {
 		c.role = reserve
 	}
@@ -110,7 +112,7 @@
 // countShort counts the newest poll if it showed too few candidates.
 func (c *Candidacy) countShort(now unit.Instant) {
 	if len(c.members) >= Wanted {
-		c.short = 0
+		c.short, c.large = 0, true
 		return
 	}
 	if c.short == 0 {
@@ -119,6 +121,9 @@
 	c.short++
 }
 
+// Large reports whether the site may have reserves, which are in no group.
+func (c *Candidacy) Large() bool { return c.large }
+
 // Last returns the last host that is to be a candidate, for the owner's record.
 // It reports false if there are fewer than Wanted hosts.
 func (c *Candidacy) Last() (election.Member, bool) {
--- a/internal/entry/assure.go
+++ b/internal/entry/assure.go
@@ -5,7 +5,6 @@
 	"maps"
 	"time"
 
-	"curlewsill.org/curlewsill/core/candidacy"
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/unit"
@@ -60,9 +59,9 @@
 }
 
 // knowsAllHosts reports whether this host knows all hosts that may claim the
-// ownership. At a site with as many candidates as are wanted, there may be
-// reserves, which are in no group.
-func (h *Host) knowsAllHosts() bool { return len(h.others)+1 < candidacy.Wanted }
+// ownership. At a large site it doesn't know the reserves. Only the deciding
+// goroutine may call it.
+func (h *Host) knowsAllHosts() bool { return !h.candidacy.Large() }
 
 // requestAssurance checks every assureInterval whether this host is the owner
 // and its newest assurance is older than readStaleAfter, as in an outage of the
--- a/internal/entry/lookup_internal_test.go
+++ b/internal/entry/lookup_internal_test.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
@@ -89,3 +90,24 @@
 		})
 	}
 }
+
+// TestKnowsAllHosts checks that an owner relies on the confirmation of the other
+// hosts that it has seen only if they are all hosts of the site.
+//
+// After a return of all hosts of a large site an owner has seen few of them. If
+// it lost the store then, it would prolong leases although a host that it doesn't
+// know may have taken the ownership.
+func TestKnowsAllHosts(t *testing.T) {
+	for _, c := range []struct {
+		recorded bool
+		listed   int
+		want     bool
+	}{{false, 9, true}, {false, 70, false}, {true, 9, false}} {
+		h := newMember(&groupStore{})
+		h.candidacy.Begin(election.Member{Host: "last", Ability: 50}, c.recorded)
+		h.observeCandidates(h.now(), names(c.listed, 500), false)
+		if got := h.knowsAllHosts(); got != c.want {
+			t.Errorf("record %t, %d hosts listed: the host knows all hosts %t, want %t", c.recorded, c.listed, got, c.want)
+		}
+	}
+}
