core/dispatch: a start order that may still be carried out isn't repeated

Callers saw a task run twice, run again after it was done, or take room that other runs had, on workers that restart under their names.

Cause: an unanswered start order was repeated after 0.3 s, or its run was given up and the task placed elsewhere, while the order could still be carried out up to 12 s after it was sent. The worker's next incarnation knows nothing of the task's other runs, and nothing in the order tells it from a newer one.

Change, for workers that report their start: an unanswered start order is open until the worker reports the run, or 12.2 s after its result. Meanwhile it isn't repeated, and its run is kept with its room under the worker's name, so that the task isn't placed again. Only one order to start a task can so be open; the stops that blocked late orders on the next incarnation are gone. A task's record confirms its start, in a form that hosts of the version before ignore. The next owner waits for the starts that aren't confirmed, 3 s longer since the owner before may have sent them until then.

Workers that don't report their start are as before.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -91,6 +91,7 @@
 	}
 	r := d.runAnswer(now, res.Start.Target, res.Verdict, res.Clock, res.Start.Task, res.Start.Run)
 	if r == nil {
+		d.movedStartAnswered(now, res)
 		return
 	}
 	r.inFlight = false
@@ -101,9 +102,13 @@
 		if r.apply(evStarted) && r.startedAt == 0 {
 			r.startedAt = now
 		}
+		d.confirmStart(r)
 		d.window.noteAnswer(now, now.Sub(r.startSentAt))
 	case fleet.Unknown:
 		r.startUnanswered = true
+		if r.openStart(now); r.startOpen(now) {
+			d.noteRun(EventStartOpen, r, "", r.startOpenUntil.Sub(now))
+		}
 		r.lateStartLeaseExpiry = d.noteUnansweredLease(r.worker, r.startSentAt)
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.LeaseExpired:
 		// Either resend repeats the order, or runAnswer has already given up
@@ -130,6 +135,7 @@
 	if r.apply(evStarted) {
 		r.startedAt = now
 	}
+	d.confirmStart(r)
 	r.worker.nextRenewal = min(r.worker.nextRenewal, now)
 }
 
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"curlewsill.org/curlewsill/core/fleet"
@@ -30,15 +29,6 @@
 // incarnation of its worker.
 const whyLateStart = "an order to start it may reach the next incarnation under its worker's name"
 
-// lateStart is an order to start a run that has ended, with a copy that got no
-// answer.
-type lateStart struct {
-	task   job.TaskID
-	number job.RunNumber
-	// sentAt is when the last copy was sent.
-	sentAt unit.Instant
-}
-
 // unreplacedNamesake reports whether an incarnation that isn't known to have
 // ended has the same name as another one.
 func (w *worker) unreplacedNamesake(o *worker) bool { return w != o && w.name == o.name && !w.replaced }
@@ -71,8 +61,7 @@
 	return until
 }
 
-// inherit transfers runs, unanswered start orders and lease expiries from a
-// worker to next, the next incarnation under its name. That incarnation may
+// inherit transfers runs and lease expiries from a worker to next, the next incarnation under its name. That incarnation may
 // have received orders that were meant for the worker, or may still receive
 // them.
 func (d *Dispatcher) inherit(now unit.Instant, w, next *worker) {
@@ -87,13 +76,6 @@
 			d.moveRun(now, r, next)
 		}
 	}
-	for _, s := range w.lateStarts {
-		if now.Sub(s.sentAt) <= maxOrderDelay {
-			d.blockStart(now, next, s)
-			next.lateStarts = append(next.lateStarts, s) // a later incarnation knows nothing of that stop
-		}
-	}
-	w.lateStarts = nil
 	next.lateAckAt = max(next.lateAckAt, w.lateAckAt)
 	next.grantedLeaseExpiry = max(next.grantedLeaseExpiry, w.lateLeaseExpiry)
 	next.lateLeaseExpiry = max(next.lateLeaseExpiry, w.lateLeaseExpiry)
@@ -106,14 +88,12 @@
 
 // mayReachSuccessor reports whether the next incarnation under the worker's
 // name may receive, or may have received, an order to start the run. That is so
-// if a recent copy of the order got no answer, or if nothing proves that the
-// present incarnation started the run. An order that was never sent can't reach
-// it.
+// if the order is open, or if nothing proves that the present incarnation
+// started the run. An order that was never sent can't reach it.
 func (r *run) mayReachSuccessor(now unit.Instant) bool {
-	unanswered := (r.startUnanswered || r.startLeaseExpiry != 0) && now.Sub(r.startSentAt) <= maxOrderDelay
 	answeredOnly := r.startedAt != 0 && r.worker.syncedAsOf <= r.startedAt
 	unsure := r.reportedAt == 0 && (r.fromEarlierOwner || r.inheritedFrom != "" || answeredOnly) // nothing proves that this incarnation started it
-	return r.state != runOrdered && (unanswered || unsure)
+	return r.state != runOrdered && (r.mayStillStart(now) || unsure)
 }
 
 // moveRun assigns a run to the next incarnation under its worker's name until
@@ -131,11 +111,17 @@
 		r.inheritedFrom = old.ID
 	}
 	r.worker = next
-	r.startUnanswered = r.startUnanswered || r.startLeaseExpiry != 0
+	if r.startLeaseExpiry != 0 {
+		r.startUnanswered = true
+		r.openStart(now)
+	}
 	r.inFlight, r.startLeaseExpiry = false, 0
 	r.startedAt, r.reportedAt, r.missingAt, r.stopSentAt, r.stopConfirmedAt = 0, 0, 0, 0, 0
 	d.occupy(r)
 	d.noteRun(EventTaskInherited, r, "placed on "+string(old.ID), now.Sub(r.knownSince))
+	if r.state == runStopping {
+		d.orderStop(now, r)
+	}
 	if r.step == nil || len(r.step.job.progress.Tasks) == 0 {
 		return
 	}
@@ -146,29 +132,13 @@
 	}
 }
 
-// blockStart prevents an unanswered start order from starting a run that has
-// ended. It orders the worker to stop the run, because a worker refuses to
-// start a run that it was ordered to stop before.
-func (d *Dispatcher) blockStart(now unit.Instant, next *worker, s lateStart) {
-	if r := next.runs.get(s.task); r != nil {
-		r.startUnanswered = true // stopping the later run also keeps the earlier one from starting
-		return
-	}
-	r := &run{task: s.task, number: s.number, state: runStarting, worker: next, knownSince: now, fromEarlierOwner: true}
-	if step := d.stepOfTask(s.task); step != nil {
-		r.need = step.step.Reserved() // it may already run there
-	}
-	d.occupy(r)
-	d.stop(now, r, whyLateStart)
-}
-
 // inheritedMissing handles an answer of the next incarnation under a name that
-// doesn't list a run placed on the previous one. If a start order got no
-// answer, it may still arrive, so the run is stopped there. Otherwise the run
+// doesn't list a run placed on the previous one. If a start order is open, it
+// may still arrive, so the run is stopped there. Otherwise the run
 // ended with the previous incarnation, or it ended on this one while the worker
 // collected its lists of running and ended tasks.
 func (d *Dispatcher) inheritedMissing(now unit.Instant, r *run, sent unit.Instant) {
-	if r.startUnanswered {
+	if r.mayStillStart(sent) {
 		d.stopWithGang(now, r, whyLateStart)
 		return
 	}
@@ -189,18 +159,6 @@
 	r.inheritedFrom = ""
 }
 
-// recordLateStart keeps the start order of a run that has ended, if a copy of
-// it got no answer. The next incarnation under the worker's name may still
-// carry out that copy.
-func (r *run) recordLateStart() {
-	w := r.worker
-	if !r.startUnanswered && r.startLeaseExpiry == 0 || !fleet.HasStart(w.ID) {
-		return
-	}
-	w.lateStarts = slices.DeleteFunc(w.lateStarts, func(s lateStart) bool { return r.startSentAt.Sub(s.sentAt) > maxOrderDelay })
-	w.lateStarts = append(w.lateStarts, lateStart{task: r.task, number: r.number, sentAt: r.startSentAt})
-}
-
 // endsToAck returns the number of the last end that a renewal acknowledges, so
 // that the worker forgets the ends up to it; 0 for none. The next incarnation
 // under the name may receive the renewal instead. It would then forget ends of
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
@@ -166,6 +167,9 @@
 		task: s.task(index), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s,
 		knownSince: now, startSentAt: now, fromEarlierOwner: true,
 	}
+	if fleet.HasStart(w.ID) && !t.StartConfirmed {
+		r.openStart(now.Add(soleOwnerValidity))
+	}
 	if r.bestEffort() {
 		r.slowdownPercent = fullSpeed - minSpeed
 	}
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -44,9 +44,13 @@
 	d.loseRuns(now, w, e)
 }
 
-// loseRuns gives up every run like loseAll, without counting a crash.
+// loseRuns gives up every run like loseAll, without counting a crash. A run
+// whose start order is open is kept until the order is too late.
 func (d *Dispatcher) loseRuns(now unit.Instant, w *worker, e evidence) {
 	for _, r := range w.sorted() {
+		if r.mayStillStart(now) {
+			continue
+		}
 		if e == leaseLapsed && now <= w.leaseExpiry() {
 			d.noteViolation(now, r, "given up although its lease may not have expired")
 			continue
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -57,6 +57,9 @@
 	// EventStartOvertaken: the run of a start order, or a later run of the
 	// task, has already ended on the worker.
 	EventStartOvertaken Event = "start-overtaken"
+	// EventStartOpen: a start order got no answer and may be carried out later,
+	// by a later incarnation too; age is for how much longer.
+	EventStartOpen Event = "start-open"
 	// EventTaskStop: a run is ordered to stop.
 	EventTaskStop Event = "task-stop"
 	// EventTaskPaced: the speed of a run is changed.
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -24,6 +24,7 @@
 	n.Age = now.Sub(r.knownSince)
 	d.note(n)
 	d.inheritedFound(r)
+	r.startOpenUntil = 0
 	if e.Checkpoint != "" {
 		r.checkpoint = e.Checkpoint
 	}
@@ -173,13 +174,14 @@
 		if r.apply(evStarted) && r.startedAt == 0 {
 			r.startedAt = now
 		}
+		d.confirmStart(r)
 		d.clearSuspicion(r)
 	}
 	for _, r := range w.sorted() {
 		if listed[r.task] || ended[r.task] || res.Report.MoreEnds {
 			continue // its end may be among those in the next answer
 		}
-		if r.inheritedFrom != "" && r.state != runStopping {
+		if r.inheritedFrom != "" && r.state != runStopping && !r.startExpired(res.Sent) {
 			d.inheritedMissing(now, r, res.Sent)
 			continue
 		}
@@ -193,8 +195,15 @@
 // renewal sent at the given time doesn't list it. That is so if the run can't
 // start on the worker after that time: the worker had already confirmed its
 // start or its stop, or every copy of its start order is by then too late to be
-// accepted.
+// accepted. A run whose start order is open never counts as missing: even if it
+// can't start on this incarnation any more, it may start on the next one.
 func (d *Dispatcher) mustBeReported(r *run, sent unit.Instant) bool {
+	if r.mayStillStart(sent) {
+		return false
+	}
+	if r.startExpired(sent) {
+		return true
+	}
 	started := r.startedAt != 0 && sent > r.startedAt
 	stopped := r.state == runStopping && r.stopConfirmedAt != 0 && sent > r.stopConfirmedAt
 	late := r.state != runOrdered && r.startSentAt != 0 && sent > d.maxLeaseExpiry(r.startSentAt.Add(soleOwnerValidity))
@@ -213,6 +222,9 @@
 		return
 	}
 	d.noteRun(EventTaskVanished, r, string(r.state), now.Sub(sent))
+	if r.startExpired(now) && r.startOrders > 0 {
+		d.countUnansweredStart(now, r)
+	}
 	r.apply(evLost)
 	d.loseWithGang(now, r, "not listed by its worker")
 }
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -70,6 +70,7 @@
 	d.forgetGone(now)
 	for _, w := range d.workersByID {
 		d.loseLapsed(now, w)
+		d.loseExpired(now, w)
 		d.resend(now, w)
 		d.evictDraining(now, w)
 	}
@@ -137,7 +138,7 @@
 		case r.state == runStarting && r.startIgnored(now):
 			d.stopWithGang(now, r, "its worker answers renewals, but not its orders to start")
 			d.countUnansweredStart(now, r)
-		case r.state == runStarting && r.inheritedFrom == "" && now.Sub(r.startSentAt) >= resendAfter && w.syncedAsOf != 0 &&
+		case r.state == runStarting && r.inheritedFrom == "" && r.startOpenUntil == 0 && now.Sub(r.startSentAt) >= resendAfter && w.syncedAsOf != 0 &&
 			w.responsive(now) && d.mayStart(now) && !r.blockedByEvacuation():
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopConfirmedAt == 0 && now.Sub(r.stopSentAt) >= resendAfter:
@@ -223,7 +224,7 @@
 		o.Until, w.renewalLeaseExpiry = d.lease(now, w), d.maxLeaseExpiry(now)
 	}
 	if w.syncedAsOf != 0 && w.lastEndSeen == w.lastEndStored && len(w.runs) > 0 && w.responsive(now) &&
-		!w.renewalUnanswered && !w.needsPromptAnswer() && !w.hasForgettableEnds() {
+		!w.renewalUnanswered && !w.needsPromptAnswer(now) && !w.hasForgettableEnds() {
 		o.Wait = renewalWait(d.config.MaxLease)
 		// A renewal that grants no lease must not wait long: the next one may
 		// grant a lease, and must be sent before an earlier lease of 6 s
@@ -289,13 +290,16 @@
 // once, because decisions depend on it. The owner may need a first answer since
 // the worker was suspended or a rival incarnation was listed, a report whether
 // an inherited run is there, a second answer about a missing run, or the first
-// report since a stop was confirmed.
-func (w *worker) needsPromptAnswer() bool {
+// report since a stop was confirmed or a start order became too late.
+func (w *worker) needsPromptAnswer(now unit.Instant) bool {
 	if w.syncedAsOf < w.suspendedAt || !w.confirmed() {
 		return true
 	}
 	for _, r := range w.runs {
-		if r.inheritedFrom != "" {
+		if r.startOpen(now) && r.startedAt == 0 {
+			continue
+		}
+		if r.inheritedFrom != "" || r.startExpired(now) {
 			return true
 		}
 		absenceCounts := r.startedAt != 0 || r.stopConfirmedAt != 0
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -110,6 +110,9 @@
 	return func(now unit.Instant, _ candidate, w *worker, _ job.Resources, _ plannedStops) (job.Resources, []*run, float64) {
 		free := w.free()
 		for _, r := range w.runs {
+			if r.startOpen(now) {
+				continue
+			}
 			if r.state == runStopping || r.step != nil && !r.step.step.LongRunning && d.remaining(now, r) <= horizon {
 				free = free.Add(r.taken())
 			}
@@ -127,6 +130,8 @@
 	var others []*run
 	for _, r := range w.runs {
 		switch {
+		case r.startOpen(now):
+			// A stop wouldn't free its room before the order is too late.
 		case r.state == runStopping, planned[r]:
 			free = free.Add(r.taken())
 		case r.step != nil && d.suspect(r.step, r.task.Index):
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -32,7 +32,6 @@
 	d.placedRuns--
 	// Its start order may still be in flight.
 	r.worker.grantedLeaseExpiry = max(r.worker.grantedLeaseExpiry, r.startLeaseExpiry)
-	r.recordLateStart()
 	r.worker.updateCounts(func() { r.worker.runs.remove(r.task) })
 	r.worker.used = r.worker.used.Sub(r.taken())
 	if r.step == nil {
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -162,6 +162,10 @@
 	// unanswered start orders that the next incarnation under the worker's name
 	// may still carry out.
 	startLeaseExpiry, lateStartLeaseExpiry unit.Instant
+	// startOpenUntil is until when an unanswered start order of the run may
+	// still be carried out, by whichever incarnation has the worker's name then;
+	// 0 if no order is open, and for workers that don't report their start.
+	startOpenUntil unit.Instant
 	// inFlight is set while an order for the run has no verdict.
 	inFlight bool
 	// startUnanswered is set once a start order has got no answer: the worker
@@ -264,13 +268,10 @@
 	// but got no answer. The next one doesn't wait at the worker, so that its
 	// loss is noticed 2 s earlier.
 	renewalUnanswered bool
-	// lateStarts holds start orders of runs that have ended; a copy of each
-	// recently got no answer. lateAckAt is when the last unanswered renewal
-	// that acknowledged ends was sent; 0 for never. The next incarnation under
-	// the name may carry out any of these orders and that renewal.
-	// lateLeaseExpiry is when every lease has expired for certain that an
-	// unanswered order may grant to the next incarnation.
-	lateStarts                 []lateStart
+	// lateAckAt is when the last unanswered renewal that acknowledged ends was
+	// sent; 0 for never. The next incarnation under the name may carry out that
+	// renewal. lateLeaseExpiry is when every lease has expired for certain that
+	// an unanswered order may grant to the next incarnation.
 	lateAckAt, lateLeaseExpiry unit.Instant
 	// suspendedUntil is the time until which the worker gets no new tasks.
 	// suspendedAt is when it was suspended.
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -105,6 +105,9 @@
 
 // loseWithGang gives up a run and stops the rest of its gang.
 func (d *Dispatcher) loseWithGang(now unit.Instant, r *run, why string) {
+	if r.state == runGone && r.startOpen(now) {
+		d.noteViolation(now, r, "given up while an order to start it may still be carried out")
+	}
 	d.requeue(r)
 	d.release(r)
 	if r.step != nil && r.step.step.Gang && r.step.done < r.step.step.Count {
--- a/core/dispatch/window.go
+++ b/core/dispatch/window.go
@@ -88,9 +88,9 @@
 
 // pending reports whether a run counts as a pending start. If its order got no
 // answer, it counts as long as its worker answers other orders, since the order
-// is repeated.
+// is repeated. An order that is open isn't repeated and doesn't count.
 func (r *run) pending(now unit.Instant) bool {
-	return r.state == runOrdered || r.state == runStarting && (r.inFlight || now.Sub(r.worker.lastAnswerAt) < maxAnswerAgeForPending)
+	return r.state == runOrdered || r.state == runStarting && (r.inFlight || r.startOpenUntil == 0 && now.Sub(r.worker.lastAnswerAt) < maxAnswerAgeForPending)
 }
 
 // countPending counts the pending starts.
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -238,6 +238,10 @@
 	Worker id.Worker
 	// Checkpoint is the newest known checkpoint; empty for none.
 	Checkpoint string
+	// StartConfirmed is set once no order to start Run can be carried out any
+	// more, because the worker has answered one or has reported the run. It is
+	// meaningful only for a placed task whose worker reports when it started.
+	StartConfirmed bool
 }
 
 // CrashCount counts the incarnations of workers that crashed, which means that
--- a/core/jobtable/progress.go
+++ b/core/jobtable/progress.go
@@ -29,7 +29,9 @@
 	Groups []taskGroup
 	// Crashes has an entry for each crash count. If crashes of its task were
 	// excused, a second entry for the task follows, whose Run is their number.
-	// Hosts that don't know such entries use only the first one.
+	// Hosts that don't know such entries use only the first one. Entries with a
+	// negative Task are ranges of confirmed starts; see confirmedStarts. Hosts
+	// that don't know these ignore them, since no task has such a position.
 	Crashes []job.CrashCount
 }
 
@@ -46,7 +48,7 @@
 
 // pack returns the encoded form of a job's progress.
 func pack(p job.Progress) packedProgress {
-	out := packedProgress{Outcome: p.Outcome, Ended: p.Ended, Crashes: packCrashes(p.Crashes)}
+	out := packedProgress{Outcome: p.Outcome, Ended: p.Ended, Crashes: append(packCrashes(p.Crashes), confirmedStarts(p.Tasks)...)}
 	positions := map[string]int{"": 0}
 	name := func(s string) int {
 		n, ok := positions[s]
@@ -58,7 +60,7 @@
 		return n
 	}
 	for i := range p.Tasks {
-		if i > 0 && p.Tasks[i] == p.Tasks[i-1] {
+		if i > 0 && sameGroup(p.Tasks[i], p.Tasks[i-1]) {
 			out.Groups[len(out.Groups)-1].Count++
 			continue
 		}
@@ -82,9 +84,52 @@
 		t := job.TaskState{Phase: g.Phase, Run: g.Run, Failures: g.Failed, Worker: id.Worker(worker), Checkpoint: checkpoint}
 		out.Tasks = append(out.Tasks, slices.Repeat([]job.TaskState{t}, g.Count)...)
 	}
+	markConfirmedStarts(out.Tasks, p.Crashes)
 	return out, nil
 }
 
+// sameGroup reports whether two tasks have the same state but for the
+// confirmation of their starts, which is encoded apart from the groups.
+func sameGroup(a, b job.TaskState) bool {
+	a.StartConfirmed = b.StartConfirmed
+	return a == b
+}
+
+// confirmedStarts returns the ranges of placed tasks whose starts are confirmed,
+// in the form of crash counts: Task is -1 minus the position of the first task,
+// Total the number of tasks, and Run their run. A range whose run isn't that of
+// the task any more has no effect: a host that doesn't know these entries may
+// have kept them while it changed the tasks.
+func confirmedStarts(tasks []job.TaskState) []job.CrashCount {
+	var out []job.CrashCount
+	for i, t := range tasks {
+		if !t.StartConfirmed || t.Phase != job.Placed {
+			continue
+		}
+		if last := len(out) - 1; last >= 0 && -1-out[last].Task+out[last].Total == i && out[last].Run == t.Run {
+			out[last].Total++
+			continue
+		}
+		out = append(out, job.CrashCount{Task: -1 - i, Run: t.Run, Total: 1})
+	}
+	return out
+}
+
+// markConfirmedStarts sets StartConfirmed in the tasks of the ranges among the
+// entries.
+func markConfirmedStarts(tasks []job.TaskState, entries []job.CrashCount) {
+	for _, e := range entries {
+		first := -1 - e.Task
+		if e.Task >= 0 || first >= len(tasks) || e.Total < 0 {
+			continue
+		}
+		for i := first; i < len(tasks) && i-first < e.Total; i++ {
+			t := &tasks[i]
+			t.StartConfirmed = t.StartConfirmed || t.Phase == job.Placed && t.Run == e.Run
+		}
+	}
+}
+
 // packCrashes returns the encoded form of crash counts.
 func packCrashes(counts []job.CrashCount) []job.CrashCount {
 	var out []job.CrashCount
@@ -101,6 +146,9 @@
 func unpackCrashes(entries []job.CrashCount) []job.CrashCount {
 	var out []job.CrashCount
 	for _, e := range entries {
+		if e.Task < 0 {
+			continue
+		}
 		if last := len(out) - 1; last >= 0 && out[last].Task == e.Task {
 			out[last].Excused = max(0, int(e.Run))
 			continue
--- a/core/jobtable/progress_test.go
+++ b/core/jobtable/progress_test.go
@@ -15,7 +15,8 @@
 // TestProgress encodes and decodes the progress in testdata/progress/sizes.txt
 // and checks the size of the records. A line has the largest size of the record
 // in bytes, and groups of tasks in the form COUNTxPHASE. For placed tasks, /N
-// is appended if each worker has N of them.
+// is appended if each worker has N of them, as for placed tasks whose starts are
+// confirmed.
 //
 // It guards against large records: each start and end of a task writes the
 // progress of its job anew. With one entry for each task a site of 1,100
@@ -73,6 +74,28 @@
 	}
 }
 
+// TestOutdatedConfirmation checks that the confirmation of a start has no effect
+// on a later run of its task.
+//
+// It guards against a task that runs twice after a host that doesn't know such
+// entries has kept one while it placed the task again: the next owner would
+// place the task once more although the order to start it may still be carried
+// out.
+func TestOutdatedConfirmation(t *testing.T) {
+	p := job.Progress{Tasks: []job.TaskState{{Phase: job.Placed, Run: 3, Worker: "i-1@7"}}, Crashes: []job.CrashCount{{Task: -1, Run: 2, Total: 1}}}
+	table := jobtable.New()
+	r, err := table.ProgressRecord("j", p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := table.ApplyProgress(r); err != nil {
+		t.Fatal(err)
+	}
+	if got := table.Get("j").Progress; got.Tasks[0].StartConfirmed || len(got.Crashes) > 0 {
+		t.Errorf("got %+v, want no confirmed start and no crash count", got)
+	}
+}
+
 // tasksOf returns the tasks of a group in the form COUNTxPHASE[/N].
 func tasksOf(t *testing.T, group string) []job.TaskState {
 	count, phase, _ := strings.Cut(group, "x")
@@ -87,13 +110,13 @@
 		case "waits":
 		case "done":
 			out[i] = job.TaskState{Phase: job.Done, Run: 1}
-		case "placed":
+		case "placed", "confirmed":
 			per, err := strconv.Atoi(perWorker)
 			if err != nil {
 				t.Fatal(err)
 			}
 			worker := id.Worker("i-54e03b" + strconv.Itoa(1000+i/per))
-			out[i] = job.TaskState{Phase: job.Placed, Run: 3, Failures: 1, Worker: worker, Checkpoint: "00000bb87a21d94b"}
+			out[i] = job.TaskState{Phase: job.Placed, Run: 3, Failures: 1, Worker: worker, Checkpoint: "00000bb87a21d94b", StartConfirmed: phase == "confirmed"}
 		default:
 			t.Fatalf("unknown phase: %s", phase)
 		}
