core/dispatch: the success of a run beside another one of its task counts

Callers saw work done twice: a run that had been given up was listed again and stopped, since another run of the task had begun; it was done before the stop, and its end was acknowledged without effect. On all kinds of workers.

Cause: runEnded released a run without a step before it looked at how the run had ended. Only ends of runs that weren't known at all went to successAfterLoss.

Ruled out: that the task's other run makes up for it. It does the work again, and while it waits to be started the success is forgotten by the worker.

Shown by: done_beside_another.txt, which failed before (job j1 is open, want completed; no stop of run 2). core/dispatch and core/world pass.

--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -30,7 +30,12 @@
 	}
 	r.apply(evEnded)
 	s := r.step
-	if s == nil || s.job.progress.Outcome != job.Open {
+	if s == nil {
+		d.release(r)
+		d.successAfterLoss(now, e)
+		return
+	}
+	if s.job.progress.Outcome != job.Open {
 		d.release(r)
 		return
 	}
