core/world: scripts in which a start order outlives its run and its worker

What callers see: a task that is done starts once more, and so does one that has used up its attempts.

Cause: after an unanswered copy of a start order, the run's end is acknowledged as soon as its record is stored (Committed, endsToAck). The worker may restart under its name before the copy arrives, and its next incarnation has seen no fence. The stop that keeps the copy out (recordLateStart, blockStart) is sent after the first answer of that incarnation only.

TestCarriedOver fails: "j.0.0.0 was started again after its end was noted" (done, gang_done), "j.0.0.0 was started after 1 failures" (failed). The script of a cancelled job passes.

--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -36,6 +36,8 @@
 //	    injects a fault
 //	run D
 //	    advances the virtual time
+//	restart WORKER down=D
+//	    ends the worker's incarnation; the next one starts under the same name
 //	state NAME STATE [by=D]
 //	    checks the job's outcome and, with "by", that the job reached it at
 //	    most that long after its submission
@@ -89,6 +91,8 @@
 		d, err := time.ParseDuration(f[1])
 		p.must(err)
 		p.w.Run(d)
+	case "restart":
+		p.w.RestartWorker(id.Worker(f[1]), o.duration("down", 0))
 	case "state":
 		p.checkState(f[1], world.State(f[2]), o.duration("by", time.Hour))
 	case "count":
