core/dispatch: a late start order is looked for on the next incarnation

Callers would see a task run twice: a start order got no answer, the worker's next incarnation carried it out just before it was too late, and the owner learned of that incarnation after that.

Cause: mayReachSuccessor compared the order's age with the present time, not with the time until which the former incarnation was known. So the run was lost at once, and its task placed before the next incarnation had told what runs there.

Change: a run whose start order got no answer passes to the next incarnation, whenever that is learned; that one lists it, or it is given up.

Shown by: learned_late.txt failed before ("start j1.0.0.0 run 2 on w2@5" while w1@9 runs it).

--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -72,7 +72,7 @@
 		if r.startLeaseExpiry != 0 {
 			d.noteUnansweredLease(w, now)
 		}
-		if r.mayReachSuccessor(now) {
+		if r.mayReachSuccessor() {
 			d.moveRun(now, r, next)
 		}
 	}
@@ -88,12 +88,14 @@
 
 // mayReachSuccessor reports whether the next incarnation under the worker's
 // name may receive, or may have received, an order to start the run. That is so
-// if the order is open, or if nothing proves that the present incarnation
-// started the run. An order that was never sent can't reach it.
-func (r *run) mayReachSuccessor(now unit.Instant) bool {
+// if the order got no answer, even if it is too late by now, or if nothing proves
+// that the present incarnation started the run. An order that was never sent
+// can't reach it.
+func (r *run) mayReachSuccessor() bool {
+	unanswered := r.startOpenUntil != 0 || r.startLeaseExpiry != 0
 	answeredOnly := r.startedAt != 0 && r.worker.syncedAsOf <= r.startedAt
 	unsure := r.reportedAt == 0 && (r.fromEarlierOwner || r.inheritedFrom != "" || answeredOnly) // nothing proves that this incarnation started it
-	return r.state != runOrdered && (r.mayStillStart(now) || unsure)
+	return r.state != runOrdered && (unanswered || unsure)
 }
 
 // moveRun assigns a run to the next incarnation under its worker's name until
