core/dispatch: no renewal waits beyond the end of an open start order

A task whose start order got no answer is placed again when the order is too late and two answers of the worker don't list its run. A renewal that waited there for an end of a run made that up to 2 s later.

--- a/core/dispatch/openstart.go
+++ b/core/dispatch/openstart.go
@@ -90,3 +90,16 @@
 		}
 	}
 }
+
+// firstOpenUntil returns when the first of the worker's open start orders
+// becomes too late to be carried out; 0 if none is open. No renewal waits at the
+// worker beyond that time, since the answer may free the run's task.
+func (w *worker) firstOpenUntil(now unit.Instant) unit.Instant {
+	first := unit.Instant(0)
+	for _, r := range w.runs {
+		if r.startOpen(now) && (first == 0 || r.startOpenUntil < first) {
+			first = r.startOpenUntil
+		}
+	}
+	return first
+}
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -235,6 +235,9 @@
 		if d.policy.MoveStalled && w.runsUrgentWork() {
 			o.Wait = min(o.Wait, urgentRenewWait)
 		}
+		if until := w.firstOpenUntil(now); until != 0 {
+			o.Wait = min(o.Wait, until.Sub(now))
+		}
 		if w.hasIsolationReserve() {
 			o.Wait = min(o.Wait, isolationRenewWait)
 		}
