--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -108,9 +108,6 @@
 		r.startUnanswered = true
 		if r.openStart(now); r.startOpen(now) {
 			d.noteRun(EventStartOpen, r, "", r.startOpenUntil.Sub(now))
-			if r.step != nil && r.step.step.Gang {
-				d.stopWithGang(now, r, "a member's start order got no answer")
-			}
 		}
 		r.lateStartLeaseExpiry = d.noteUnansweredLease(r.worker, r.startSentAt)
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.LeaseExpired:
