--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -234,11 +234,5 @@
 // failureStreakPenalty returns the penalty, in addition to the leftover, for a
 // placement on a worker whose latest runs failed.
 func (w *worker) failureStreakPenalty() float64 {
-	penalty := failurePenalty * float64(min(w.failureStreak, suspendAfterFailures))
-	for _, r := range w.runs {
-		if r.startOpenUntil != 0 {
-			return penalty + failurePenalty
-		}
-	}
-	return penalty
+	return failurePenalty * float64(min(w.failureStreak, suspendAfterFailures))
 }
