--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -37,8 +37,8 @@
 // scriptedPath is one path of a call, with scripted behavior.
 type scriptedPath struct {
 	mode string
-	// links is the set of connections of both hosts.
-	links *wslink.Links
+	// host makes the calls of a peer on its own direct path.
+	host *relay.Transport
 	// made counts the calls that reached the store.
 	made atomic.Int32
 }
@@ -53,9 +53,12 @@
 
 func run(t *testing.T, text string) {
 	links := newLinks(t)
-	direct, peer := &scriptedPath{}, &scriptedPath{links: links}
+	direct, peer := &scriptedPath{}, &scriptedPath{}
 	store := httptest.NewServer(http.HandlerFunc(direct.store))
 	t.Cleanup(store.Close)
+	peerStore := httptest.NewServer(http.HandlerFunc(peer.store))
+	t.Cleanup(peerStore.Close)
+	peer.host = relay.New(peerStore.URL, relay.RouteStore, peerStore.Client(), links, zap.NewNop())
 	other := httptest.NewServer(http.HandlerFunc(peer.peer))
 	t.Cleanup(other.Close)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: direct.dial}}
@@ -135,7 +138,5 @@
 		_ = conn.CloseNow()
 		return
 	}
-	store := httptest.NewServer(http.HandlerFunc(w.store))
-	defer store.Close()
-	relay.New(store.URL, relay.RouteStore, store.Client(), w.links, zap.NewNop()).Handler().ServeHTTP(rw, r)
+	w.host.Handler().ServeHTTP(rw, r)
 }
