internal/relay: TestSilent counts only its own calls

TestSilent waits for an exact number of calls at a store that listens on a socket. A call of another test's process to a server that has closed counts too, if the store has got its port; then the number is passed over and the script fails after 20 s. Mend: the calls carry a random path, and the store counts and serves only that path. Another path gets 404, so that a call which goes out with a wrong path fails the test. Nothing else depends on the random path.

--- a/internal/relay/silent_test.go
+++ b/internal/relay/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -52,8 +53,12 @@
 type pair struct {
 	proxy     *faultproxy.Proxy
 	transport *relay.Transport
-	made      atomic.Int32
-	inFlight  sync.WaitGroup
+	// path is the URL path of the calls. It is random, so that the store can
+	// tell them from calls that other tests' processes make to a server that
+	// had the store's port before.
+	path     string
+	made     atomic.Int32
+	inFlight sync.WaitGroup
 
 	mu sync.Mutex
 	// gate blocks the peer's calls until it is closed.
@@ -62,7 +67,7 @@
 
 func newPair(t *testing.T) *pair {
 	t.Helper()
-	w := &pair{gate: make(chan struct{})}
+	w := &pair{path: "/" + rand.Text(), gate: make(chan struct{})}
 	close(w.gate)
 	store := httptest.NewServer(http.HandlerFunc(w.store))
 	t.Cleanup(store.Close)
@@ -80,7 +85,11 @@
 }
 
 // store answers a call of the peer once the gate is open.
-func (w *pair) store(_ http.ResponseWriter, r *http.Request) {
+func (w *pair) store(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != w.path {
+		http.NotFound(rw, r)
+		return
+	}
 	w.made.Add(1)
 	w.mu.Lock()
 	gate := w.gate
@@ -131,7 +140,7 @@
 		w.inFlight.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), limit)
 			defer cancel()
-			status, _, err := w.transport.CallPeer(ctx, w.proxy.Addr(), relay.Request{Method: http.MethodPost, Path: "/", Timeout: limit})
+			status, _, err := w.transport.CallPeer(ctx, w.proxy.Addr(), relay.Request{Method: http.MethodPost, Path: w.path, Timeout: limit})
 			got := "unknown"
 			if err == nil && status == http.StatusOK {
 				got = "ok"
