core/dispatch: a start order is followed until its result, wherever its run is

Callers would see a job that never ends: a worker was replaced by one with another name while a start order was in flight, and the order then proved to be without effect, or was carried out. The run stayed on the replaced worker, which gets no renewals. And a task could run twice: a run that had passed to the next incarnation was given up while the order was still in flight, in a host that stood still.

Cause: the lease of the order told whether one was in flight; it was dropped when the run passed on, and stood when Started had already given the worker up.

Change: a run has a mark of its own for an order in flight. closeStart, first in Started, finds the run under whichever incarnation it is and says whether the order is open; a replaced worker gives up the runs whose orders aren't.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -89,9 +89,9 @@
 	if res.Verdict != fleet.CarriedOut && res.Verdict != fleet.Unknown && res.Verdict != fleet.Stale {
 		d.startRefused(res.Start)
 	}
+	d.closeStart(now, res)
 	r := d.runAnswer(now, res.Start.Target, res.Verdict, res.Clock, res.Start.Task, res.Start.Run)
 	if r == nil {
-		d.movedStartAnswered(now, res)
 		return
 	}
 	r.inFlight = false
@@ -102,13 +102,9 @@
 		if r.apply(evStarted) && r.startedAt == 0 {
 			r.startedAt = now
 		}
-		d.confirmStart(r)
 		d.window.noteAnswer(now, now.Sub(r.startSentAt))
 	case fleet.Unknown:
 		r.startUnanswered = true
-		if r.openStart(now); r.startOpen(now) {
-			d.noteRun(EventStartOpen, r, "", r.startOpenUntil.Sub(now))
-		}
 		r.lateStartLeaseExpiry = d.noteUnansweredLease(r.worker, r.startSentAt)
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.LeaseExpired:
 		// Either resend repeats the order, or runAnswer has already given up
@@ -135,7 +131,6 @@
 	if r.apply(evStarted) {
 		r.startedAt = now
 	}
-	d.confirmStart(r)
 	r.worker.nextRenewal = min(r.worker.nextRenewal, now)
 }
 
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -180,7 +180,7 @@
 	if r.knownSince == 0 {
 		r.knownSince = now
 	}
-	r.startSentAt, r.inFlight, r.startLeaseExpiry = now, true, d.maxLeaseExpiry(now)
+	r.startSentAt, r.inFlight, r.startInFlight, r.startLeaseExpiry = now, true, true, d.maxLeaseExpiry(now)
 	r.startOrders++
 	r.worker.changeSent = true
 	s := r.step
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -92,7 +92,7 @@
 // that the present incarnation started the run. An order that was never sent
 // can't reach it.
 func (r *run) mayReachSuccessor() bool {
-	unanswered := r.startOpenUntil != 0 || r.startLeaseExpiry != 0
+	unanswered := r.startOpenUntil != 0 || r.startInFlight
 	answeredOnly := r.startedAt != 0 && r.worker.syncedAsOf <= r.startedAt
 	unsure := r.reportedAt == 0 && (r.fromEarlierOwner || r.inheritedFrom != "" || answeredOnly) // nothing proves that this incarnation started it
 	return r.state != runOrdered && (unanswered || unsure)
@@ -113,10 +113,7 @@
 		r.inheritedFrom = old.ID
 	}
 	r.worker = next
-	if r.startLeaseExpiry != 0 {
-		r.startUnanswered = true
-		r.openStart(now)
-	}
+	r.startUnanswered = r.startUnanswered || r.startInFlight
 	r.inFlight, r.startLeaseExpiry = false, 0
 	r.startedAt, r.reportedAt, r.missingAt, r.stopSentAt, r.stopConfirmedAt = 0, 0, 0, 0, 0
 	d.occupy(r)
--- a/core/dispatch/openstart.go
+++ b/core/dispatch/openstart.go
@@ -34,7 +34,7 @@
 // mayStillStart is startOpen, or true while a start order is in flight to a
 // worker that may restart under its name.
 func (r *run) mayStillStart(at unit.Instant) bool {
-	return r.startOpen(at) || r.startLeaseExpiry != 0 && fleet.HasStart(r.worker.ID)
+	return r.startOpen(at) || r.startInFlight && fleet.HasStart(r.worker.ID)
 }
 
 // startExpired reports whether the run's start order got no answer and is, at
@@ -55,9 +55,10 @@
 	}
 }
 
-// movedStartAnswered handles the result of a start order whose run has passed
-// to the next incarnation under the worker's name.
-func (d *Dispatcher) movedStartAnswered(now unit.Instant, res StartResult) {
+// closeStart records the result of a start order: whether the order is open now.
+// The run may have passed to the next incarnation under the worker's name since
+// the order was sent.
+func (d *Dispatcher) closeStart(now unit.Instant, res StartResult) {
 	s := d.stepOfTask(res.Start.Task)
 	if s == nil || res.Start.Fence.Epoch != d.epoch {
 		return
@@ -66,9 +67,12 @@
 	if r == nil || r.number != res.Start.Run || r.worker.name != fleet.NameOf(res.Start.Worker) {
 		return
 	}
+	r.startInFlight = false
 	switch res.Verdict {
 	case fleet.Unknown:
-		r.openStart(now)
+		if r.openStart(now); r.startOpen(now) {
+			d.noteRun(EventStartOpen, r, "", r.startOpenUntil.Sub(now))
+		}
 	case fleet.CarriedOut, fleet.Stale:
 		d.confirmStart(r)
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.LeaseExpired, fleet.NoTicket, fleet.NoRoom, fleet.Busy, fleet.Invalid:
@@ -76,15 +80,15 @@
 	}
 }
 
-// loseExpired gives up the runs of a replaced worker whose start orders were
-// still open when it was replaced, once they can't be carried out any more.
-func (d *Dispatcher) loseExpired(now unit.Instant, w *worker) {
-	if !w.replaced {
+// loseClosed gives up the runs that a replaced worker has kept because a start
+// order was open, once that order can't be carried out any more.
+func (d *Dispatcher) loseClosed(now unit.Instant, w *worker) {
+	if !w.replaced || !fleet.HasStart(w.ID) {
 		return
 	}
 	for _, r := range w.sorted() {
-		if r.startExpired(now) && !r.mayStillStart(now) {
-			d.noteRun(EventTaskLost, r, "its start order can't be carried out any more", w.silentFor(now))
+		if r.worker == w && !r.mayStillStart(now) {
+			d.noteRun(EventTaskLost, r, "its worker was replaced, and its start order can't be carried out any more", w.silentFor(now))
 			r.apply(evLost)
 			d.loseWithGang(now, r, "its worker was replaced")
 		}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -162,6 +162,9 @@
 	// unanswered start orders that the next incarnation under the worker's name
 	// may still carry out.
 	startLeaseExpiry, lateStartLeaseExpiry unit.Instant
+	// startInFlight is set while a start order has no verdict, also if the run
+	// has passed to the next incarnation meanwhile.
+	startInFlight bool
 	// startOpenUntil is until when an unanswered start order of the run may
 	// still be carried out, by whichever incarnation has the worker's name then;
 	// 0 if no order is open, and for workers that don't report their start.
