core/dispatch: a run whose start is confirmed isn't ordered to start again

Callers would see a task run twice: the record confirmed a start, the next owner's first answer listed neither the run nor its end, and that owner ordered the run to start again under the same confirmation. The owner after it would have taken the order for answered.

Change: such a run isn't repeated. It has started before this owner learned of it, so that two answers without it show that it is over.

--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -5,7 +5,6 @@
 
 	"curlewsill.org/curlewsill/core/fleet"
 	"curlewsill.org/curlewsill/core/id"
-	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -121,11 +120,7 @@
 	if r.state == runStopping {
 		d.orderStop(now, r)
 	}
-	if r.step == nil || len(r.step.job.progress.Tasks) == 0 {
-		return
-	}
-	t := &r.step.job.progress.Tasks[r.step.base+r.task.Index]
-	if t.Phase == job.Placed && t.Run == r.number {
+	if t := r.record(); t != nil {
 		t.Worker = next.ID
 		d.markChanged(r.step.job)
 	}
--- a/core/dispatch/openstart.go
+++ b/core/dispatch/openstart.go
@@ -41,15 +41,32 @@
 // the given time, too late to be carried out.
 func (r *run) startExpired(at unit.Instant) bool { return r.startOpenUntil != 0 && !r.startOpen(at) }
 
+// record returns the task's record if it is that of the run, or nil.
+func (r *run) record() *job.TaskState {
+	if r.step == nil || len(r.step.job.progress.Tasks) == 0 {
+		return nil
+	}
+	t := &r.step.job.progress.Tasks[r.step.base+r.task.Index]
+	if t.Phase != job.Placed || t.Run != r.number {
+		return nil
+	}
+	return t
+}
+
+// startConfirmed reports whether the task's record confirms the start of the
+// run. Such a run isn't ordered to start again: the next owner would take that
+// order for answered.
+func (r *run) startConfirmed() bool {
+	t := r.record()
+	return t != nil && t.StartConfirmed
+}
+
 // confirmStart records that no start order of the run is open, and keeps that
 // in the task's record for the next owner.
 func (d *Dispatcher) confirmStart(r *run) {
 	r.startOpenUntil = 0
-	if r.step == nil || !fleet.HasStart(r.worker.ID) || len(r.step.job.progress.Tasks) == 0 {
-		return
-	}
-	t := &r.step.job.progress.Tasks[r.step.base+r.task.Index]
-	if t.Phase == job.Placed && t.Run == r.number && !t.StartConfirmed {
+	t := r.record()
+	if t != nil && !t.StartConfirmed && fleet.HasStart(r.worker.ID) {
 		t.StartConfirmed = true
 		d.markChanged(r.step.job)
 	}
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -201,12 +201,13 @@
 // start on the worker after that time: the worker had already confirmed its
 // start or its stop, or every copy of its start order is by then too late to be
 // accepted. A run whose start order is open never counts as missing: even if it
-// can't start on this incarnation any more, it may start on the next one.
+// can't start on this incarnation any more, it may start on the next one. One whose
+// record confirms its start has started before this owner learned of it.
 func (d *Dispatcher) mustBeReported(r *run, sent unit.Instant) bool {
 	if r.mayStillStart(sent) {
 		return false
 	}
-	if r.startExpired(sent) {
+	if r.startExpired(sent) || r.fromEarlierOwner && r.startConfirmed() && sent > r.knownSince {
 		return true
 	}
 	started := r.startedAt != 0 && sent > r.startedAt
