core/dispatch: an unanswered start order counts from when it left its host

Callers would see a task run twice: an order leaves its host up to a second after it was decided, since its connection has to be opened first. The next owner, and the expiry of the lease that a late order grants, counted from the decision.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -105,7 +105,7 @@
 		d.window.noteAnswer(now, now.Sub(r.startSentAt))
 	case fleet.Unknown:
 		r.startUnanswered = true
-		r.lateStartLeaseExpiry = d.noteUnansweredLease(r.worker, r.startSentAt)
+		r.lateStartLeaseExpiry = d.noteUnansweredLease(r.worker, now)
 	case fleet.Unreachable, fleet.Replaced, fleet.Fenced, fleet.LeaseExpired:
 		// Either resend repeats the order, or runAnswer has already given up
 		// the worker.
