core/dispatch: start orders that were lost together count as one ignored order

Callers would see tasks wait although there is room: one short outage of the network to a worker lost three start orders of different jobs, and 12 s later the worker was suspended for leaving orders unanswered, and on probation after that.

Change: an order counts only if it left startTimeout after the one that counted last, as repeated orders to other workers have to go unanswered for that long.

--- a/core/dispatch/health.go
+++ b/core/dispatch/health.go
@@ -124,6 +124,10 @@
 	if r.step != nil {
 		r.step.noteFailure(now, r.task.Index, r.worker)
 	}
+	if r.startOpenUntil != 0 && r.startSentAt.Sub(r.worker.startUnansweredAt) < startTimeout {
+		return // the order was lost together with one that counts already
+	}
+	r.worker.startUnansweredAt = r.startSentAt
 	d.countFailure(r.worker, r.task.Job)
 	d.suspendFailing(now, r.worker, "it leaves orders to start unanswered")
 }
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -276,6 +276,9 @@
 	// renewal. lateLeaseExpiry is when every lease has expired for certain that
 	// an unanswered order may grant to the next incarnation.
 	lateAckAt, lateLeaseExpiry unit.Instant
+	// startUnansweredAt is when the latest start order was sent that counts as
+	// ignored by the worker; 0 if none does.
+	startUnansweredAt unit.Instant
 	// suspendedUntil is the time until which the worker gets no new tasks.
 	// suspendedAt is when it was suspended.
 	suspendedAt, suspendedUntil unit.Instant
