core/dispatch, core/jobtable: the time of an open start order is in the record

Change: the owner records until when an open order may be carried out, as a time of day, in the form of the confirmations. The next one limits its own estimate by that time and 5 s, for clocks that differ. An owner that has recorded the time sends no further order to start the run.

--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -205,7 +205,7 @@
 		js.progress.Tasks = make([]job.TaskState, js.spec.RoundCount()*js.spec.TasksPerRound())
 	}
 	t := &js.progress.Tasks[s.base+index]
-	t.Phase, t.Run, t.Worker, t.StartConfirmed = job.Placed, number, w.ID, false
+	t.Phase, t.Run, t.Worker, t.StartConfirmed, t.StartOpenUntil = job.Placed, number, w.ID, false, 0
 	r := &run{task: s.task(index), number: number, state: runOrdered, worker: w, need: s.step.Reserved(), step: s}
 	d.occupy(r)
 	d.starts = append(d.starts, r)
--- a/core/dispatch/openstart.go
+++ b/core/dispatch/openstart.go
@@ -19,6 +19,10 @@
 // openStartMargin is added to maxOrderDelay for the transit time of an order.
 const openStartMargin = 200 * time.Millisecond
 
+// maxClockDifference is the largest difference between the times of day of two
+// hosts that are compared.
+const maxClockDifference = 5 * time.Second
+
 // openStart records that the run's start order got no answer until now. The
 // order left before now, since its result is known.
 func (r *run) openStart(now unit.Instant) {
@@ -61,13 +65,19 @@
 	return t != nil && t.StartConfirmed
 }
 
+// mayRepeatStart reports whether the run's start order may be sent again: no such
+// order is known to be open or answered, and the run isn't inherited.
+func (r *run) mayRepeatStart() bool {
+	return r.inheritedFrom == "" && r.startOpenUntil == 0 && !r.startConfirmed()
+}
+
 // confirmStart records that no start order of the run is open, and keeps that
 // in the task's record for the next owner.
 func (d *Dispatcher) confirmStart(r *run) {
 	r.startOpenUntil = 0
 	t := r.record()
 	if t != nil && !t.StartConfirmed && fleet.HasStart(r.worker.ID) {
-		t.StartConfirmed = true
+		t.StartConfirmed, t.StartOpenUntil = true, 0
 		d.markChanged(r.step.job)
 	}
 }
@@ -112,6 +122,29 @@
 	}
 }
 
+// recordOpenStarts keeps in the tasks' records until when the open start orders to
+// a worker may be carried out. An owner that has just taken over limits its own
+// estimate by what an earlier one has recorded: no order to start these runs has
+// been sent since. Otherwise tasks would wait for as long as owners change.
+func (d *Dispatcher) recordOpenStarts(now unit.Instant, w *worker) {
+	for _, r := range w.runs {
+		if r.startOpenRecorded || !r.startOpen(now) {
+			continue
+		}
+		t := r.record()
+		if t == nil {
+			continue
+		}
+		r.startOpenRecorded = true
+		if t.StartOpenUntil != 0 {
+			r.startOpenUntil = min(r.startOpenUntil, now.Add(t.StartOpenUntil.Sub(d.wallTime)+maxClockDifference))
+			continue
+		}
+		t.StartOpenUntil = d.wallTime.Add(r.startOpenUntil.Sub(now))
+		d.markChanged(r.step.job)
+	}
+}
+
 // firstOpenUntil returns when the first of the worker's open start orders
 // becomes too late to be carried out; 0 if none is open. No renewal waits at the
 // worker beyond that time, since the answer may free the run's task.
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -71,6 +71,7 @@
 	for _, w := range d.workersByID {
 		d.loseLapsed(now, w)
 		d.loseClosed(now, w)
+		d.recordOpenStarts(now, w)
 		d.resend(now, w)
 		d.evictDraining(now, w)
 	}
@@ -138,7 +139,7 @@
 		case r.state == runStarting && r.startIgnored(now):
 			d.stopWithGang(now, r, "its worker answers renewals, but not its orders to start")
 			d.countUnansweredStart(now, r)
-		case r.state == runStarting && r.inheritedFrom == "" && r.startOpenUntil == 0 && !r.startConfirmed() && now.Sub(r.startSentAt) >= resendAfter && w.syncedAsOf != 0 &&
+		case r.state == runStarting && r.mayRepeatStart() && now.Sub(r.startSentAt) >= resendAfter && w.syncedAsOf != 0 &&
 			w.responsive(now) && d.mayStart(now) && !r.blockedByEvacuation():
 			d.orderStart(now, r)
 		case r.state == runStopping && r.stopConfirmedAt == 0 && now.Sub(r.stopSentAt) >= resendAfter:
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -169,6 +169,9 @@
 	// still be carried out, by whichever incarnation has the worker's name then;
 	// 0 if no order is open, and for workers that don't report their start.
 	startOpenUntil unit.Instant
+	// startOpenRecorded is set once startOpenUntil was compared with the task's
+	// record, or is kept there.
+	startOpenRecorded bool
 	// inFlight is set while an order for the run has no verdict.
 	inFlight bool
 	// startUnanswered is set once a start order has got no answer: the worker
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -242,6 +242,10 @@
 	// more, because the worker has answered one or has reported the run. It is
 	// meaningful only for a placed task whose worker reports when it started.
 	StartConfirmed bool
+	// StartOpenUntil is the time of day until which an order to start Run that
+	// got no answer may be carried out, as far as an owner has recorded it; 0 if
+	// none has. It is meaningful as StartConfirmed is, and only without it.
+	StartOpenUntil unit.Instant
 }
 
 // CrashCount counts the incarnations of workers that crashed, which means that
--- a/core/jobtable/progress.go
+++ b/core/jobtable/progress.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"math"
 	"slices"
+	"time"
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
@@ -30,8 +32,8 @@
 	// Crashes has an entry for each crash count. If crashes of its task were
 	// excused, a second entry for the task follows, whose Run is their number.
 	// Hosts that don't know such entries use only the first one. Entries with a
-	// negative Task are ranges of confirmed starts; see confirmedStarts. Hosts
-	// that don't know these ignore them, since no task has such a position.
+	// negative Task tell what is known of starts; see packStarts. Hosts that
+	// don't know these ignore them, since no task has such a position.
 	Crashes []job.CrashCount
 }
 
@@ -48,7 +50,7 @@
 
 // pack returns the encoded form of a job's progress.
 func pack(p job.Progress) packedProgress {
-	out := packedProgress{Outcome: p.Outcome, Ended: p.Ended, Crashes: append(packCrashes(p.Crashes), confirmedStarts(p.Tasks)...)}
+	out := packedProgress{Outcome: p.Outcome, Ended: p.Ended, Crashes: append(packCrashes(p.Crashes), packStarts(p.Tasks)...)}
 	positions := map[string]int{"": 0}
 	name := func(s string) int {
 		n, ok := positions[s]
@@ -84,40 +86,44 @@
 		t := job.TaskState{Phase: g.Phase, Run: g.Run, Failures: g.Failed, Worker: id.Worker(worker), Checkpoint: checkpoint}
 		out.Tasks = append(out.Tasks, slices.Repeat([]job.TaskState{t}, g.Count)...)
 	}
-	markConfirmedStarts(out.Tasks, p.Crashes)
+	unpackStarts(out.Tasks, p.Crashes)
 	return out, nil
 }
 
-// sameGroup reports whether two tasks have the same state but for the
-// confirmation of their starts, which is encoded apart from the groups.
+// sameGroup reports whether two tasks have the same state but for what is known
+// of their starts, which is encoded apart from the groups.
 func sameGroup(a, b job.TaskState) bool {
-	a.StartConfirmed = b.StartConfirmed
+	a.StartConfirmed, a.StartOpenUntil = b.StartConfirmed, b.StartOpenUntil
 	return a == b
 }
 
-// confirmedStarts returns the ranges of placed tasks whose starts are confirmed,
-// in the form of crash counts: Task is -1 minus the position of the first task,
-// Total the number of tasks, and Run their run. A range whose run isn't that of
-// the task any more has no effect: a host that doesn't know these entries may
-// have kept them while it changed the tasks.
-func confirmedStarts(tasks []job.TaskState) []job.CrashCount {
+// packStarts returns ranges of placed tasks whose starts are confirmed, or open
+// until the same time, in the form of crash counts: Task is -1 minus the position
+// of the first task, Total the number of tasks, Run their run, and Early the time
+// in milliseconds since 1970, rounded up, or 0 for confirmed starts. A range
+// whose run isn't that of the task any more has no effect: a host that doesn't
+// know these entries may have kept them while it changed the tasks.
+func packStarts(tasks []job.TaskState) []job.CrashCount {
 	var out []job.CrashCount
 	for i, t := range tasks {
-		if !t.StartConfirmed || t.Phase != job.Placed {
+		if t.Phase != job.Placed || !t.StartConfirmed && t.StartOpenUntil <= 0 {
 			continue
 		}
-		if last := len(out) - 1; last >= 0 && -1-out[last].Task+out[last].Total == i && out[last].Run == t.Run {
+		until := 0
+		if !t.StartConfirmed {
+			until = int((time.Duration(t.StartOpenUntil)-1)/time.Millisecond) + 1
+		}
+		if last := len(out) - 1; last >= 0 && -1-out[last].Task+out[last].Total == i && out[last].Run == t.Run && out[last].Early == until {
 			out[last].Total++
 			continue
 		}
-		out = append(out, job.CrashCount{Task: -1 - i, Run: t.Run, Total: 1})
+		out = append(out, job.CrashCount{Task: -1 - i, Run: t.Run, Early: until, Total: 1})
 	}
 	return out
 }
 
-// markConfirmedStarts sets StartConfirmed in the tasks of the ranges among the
-// entries.
-func markConfirmedStarts(tasks []job.TaskState, entries []job.CrashCount) {
+// unpackStarts sets what the ranges among the entries tell of starts.
+func unpackStarts(tasks []job.TaskState, entries []job.CrashCount) {
 	for _, e := range entries {
 		first := -1 - e.Task
 		if e.Task >= 0 || first >= len(tasks) || e.Total < 0 {
@@ -125,11 +131,21 @@
 		}
 		for i := first; i < len(tasks) && i-first < e.Total; i++ {
 			t := &tasks[i]
-			t.StartConfirmed = t.StartConfirmed || t.Phase == job.Placed && t.Run == e.Run
+			switch {
+			case t.Phase != job.Placed || t.Run != e.Run:
+			case e.Early == 0:
+				t.StartConfirmed, t.StartOpenUntil = true, 0
+			case e.Early > 0 && e.Early <= maxOpenUntil && !t.StartConfirmed:
+				t.StartOpenUntil = unit.Instant(time.Duration(e.Early) * time.Millisecond)
+			}
 		}
 	}
 }
 
+// maxOpenUntil is the latest time, in milliseconds since 1970, that a unit.Instant
+// can hold.
+const maxOpenUntil = math.MaxInt64 / int(time.Millisecond)
+
 // packCrashes returns the encoded form of crash counts.
 func packCrashes(counts []job.CrashCount) []job.CrashCount {
 	var out []job.CrashCount
--- a/core/jobtable/progress_test.go
+++ b/core/jobtable/progress_test.go
@@ -5,18 +5,20 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/core/unit"
 )
 
 // TestProgress encodes and decodes the progress in testdata/progress/sizes.txt
 // and checks the size of the records. A line has the largest size of the record
 // in bytes, and groups of tasks in the form COUNTxPHASE. For placed tasks, /N
 // is appended if each worker has N of them, as for placed tasks whose starts are
-// confirmed.
+// confirmed or whose start orders are open.
 //
 // It guards against large records: each start and end of a task writes the
 // progress of its job anew. With one entry for each task a site of 1,100
@@ -82,7 +84,8 @@
 // place the task once more although the order to start it may still be carried
 // out.
 func TestOutdatedConfirmation(t *testing.T) {
-	p := job.Progress{Tasks: []job.TaskState{{Phase: job.Placed, Run: 3, Worker: "i-1@7"}}, Crashes: []job.CrashCount{{Task: -1, Run: 2, Total: 1}}}
+	p := job.Progress{Tasks: []job.TaskState{{Phase: job.Placed, Run: 3, Worker: "i-1@7"}}}
+	p.Crashes = []job.CrashCount{{Task: -1, Run: 2, Total: 1}, {Task: -1, Run: 1, Early: 5, Total: 1}}
 	table := jobtable.New()
 	r, err := table.ProgressRecord("j", p)
 	if err != nil {
@@ -91,7 +94,7 @@
 	if err := table.ApplyProgress(r); err != nil {
 		t.Fatal(err)
 	}
-	if got := table.Get("j").Progress; got.Tasks[0].StartConfirmed || len(got.Crashes) > 0 {
+	if got := table.Get("j").Progress; got.Tasks[0].StartConfirmed || got.Tasks[0].StartOpenUntil != 0 || len(got.Crashes) > 0 {
 		t.Errorf("got %+v, want no confirmed start and no crash count", got)
 	}
 }
@@ -110,13 +113,16 @@
 		case "waits":
 		case "done":
 			out[i] = job.TaskState{Phase: job.Done, Run: 1}
-		case "placed", "confirmed":
+		case "placed", "confirmed", "open":
 			per, err := strconv.Atoi(perWorker)
 			if err != nil {
 				t.Fatal(err)
 			}
 			worker := id.Worker("i-54e03b" + strconv.Itoa(1000+i/per))
 			out[i] = job.TaskState{Phase: job.Placed, Run: 3, Failures: 1, Worker: worker, Checkpoint: "00000bb87a21d94b", StartConfirmed: phase == "confirmed"}
+			if phase == "open" {
+				out[i].StartOpenUntil = unit.Instant(1700000000123 * time.Millisecond)
+			}
 		default:
 			t.Fatalf("unknown phase: %s", phase)
 		}
