core/dispatch: a run whose lease has lapsed is kept while its listed worker may report its success

Seen by callers: tasks that were done were done again.

Cause: the lapse of a lease shows that a run is over, not how it ended. Calls to the workers of the other region got no answer for 10 to 18 s: connections take more than the 400 ms of a dial, answers more than 800 ms. After 3.5 s no order extends the lease, 10.4 s later the runs were given up ("its lease has lapsed") and started again at once. The workers lived, were listed, and had finished nearly all of these runs before their leases ended; they listed the ends 0.1 to 8 s after the second start (unknown-end, done).

Now such a run is kept for the length of a lease at most, if the worker is listed. Long-running tasks and those that may run in copies are started again as before.

What is left: workers that are off the list, since their heartbeats don't get through either.

The scripts of evidence/ and reborn/ in which a listed worker stays silent for longer than its lease expect the second start a lease later, and nothing before it.

--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -44,19 +44,44 @@
 	d.loseRuns(now, w, e)
 }
 
-// loseRuns gives up every run like loseAll, without counting a crash.
+// loseRuns gives up every run like loseAll, without counting a crash. Runs that
+// await a report are kept.
 func (d *Dispatcher) loseRuns(now unit.Instant, w *worker, e evidence) {
 	for _, r := range w.sorted() {
 		if e == leaseLapsed && now <= w.leaseExpiry() {
 			d.noteViolation(now, r, "given up although its lease may not have expired")
 			continue
 		}
+		if e == leaseLapsed && d.awaitsReport(now, r) {
+			continue
+		}
 		d.noteRun(EventTaskLost, r, string(e), w.silentFor(now))
 		r.apply(evLost)
 		d.loseWithGang(now, r, string(e))
 	}
 }
 
+// awaitsReport reports whether a run is kept although its lease has expired. The
+// lease shows that the run is over, but not how it ended. A listed worker lives,
+// and lists the ends that nobody has acknowledged once it can be reached.
+// Without the wait, a task that was done while its worker couldn't be reached
+// would be done again. The wait is as long as a lease at most, for the sake of
+// tasks whose worker stays out of reach.
+func (d *Dispatcher) awaitsReport(now unit.Instant, r *run) bool {
+	w, s := r.worker, r.step
+	if !w.listed || w.awaitingUpkeep || s == nil || !r.mayHaveStarted() {
+		return false
+	}
+	if s.step.LongRunning || s.step.AllowDuplicates || now.Sub(w.leaseExpiry()) > d.config.MaxLease {
+		return false
+	}
+	if !r.reportAwaited {
+		r.reportAwaited = true
+		d.noteRun(EventReportAwaited, r, "its lease has lapsed, and its worker is still listed", w.silentFor(now))
+	}
+	return true
+}
+
 // replace gives up an incarnation after another one has answered in its place.
 // next is that other incarnation if both have the same name, and nil otherwise.
 // If the replaced incarnation is listed again later, the owner sends it
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -68,6 +68,9 @@
 	EventUnknownEnd Event = "unknown-end"
 	// EventTaskLost: a run has ended for certain, but no worker reported how.
 	EventTaskLost Event = "task-lost"
+	// EventReportAwaited: a run is over by its lease, and is kept for a while
+	// because its worker may report that it was done.
+	EventReportAwaited Event = "report-awaited"
 	// EventTaskInherited: the next incarnation under its worker's name may have
 	// carried out the start order of a run, which is now expected there; why
 	// names the incarnation that it was placed on.
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -174,6 +174,9 @@
 	// while it is unknown whether the next incarnation under the same name has
 	// the run, and otherwise empty.
 	inheritedFrom id.Worker
+	// reportAwaited is set once the run was kept after the expiry of its lease,
+	// for its worker to report how it ended.
+	reportAwaited bool
 	// stopReason is the reason, for the log, why the run is stopped.
 	stopReason string
 }
