core/dispatch: a run whose lease has lapsed is kept for a report also if its worker is off the list

Their heartbeats cross the link between the regions that carries no calls either; their entries were gone after three heartbeats and came back seconds later. That an entry is gone shows nothing of how a run ended.

Now the wait doesn't ask for the list, except after an announced end. A crash without a successor is counted when its runs are given up, as before, and for these only.

Price: a worker that crashes, whose machine doesn't come back and that announced nothing holds its tasks for up to a lease more.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -126,14 +126,14 @@
 	return max(0, r.worker.lastAnswerAt.Sub(r.startedAt))
 }
 
-// countCrashes counts the crash of a worker for all runs that may have begun
-// there. It must be called before these runs are given up.
-func (d *Dispatcher) countCrashes(now unit.Instant, w *worker) {
+// countCrashes counts the crash of a worker for those of its runs that are about
+// to be given up and may have begun there.
+func (d *Dispatcher) countCrashes(now unit.Instant, w *worker, runs runSet) {
 	e := &incarnationEnd{
 		at: now, service: w.Service,
-		explained: slices.ContainsFunc(w.runs, (*run).likelyCrashCause), repeatedCrash: slices.ContainsFunc(w.runs, (*run).crashedRepeatedly),
+		explained: slices.ContainsFunc(runs, (*run).likelyCrashCause), repeatedCrash: slices.ContainsFunc(runs, (*run).crashedRepeatedly),
 	}
-	for _, r := range w.runs {
+	for _, r := range runs {
 		if d.countCrash(now, r) {
 			e.counted = append(e.counted, r)
 		}
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"curlewsill.org/curlewsill/core/fleet"
@@ -34,27 +35,31 @@
 )
 
 // loseAll gives up every run on a worker because of evidence that nothing runs
-// there any more. If the evidence suggests a crash, it counts the crash against
-// the tasks. If the evidence is leaseLapsed but a lease may still be valid, it
-// reports a violated invariant and gives up nothing.
+// there any more, but for those that await a report. If the evidence suggests a
+// crash, it counts the crash against the tasks. If the evidence is leaseLapsed
+// but a lease may still be valid, it reports a violated invariant and gives up
+// nothing.
 func (d *Dispatcher) loseAll(now unit.Instant, w *worker, e evidence) {
+	runs := w.sorted()
+	if e == leaseLapsed {
+		runs = slices.DeleteFunc(runs, func(r *run) bool { return d.awaitsReport(now, r) })
+	}
+	if len(runs) == 0 {
+		return
+	}
 	if w.crashed(now, e) {
-		d.countCrashes(now, w)
+		d.countCrashes(now, w, runs)
 	}
-	d.loseRuns(now, w, e)
+	d.loseRuns(now, w, runs, e)
 }
 
-// loseRuns gives up every run like loseAll, without counting a crash. Runs that
-// await a report are kept.
-func (d *Dispatcher) loseRuns(now unit.Instant, w *worker, e evidence) {
-	for _, r := range w.sorted() {
+// loseRuns gives up runs of a worker like loseAll, without counting a crash.
+func (d *Dispatcher) loseRuns(now unit.Instant, w *worker, runs runSet, e evidence) {
+	for _, r := range runs {
 		if e == leaseLapsed && now <= w.leaseExpiry() {
 			d.noteViolation(now, r, "given up although its lease may not have expired")
 			continue
 		}
-		if e == leaseLapsed && d.awaitsReport(now, r) {
-			continue
-		}
 		d.noteRun(EventTaskLost, r, string(e), w.silentFor(now))
 		r.apply(evLost)
 		d.loseWithGang(now, r, string(e))
@@ -62,14 +67,15 @@
 }
 
 // awaitsReport reports whether a run is kept although its lease has expired. The
-// lease shows that the run is over, but not how it ended. A listed worker lives,
-// and lists the ends that nobody has acknowledged once it can be reached.
-// Without the wait, a task that was done while its worker couldn't be reached
-// would be done again. The wait is as long as a lease at most, for the sake of
-// tasks whose worker stays out of reach.
+// lease shows that the run is over, but not how it ended. A worker that lives
+// lists the ends that nobody has acknowledged once it can be reached. Without
+// the wait, a task that was done while its worker couldn't be reached would be
+// done again. The wait is as long as a lease at most, for the sake of tasks whose
+// worker is gone or stays out of reach. The list of workers doesn't tell the two
+// apart: a path that carries no calls may carry no heartbeats either.
 func (d *Dispatcher) awaitsReport(now unit.Instant, r *run) bool {
 	w, s := r.worker, r.step
-	if !w.listed || w.awaitingUpkeep || s == nil || !r.mayHaveStarted() {
+	if w.hasLeft() || s == nil || !r.mayHaveStarted() {
 		return false
 	}
 	if s.step.LongRunning || s.step.AllowDuplicates || now.Sub(w.leaseExpiry()) > d.config.MaxLease {
@@ -77,11 +83,17 @@
 	}
 	if !r.reportAwaited {
 		r.reportAwaited = true
-		d.noteRun(EventReportAwaited, r, "its lease has lapsed, and its worker is still listed", w.silentFor(now))
+		d.noteRun(EventReportAwaited, r, "its lease has lapsed, and its worker may report that it was done", w.silentFor(now))
 	}
 	return true
 }
 
+// hasLeft reports whether a worker has ended, or is about to, by an announcement
+// or by an order to take its machine down, or can't be asked.
+func (w *worker) hasLeft() bool {
+	return w.awaitingUpkeep || w.Draining && !w.listed || w.Address == ""
+}
+
 // replace gives up an incarnation after another one has answered in its place.
 // next is that other incarnation if both have the same name, and nil otherwise.
 // If the replaced incarnation is listed again later, the owner sends it
@@ -93,7 +105,7 @@
 	}
 	d.note(n)
 	if w.crashed(now, e) && (next == nil || fleet.HasStart(w.ID)) {
-		d.countCrashes(now, w)
+		d.countCrashes(now, w, w.runs)
 	}
 	if next != nil {
 		if next.fenceRevision < w.fenceRevision {
@@ -101,7 +113,7 @@
 		}
 		d.inherit(now, w, next)
 	}
-	d.loseRuns(now, w, e)
+	d.loseRuns(now, w, w.sorted(), e)
 	w.listed, w.replaced, w.syncedAsOf = false, true, 0
 	for _, o := range d.workersByID {
 		if o.conflictsWith(w) {
