--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -35,15 +35,14 @@
 )
 
 // loseAll gives up every run on a worker because of evidence that nothing runs
-// there any more, but for those that await a report. If the evidence suggests a
-// crash, it counts the crash against the tasks. If the evidence is leaseLapsed
-// but a lease may still be valid, it reports a violated invariant and gives up
-// nothing.
+// there any more, but for those that may still start or await a report. If the
+// evidence suggests a crash, it counts the crash against the tasks. If the
+// evidence is leaseLapsed but a lease may still be valid, it reports a violated
+// invariant and gives up nothing.
 func (d *Dispatcher) loseAll(now unit.Instant, w *worker, e evidence) {
-	runs := w.sorted()
-	if e == leaseLapsed {
-		runs = slices.DeleteFunc(runs, func(r *run) bool { return d.awaitsReport(now, r) })
-	}
+	runs := slices.DeleteFunc(w.sorted(), func(r *run) bool {
+		return r.mayStillStart(now) || e == leaseLapsed && d.awaitsReport(now, r)
+	})
 	if len(runs) == 0 {
 		return
 	}
@@ -53,9 +52,13 @@
 	d.loseRuns(now, w, runs, e)
 }
 
-// loseRuns gives up runs of a worker like loseAll, without counting a crash.
+// loseRuns gives up runs of a worker like loseAll, without counting a crash. A
+// run whose start order is open is kept until the order is too late.
 func (d *Dispatcher) loseRuns(now unit.Instant, w *worker, runs runSet, e evidence) {
 	for _, r := range runs {
+		if r.mayStillStart(now) {
+			continue
+		}
 		if e == leaseLapsed && now <= w.leaseExpiry() {
 			d.noteViolation(now, r, "given up although its lease may not have expired")
 			continue
