core/dispatch: a speed is ordered again once a late order can't change it any more

Callers would see a serving task over its target for as long as a best-effort task runs beside it: an order to slow that one down got no answer, and was carried out seconds later, after the next one. The owner took the run for paused.

Cause: the same as that of late start orders, an older fault: the owner stops accounting for an order that got no answer. Change: when it is too late to be carried out, the present speed is ordered once more.

--- a/core/dispatch/openstart.go
+++ b/core/dispatch/openstart.go
@@ -16,8 +16,8 @@
 // task is open at a time: an unanswered one isn't repeated, and its run isn't
 // given up while the order is open, so that the task isn't placed again.
 
-// openStartMargin is added to maxOrderDelay for the transit time of an order.
-const openStartMargin = 200 * time.Millisecond
+// openOrderMargin is added to maxOrderDelay for the transit time of an order.
+const openOrderMargin = 200 * time.Millisecond
 
 // maxClockDifference is the largest difference between the times of day of two
 // hosts that are compared.
@@ -27,7 +27,7 @@
 // order left before now, since its result is known.
 func (r *run) openStart(now unit.Instant) {
 	if fleet.HasStart(r.worker.ID) {
-		r.startOpenUntil = now.Add(maxOrderDelay + openStartMargin)
+		r.startOpenUntil = now.Add(maxOrderDelay + openOrderMargin)
 	}
 }
 
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -101,9 +101,14 @@
 		if w.hasMixedLoad() {
 			speed = nextSpeed(fullSpeed-r.slowdownPercent, ratio)
 		}
-		if speed == fullSpeed-r.slowdownPercent {
+		// A late order may have set an earlier speed again since.
+		repeat := r.paceOpenUntil != 0 && now > r.paceOpenUntil
+		if speed == fullSpeed-r.slowdownPercent && !repeat {
 			continue
 		}
+		if repeat {
+			r.paceOpenUntil = 0
+		}
 		w.pacedAt = now
 		r.slowdownPercent = fullSpeed - speed
 		d.orders.Paces = append(d.orders.Paces, Pace{Target: d.target(w), Task: r.task, Run: r.number, Percent: speed})
@@ -136,6 +141,9 @@
 	if r == nil || res.Verdict == fleet.CarriedOut {
 		return
 	}
+	if res.Verdict == fleet.Unknown {
+		r.paceOpenUntil = now.Add(maxOrderDelay + openOrderMargin)
+	}
 	// The worker may run it at the old speed or at the new one. A speed between
 	// the two ends of the range leads to another order in either case.
 	r.slowdownPercent = min(max(r.slowdownPercent, speedStep), fullSpeed-minSpeed)
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -146,6 +146,9 @@
 	// slowdownPercent is the percentage of its full speed by which the run was
 	// last ordered to slow down; 0 at full speed.
 	slowdownPercent int
+	// paceOpenUntil is until when an unanswered order that sets the speed may
+	// still be carried out; 0 if there is none.
+	paceOpenUntil unit.Instant
 	// stopSentAt is when the last stop order was sent, stopConfirmedAt when the
 	// worker confirmed a stop; 0 if it hasn't, or if the order is due again.
 	stopSentAt      unit.Instant
