core/dispatch, internal/entry: no start order leaves a host that may not be the owner

Callers would see a task run twice: a start order that waited in its host, behind others or while the host was suspended, left after the time for which that host knew that it was the only owner. The next owner waits only for orders within that time.

Change: StartRules, which are checked as each order is sent, expire with that knowledge, too.

--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -39,23 +39,32 @@
 type StartRules struct {
 	// Evacuated holds the failure domains where no task may start.
 	Evacuated []id.Domain
-	// ValidUntil is when the rules expire; after that no order to start may be
-	// sent.
+	// ValidUntil is when the rules expire, because the operator's records may
+	// have changed or another host may be the owner; after that no order to
+	// start may be sent.
 	ValidUntil unit.Instant
 }
 
 // StartRules returns the current rules. They also apply to orders that are
 // already decided and wait to be sent.
 func (d *Dispatcher) StartRules() StartRules {
-	until := unit.Instant(math.MaxInt64)
+	until := d.evacuationsValidUntil()
+	if d.soleOwnerAt != 0 {
+		until = min(until, d.soleOwnerAt.Add(soleOwnerValidity))
+	}
+	return StartRules{Evacuated: d.evacuated, ValidUntil: until}
+}
+
+// evacuationsValidUntil returns until when the knowledge of evacuations is recent
+// enough for orders to start.
+func (d *Dispatcher) evacuationsValidUntil() unit.Instant {
 	switch {
 	case d.config.EvacuationLimit == 0:
+		return math.MaxInt64
 	case d.evacuationsKnownAt == 0:
-		until = 0
-	default:
-		until = d.evacuationsKnownAt.Add(d.config.MaxEvacuationAge())
+		return 0
 	}
-	return StartRules{Evacuated: d.evacuated, ValidUntil: until}
+	return d.evacuationsKnownAt.Add(d.config.MaxEvacuationAge())
 }
 
 // DenialReason returns why a start order may not be sent to a worker of a
@@ -63,7 +72,7 @@
 func (r StartRules) DenialReason(now unit.Instant, domain id.Domain) string {
 	switch {
 	case now > r.ValidUntil:
-		return "the operator's records were read too long ago"
+		return "the operator's records were read too long ago, or another host may be the owner"
 	case slices.Contains(r.Evacuated, domain):
 		return whyEvacuated
 	}
@@ -77,7 +86,7 @@
 
 // knowsEvacuations reports whether the knowledge of evacuations is recent
 // enough for orders to start.
-func (d *Dispatcher) knowsEvacuations(now unit.Instant) bool { return now <= d.StartRules().ValidUntil }
+func (d *Dispatcher) knowsEvacuations(now unit.Instant) bool { return now <= d.evacuationsValidUntil() }
 
 // noteStartsWithheld logs when starts are withheld because the operator's
 // records were not read recently, and when they resume.
--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -90,6 +90,13 @@
 	o.setStartRules()
 }
 
+// confirmSoleOwner passes the latest time as of which no other host was the owner
+// to the dispatcher and to the goroutines that send orders.
+func (o *owner) confirmSoleOwner() {
+	o.core.ConfirmSoleOwner(o.host.assured)
+	o.setStartRules()
+}
+
 // setStartRules sets which start orders may be sent from now on.
 func (o *owner) setStartRules() {
 	r := o.core.StartRules()
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -165,7 +165,7 @@
 // pass runs one scheduling pass and sends the resulting orders.
 func (o *owner) pass(ctx context.Context, now unit.Instant) {
 	o.core.SetAdvisers(o.host.advicePath.PathCount())
-	o.core.ConfirmSoleOwner(o.host.assured)
+	o.confirmSoleOwner()
 	o.core.Pass(now, unit.At(time.Now()))
 	o.flush(ctx)
 	o.sendOrders(ctx)
@@ -278,7 +278,7 @@
 		return
 	}
 	o.host.assure(w.sent) // if another host had claimed later, the append would have been fenced
-	o.core.ConfirmSoleOwner(o.host.assured)
+	o.confirmSoleOwner()
 	o.core.Committed(now, b)
 	o.sendOrders(ctx)
 	o.flush(ctx)
