core/dispatch: a task that is known to crash workers explains a crash beside it

Cause: the crash of a worker was counted under each run there, also when one of them had just begun and workers had crashed soon after earlier starts of its task. Such a task starts beside others that have run for a while, and, after 5 s of waiting, like any other, so that others met its crashes. Change: if such a run of another job is there, the crash is excused. One soon after the start is excused from the same bound as with a common cause, two for a task, so that three counts and two excused ones stay within the starts that are allowed after three crashes. The task with the most crashes is counted, so that two don't excuse each other. A crash that was taken for a common cause has its own rule, unchanged. The way turned down in docs/design/13-crashes.md, not blaming what had been there for a while whenever something had just begun, needs no crash before; this one does.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -133,8 +133,9 @@
 		at: now, service: w.Service,
 		explained: slices.ContainsFunc(w.runs, (*run).likelyCrashCause), repeatedCrash: slices.ContainsFunc(w.runs, (*run).crashedRepeatedly),
 	}
+	cause := w.knownCause()
 	for _, r := range w.runs {
-		if d.countCrash(now, r) {
+		if d.countCrash(now, r) && !d.excuseBeside(r, cause) {
 			e.counted = append(e.counted, r)
 		}
 	}
