--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -133,8 +133,9 @@
 		at: now, service: w.Service,
 		explained: slices.ContainsFunc(runs, (*run).likelyCrashCause), repeatedCrash: slices.ContainsFunc(runs, (*run).crashedRepeatedly),
 	}
+	cause := w.knownCause()
 	for _, r := range runs {
-		if d.countCrash(now, r) {
+		if d.countCrash(now, r) && !d.excuseBeside(r, cause) {
 			e.counted = append(e.counted, r)
 		}
 	}
