core/dispatch: a crash under a run that seems not to have begun is excused

Callers saw a job that could be done shown as failed: three times its start order got no answer and wasn't carried out, and its worker restarted for another reason while the order was open. Each time it had reported in between that nothing of the job ran there.

Change: such a crash is excused, from the bound of two for a task, since the order may have been carried out after the report.

--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -121,10 +121,21 @@
 	return c.Early
 }
 
-// excuseBeside takes back the count of a crash under a run if a run of another
-// job explains the crash, and reports whether it did. Without this, jobs fail
-// because tasks that crash workers were placed beside them.
+// seemsNotBegun reports whether the run's start order got no answer, and the
+// worker has reported since that nothing of it runs there. It may have begun all
+// the same, if the order was carried out after that.
+func (r *run) seemsNotBegun() bool {
+	return r.startedAt == 0 && r.startOpenUntil != 0 && r.worker.syncedAsOf > r.startSentAt.Add(maxStartLatency)
+}
+
+// excuseBeside takes back the count of a crash under a run if the run seems not
+// to have begun or a run of another job explains the crash, and reports whether
+// it did. Without this, jobs fail because tasks that crash workers were placed
+// beside them, or because orders to start them got lost.
 func (d *Dispatcher) excuseBeside(r, cause *run) bool {
+	if r.seemsNotBegun() {
+		return d.excuse(r, "its worker had reported after the start order that it didn't run there")
+	}
 	if cause == nil && r.startedAt == 0 {
 		cause = r.worker.confirmedCause()
 	}
