--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -96,18 +96,6 @@
 	return cause
 }
 
-// confirmedCause returns a run that had begun on the worker only shortly before
-// its crash, by the worker's own answer, or nil. It explains the crash better
-// than a run whose start order got no answer, which may never have begun.
-func (w *worker) confirmedCause() *run {
-	for _, r := range w.runs {
-		if r.startedAt != 0 && r.likelyCrashCause() {
-			return r
-		}
-	}
-	return nil
-}
-
 // earlierEarlyCrashes returns how many workers in a row crashed soon after
 // earlier starts of the run's task.
 func (r *run) earlierEarlyCrashes() int {
@@ -125,13 +113,10 @@
 // job explains the crash, and reports whether it did. Without this, jobs fail
 // because tasks that crash workers were placed beside them.
 func (d *Dispatcher) excuseBeside(r, cause *run) bool {
-	if cause == nil && r.startedAt == 0 {
-		cause = r.worker.confirmedCause()
-	}
 	if cause == nil || r.step.job == cause.step.job {
 		return false
 	}
-	return d.excuse(r, fmt.Sprintf("%s had begun there and explains it", cause.task))
+	return d.excuse(r, fmt.Sprintf("%s explains it, under which workers had crashed before", cause.task))
 }
 
 // excuse takes back the count of a crash under a run, and reports whether it
