--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -73,69 +73,28 @@
 			continue
 		}
 		for _, r := range e.counted {
-			d.excuse(r, fmt.Sprintf("%d workers crashed together, which suggests a common cause", all))
+			d.excuse(r, all)
 		}
 		e.counted = nil
 	}
 }
 
-// knownCause returns the run that explains a crash of the worker: its start was
-// confirmed only shortly before, and workers have crashed soon after earlier
-// starts of its task. If there are several such runs, it returns the one with
-// the most such crashes, so that tasks that crash workers don't excuse each
-// other. It returns nil if there is none. It must be called before the crash is
-// counted.
-func (w *worker) knownCause() *run {
-	var cause *run
-	most := 0
-	for _, r := range w.runs {
-		if n := r.earlierEarlyCrashes(); n > most && r.startedAt != 0 && r.likelyCrashCause() {
-			cause, most = r, n
-		}
-	}
-	return cause
-}
-
-// earlierEarlyCrashes returns how many workers in a row crashed soon after
-// earlier starts of the run's task.
-func (r *run) earlierEarlyCrashes() int {
-	if r.step == nil {
-		return 0
-	}
-	c := r.step.crashCount(r.task.Index)
-	if c == nil || c.Run >= r.number {
-		return 0
-	}
-	return c.Early
-}
-
-// excuseBeside takes back the count of a crash under a run if a run of another
-// job explains the crash, and reports whether it did. Without this, jobs fail
-// because tasks that crash workers were placed beside them.
-func (d *Dispatcher) excuseBeside(r, cause *run) bool {
-	if cause == nil || r.step.job == cause.step.job {
-		return false
-	}
-	return d.excuse(r, fmt.Sprintf("%s explains it, under which workers had crashed before", cause.task))
-}
-
-// excuse takes back the count of a crash under a run, and reports whether it
-// did; why is the evidence for another cause, for the log. A crash soon after
-// the run's start is excused at most maxExcused times for a task.
-func (d *Dispatcher) excuse(r *run, why string) bool {
+// excuse takes back the count of a crash under a run, because so many workers
+// crashed together. A crash soon after the run's start is excused at most
+// maxExcused times for a task.
+func (d *Dispatcher) excuse(r *run, crashes int) {
 	c := r.step.crashCount(r.task.Index)
 	if c == nil || c.Run != r.number {
-		return false
+		return
 	}
 	if r.confirmedRuntime() < earlyCrashTime {
 		if c.Excused >= maxExcused {
-			return false
+			return
 		}
 		c.Excused++
 	}
 	c.Total--
 	c.Early = max(0, c.Early-1)
 	d.markChanged(r.step.job)
-	d.noteRun(EventCrashExcused, r, why, r.confirmedRuntime())
-	return true
+	d.noteRun(EventCrashExcused, r, fmt.Sprintf("%d workers crashed together, which suggests a common cause", crashes), r.confirmedRuntime())
 }
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -133,9 +133,8 @@
 		at: now, service: w.Service,
 		explained: slices.ContainsFunc(w.runs, (*run).likelyCrashCause), repeatedCrash: slices.ContainsFunc(w.runs, (*run).crashedRepeatedly),
 	}
-	cause := w.knownCause()
 	for _, r := range w.runs {
-		if d.countCrash(now, r) && !d.excuseBeside(r, cause) {
+		if d.countCrash(now, r) {
 			e.counted = append(e.counted, r)
 		}
 	}
