--- a/core/dispatch/commoncause.go
+++ b/core/dispatch/commoncause.go
@@ -79,48 +79,6 @@
 	}
 }
 
-// knownCause returns the run that explains a crash of the worker: its start was
-// confirmed only shortly before, and workers have crashed soon after earlier
-// starts of its task. If there are several such runs, it returns the one with
-// the most such crashes, so that tasks that crash workers don't excuse each
-// other. It returns nil if there is none. It must be called before the crash is
-// counted.
-func (w *worker) knownCause() *run {
-	var cause *run
-	most := 0
-	for _, r := range w.runs {
-		if n := r.earlierEarlyCrashes(); n > most && r.startedAt != 0 && r.likelyCrashCause() {
-			cause, most = r, n
-		}
-	}
-	return cause
-}
-
-// confirmedCause returns a run that had begun on the worker only shortly before
-// its crash, by the worker's own answer, or nil. It explains the crash better
-// than a run whose start order got no answer, which may never have begun.
-func (w *worker) confirmedCause() *run {
-	for _, r := range w.runs {
-		if r.startedAt != 0 && r.likelyCrashCause() {
-			return r
-		}
-	}
-	return nil
-}
-
-// earlierEarlyCrashes returns how many workers in a row crashed soon after
-// earlier starts of the run's task.
-func (r *run) earlierEarlyCrashes() int {
-	if r.step == nil {
-		return 0
-	}
-	c := r.step.crashCount(r.task.Index)
-	if c == nil || c.Run >= r.number {
-		return 0
-	}
-	return c.Early
-}
-
 // seemsNotBegun reports whether the run's start order got no answer, and the
 // worker has reported since that nothing of it runs there. It may have begun all
 // the same, if the order was carried out after that.
@@ -128,21 +86,11 @@
 	return r.startedAt == 0 && r.startOpenUntil != 0 && r.worker.syncedAsOf > r.startSentAt.Add(maxStartLatency)
 }
 
-// excuseBeside takes back the count of a crash under a run if the run seems not
-// to have begun or a run of another job explains the crash, and reports whether
-// it did. Without this, jobs fail because tasks that crash workers were placed
-// beside them, or because orders to start them got lost.
-func (d *Dispatcher) excuseBeside(r, cause *run) bool {
-	if r.seemsNotBegun() {
-		return d.excuse(r, "its worker had reported after the start order that it didn't run there")
-	}
-	if cause == nil && r.startedAt == 0 {
-		cause = r.worker.confirmedCause()
-	}
-	if cause == nil || r.step.job == cause.step.job {
-		return false
-	}
-	return d.excuse(r, fmt.Sprintf("%s had begun there and explains it", cause.task))
+// excuseNotBegun takes back the count of a crash under a run that seems not to
+// have begun, and reports whether it did. Without this, jobs fail because orders
+// to start them got lost.
+func (d *Dispatcher) excuseNotBegun(r *run) bool {
+	return r.seemsNotBegun() && d.excuse(r, "its worker had reported after the start order that it didn't run there")
 }
 
 // excuse takes back the count of a crash under a run, and reports whether it
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -133,9 +133,8 @@
 		at: now, service: w.Service,
 		explained: slices.ContainsFunc(runs, (*run).likelyCrashCause), repeatedCrash: slices.ContainsFunc(runs, (*run).crashedRepeatedly),
 	}
-	cause := w.knownCause()
 	for _, r := range runs {
-		if d.countCrash(now, r) && !d.excuseBeside(r, cause) {
+		if d.countCrash(now, r) && !d.excuseNotBegun(r) {
 			e.counted = append(e.counted, r)
 		}
 	}
