--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -89,7 +89,7 @@
 	if res.Verdict != fleet.CarriedOut && res.Verdict != fleet.Unknown && res.Verdict != fleet.Stale {
 		d.startRefused(res.Start)
 	}
-	d.closeStart(now, res)
+	d.recordStartResult(now, res)
 	r := d.runAnswer(now, res.Start.Target, res.Verdict, res.Clock, res.Start.Task, res.Start.Run)
 	if r == nil {
 		return
--- a/core/dispatch/inherit.go
+++ b/core/dispatch/inherit.go
@@ -60,9 +60,9 @@
 	return until
 }
 
-// inherit transfers runs and lease expiries from a worker to next, the next incarnation under its name. That incarnation may
-// have received orders that were meant for the worker, or may still receive
-// them.
+// inherit transfers runs and lease expiries from a worker to next, the next
+// incarnation under its name. That incarnation may have received orders that were
+// meant for the worker, or may still receive them.
 func (d *Dispatcher) inherit(now unit.Instant, w, next *worker) {
 	if w.renewalLeaseExpiry != 0 {
 		d.noteUnansweredLease(w, now)
@@ -85,11 +85,11 @@
 	next.nextRenewal = min(next.nextRenewal, now)
 }
 
-// mayReachSuccessor reports whether the next incarnation under the worker's
-// name may receive, or may have received, an order to start the run. That is so
-// if the order got no answer, even if it is too late by now, or if nothing proves
-// that the present incarnation started the run. An order that was never sent
-// can't reach it.
+// mayReachSuccessor reports whether the next incarnation under the worker's name
+// may receive, or may have received, an order to start the run. That is so if the
+// order got no answer, even if it is too late by now, or if nothing proves that
+// the present incarnation started the run. An order that was never sent can't
+// reach it.
 func (r *run) mayReachSuccessor() bool {
 	unanswered := r.startOpenUntil != 0 || r.startInFlight
 	answeredOnly := r.startedAt != 0 && r.worker.syncedAsOf <= r.startedAt
@@ -127,10 +127,10 @@
 }
 
 // inheritedMissing handles an answer of the next incarnation under a name that
-// doesn't list a run placed on the previous one. If a start order is open, it
-// may still arrive, so the run is stopped there. Otherwise the run
-// ended with the previous incarnation, or it ended on this one while the worker
-// collected its lists of running and ended tasks.
+// doesn't list a run placed on the previous one. If a start order is open, it may
+// still arrive, so the run is stopped there. Otherwise the run ended with the
+// previous incarnation, or it ended on this one while the worker collected its
+// lists of running and ended tasks.
 func (d *Dispatcher) inheritedMissing(now unit.Instant, r *run, sent unit.Instant) {
 	if r.mayStillStart(sent) {
 		d.stopWithGang(now, r, whyLateStart)
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -168,7 +168,7 @@
 		knownSince: now, startSentAt: now, fromEarlierOwner: true,
 	}
 	if fleet.HasStart(w.ID) && !t.StartConfirmed {
-		r.openStart(now.Add(soleOwnerValidity + maxStartLatency))
+		r.markStartOpen(now.Add(soleOwnerValidity + maxStartLatency))
 	}
 	if r.bestEffort() {
 		r.slowdownPercent = fullSpeed - minSpeed
--- a/core/dispatch/openstart.go
+++ b/core/dispatch/openstart.go
@@ -23,9 +23,9 @@
 // hosts that are compared.
 const maxClockDifference = 5 * time.Second
 
-// openStart records that the run's start order got no answer until now. The
+// markStartOpen records that the run's start order got no answer until now. The
 // order left before now, since its result is known.
-func (r *run) openStart(now unit.Instant) {
+func (r *run) markStartOpen(now unit.Instant) {
 	if fleet.HasStart(r.worker.ID) {
 		r.startOpenUntil = now.Add(maxOrderDelay + openOrderMargin)
 	}
@@ -82,10 +82,10 @@
 	}
 }
 
-// closeStart records the result of a start order: whether the order is open now.
-// The run may have passed to the next incarnation under the worker's name since
-// the order was sent.
-func (d *Dispatcher) closeStart(now unit.Instant, res StartResult) {
+// recordStartResult records whether a start order is open, now that its result is
+// known. The run may have passed to the next incarnation under the worker's name
+// since the order was sent.
+func (d *Dispatcher) recordStartResult(now unit.Instant, res StartResult) {
 	s := d.stepOfTask(res.Start.Task)
 	if s == nil || res.Start.Fence.Epoch != d.epoch {
 		return
@@ -97,7 +97,7 @@
 	r.startInFlight = false
 	switch res.Verdict {
 	case fleet.Unknown:
-		if r.openStart(now); r.startOpen(now) {
+		if r.markStartOpen(now); r.startOpen(now) {
 			d.noteRun(EventStartOpen, r, "", r.startOpenUntil.Sub(now))
 		}
 	case fleet.CarriedOut, fleet.Stale:
@@ -107,14 +107,14 @@
 	}
 }
 
-// loseClosed gives up the runs that a replaced worker has kept because a start
-// order was open, once that order can't be carried out any more.
-func (d *Dispatcher) loseClosed(now unit.Instant, w *worker) {
+// loseKeptRuns gives up the runs that were kept on a replaced worker because their
+// start orders were open, once these can't be carried out any more.
+func (d *Dispatcher) loseKeptRuns(now unit.Instant, w *worker) {
 	if !w.replaced || !fleet.HasStart(w.ID) {
 		return
 	}
 	for _, r := range w.sorted() {
-		if r.worker == w && !r.mayStillStart(now) {
+		if !r.mayStillStart(now) {
 			d.noteRun(EventTaskLost, r, "its worker was replaced, and its start order can't be carried out any more", w.silentFor(now))
 			r.apply(evLost)
 			d.loseWithGang(now, r, "its worker was replaced")
--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -70,7 +70,7 @@
 	d.forgetGone(now)
 	for _, w := range d.workersByID {
 		d.loseLapsed(now, w)
-		d.loseClosed(now, w)
+		d.loseKeptRuns(now, w)
 		d.recordOpenStarts(now, w)
 		d.resend(now, w)
 		d.evictDraining(now, w)
