soak: start orders that the worker's next incarnation carries out

Plans could play a late start order at the next incarnation only by a fault that delays all calls by 1.5 s, or by a cut connection, which holds back what came after the order as well.

The new kind held lets the start orders that reach a worker within a second go without an answer; the worker restarts under its id 3 to 8 s after the fault began, and its next incarnation gets the orders. It has a stream of its own.

--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -273,6 +273,7 @@
 	address       string
 	proxy         *faultproxy.Proxy
 	closeListener func()
+	holder        *orderHolder
 	ended         bool
 }
 
@@ -284,13 +285,14 @@
 		MaxLease: maxLease, StopTime: stopTime / 3, Gangs: s.gangs, Rate: rate, Observe: w.recordEvent,
 	})
 	incarnation.ReportStart(s.drawStartTime())
-	address, stop, err := standin.Listen(incarnation)
+	holder := &orderHolder{site: s, next: incarnation}
+	address, stop, err := standin.Listen(holder)
 	if err != nil {
 		s.t.Error(err)
 		return
 	}
 	w.mu.Lock()
-	w.incarnation, w.closeListener, w.ended = incarnation, stop, false
+	w.incarnation, w.closeListener, w.holder, w.ended = incarnation, stop, holder, false
 	if w.proxy == nil {
 		w.proxy = s.newProxy(address)
 	}
--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -56,6 +56,7 @@
 	{9, time.Second, restartKinds},
 	{10, 6 * time.Second, stormKinds},
 	{11, 4 * time.Second, evacuationKinds},
+	{12, 3 * time.Second, heldKinds},
 }
 
 var incarnationKinds = []wideKind{
@@ -129,6 +130,15 @@
 	{"storm", []string{"reborn", "again"}, 1, 50 * time.Millisecond, 2500 * time.Millisecond},
 }
 
+var heldKinds = []wideKind{
+	// Start orders that reach a worker within holdTime get no answer. The worker
+	// restarts under its ID after the duration, and its next incarnation carries
+	// them out. The duration stays below the time after a cancel from which the
+	// judge allows no starts. In plans with this kind all workers report the
+	// start times of their incarnations.
+	{"held", []string{"starts"}, 1, 3 * time.Second, 8 * time.Second},
+}
+
 // minStorm and maxStorm bound the share of the workers that crash in a storm,
 // in percent.
 const minStorm, maxStorm = 10, 33
@@ -207,7 +217,7 @@
 			s.store.SetFault(standin.FaultNone)
 			s.entries.setStoreAway(false)
 		})
-	case "reborn", "moved", "apart", "lapsed", "parting", "leaving", "sudden", "torn", "again":
+	case "reborn", "moved", "apart", "lapsed", "parting", "leaving", "sudden", "torn", "again", "held":
 		w := s.workers[f.target%len(s.workers)]
 		if incarnation, _ := w.current(); incarnation != nil {
 			s.injectIncarnationFault(w, incarnation, f)
@@ -255,6 +265,8 @@
 		s.during("workers", func() { w.replaceIncarnation(incarnation, f) }, 0, func() {})
 	case "again":
 		s.during("workers", func() { w.restartUnderSameID(incarnation, f) }, 0, func() {})
+	case "held":
+		s.during("workers", func() { w.restartBeforeHeldStarts(incarnation, f) }, 0, func() {})
 	case "torn":
 		s.during("workers", func() { incarnation.SetSnapshotGap(listGap) }, f.duration, func() { incarnation.SetSnapshotGap(0) })
 	case "apart", "lapsed":
@@ -430,7 +442,7 @@
 
 // prepareWide prepares a site for a wide plan.
 func (s *site) prepareWide(p plan) {
-	s.reportStart = slices.ContainsFunc(p.faults, func(f fault) bool { return f.kind == "again" })
+	s.reportStart = slices.ContainsFunc(p.faults, func(f fault) bool { return f.kind == "again" || f.kind == "held" })
 	s.namesMachines, s.entries = p.namesMachines, &entryList{site: s, byIncarnation: map[*standin.Worker]*entry{}}
 	end := make(chan struct{})
 	go s.entries.run(end)
