--- a/core/jobtable/progress_test.go
+++ b/core/jobtable/progress_test.go
@@ -34,19 +34,12 @@
 			if len(p.Tasks) > 0 {
 				p.Crashes = []job.CrashCount{{Task: 0, Run: 2, Worker: "i-0", Early: 1, Total: 2}}
 			}
-			table := jobtable.New()
-			r, err := table.ProgressRecord("j", p)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := table.ApplyProgress(r); err != nil {
-				t.Fatal(err)
-			}
-			if got := table.Get("j").Progress; !reflect.DeepEqual(got, p) {
+			got, size := storeProgress(t, p)
+			if !reflect.DeepEqual(got, p) {
 				t.Errorf("%+v is decoded as %+v", p, got)
 			}
-			if limit, err := strconv.Atoi(f[0]); err != nil || len(r.Value) > limit {
-				t.Errorf("record of %d bytes, want at most %s, %v", len(r.Value), f[0], err)
+			if limit, err := strconv.Atoi(f[0]); err != nil || size > limit {
+				t.Errorf("record of %d bytes, want at most %s, %v", size, f[0], err)
 			}
 		})
 	})
@@ -63,16 +56,8 @@
 		{Task: 1, Run: 4, Worker: "i-1", Total: 1},
 		{Task: 2, Run: 3, Worker: "i-2", Excused: 2},
 	}
-	table := jobtable.New()
-	r, err := table.ProgressRecord("j", job.Progress{Crashes: counts})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := table.ApplyProgress(r); err != nil {
-		t.Fatal(err)
-	}
-	if got := table.Get("j").Progress.Crashes; !reflect.DeepEqual(got, counts) {
-		t.Errorf("%+v is decoded as %+v", counts, got)
+	if got, _ := storeProgress(t, job.Progress{Crashes: counts}); !reflect.DeepEqual(got.Crashes, counts) {
+		t.Errorf("%+v is decoded as %+v", counts, got.Crashes)
 	}
 }
 
@@ -86,6 +71,15 @@
 func TestOutdatedConfirmation(t *testing.T) {
 	p := job.Progress{Tasks: []job.TaskState{{Phase: job.Placed, Run: 3, Worker: "i-1@7"}}}
 	p.Crashes = []job.CrashCount{{Task: -1, Run: 2, Total: 1}, {Task: -1, Run: 1, Early: 5, Total: 1}}
+	if got, _ := storeProgress(t, p); got.Tasks[0].StartConfirmed || got.Tasks[0].StartOpenUntil != 0 || len(got.Crashes) > 0 {
+		t.Errorf("got %+v, want no confirmed start and no crash count", got)
+	}
+}
+
+// storeProgress writes a job's progress to a table. It returns what the table has
+// of it, and the size of the record in bytes.
+func storeProgress(t *testing.T, p job.Progress) (got job.Progress, size int) {
+	t.Helper()
 	table := jobtable.New()
 	r, err := table.ProgressRecord("j", p)
 	if err != nil {
@@ -94,9 +88,7 @@
 	if err := table.ApplyProgress(r); err != nil {
 		t.Fatal(err)
 	}
-	if got := table.Get("j").Progress; got.Tasks[0].StartConfirmed || got.Tasks[0].StartOpenUntil != 0 || len(got.Crashes) > 0 {
-		t.Errorf("got %+v, want no confirmed start and no crash count", got)
-	}
+	return table.Get("j").Progress, len(r.Value)
 }
 
 // tasksOf returns the tasks of a group in the form COUNTxPHASE[/N].
