core/world: simulations take a change of the setup instead of a delivery

Cause: a test needs the jobs and faults of a seed with another round trip; the simulations of workers that report their starts took a Delivery and nothing else.

Change: simulateReborn, simulateCrashesReborn, simulateEvacuations and simulateReportStart take a function that changes the setup. The deliveries are passed as such functions, so that TestSeeds and the long runs draw the same jobs and faults as before; seeds_test.go is unchanged.

--- a/core/world/evacuation_test.go
+++ b/core/world/evacuation_test.go
@@ -48,7 +48,7 @@
 
 // simulateEvacuations runs one seed of TestLongEvacuations. With even seeds
 // workers report their starts, so that they may restart under their names.
-func simulateEvacuations(t *testing.T, seed uint64, length time.Duration, d world.Delivery) *world.World {
+func simulateEvacuations(t *testing.T, seed uint64, length time.Duration, change func(*world.Setup)) *world.World {
 	kinds := []world.FaultKind{
 		world.Evacuate, world.KillOwner, world.Evacuate, world.Late, world.Apart, world.Evacuate, world.Silence, world.StoreDown, world.Evacuate,
 		world.StoreSlow, world.Drain, world.KillHosts, world.Kill,
@@ -59,6 +59,7 @@
 	}
 	return simulateSite(t, seed, kinds, randomJob, length, func(s *world.Setup) {
 		enableEvacuations(s)
-		s.ReportStart, s.Delivery = reportsStart, d
+		s.ReportStart = reportsStart
+		change(s)
 	})
 }
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -197,9 +197,13 @@
 	return simulateJobs(t, seed, kinds, randomJob, length)
 }
 
-// simulateReportStart is simulateLong with workers that report their starts.
-func simulateReportStart(t *testing.T, seed uint64, kinds []world.FaultKind, length time.Duration, d world.Delivery) *world.World {
-	return simulateSite(t, seed, kinds, randomJob, length, func(s *world.Setup) { s.ReportStart, s.Delivery = true, d })
+// simulateReportStart is simulateLong with workers that report their starts, and
+// with a setup that is changed before the World is created.
+func simulateReportStart(t *testing.T, seed uint64, kinds []world.FaultKind, length time.Duration, change func(*world.Setup)) *world.World {
+	return simulateSite(t, seed, kinds, randomJob, length, func(s *world.Setup) {
+		s.ReportStart = true
+		change(s)
+	})
 }
 
 // simulateJobs is simulateLong with jobs that a function draws.
--- a/core/world/reborn_test.go
+++ b/core/world/reborn_test.go
@@ -35,18 +35,22 @@
 }
 
 // simulateReborn runs one seed of TestLongReborn.
-func simulateReborn(t *testing.T, seed uint64, length time.Duration, d world.Delivery) *world.World {
-	return simulateReportStart(t, seed, rebornKinds, length, d)
+func simulateReborn(t *testing.T, seed uint64, length time.Duration, change func(*world.Setup)) *world.World {
+	return simulateReportStart(t, seed, rebornKinds, length, change)
 }
 
-// simulation runs one seed of a long run with one Delivery of late orders.
-type simulation func(*testing.T, uint64, time.Duration, world.Delivery) *world.World
+// simulation runs one seed of a long run with a setup that is changed before the
+// World is created.
+type simulation func(*testing.T, uint64, time.Duration, func(*world.Setup)) *world.World
 
-// with returns the simulation with a fixed Delivery.
+// with returns the simulation with a fixed Delivery of late orders.
 func (p simulation) with(d world.Delivery) func(*testing.T, uint64, time.Duration) *world.World {
-	return func(t *testing.T, seed uint64, length time.Duration) *world.World { return p(t, seed, length, d) }
+	return func(t *testing.T, seed uint64, length time.Duration) *world.World { return p(t, seed, length, deliver(d)) }
 }
 
+// deliver returns a change of a setup to a Delivery of late orders.
+func deliver(d world.Delivery) func(*world.Setup) { return func(s *world.Setup) { s.Delivery = d } }
+
 // eachDelivery is eachSeed with each Delivery of late orders.
 func eachDelivery(t *testing.T, simulate simulation) {
 	for _, d := range world.Deliveries() {
@@ -68,7 +72,7 @@
 		for name, kinds := range map[string][]world.FaultKind{"long": longKinds, "lives": incarnationKinds} {
 			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
 				t.Parallel()
-				checkLong(t, simulateReportStart(t, seed, kinds, time.Duration(*longSeconds)*time.Second, world.AtWorker))
+				checkLong(t, simulateReportStart(t, seed, kinds, time.Duration(*longSeconds)*time.Second, deliver(world.AtWorker)))
 			})
 		}
 	}
@@ -81,8 +85,10 @@
 }
 
 // simulateCrashesReborn runs one seed of TestLongCrashesReborn.
-func simulateCrashesReborn(t *testing.T, seed uint64, length time.Duration, d world.Delivery) *world.World {
+func simulateCrashesReborn(t *testing.T, seed uint64, length time.Duration, change func(*world.Setup)) *world.World {
 	kinds := []world.FaultKind{world.Reborn, world.KillOwner, world.Late, world.StoreSlow, world.Reborn, world.KillHosts, world.Drain}
-	reportStart := func(s *world.Setup) { s.ReportStart, s.Delivery = true, d }
-	return simulateSite(t, seed, kinds, crashingJobs(seed, "reborn"), length, reportStart)
+	return simulateSite(t, seed, kinds, crashingJobs(seed, "reborn"), length, func(s *world.Setup) {
+		s.ReportStart = true
+		change(s)
+	})
 }
