--- a/core/world/reborn_test.go
+++ b/core/world/reborn_test.go
@@ -45,7 +45,9 @@
 
 // with returns the simulation with a fixed Delivery of late orders.
 func (p simulation) with(d world.Delivery) func(*testing.T, uint64, time.Duration) *world.World {
-	return func(t *testing.T, seed uint64, length time.Duration) *world.World { return p(t, seed, length, deliver(d)) }
+	return func(t *testing.T, seed uint64, length time.Duration) *world.World {
+		return p(t, seed, length, deliver(d))
+	}
 }
 
 // deliver returns a change of a setup to a Delivery of late orders.
