core/dispatch: what is freed beside an isolated task is kept empty, too

Cause: a task under which workers crashed is isolated, so that nothing starts beside it and the next run shows whether it is to blame. The reserve for that was what was free when the run was placed. What other runs freed later went to the next task, and a run that was placed where nothing was free had no reserve at all. So tasks that were known to crash workers were placed beside isolated ones, and their crashes counted against both.

Change: a run is isolated until it has worked for long enough, and its reserve is adjusted when another run on its worker ends, as it is when the worker's capacity changes.

--- a/core/dispatch/pass.go
+++ b/core/dispatch/pass.go
@@ -244,7 +244,7 @@
 		if until := w.firstOpenUntil(now); until != 0 {
 			o.Wait = min(o.Wait, until.Sub(now))
 		}
-		if w.hasIsolationReserve() {
+		if w.hasIsolatedRun() {
 			o.Wait = min(o.Wait, isolationRenewWait)
 		}
 	}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -34,6 +34,7 @@
 	r.worker.grantedLeaseExpiry = max(r.worker.grantedLeaseExpiry, r.startLeaseExpiry)
 	r.worker.updateCounts(func() { r.worker.runs.remove(r.task) })
 	r.worker.used = r.worker.used.Sub(r.taken())
+	r.worker.updateIsolationReserves()
 	if r.step == nil {
 		return
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -128,9 +128,10 @@
 	state  runState
 	worker *worker
 	need   job.Resources
-	// isolationReserve is the room beside the run that is kept empty: all that
-	// was free on its worker when a task suspected of crashing workers was
-	// placed there, or when the worker's capacity last changed.
+	// isolated is set while no other task may start beside the run, because its
+	// task is suspected of crashing workers. isolationReserve is the room that
+	// is kept empty for that: all that is free on its worker.
+	isolated         bool
 	isolationReserve job.Resources
 	// step is nil if the job is no longer known; such a run is stopped.
 	step *stepState
--- a/core/dispatch/suspect.go
+++ b/core/dispatch/suspect.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"curlewsill.org/curlewsill/core/job"
@@ -146,42 +147,38 @@
 // isolate reserves the free room of a worker beside a run that was just placed
 // there, so that no other task is placed there.
 func (d *Dispatcher) isolate(r *run, why string) {
+	r.isolated = true
 	r.setIsolationReserve()
 	d.noteRun(EventTaskIsolated, r, why, 0)
 }
 
 // setIsolationReserve reserves all room that is free on a run's worker, and
-// records it in the run.
+// records it in the run. It replaces an earlier reserve of the run.
 func (r *run) setIsolationReserve() {
+	r.worker.used = r.worker.used.Sub(r.isolationReserve)
 	free := r.worker.free()
 	r.isolationReserve = job.Resources{CPU: max(0, free.CPU), Memory: max(0, free.Memory), Accelerators: max(0, free.Accelerators)}
 	r.worker.used = r.worker.used.Add(r.isolationReserve)
 }
 
-// updateIsolationReserves adjusts the room reserved beside suspects on a worker
-// whose capacity has changed.
+// updateIsolationReserves adjusts the room reserved beside isolated runs on a
+// worker whose capacity has changed, or where another run has ended.
 func (w *worker) updateIsolationReserves() {
 	for _, r := range w.runs {
-		if r.isolationReserve != (job.Resources{}) {
-			r.dropIsolationReserve()
+		if r.isolated {
 			r.setIsolationReserve()
 		}
 	}
 }
 
-// dropIsolationReserve releases the room that is reserved beside a run.
+// dropIsolationReserve ends the isolation of a run and releases the room that is
+// reserved beside it.
 func (r *run) dropIsolationReserve() {
 	r.worker.used = r.worker.used.Sub(r.isolationReserve)
-	r.isolationReserve = job.Resources{}
+	r.isolated, r.isolationReserve = false, job.Resources{}
 }
 
-// hasIsolationReserve reports whether room is reserved beside some run of the
-// worker.
-func (w *worker) hasIsolationReserve() bool {
-	for _, r := range w.runs {
-		if r.isolationReserve != (job.Resources{}) {
-			return true
-		}
-	}
-	return false
+// hasIsolatedRun reports whether some run of the worker is isolated.
+func (w *worker) hasIsolatedRun() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.isolated })
 }
