core/dispatch: a task of which one more crash fails the job stays isolated

Cause: a suspect that has waited for 5 s is placed like any other task "unless one more crash would fail its job". The condition looked at early crashes only, two of three. A task with four crashes of five was placed anywhere, without isolation.

Five crashes count under j000028.0.1.11: by j000040.0.0.0 (36.421, 41.949, 71.046 s), by j000055.0.0.0 (47.237 s), by an injected fault (56.016 s).

Change: oneCrashLeft counts both limits.

Not changed: gangs, which have no such condition.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -231,6 +231,11 @@
 // its worker takes no other tasks while it runs.
 func needsOwnWorker(c job.CrashCount) bool { return c.Total >= isolateAfterCrashes }
 
+// oneCrashLeft reports whether one more crash may bring a task to its limit.
+func oneCrashLeft(c job.CrashCount) bool {
+	return c.Early >= maxEarlyCrashes-1 || c.Total >= maxCrashes-1
+}
+
 // beyondCrashLimit reports whether a task has reached its limit of crashes.
 func beyondCrashLimit(c job.CrashCount) bool {
 	return c.Early >= maxEarlyCrashes || c.Total >= maxCrashes
--- a/core/dispatch/suspect.go
+++ b/core/dispatch/suspect.go
@@ -54,7 +54,7 @@
 	var others []int
 	for _, i := range c.waiting {
 		switch {
-		case !d.suspect(s, i) || s.waitedSinceCrash(now, i) >= isolationMaxWait && s.crashCount(i).Early < maxEarlyCrashes-1:
+		case !d.suspect(s, i) || s.waitedSinceCrash(now, i) >= isolationMaxWait && !oneCrashLeft(*s.crashCount(i)):
 			others = append(others, i)
 		case !d.placeSuspect(now, s, i, fits):
 			all = false
