--- a/core/world/carried_test.go
+++ b/core/world/carried_test.go
@@ -1,8 +1,9 @@
 package world_test
 
 import (
+	"bufio"
+	"fmt"
 	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -33,32 +34,34 @@
 // seed alone may stop exercising this whenever its course of events changes.
 func TestCarriedOverSeeds(t *testing.T) {
 	simulations := map[string]simulation{"reborn": simulateReborn, "crashes-reborn": simulateCrashesReborn}
-	b, err := os.ReadFile("testdata/carried_seeds.txt")
+	file, err := os.Open("testdata/carried_seeds.txt")
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, line := range strings.Split(string(b), "\n") {
-		f := strings.Fields(line)
-		if len(f) == 0 || strings.HasPrefix(line, "#") {
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "#") {
 			continue
 		}
-		if len(f) < 3 || simulations[f[0]] == nil {
-			t.Fatalf("testdata/carried_seeds.txt:%d: %q names no simulation, seed and time", i+1, line)
+		var name, added string
+		var seed uint64
+		if _, err := fmt.Sscan(lines.Text(), &name, &seed, &added); err != nil {
+			t.Fatalf("%s: %q: %v", file.Name(), lines.Text(), err)
 		}
-		seed, err := strconv.ParseUint(f[1], 10, 64)
-		if err != nil {
-			t.Fatalf("testdata/carried_seeds.txt:%d: %v", i+1, err)
+		delay, err := time.ParseDuration(added)
+		if err != nil || simulations[name] == nil {
+			t.Fatalf("%s: %q names no simulation, seed and time", file.Name(), lines.Text())
 		}
-		added, err := time.ParseDuration(f[2])
-		if err != nil {
-			t.Fatalf("testdata/carried_seeds.txt:%d: %v", i+1, err)
-		}
-		t.Run(strings.Join(f[:3], "-"), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%s-%d-%s", name, seed, added), func(t *testing.T) {
 			t.Parallel()
-			checkLong(t, simulations[f[0]](t, seed, seedDuration, func(s *world.Setup) {
+			checkLong(t, simulations[name](t, seed, seedDuration, func(s *world.Setup) {
 				s.Delivery = world.OnTheWay
-				s.Times.RoundTrip += added
+				s.Times.RoundTrip += delay
 			}))
 		})
 	}
+	if err := lines.Err(); err != nil {
+		t.Fatal(err)
+	}
 }
