core/dispatch: what isolated means

Cause: reading the diff; the comment said that no other task may start beside an isolated run, but one that has a reservation there may.

--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -128,9 +128,9 @@
 	state  runState
 	worker *worker
 	need   job.Resources
-	// isolated is set while no other task may start beside the run, because its
-	// task is suspected of crashing workers. isolationReserve is the room that
-	// is kept empty for that: all that is free on its worker.
+	// isolated is set while the free room of the worker is kept empty beside the
+	// run, because its task is suspected of crashing workers. isolationReserve is
+	// that room, and zero for other runs.
 	isolated         bool
 	isolationReserve job.Resources
 	// step is nil if the job is no longer known; such a run is stopped.
