--- a/review/harness/cloud.go
+++ b/review/harness/cloud.go
@@ -99,7 +99,7 @@
 	rows := []map[string]any{}
 	for _, e := range c.site.executors {
 		e.mu.Lock()
-		row := map[string]any{"machine": e.machine, "pool": service, "State": "up", "Zone": "gent-zuid", "Labels": []string{"a", e.rack}, "Capacity": c.site.capacity, "Id": e.id}
+		row := map[string]any{"machine": e.machine, "pool": service, "State": "up", "Zone": zone, "Labels": []string{"a", e.rack}, "Capacity": c.site.capacity, "Id": e.id}
 		if e.id == "" {
 			row["State"], row["Id"] = "down", nil
 			if e.upkeep {
