--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -12,7 +12,7 @@
 
 func init() {
 	scenarios["progress"] = scenario{executors: 16, racks: 2, hosts: 5, play: playProgress}
-	scenarios["upkeep"] = scenario{executors: 12, racks: 2, hosts: 5, play: playUpkeep}
+	scenarios["upkeep"] = scenario{executors: 12, racks: 6, hosts: 5, play: playUpkeep}
 }
 
 // playProgress runs one job of many small tasks that keep their progress. The
@@ -146,7 +146,10 @@
 	if !await(20*time.Second, func() bool { return s.cloud.orders() > 0 }) {
 		return errors.New("no upkeep is ordered")
 	}
-	if !s.submit("bundle", "3fa9c10d77e2b458", "run 60000", stepBody{Count: 1, Cpu: 26000, MemMb: 140000, Gpus: 8, EstimateMs: 60000}) {
+	// The job runs on both executors of the first machine's rack, so that this
+	// machine is no longer the one that is emptied at the least cost.
+	job := stepBody{Count: 2, Cpu: 26000, MemMb: 140000, Gpus: 8, EstimateMs: 60000, Requirements: s.executors[0].rack}
+	if !s.submit("bundle", "3fa9c10d77e2b458", "run 60000", job) {
 		return errors.New("the job isn't accepted")
 	}
 	await(45*time.Second, func() bool { return s.cloud.finished() >= 5 })
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -66,14 +66,14 @@
 
 // stepBody is a step of a job on the wire.
 type stepBody struct {
-	Count         int  `json:"Count"`
-	Cpu           int  `json:"Cpu,omitempty"`
-	MemMb         int  `json:"MemMb,omitempty"`
-	Gpus          int  `json:"Gpus,omitempty"`
-	EstimateMs    int  `json:"EstimateMs,omitempty"`
-	Checkpointing bool `json:"Checkpointing,omitempty"`
-	LongRunning   bool `json:"LongRunning,omitempty"`
-	MayMiss       int  `json:"may_miss,omitempty"`
+	Count         int    `json:"Count"`
+	Cpu           int    `json:"Cpu,omitempty"`
+	MemMb         int    `json:"MemMb,omitempty"`
+	Gpus          int    `json:"Gpus,omitempty"`
+	EstimateMs    int    `json:"EstimateMs,omitempty"`
+	Checkpointing bool   `json:"Checkpointing,omitempty"`
+	LongRunning   bool   `json:"LongRunning,omitempty"`
+	Requirements  string `json:"Requirements,omitempty"`
 }
 
 // entryHost is one entry host with its present process.
