--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -12,6 +12,7 @@
 
 func init() {
 	scenarios["progress"] = scenario{executors: 16, racks: 2, hosts: 5, play: playProgress}
+	scenarios["storm"] = scenario{executors: 10, racks: 2, hosts: 5, play: playStorm}
 	scenarios["upkeep"] = scenario{executors: 12, racks: 6, hosts: 5, play: playUpkeep}
 }
 
@@ -182,3 +183,33 @@
 		return true
 	}
 }
+
+// playStorm runs a plain job and one of lasting tasks, while one executor after
+// the other crashes and returns 2 s later.
+func playStorm(s *site, trouble bool) error {
+	jobs := []openJob{{"bundle", "7d1f00c2ab94e610"}, {"batch", "a30c5e1177b2d946"}}
+	plain := stepBody{Count: 12, Cpu: 8000, MemMb: 1000, EstimateMs: 15000}
+	lasting := stepBody{Count: 6, Cpu: 4000, MemMb: 1000, EstimateMs: 60000, LongRunning: true}
+	if !s.submit(jobs[0].queue, jobs[0].id, "run 15000", plain) || !s.submit(jobs[1].queue, jobs[1].id, "last", lasting) {
+		return errors.New("a job isn't accepted")
+	}
+	for i := range 50 {
+		time.Sleep(1300 * time.Millisecond)
+		if trouble {
+			e := s.executors[(3*i)%len(s.executors)]
+			e.crash()
+			time.AfterFunc(2*time.Second, func() { _ = e.start() })
+		}
+		if i%4 != 0 {
+			continue
+		}
+		for _, j := range jobs {
+			if s.isBroken(j.id) || s.state(j.queue, j.id) != "failed" {
+				continue
+			}
+			s.broken("LOST: job %s is shown as failed, and none of its runs has ended failed", j.id)
+			s.markBroken(j.id)
+		}
+	}
+	return nil
+}
