--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -6,7 +6,6 @@
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"sort"
@@ -390,11 +389,3 @@
 	s.expire(group)
 	respond(w, http.StatusOK, map[string]any{"parts": s.deal(group)})
 }
-
-// ownerName returns the host in the newest claim of the ownership, for the
-// record only: the harness also follows the holder by the orders it sees.
-func (s *store) claims() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return fmt.Sprintf("%d records of jobs, %d of progress", s.topic("keyed.jobs").end(), s.topic("keyed.progress").end())
-}
