--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -60,16 +60,22 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
-	for time.Since(crashed) < 45*time.Second {
-		time.Sleep(500 * time.Millisecond)
+	s.log("end of the traffic")
+	time.Sleep(finishTime)
+	for range 12 {
 		s.checkIdle(open)
+		time.Sleep(500 * time.Millisecond)
 	}
 	s.log("%.0f s after the crash, nothing of the large job has run for %.1f s", time.Since(crashed).Seconds(), s.idle(big).Seconds())
 	return nil
 }
 
-// settleTime is how long after the crash of an executor the rule is checked: the
-// executor is back after 2 s, and every lease has ended after 14 s.
+// finishTime is finish_s: how long after the end of the traffic jobs are asked
+// for.
+const finishTime = 14 * time.Second
+
+// settleTime is how long after the crash of an executor the last jobs are handed
+// in: the executor is back after 2 s, and every lease has ended after 14 s.
 const settleTime = 18 * time.Second
 
 // openJob names a job by its queue and id.
