core/election, internal/entry: a live owner may join the group again after an outage

Cause: an outage of the store lets the memberships of all hosts expire. What the owner had read and not written is lost, and the tasks of workers that have left wait 13.4 s for leases that the next owner has to assume.

Change: for 2 s after its polls were interrupted for a second or more, a host doesn't claim because of missing polls while the owner has answered it within the last 500 ms. Every candidate watches an owner that the group lacks, at the address from before the outage. An owner that doesn't answer, refuses, or has released the ownership is replaced as before; one that lives and stays cut off is replaced 2 s after the first poll.

--- a/core/election/election.go
+++ b/core/election/election.go
@@ -8,8 +8,12 @@
 // liveness probes of the owner. Hosts claim one after the other: those with the
 // highest ability first, and hosts of equal ability in the order of a rank that
 // all hosts compute alike. The store rejects a claim whose epoch is lower than one
-// it has already seen. An unnecessary claim is harmless: it costs one change of
-// owner.
+// it has already seen.
+//
+// A change of owner loses what only the owner knew, and delays the tasks of workers
+// that have ended until the leases have expired that the owner may have granted. So
+// a host doesn't claim while a live owner may be about to join the group again after
+// an outage of the store, in which the memberships of all hosts expire.
 package election
 
 import (
@@ -61,6 +65,17 @@
 	// that each time.
 	handoverFactor = 1.5
 	handoverAfter  = 2 * time.Second
+	// lapseAfter is the shortest pause between two polls in which the memberships of
+	// all hosts may have expired: the store drops a host that hasn't renewed its
+	// membership for a second.
+	lapseAfter = time.Second
+	// rejoinTime is how long after such a pause a live owner may take to appear in
+	// the group again. A call that hangs since the outage delays it by a second.
+	rejoinTime = 2 * time.Second
+	// aliveFor is how long after its last answer to a probe an owner counts as
+	// live in that time. Probes are sent every 120 ms and time out after 150 ms, so
+	// one may be lost.
+	aliveFor = 500 * time.Millisecond
 	// minTenure is the minimum time between a claim and a handover to a host of
 	// higher ability, so that a host that is in the group but can't claim doesn't
 	// make ownership alternate.
@@ -82,6 +97,9 @@
 	// members is the result of the newest poll of the group, made at polledAt.
 	members  []Member
 	polledAt unit.Instant
+	// resumedAt is the time of the first poll after the latest pause between polls
+	// of lapseAfter or longer.
+	resumedAt unit.Instant
 	// misses counts the consecutive polls without the owner; missingSince is the
 	// time of the first of them.
 	misses       int
@@ -129,9 +147,13 @@
 
 // observeMembers records the members that a poll has returned.
 func (e *Election) observeMembers(now unit.Instant, members []Member) {
-	if now.Sub(e.polledAt) > maxViewAge {
+	pause := now.Sub(e.polledAt)
+	if pause > maxViewAge {
 		e.probes.agreedAt = 0 // this host may have been partitioned itself
 	}
+	if pause >= lapseAfter {
+		e.resumedAt = now
+	}
 	e.members, e.polledAt = members, now
 	e.trackCandidate(now)
 }
@@ -179,7 +201,7 @@
 // counts as missing from enough polls for a claim, so that the hosts needn't
 // wait for more polls.
 func (e *Election) ObserveRelease(now unit.Instant) {
-	e.claimedAt = 0
+	e.claimedAt, e.probes = 0, probeResults{}
 	if e.misses < missesBeforeClaim {
 		e.misses, e.missingSince = missesBeforeClaim, now
 	}
@@ -196,9 +218,18 @@
 	if e.claimsByProbes(now) {
 		return true
 	}
+	if e.ownerMayRejoin(now) {
+		return false
+	}
 	return e.misses >= missesBeforeClaim && now.Sub(e.missingSince) >= time.Duration(e.Position())*claimStagger
 }
 
+// ownerMayRejoin reports whether the owner lives and has had too little time to join
+// the group again since an outage.
+func (e *Election) ownerMayRejoin(now unit.Instant) bool {
+	return now.Sub(e.resumedAt) < rejoinTime && e.probes.answeredWithin(now, aliveFor)
+}
+
 // Position returns how many members claim before this host: all members of higher
 // ability, and those of equal ability that rank before it.
 func (e *Election) Position() int {
--- a/core/election/silence.go
+++ b/core/election/silence.go
@@ -67,6 +67,12 @@
 	return p.refused || p.unanswered >= minUnanswered && now.Sub(p.answeredAt) >= after
 }
 
+// answeredWithin reports whether the owner has answered a probe at most the given
+// time ago, and its address hasn't refused one since.
+func (p *probeResults) answeredWithin(now unit.Instant, d time.Duration) bool {
+	return p.owner != "" && !p.refused && now.Sub(p.answeredAt) <= d
+}
+
 // Watchers returns the hosts that probe the owner: the highest-ranked hosts without
 // the owner itself.
 func (e *Election) Watchers(owner id.Host) []id.Host {
--- a/internal/entry/assure.go
+++ b/internal/entry/assure.go
@@ -40,7 +40,9 @@
 
 // otherHost is another host as last seen in the group of live hosts.
 type otherHost struct {
-	// address is where the host's newest incarnation listens; empty if unknown.
+	// host is the newest incarnation, and address is where it listens; empty if
+	// unknown.
+	host    id.Host
 	address string
 	seen    unit.Instant
 }
@@ -52,7 +54,7 @@
 func (h *Host) rememberHosts(now unit.Instant, members []election.Member, addresses map[id.Host]string) {
 	for _, m := range members {
 		if machine := machineOf(m.Host); machine != h.settings.Host {
-			h.others[machine] = otherHost{address: addresses[m.Host], seen: now}
+			h.others[machine] = otherHost{host: m.Host, address: addresses[m.Host], seen: now}
 		}
 	}
 	maps.DeleteFunc(h.others, func(_ id.Host, o otherHost) bool { return now.Sub(o.seen) > absentHostRetention })
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -83,8 +83,10 @@
 	forwardAddress atomic.Pointer[string]
 	// watchPath carries questions about the owner to peers. watched is the
 	// owner if this host is to check whether it is alive, else nil.
-	watchPath *relay.Transport
-	watched   atomic.Pointer[watched]
+	// watchBegins receives a value when watched is set.
+	watchPath   *relay.Transport
+	watched     atomic.Pointer[watched]
+	watchBegins chan struct{}
 	// jobsPath carries questions about jobs to the candidates in jobHosts.
 	jobsPath *relay.Transport
 	jobHosts jobHosts
@@ -241,7 +243,7 @@
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, clock: clock,
 		election: election.New(member), candidacy: *candidacy.New(election.Member{Host: s.Host, Ability: member.Ability}, rand.Float64()),
 		noTableDelay: time.Duration(rand.Float64() * float64(noTableSpread)),
-		others:       map[id.Host]otherHost{}, watchers: watchers{}, counts: waiting.New(), wake: make(chan struct{}, 1), roleChanged: make(chan struct{}, 1),
+		others:       map[id.Host]otherHost{}, watchers: watchers{}, counts: waiting.New(), wake: make(chan struct{}, 1), roleChanged: make(chan struct{}, 1), watchBegins: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -84,12 +84,15 @@
 }
 
 // updateWatched sets the owner that this host watches, or nil if this host
-// isn't one of the owner's watchers. Only the deciding goroutine may call it.
+// isn't one of the owner's watchers. While the group lacks the owner, every
+// candidate watches it: it may be a live one that joins again after an outage. Only
+// the deciding goroutine may call it.
 func (h *Host) updateWatched() {
 	owner := h.table.Owner().Host
-	address := h.peerAddresses[owner]
+	address := h.addressOf(owner)
 	watchers := h.election.Watchers(owner)
-	if address == "" || !slices.Contains(watchers, h.self) {
+	watches := slices.Contains(watchers, h.self) || h.election.OwnerMissing() && h.member.Load()
+	if owner == h.self || address == "" || !watches {
 		h.watched.Store(nil)
 		return
 	}
@@ -99,14 +102,29 @@
 			w.others = append(w.others, h.peerAddresses[o])
 		}
 	}
-	h.watched.Store(w)
+	if h.watched.Swap(w) == nil {
+		wake(h.watchBegins)
+	}
+}
+
+// addressOf returns the address at which another host listens for peers, empty if
+// unknown. The address of a host that has left the group is remembered.
+func (h *Host) addressOf(host id.Host) string {
+	if a := h.peerAddresses[host]; a != "" {
+		return a
+	}
+	if o := h.others[machineOf(host)]; o.host == host {
+		return o.address
+	}
+	return ""
 }
 
 // watchOwner repeatedly asks the owner whether it is alive, while this host is
 // one of its watchers.
 func (h *Host) watchOwner(ctx context.Context) {
 	wait, limit := watchCheckInterval, ownerQueryTimeout
-	for pause(ctx, wait) {
+	for ctx.Err() == nil {
+		pauseUntilWoken(ctx, wait, h.watchBegins)
 		w := h.watched.Load()
 		if w == nil || h.stopping.Load() {
 			wait = watchCheckInterval
