core/dispatch: leases of workers that no machine has aren't waited for after an outage

Cause: a missing entry doesn't tell a worker that has ended from one that is cut off from the store, so the leases were waited for. Change: while a worker that is presumed to have ended has runs, the owner reads the platform's list of machines. If that read was sent after the presumption and after the worker's last answer, has every worker of the list of workers and not this one, the runs are given up at once. Workers that an owner knows only from the records of an earlier one are presumed to have ended as well.

--- a/core/dispatch/absence.go
+++ b/core/dispatch/absence.go
@@ -16,6 +16,10 @@
 // runs ended, so nothing is waited for but the expiry of its leases: a worker that
 // is cut off may still run its tasks.
 //
+// The platform's list of machines tells the two apart. It isn't kept by the workers,
+// so that it has one that is cut off for as long as that one runs. The leases of a
+// worker that is missing in both lists needn't be waited for.
+//
 // At other times an entry goes as well when its worker is cut off from the store,
 // so that a missing entry proves nothing.
 
@@ -59,11 +63,14 @@
 	d.expectEntries(now.Add(-maxOutageAge), now)
 }
 
-// expectEntries records the latest outage of the store.
+// expectEntries records the latest outage of the store. A worker that has runs of an
+// earlier owner, and that this owner has never seen in the list, had an entry as well:
+// runs are placed on listed workers, and none are placed during an outage.
 func (d *Dispatcher) expectEntries(began, ended unit.Instant) {
 	d.outageEnded = ended
 	for _, w := range d.workersByID {
-		w.unrenewed = w.unrenewed || w.listed || w.unlistedAt >= began
+		neverListed := w.Address == "" && len(w.runs) > 0
+		w.unrenewed = w.unrenewed || w.listed || w.unlistedAt >= began || neverListed
 	}
 }
 
@@ -95,7 +102,7 @@
 // presumeEnded records that a worker has ended. Its runs are given up when its
 // leases have expired; those that can't have begun are given up at once.
 func (d *Dispatcher) presumeEnded(now unit.Instant, w *worker) {
-	w.presumedEnded = true
+	w.presumedEnded, w.presumedAt = true, now
 	d.note(Note{
 		Event: EventWorkerPresumedEnded, Worker: w.ID, Why: string(missingAfterOutage), Age: w.silentFor(now),
 		Estimate: max(0, w.leaseExpiry().Sub(now)),
@@ -108,3 +115,30 @@
 	}
 	d.loseRuns(now, w, unsent, missingAfterOutage)
 }
+
+// awaitsMachineList reports whether the list of machines may show that runs of a
+// worker that is presumed to have ended needn't be kept until its leases expire.
+func (d *Dispatcher) awaitsMachineList() bool {
+	return slices.ContainsFunc(d.workersByID, func(w *worker) bool { return w.presumedEnded && len(w.runs) > 0 })
+}
+
+// confirmMachines handles a read of the list of machines. The runs of workers that are
+// presumed to have ended, and that no machine has, are given up. A list of machines that
+// lacks a worker which the list of workers has isn't complete, and shows nothing.
+func (d *Dispatcher) confirmMachines(now unit.Instant, read MachinesRead) {
+	onMachine := map[id.WorkerName]bool{}
+	for _, x := range read.Incarnations {
+		onMachine[x.Worker] = true
+	}
+	for _, w := range d.workersByID {
+		if w.listed && !w.Draining && !onMachine[w.name] {
+			d.note(Note{Event: EventMachinesIncomplete, Worker: w.ID, Age: now.Sub(read.AsOf)})
+			return
+		}
+	}
+	for _, w := range d.workersByID {
+		if w.presumedEnded && read.AsOf >= w.presumedAt && read.AsOf > w.lastAnswerAt && !onMachine[w.name] {
+			d.loseAll(now, w, onNoMachine)
+		}
+	}
+}
--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -113,6 +113,8 @@
 		s.apply([]jobtable.Record{r})
 	case "read":
 		s.readList(f[1:])
+	case "machines":
+		s.readMachines(f[1], f[2:])
 	case "restart":
 		s.outageBegan, s.outageEnded = 0, 0
 		s.takeOver()
@@ -132,6 +134,16 @@
 	s.d.ConfirmList(s.now, read)
 }
 
+// readMachines lets the owner read the list of machines, which has the named workers,
+// by a call that was sent the given time ago.
+func (s *script) readMachines(age string, names []string) {
+	read := dispatch.MachinesRead{AsOf: s.now.Add(-duration(s.t, age))}
+	for _, name := range names {
+		read.Incarnations = append(read.Incarnations, dispatch.Incarnation{Machine: id.Machine("m-" + name), Worker: id.WorkerName(name)})
+	}
+	s.d.NoteMachines(s.now, read)
+}
+
 // list adds a worker to the platform's list.
 func (s *script) list(name string, o opts) {
 	l := fleet.Listing{
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -36,6 +36,9 @@
 	// an outage of the store and hasn't come back since. It proves nothing of
 	// runs that may have begun.
 	missingAfterOutage evidence = "its entry is missing since an outage of the store"
+	// onNoMachine: the same, and the platform's list of machines, read after that,
+	// has the worker on no machine.
+	onNoMachine evidence = "its entry is missing since an outage of the store, and no machine has it"
 )
 
 // loseAll gives up every run on a worker because of evidence that nothing runs
@@ -68,7 +71,7 @@
 			continue
 		}
 		d.noteRun(EventTaskLost, r, string(e), w.silentFor(now))
-		if e == leaseLapsed {
+		if e == leaseLapsed || e == onNoMachine {
 			r.noteLost()
 		}
 		r.apply(evLost)
--- a/core/dispatch/machine.go
+++ b/core/dispatch/machine.go
@@ -9,9 +9,23 @@
 // of a machine is learned from the list of workers or from the platform's list
 // of machines, and may be unknown for a while.
 
+// MachinesRead is a read of the platform's whole list of machines.
+type MachinesRead struct {
+	// AsOf is when the first call of the read was sent.
+	AsOf unit.Instant
+	// Incarnations holds the present workers of the machines that have one.
+	Incarnations []Incarnation
+}
+
 // NeedsMachineList reports whether a wave includes machines whose present
-// incarnation isn't known.
+// incarnation isn't known, or whether the list may show that workers have ended.
 func (d *Dispatcher) NeedsMachineList() bool {
+	return d.wavesNeedMachines() || d.awaitsMachineList()
+}
+
+// wavesNeedMachines reports whether a wave includes machines whose present
+// incarnation isn't known.
+func (d *Dispatcher) wavesNeedMachines() bool {
 	for _, x := range d.waves {
 		for _, m := range x.plan.Unfinished() {
 			if d.incarnationOn(m) == nil {
@@ -22,10 +36,12 @@
 	return false
 }
 
-// SetIncarnations sets which workers are the present incarnations of machines,
-// for workers whose entry in the list names no machine.
-func (d *Dispatcher) SetIncarnations(now unit.Instant, incarnations []Incarnation) {
-	for _, x := range incarnations {
+// NoteMachines handles a read of the list of machines: it sets which workers are the
+// present incarnations of machines, for workers whose entry in the list of workers
+// names no machine, and gives up the runs of workers that the list shows to have ended.
+func (d *Dispatcher) NoteMachines(now unit.Instant, read MachinesRead) {
+	d.confirmMachines(now, read)
+	for _, x := range read.Incarnations {
 		w := d.listedByName(x.Worker)
 		if w == nil || w.Machine == x.Machine {
 			continue
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -140,6 +140,9 @@
 	EventJobBegun Event = "job-begun"
 	// EventJobEnded: a job has its outcome.
 	EventJobEnded Event = "job-ended"
+	// EventMachinesIncomplete: a read of the list of machines lacks a worker that
+	// the list of workers has, so that it isn't used; the age is that of the read.
+	EventMachinesIncomplete Event = "machines-incomplete"
 	// EventEndWithheld: a run that was given up is reported as done after its task
 	// was started again. The end isn't acknowledged, and the worker gets no new
 	// tasks.
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -27,6 +27,8 @@
 //	outage DURATION          ends an outage of the store that began that long ago
 //	read [NAME]...           lets the owner read the whole list of workers, in
 //	                         which the named ones have unreadable entries
+//	machines AGE [NAME]...   lets the owner read the list of machines, which has
+//	                         the named workers, by a call of that age
 //	job NAME [priority=N] [count=N] [gpus=N] [gang] [samerack] [saves] [lasts]
 //	    [attempts=N] [label=L] [data=RACK] [apart=N] [maymiss=N] [estimate=D]
 //	    [twosteps] [ahead=D, of the clock that accepted it]
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -250,9 +250,10 @@
 	// listed is set while the platform's list contains the worker. unlistedAt is
 	// when its entry was last seen to be gone; 0 if it never was. unrenewed is set
 	// if the entry was there at the beginning of an outage of the store and hasn't
-	// been written since. presumedEnded is set once such an entry is missing.
+	// been written since. presumedEnded is set once such an entry is missing, at
+	// presumedAt.
 	listed                   bool
-	unlistedAt               unit.Instant
+	unlistedAt, presumedAt   unit.Instant
 	unrenewed, presumedEnded bool
 	// drainEndsAt is the earliest time at which a draining worker may end.
 	// drainEndClock is a lower bound of the worker's own clock at that time; 0
--- a/internal/entry/waves.go
+++ b/internal/entry/waves.go
@@ -19,9 +19,9 @@
 	// the store. A wave has two reports, so this is enough for 128 waves, more
 	// than an operator starts at a time.
 	maxQueuedReports = 256
-	// machineListInterval is the pause between two reads of the list of
-	// machines while a wave has machines whose worker is unknown. The platform
-	// handles some 60 such calls a second.
+	// machineListInterval is the pause between two reads of the list of machines
+	// while the dispatcher needs it. The platform handles some 60 such calls a
+	// second.
 	machineListInterval = 500 * time.Millisecond
 )
 
@@ -47,9 +47,8 @@
 }
 
 // followMachines passes to the dispatcher which workers run on which machines,
-// until ctx is done. It reads the list of machines only while a wave includes a
-// machine whose worker is unknown, because the list of workers may already show
-// which worker that is.
+// until ctx is done. It reads the list of machines only while the dispatcher needs
+// it, because the list of workers usually shows which worker that is.
 func (o *owner) followMachines(ctx context.Context) {
 	dep := dependency{log: o.host.log, name: "list of machines"}
 	for pause(ctx, machineListInterval) {
@@ -57,13 +56,16 @@
 		if !ok || !wanted || o.host.settings.Machines == "" {
 			continue
 		}
+		sentAt := o.host.now()
 		incarnations, err := o.host.machines.List(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		dep.note(err)
 		if err == nil {
-			o.postIfOwner(ctx, func(now unit.Instant) { o.core.SetIncarnations(now, incarnations) })
+			o.postIfOwner(ctx, func(now unit.Instant) {
+				o.core.NoteMachines(now, dispatch.MachinesRead{AsOf: sentAt, Incarnations: incarnations})
+			})
 		}
 	}
 }
