core/dispatch: an answer to the next owner bounds the leases of the former one

What callers saw: after a change of the owner, tasks of workers that ended soon after it stood still until 13.4 s after the takeover, also where the worker had answered the next owner. Cause: the next owner assumed leases that the former one may grant for 3 s after the takeover, whatever it learned afterwards. A worker that has answered an order of the next owner has seen its fence and obeys no earlier owner, so no lease of theirs is granted after that answer.

Change: leases of former owners are kept apart from this owner's, and end at the latest a lease after the worker's first answer.

Shown: TestOutages next_owner_answered. Its times follow: the task isn't started 10.32 s after the takeover and is at 10.82 s, before at 13.42 s; without the change it fails. The check is as strict: not before the lease has expired, and at once after it.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -228,6 +228,8 @@
 	if res.Sent > w.syncRequestedAt {
 		w.syncedAsOf, w.syncedClock = res.Sent, res.Report.Clock
 	}
+	// The worker has seen this owner's fence, and obeys no earlier owner any more.
+	w.formerLeaseExpiry = min(w.formerLeaseExpiry, d.maxLeaseExpiry(now))
 	d.resolveContest(now, w)
 	ended := map[job.TaskID]bool{}
 	for _, e := range res.Report.Ended {
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -221,7 +221,7 @@
 		return w
 	}
 	w = &worker{Listing: fleet.Listing{ID: name}, name: fleet.NameOf(name), clockAt: now, knownSince: now, slowness: 1}
-	w.grantedLeaseExpiry = d.maxLeaseExpiry(now)
+	w.formerLeaseExpiry = d.maxLeaseExpiry(now)
 	if x := d.withheld[name]; x != nil {
 		w.withheldEnd = x.record.Seq
 	}
--- a/core/dispatch/jobs.go
+++ b/core/dispatch/jobs.go
@@ -169,7 +169,7 @@
 	w := d.worker(now, t.Worker)
 	// The earlier owner may still grant leases, since it may not know of this
 	// owner yet.
-	w.grantedLeaseExpiry = max(w.grantedLeaseExpiry, d.maxLeaseExpiry(now.Add(soleOwnerValidity)))
+	w.formerLeaseExpiry = max(w.formerLeaseExpiry, d.maxLeaseExpiry(now.Add(soleOwnerValidity)))
 	r := &run{
 		task: s.task(index), number: t.Run, state: runStarting, worker: w, need: s.step.Reserved(), step: s,
 		knownSince: now, startSentAt: now, fromEarlierOwner: true,
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -65,7 +65,7 @@
 // leaseExpiry returns when every lease on the worker has expired for certain:
 // those that may have been granted, and those of orders in flight.
 func (w *worker) leaseExpiry() unit.Instant {
-	last := max(w.grantedLeaseExpiry, w.renewalLeaseExpiry)
+	last := max(w.formerLeaseExpiry, w.grantedLeaseExpiry, w.renewalLeaseExpiry)
 	for _, r := range w.runs {
 		last = max(last, r.startLeaseExpiry, r.lateStartLeaseExpiry)
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -327,6 +327,9 @@
 	// expired for certain. renewalLeaseExpiry is the same for the renewal in
 	// flight; 0 if that grants none.
 	grantedLeaseExpiry, renewalLeaseExpiry unit.Instant
+	// formerLeaseExpiry is when every lease has expired for certain that earlier
+	// owners may have granted to the worker.
+	formerLeaseExpiry unit.Instant
 	// failureStreak counts the failed runs of different jobs since the last
 	// success; lastFailedJob is the job of the latest one.
 	failureStreak int
