core/handover, core/dispatch, internal/entry: an owner tells the next one what it knows

Cause: what an owner has read and can't write, which leases it has granted, which starts it has never sent and which checkpoints workers have reported is lost with its ownership, though it lives, or had time to tell others while the store was away.

Change: an owner whose ownership ends tells the next owner, or the hosts that may become it, the ends that the store may lack, the leases that it has granted, its runs' checkpoints, starts that were never sent and until when unanswered ones are open. While an append has been in flight for 0.3 s it tells the hosts that watch it the ends, so that they outlive it. The next owner takes ends from any earlier owner, and only for runs that the store still has as placed; the rest only from the owner directly before it, whose ownership has ended (jobtable.FormerEpoch). An end that was told isn't acknowledged by it: the worker reports it again, and the record is in the store by then.

Shown: core/dispatch TestHandovers (7 scripts; leases_of_owner_between and end_read_twice guard the limits), internal/entry TestHandover and TestHandoverSupersedes. TestYield, TestSpeedClassMetric and TestFlushToTwoLogs give their hosts the dispatcher, table and clock that stepDown now needs; no expectation changed.

--- a/core/dispatch/answers.go
+++ b/core/dispatch/answers.go
@@ -236,6 +236,7 @@
 		ended[e.Task] = true
 		if e.Seq > w.lastEndSeen {
 			w.lastEndSeen, d.newEnds = e.Seq, true
+			w.keepUnstored(e)
 			d.runEnded(now, w, e, res)
 		}
 	}
--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -115,6 +115,15 @@
 		s.readList(f[1:])
 	case "machines":
 		s.readMachines(f[1], f[2:])
+	case "tell":
+		s.told, s.toldAt = s.d.UnstoredEnds(), s.now
+		if f[1] == "all" {
+			s.told = s.d.Handover(s.now)
+		}
+	case "inherit":
+		if got, want := s.d.InheritHandover(s.now, s.toldAt, s.told, f[1] == "direct"), number(s.t, f[2]); got != want {
+			s.t.Errorf("%d ends were new, want %d", got, want)
+		}
 	case "restart":
 		s.outageBegan, s.outageEnded = 0, 0
 		s.takeOver()
@@ -312,8 +321,9 @@
 			res.Report.Incarnation = id.Worker(f[i+1])
 			i += 2
 		case "run":
-			percent, load, _ := strings.Cut(f[i+3], ":")
-			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.RunNumber(number(s.t, f[i+2])), Percent: number(s.t, percent)}
+			percent, rest, _ := strings.Cut(f[i+3], ":")
+			load, saved, _ := strings.Cut(rest, ":")
+			x := fleet.Running{Task: task(s.t, f[i+1]), Run: job.RunNumber(number(s.t, f[i+2])), Percent: number(s.t, percent), Checkpoint: saved}
 			if load != "" {
 				x.Load = int64(number(s.t, load))
 			}
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -109,6 +109,7 @@
 	}
 	for _, a := range b.acks {
 		a.worker.lastEndStored = max(a.worker.lastEndStored, a.seen)
+		a.worker.dropStored(a.seen)
 		if !a.worker.renewalInFlight {
 			a.worker.nextRenewal = now
 		}
--- a/core/dispatch/outcome.go
+++ b/core/dispatch/outcome.go
@@ -29,6 +29,12 @@
 	n.Age = now.Sub(r.knownSince)
 	d.note(n)
 	d.inheritedFound(r)
+	d.endRun(now, r, e, &res)
+}
+
+// endRun processes the end of a run that is known. answer is the worker's answer that
+// lists it; nil if another host has read the end.
+func (d *Dispatcher) endRun(now unit.Instant, r *run, e fleet.End, answer *RenewResult) {
 	r.startOpenUntil = 0
 	if e.Checkpoint != "" {
 		r.checkpoint = e.Checkpoint
@@ -45,7 +51,9 @@
 		return
 	}
 	d.countFailures(now, r, e)
-	d.observeEnd(now, r, e, res)
+	if answer != nil {
+		d.observeEnd(now, r, e, *answer)
+	}
 	switch e.Reason {
 	case fleet.EndDone:
 		d.runSucceeded(now, r)
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -8,6 +8,7 @@
 
 	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/fleet"
+	"curlewsill.org/curlewsill/core/handover"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/policy"
@@ -47,7 +48,7 @@
 //	stop NAME VERDICT        answers the last order to stop it
 //	pace NAME VERDICT        answers the last order that sets its speed
 //	renew WORKER VERDICT [by WORKER, the incarnation that answered] [in-part]
-//	    [run TASK RUN PERCENT[:LOAD]]... [end N TASK RUN HOW]...
+//	    [run TASK RUN PERCENT[:LOAD[:CHECKPOINT]]]... [end N TASK RUN HOW]...
 //	                         answers the last renewal
 //	mostwaits N              starts another owner, whose renewals may wait at N
 //	                         workers at a time
@@ -71,6 +72,11 @@
 //	guarantee C N            sets the number of accelerators guaranteed to C
 //	noted stop TASK WHY...   checks that one stop of the task was logged since the
 //	                         last such check, and its reason
+//	tell ends|all            keeps what the owner tells the next one, while it is the
+//	                         owner or when it has ended
+//	inherit direct|indirect N
+//	                         tells the owner what was kept, of the owner before it
+//	                         or an earlier one; N ends are new
 //	takeover                 starts another owner from the store's records
 //	restart                  starts another owner, of a host that has seen no
 //	                         outage
@@ -124,6 +130,9 @@
 	// waits the time for which that renewal may wait at the worker.
 	sent  map[string]unit.Instant
 	waits map[string]time.Duration
+	// told is what an earlier owner has told, at toldAt.
+	told   handover.Message
+	toldAt unit.Instant
 	// asks are the open questions to the advice service, asked is when the
 	// newest one was sent.
 	asks  []dispatch.Ask
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -275,6 +275,9 @@
 	// lastEndAcked that of the last end that an answered renewal let the worker
 	// forget.
 	lastEndSeen, lastEndStored, lastEndAcked uint64
+	// unstoredEnds holds the reported ends after lastEndStored, in the order of
+	// their numbers.
+	unstoredEnds []fleet.End
 	// withheldEnd is the sequence number of the first end that must not be
 	// acknowledged; 0 if there is none.
 	withheldEnd uint64
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -72,6 +72,8 @@
 	// next is the offset of the first record of the job log that was not applied.
 	next  id.Offset
 	owner Owner
+	// formerEpoch is that of the owner before the newest claim; 0 if unknown.
+	formerEpoch id.Epoch
 	// unreadable holds which records of jobs were rejected as unreadable.
 	unreadable unreadable
 	// legacyProgress has the jobs with progress in the job log, where earlier
@@ -117,6 +119,10 @@
 // Owner returns the newest ownership claim.
 func (t *Table) Owner() Owner { return t.owner }
 
+// FormerEpoch returns the epoch of the owner before the newest claim, or before the
+// newest release; 0 if this table hasn't read it.
+func (t *Table) FormerEpoch() id.Epoch { return t.formerEpoch }
+
 // Get returns a job, or nil.
 func (t *Table) Get(j id.Job) *Entry { return t.jobs[j] }
 
@@ -224,6 +230,9 @@
 		return fmt.Errorf("jobtable: owner: %w", err)
 	}
 	if o.Epoch > t.owner.Epoch {
+		if t.owner.Host != "" {
+			t.formerEpoch = t.owner.Epoch // otherwise nobody was the owner in between
+		}
 		t.owner = o
 	}
 	return nil
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -195,6 +195,7 @@
 		o.updateJob(now, j)
 	}
 	o.noteOutage(now)
+	h.useHandover(now)
 	o.evacuate()
 	o.setOperatorReadTime()
 	for _, n := range slices.Sorted(maps.Keys(h.waves)) {
@@ -231,6 +232,7 @@
 	}
 	h.log.Warn("owner-ended", zap.Uint64("epoch", uint64(h.owner.epoch)), zap.String("why", why))
 	h.owner.cancel()
+	h.sendHandover(h.now())
 	h.endedEpoch = h.owner.epoch
 	h.owner = nil
 	h.metrics.owning.Store(false)
--- a/internal/entry/claim_internal_test.go
+++ b/internal/entry/claim_internal_test.go
@@ -9,9 +9,11 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/election"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/internal/wslink"
 	"curlewsill.org/curlewsill/platform"
@@ -164,7 +166,7 @@
 			store: platform.NewStore("store", &http.Client{Transport: store}), loaded: true,
 			election: election.New(election.Member{Host: "small", Ability: 100}),
 		}
-		h.owner = &owner{host: h, epoch: 0, cancel: func() {}}
+		h.owner = &owner{host: h, epoch: 0, cancel: func() {}, core: dispatch.New(dispatch.Config{}, policy.New(), 0, jobtable.New())}
 		group := []election.Member{{Host: "small", Ability: 100}, {Host: "large", Ability: 500}}
 		h.election.ObserveGroup(h.now(), group, "small")
 		time.Sleep(10 * time.Second)
--- a/internal/entry/flush_internal_test.go
+++ b/internal/entry/flush_internal_test.go
@@ -69,6 +69,7 @@
 	workers := &hangingWorkers{inFlight: map[string]int{}}
 	o := newOwnerOf(t, workers)
 	h := o.host
+	h.table = jobtable.New()
 	h.owner = o
 	h.store = platform.NewStore("store", &http.Client{Transport: &twoLogs{
 		words: map[platform.Topic]string{platform.TopicProgress: f[0], platform.TopicJobs: f[1]},
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -186,6 +186,9 @@
 	// gave up that ownership or could not take it over, or the owner was an
 	// earlier incarnation of this host.
 	endedEpoch id.Epoch
+	// handover is what the latest owner that has told something knows, this host
+	// included.
+	handover receivedHandover
 	// watchers are notified when a job ends.
 	watchers watchers
 	// peerAddresses holds the addresses at which the other hosts listen for
@@ -313,6 +316,7 @@
 	go h.keepMembership(ctx)
 	go h.watchOwner(ctx)
 	go h.requestAssurance(ctx)
+	go h.tellEnds(ctx)
 	go h.decide(ctx)
 	select {
 	case <-ctx.Done():
--- a/internal/entry/metrics_internal_test.go
+++ b/internal/entry/metrics_internal_test.go
@@ -10,6 +10,9 @@
 
 	"go.uber.org/zap"
 
+	"curlewsill.org/curlewsill/core/dispatch"
+	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/policy"
 	"curlewsill.org/curlewsill/core/speed"
 	"curlewsill.org/curlewsill/core/unit"
 )
@@ -18,9 +21,9 @@
 // own, and that a host which is no longer the owner reports none. Otherwise the
 // sum over all hosts would count workers twice after a takeover.
 func TestSpeedClassMetric(t *testing.T) {
-	h := &Host{log: zap.NewNop(), metrics: newMetrics()}
+	h := &Host{log: zap.NewNop(), metrics: newMetrics(), table: jobtable.New(), clock: newTestClock()}
 	_, cancel := context.WithCancel(context.Background())
-	h.owner = &owner{host: h, cancel: cancel}
+	h.owner = &owner{host: h, cancel: cancel, core: dispatch.New(dispatch.Config{}, policy.New(), 0, h.table)}
 	h.metrics.setSpeedClasses([speed.Classes]int{speed.Unknown: 1, speed.Typical: 20, speed.Fast: 3, speed.Slow: 4})
 	check := func(want ...string) {
 		t.Helper()
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -64,8 +64,10 @@
 	lastCandidate    election.Member
 	lastCandidateAt  unit.Instant
 	lastCandidateSeq uint64
-	// appendInFlight is set while an append is in flight.
+	// appendInFlight is set while an append is in flight, which began at
+	// appendBeganAt.
 	appendInFlight bool
+	appendBeganAt  unit.Instant
 	// startRules determine which start orders may still be sent.
 	startRules atomic.Pointer[dispatch.StartRules]
 	// reports are queued to be written for the operator.
@@ -217,7 +219,7 @@
 		o.core.Committed(o.host.now(), b)
 		return
 	}
-	o.appendInFlight = true
+	o.appendInFlight, o.appendBeganAt = true, o.host.now()
 	appends := []func() appendResult{o.append(ctx, &o.progress, b.Progress), o.append(ctx, &o.jobs, b.Jobs)}
 	go func() {
 		w := writeAll(appends)
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -200,7 +200,8 @@
 	return ownerReplies.Decode(raw)
 }
 
-// watchTransport answers other hosts' questions about the owner.
+// watchTransport answers other hosts' questions about the owner, and accepts what
+// owners tell.
 type watchTransport struct{ host *Host }
 
 // RoundTrip implements http.RoundTripper. A host that is asked about itself
@@ -210,6 +211,9 @@
 	if !t.host.deciding.Load() {
 		return nil, errNotDeciding
 	}
+	if req.URL.Path == handoverPath {
+		return t.host.acceptHandover(req)
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return nil, err
