core/world: changes of the owner around an outage are played

Until now memberships never lapsed in the model, so that no live owner was replaced after an outage, and no owner stood still. Owners tell other hosts what they know, and read a list of machines that has all workers which are up, cut off or not.

--- a/core/world/host.go
+++ b/core/world/host.go
@@ -32,6 +32,13 @@
 	// listedUntil is the time until which the store still lists the host after
 	// the host went down.
 	listedUntil unit.Instant
+	// lapsedUntil is until when the host, though up, isn't back in the group since
+	// an outage.
+	lapsedUntil unit.Instant
+	// stillUntil is until when the host stands still.
+	stillUntil unit.Instant
+	// told is what the latest owner that has told something knows.
+	told told
 	// claiming is set while a claim is in flight.
 	claiming bool
 	// lostEpoch is the epoch of the ownership that this host has lost; 0 for
@@ -52,6 +59,7 @@
 func (h *host) startIncarnation(after time.Duration) {
 	h.incarnation++
 	h.up, h.claiming, h.startedAt = true, false, h.world.now
+	h.lapsedUntil, h.stillUntil, h.told = 0, 0, told{}
 	h.election = election.New(h.member())
 	h.world.callers.follow(h)
 	if o := h.world.table.Owner(); o.Host == h.ID {
@@ -69,11 +77,12 @@
 }
 
 // group returns the members of the hosts' group as the store lists them: a host
-// that is down stays listed until listedUntil.
+// that is down stays listed until listedUntil, and one whose membership has lapsed is
+// missing until lapsedUntil.
 func (w *World) group() []election.Member {
 	var out []election.Member
 	for _, h := range w.hosts {
-		if h.up || w.now < h.listedUntil {
+		if h.up && w.now >= h.lapsedUntil || w.now < h.listedUntil {
 			out = append(out, h.member())
 		}
 	}
@@ -88,8 +97,8 @@
 		return
 	}
 	w.Schedule(w.setup.Times.GroupPoll, func() { h.checkGroup(incarnation) })
-	if w.now < w.store.upAt {
-		return // the store is unavailable
+	if w.now < w.store.upAt || w.now < h.stillUntil {
+		return // the store is unavailable, or the host stands still
 	}
 	h.election.ObserveGroup(w.now, w.group(), w.table.Owner().Host)
 	if w.owner != nil && w.owner.host == h {
@@ -103,6 +112,7 @@
 
 // claimDue reports whether the host has to claim the ownership.
 func (h *host) claimDue() bool {
+	h.probeOwner()
 	vacant := h.lostEpoch != 0 && h.world.table.Owner().Epoch == h.lostEpoch
 	return vacant || h.election.ShouldClaim(h.world.now)
 }
--- a/core/world/long_test.go
+++ b/core/world/long_test.go
@@ -75,6 +75,23 @@
 	return simulateSite(t, seed, outageKinds, randomJob, length, func(s *world.Setup) { s.StrictSuccesses = true })
 }
 
+// TestLongHandovers is TestLongOutages with memberships that lapse in outages, owners
+// that tell other hosts what they know, and a list of machines.
+//
+// It guards against owners that take what another host has told, or the list of
+// machines, for more than it shows: tasks that run twice or are done again after an
+// acknowledged success, and jobs that end wrongly.
+func TestLongHandovers(t *testing.T) {
+	eachSeed(t, simulateHandovers)
+}
+
+// simulateHandovers runs one seed of TestLongHandovers.
+func simulateHandovers(t *testing.T, seed uint64, length time.Duration) *world.World {
+	return simulateSite(t, seed, outageKinds, randomJob, length, func(s *world.Setup) {
+		s.StrictSuccesses, s.MachineList, s.Handovers, s.MembershipsLapse = true, true, true, true
+	})
+}
+
 // simulateCrashes runs one seed of TestLongCrashes.
 func simulateCrashes(t *testing.T, seed uint64, length time.Duration) *world.World {
 	return simulateJobs(t, seed, crashKinds, crashingJobs(seed), length)
--- a/core/world/outage.go
+++ b/core/world/outage.go
@@ -33,6 +33,9 @@
 	}
 	w.outage.ended = max(w.outage.ended, ended)
 	w.Schedule(duration, w.endOutage)
+	if w.setup.Handovers {
+		w.tellEndsUntil(ended)
+	}
 }
 
 // inOutage reports whether nothing can be written to the list of workers.
@@ -49,6 +52,9 @@
 	for _, l := range slices.Clone(w.listings) {
 		w.unlist(l.ID)
 	}
+	if w.setup.MembershipsLapse {
+		w.lapseMemberships()
+	}
 	for _, m := range w.machines {
 		w.Schedule(scale(relistWithin, w.draw("relist", m.ID, w.now)), m.publishListing)
 	}
@@ -72,6 +78,9 @@
 	if w.owner != nil && !w.inOutage() {
 		asOf := w.now.Add(-w.setup.Times.ListingDelay)
 		w.owner.enqueueEvent(func(o *owner) { o.dispatcher.ConfirmList(w.now, dispatch.ListRead{AsOf: asOf}) })
+		if w.setup.MachineList {
+			w.readMachines()
+		}
 	}
 	w.Schedule(listReadInterval, func() { w.readListUntil(until) })
 }
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -70,12 +70,18 @@
 	for _, l := range w.listings {
 		o.dispatcher.LoadListing(w.now, l)
 	}
+	if w.setup.Handovers {
+		o.useTold()
+	}
 	o.pollOperator()
 	o.schedulePass(0)
 }
 
 // end takes the ownership from the host and discards the queued work.
 func (o *owner) end() {
+	if !o.ended && o.world.setup.Handovers && o.host.up {
+		o.tellNextOwner()
+	}
 	o.ended, o.queue, o.host.lostEpoch = true, nil, o.epoch
 	if o.world.owner == o {
 		o.world.owner = nil
@@ -116,10 +122,15 @@
 }
 
 // runNext begins the next work item that takes processor time. Items before it
-// that take no time are completed in the same call.
+// that take no time are completed in the same call. While the host stands still,
+// nothing begins.
 func (o *owner) runNext() {
 	w := o.world
 	o.busy = true
+	if w.now < o.host.stillUntil {
+		w.agenda.Add(o.host.stillUntil, o.runNext)
+		return
+	}
 	for len(o.queue) > 0 && !o.ended {
 		item := o.queue[0]
 		o.queue = o.queue[1:]
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -45,6 +45,10 @@
 	// StrictSuccesses checks each acknowledged success, also if the worker's lease
 	// has expired since.
 	StrictSuccesses bool
+	// MachineList lets owners read the platform's list of machines. Handovers lets
+	// owners tell other hosts what they know. MembershipsLapse drops all hosts from
+	// the group in an outage.
+	MachineList, Handovers, MembershipsLapse bool
 	// OnNote is called for each note of an owner; nil for none.
 	OnNote func(dispatch.Note)
 	// Seed determines failures, clocks and which orders are late.
