core/dispatch: a list of machines that can't be compared shows nothing

Found by reading: with no worker listed, any list of machines counted as complete, also an empty one. All workers cut off from the store over an outage, and a service of machines that has just begun again, would have given up runs that go on. Change: the list of workers must have at least one worker. Shown: TestOutages machines_none_listed fails without the change.

--- a/core/dispatch/absence.go
+++ b/core/dispatch/absence.go
@@ -123,18 +123,14 @@
 }
 
 // confirmMachines handles a read of the list of machines. The runs of workers that are
-// presumed to have ended, and that no machine has, are given up. A list of machines that
-// lacks a worker which the list of workers has isn't complete, and shows nothing.
+// presumed to have ended, and that no machine has, are given up.
 func (d *Dispatcher) confirmMachines(now unit.Instant, read MachinesRead) {
 	onMachine := map[id.WorkerName]bool{}
 	for _, x := range read.Incarnations {
 		onMachine[x.Worker] = true
 	}
-	for _, w := range d.workersByID {
-		if w.listed && !w.Draining && !onMachine[w.name] {
-			d.note(Note{Event: EventMachinesIncomplete, Worker: w.ID, Age: now.Sub(read.AsOf)})
-			return
-		}
+	if !d.hasAllListed(now, read, onMachine) {
+		return
 	}
 	for _, w := range d.workersByID {
 		if w.presumedEnded && read.AsOf >= w.presumedAt && read.AsOf > w.lastAnswerAt && !onMachine[w.name] {
@@ -142,3 +138,20 @@
 		}
 	}
 }
+
+// hasAllListed reports whether a read of the list of machines has all workers of the
+// list of workers, which must have some. Otherwise the read may be incomplete.
+func (d *Dispatcher) hasAllListed(now unit.Instant, read MachinesRead, onMachine map[id.WorkerName]bool) bool {
+	listed := 0
+	for _, w := range d.workersByID {
+		if !w.listed || w.Draining {
+			continue
+		}
+		if !onMachine[w.name] {
+			d.note(Note{Event: EventMachinesIncomplete, Worker: w.ID, Age: now.Sub(read.AsOf)})
+			return false
+		}
+		listed++
+	}
+	return listed > 0
+}
