internal/entry, core/outage: no worker is presumed to have ended while calls fail

What callers would have seen: a second outage began 0.1 s after the first one. The list of machines kept the runs of those that lived. Cause: other calls had still failed, so that the second outage wasn't known yet. Change: a read of the list proves nothing while calls about the group fail. Shown: TestMissingAfterOutage calls_fail_again fails without the change.

--- a/core/outage/outage.go
+++ b/core/outage/outage.go
@@ -93,6 +93,9 @@
 // endSeries ends the current series of failures.
 func (m *Monitor) endSeries() { m.failingSince, m.lastFailureAt = 0, 0 }
 
+// Failing reports whether calls fail at present, so that an outage may go on.
+func (m *Monitor) Failing() bool { return m.failingSince != 0 }
+
 // Since returns when the store first answered this host; 0 if it hasn't.
 func (m *Monitor) Since() unit.Instant { return m.firstAnsweredAt }
 
--- a/core/outage/outage_test.go
+++ b/core/outage/outage_test.go
@@ -1,6 +1,7 @@
 package outage_test
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -20,6 +21,7 @@
 //	stalled AT                the host stands still until then
 //	cut                       the host hears no other host from now on
 //	healed                    the host hears other hosts again
+//	failing true|false        checks whether calls fail at present
 //	latest none|BEGAN ENDED   checks the latest outage
 func TestScripts(t *testing.T) {
 	scripttest.Each(t, func(t *testing.T, text string) {
@@ -58,6 +60,10 @@
 		s.tick()
 	case "cut", "healed":
 		s.cut = f[0] == "cut"
+	case "failing":
+		if got := strconv.FormatBool(s.monitor.Failing()); got != f[1] {
+			s.t.Errorf("line %d: calls fail: %s", s.line, got)
+		}
 	case "latest":
 		var began, ended unit.Instant
 		if f[1] != "none" {
--- a/internal/entry/outage_internal_test.go
+++ b/internal/entry/outage_internal_test.go
@@ -100,6 +100,7 @@
 		{"outage", hostView{alone: true}, 0, far, []id.Worker{"w-1"}},
 		{"cut off", hostView{}, 0, far, nil},
 		{"reads end", hostView{alone: true}, 0, outageEnded + 2900*time.Millisecond, nil},
+		{"calls fail again", hostView{alone: true, failsAgain: true}, 0, outageEnded + 3500*time.Millisecond, nil},
 		{"written before", hostView{alone: true}, outageBegan - time.Millisecond, far, []id.Worker{"w-1"}},
 		{"written again", hostView{alone: true}, outageEnded + 2*time.Second, far, nil},
 		{"begun late", hostView{beginsAt: outageEnded, recorded: true}, 0, far, []id.Worker{"w-1"}},
@@ -146,6 +147,9 @@
 	// answered during the outage as well.
 	beginsAt time.Duration
 	storeUp  bool
+	// failsAgain is set if calls other than reads fail again from shortly after the
+	// outage until 4 s after it.
+	failsAgain bool
 	// recorded is set if another host has recorded the outage.
 	recorded bool
 }
@@ -184,7 +188,8 @@
 	go func() {
 		for pause(ctx, heartbeatInterval) {
 			var err error
-			if away(store.since) && !view.storeUp {
+			since := time.Since(store.since) - outageEnded
+			if away(store.since) && !view.storeUp || view.failsAgain && since > 700*time.Millisecond && since < 4*time.Second {
 				err = errAway
 			}
 			h.noteGroupCall(ctx, h.now(), err)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -168,8 +168,13 @@
 }
 
 // confirmList records that all changes of the list are applied that a read
-// returned which was sent at the given time and came to the list's end.
+// returned which was sent at the given time and came to the list's end. While other
+// calls still fail, the read may be the first that a new outage lets through, which
+// shows no worker to have ended.
 func (o *owner) confirmList(now, sentAt unit.Instant) {
+	if o.host.outages.Failing() {
+		return
+	}
 	o.core.ConfirmList(now, dispatch.ListRead{AsOf: sentAt, Unreadable: slices.Sorted(maps.Keys(o.rejected))})
 }
 
--- a/soak/event_test.go
+++ b/soak/event_test.go
@@ -42,6 +42,9 @@
 	// eventLogged is a line of a host's log that reports a violated invariant,
 	// a panic or a data race.
 	eventLogged eventKind = "logged"
+	// eventTaken is the end of an outage of the store in which a worker was taken
+	// away.
+	eventTaken eventKind = "taken"
 	// eventUsage is the resource usage of a process at the end: Count
 	// descriptors, and Bytes of memory.
 	eventUsage eventKind = "usage"
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -62,8 +62,13 @@
 	probedAt time.Time
 }
 
-// settingsText returns the settings of a host's process.
-func settingsText(name, store, level string) string {
+// settingsText returns the settings of a host's process. machines is the address of the
+// service of machines, empty in plans without one.
+func settingsText(name, store, machines, level string) string {
+	address := ""
+	if machines != "" {
+		address = "address = " + machines + "\n"
+	}
 	return fmt.Sprintf(`[host]
 id = %s
 domain = d
@@ -87,11 +92,11 @@
 keep_ended = 10m
 evacuation = %v
 [machines]
-handover = %v
+%shandover = %v
 away = 2s
 [log]
 level = %s
-`, name, store, grace, maxLease, stopTime, evacuationBound, handover, level)
+`, name, store, grace, maxLease, stopTime, evacuationBound, address, handover, level)
 }
 
 // start begins an incarnation of the host. It returns once the process listens
@@ -100,7 +105,7 @@
 	s := h.site
 	p := &process{incarnation: s.uniqueName(h.name), ended: make(chan struct{}), storeProxy: s.newProxy(s.address), failedProbes: 2}
 	p.settings = filepath.Join(s.dir, p.incarnation+".ini")
-	if err := os.WriteFile(p.settings, []byte(settingsText(h.name, p.storeProxy.Addr(), "info")), 0o600); err != nil {
+	if err := os.WriteFile(p.settings, []byte(settingsText(h.name, p.storeProxy.Addr(), s.machinesAddress, "info")), 0o600); err != nil {
 		s.t.Error(err)
 		return
 	}
--- a/soak/inject_test.go
+++ b/soak/inject_test.go
@@ -72,7 +72,7 @@
 	case "pause":
 		s.during(p.incarnation, func() { _ = p.signal(syscall.SIGSTOP) }, f.duration, func() { _ = p.signal(syscall.SIGCONT) })
 	case "hup":
-		text := settingsText(h.name, p.storeProxy.Addr(), []string{"debug", "warn"}[f.target%2])
+		text := settingsText(h.name, p.storeProxy.Addr(), s.machinesAddress, []string{"debug", "warn"}[f.target%2])
 		if f.variant == "damaged" {
 			text = "[host]\nid"
 		}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -32,6 +32,9 @@
 	// this token that the worker refused because the token was too low.
 	refusals   map[string]*fenceRefusals
 	violations []violation
+	// resumed has, for each task of a worker that was taken away in an outage of the
+	// store, the time from the outage's end to the next start.
+	resumed []time.Duration
 }
 
 // violation is a broken guarantee.
@@ -77,6 +80,9 @@
 	// owner has noted the end.
 	how   string
 	noted bool
+	// resumed is set once the task was started again after the run's worker was taken
+	// away.
+	resumed bool
 	// crashesWorker is set if each start of the task crashes its worker.
 	crashesWorker bool
 	// overlapping is an earlier run of the task, if its end was not yet
@@ -99,6 +105,9 @@
 	epoch         uint64
 	drainingSince time.Duration
 	gone          bool
+	// outageOverAt is when the outage ended in which the worker was taken away; 0 if
+	// it wasn't.
+	outageOverAt time.Duration
 }
 
 // hostRecord is one incarnation of a host. Its answers prove that it has
@@ -135,7 +144,7 @@
 func (j *judge) handle(e event) {
 	j.now = max(j.now, e.At)
 	switch string(e.Kind) {
-	case standin.EventStart, standin.EventEnd, standin.EventNoted, standin.EventGone, standin.EventFenced, string(eventDraining):
+	case standin.EventStart, standin.EventEnd, standin.EventNoted, standin.EventGone, standin.EventFenced, string(eventDraining), string(eventTaken):
 		j.handleWorkerEvent(e)
 	case string(eventSent), string(eventAnswered):
 		j.handleCall(e)
--- a/soak/judge_worker_test.go
+++ b/soak/judge_worker_test.go
@@ -27,6 +27,8 @@
 		j.handleGone(e, w)
 	case string(eventDraining):
 		w.drainingSince = e.At
+	case string(eventTaken):
+		w.outageOverAt = e.At
 	}
 }
 
@@ -117,6 +119,7 @@
 // the end is recorded.
 func (j *judge) startRun(e event, w *workerRecord) {
 	t := j.task(e.Task)
+	j.noteResumed(t, e.At)
 	r := &runRecord{worker: e.Worker, number: e.Run, start: e.At, crashesWorker: e.Text == crashingText}
 	for _, other := range t.runs {
 		if other.how == "done" && other.noted && e.At > other.end {
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -33,6 +33,10 @@
 	// peer addresses of hosts by those of proxies.
 	address string
 	gangs   *standin.Gangs
+	// machines lists which worker each machine has, at machinesAddress, which is
+	// empty in plans in which no worker is taken away.
+	machines        *standin.Machines
+	machinesAddress string
 	// namesMachines is set if the entries of workers name their machine.
 	namesMachines bool
 	// reportStart is set in plans in which workers restart under the same ID.
@@ -108,7 +112,7 @@
 // newSite starts the stand-ins, the workers and the hosts of a plan.
 func newSite(t *testing.T, p plan, dir string) *site {
 	s := &site{
-		t: t, seed: p.seed, dir: dir, startedAt: time.Now(), store: standin.NewStore(), gangs: standin.NewGangs(), judge: newJudge(), shown: map[string]int{},
+		t: t, seed: p.seed, dir: dir, startedAt: time.Now(), store: standin.NewStore(), machines: standin.NewMachines(func(string) string { return "" }), gangs: standin.NewGangs(), judge: newJudge(), shown: map[string]int{},
 		peerProxies: map[string]*faultproxy.Proxy{}, random: rand.New(rand.NewPCG(p.seed, 2)), queues: p.queues, services: p.services,
 	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
@@ -132,6 +136,12 @@
 	if p.wide {
 		s.prepareWide(p)
 	}
+	if p.has("taken") {
+		if s.machinesAddress, stop, err = standin.Listen(s.machines); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(stop)
+	}
 	s.configure()
 	for i := range p.workers {
 		s.workers = append(s.workers, &worker{site: s, number: i})
@@ -322,6 +332,7 @@
 	w.check(w.proxy.AcceptConnects())
 	w.address = w.proxy.Addr()
 	w.mu.Unlock()
+	s.machines.SetWorker(w.machineName(), incarnation.ID())
 	if s.entries != nil {
 		s.entries.add(incarnation, standin.Entry{
 			Service: s.services[w.number%len(s.services)], Address: w.address, Domain: w.domain(), Machine: w.machine(), Start: incarnation.Start(),
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -235,6 +235,9 @@
 	for check, n := range cases {
 		t.Logf("%s: %d cases, of which the first %d are shown", check, n, min(n, maxShown))
 	}
+	if p.has("taken") {
+		t.Log(s.judge.resumedText())
+	}
 	t.Logf("seed %d: %d hosts, %d workers, %d faults, %d jobs, %d accepted, %d of a flood, %d calls, %d tasks in %v",
 		p.seed, p.hosts, p.workers, len(p.faults), len(pool.jobs), len(pool.accepted), len(pool.flooded), pool.lastCall.Load(),
 		len(s.judge.tasks), time.Since(s.startedAt).Round(time.Second))
--- a/soak/wide_test.go
+++ b/soak/wide_test.go
@@ -60,6 +60,7 @@
 	{13, 3 * time.Second, unevenKinds},
 	{18, 20 * time.Second, stalledKinds},
 	{19, 10 * time.Second, severedKinds},
+	{takenStream, 30 * time.Second, takenKinds},
 }
 
 var incarnationKinds = []wideKind{
@@ -239,10 +240,9 @@
 	case "evacuate":
 		s.evacuate(f)
 	case "lapse":
-		s.during("store", func() { s.store.SetFault(standin.Fault(f.variant)); s.entries.setStoreAway(true) }, f.duration, func() {
-			s.store.SetFault(standin.FaultNone)
-			s.entries.setStoreAway(false)
-		})
+		s.during("store", func() { s.setStoreAway(f.variant, true) }, f.duration, func() { s.setStoreAway(f.variant, false) })
+	case "taken":
+		s.takeWorkersAway(f)
 	case "reborn", "moved", "apart", "lapsed", "parting", "leaving", "sudden", "torn", "again", "held":
 		w := s.workers[f.target%len(s.workers)]
 		if incarnation, _ := w.current(); incarnation != nil {
@@ -500,7 +500,7 @@
 	if !w.site.namesMachines {
 		return ""
 	}
-	return fmt.Sprintf("machine-%d", w.number)
+	return w.machineName()
 }
 
 // newWorkerName returns a unique name for an incarnation of a worker. In wide
