core/dispatch: the list of machines shows the end of workers that announce it after an outage

Cause: only workers that are presumed to have ended were looked up on machines. Besides, a stale entry of one that had ended kept the list of machines from being used. Change: workers that have announced their end, and whose entries have gone, are looked up too. Entries that haven't been written since the outage don't count in the comparison of the two lists.

Shown: TestOutages leaves_on_no_machine and stale_entry_on_no_machine fail without the change. In the scripts with a list of machines the worker that lives now writes its entry again after the outage, as the platform says; each condition was switched off once more and fails a script.

--- a/core/dispatch/absence.go
+++ b/core/dispatch/absence.go
@@ -116,14 +116,26 @@
 	d.loseRuns(now, w, unsent, missingAfterOutage)
 }
 
+// expectedEndAt returns since when a worker is presumed to have ended, or since when
+// the entry has gone of one that has announced its end; 0 if neither is so.
+func (w *worker) expectedEndAt() unit.Instant {
+	switch {
+	case w.presumedEnded:
+		return w.presumedAt
+	case w.Draining && !w.listed:
+		return w.unlistedAt
+	}
+	return 0
+}
+
 // awaitsMachineList reports whether the list of machines may show that runs of a
-// worker that is presumed to have ended needn't be kept until its leases expire.
+// worker whose end is expected needn't be kept until its leases expire.
 func (d *Dispatcher) awaitsMachineList() bool {
-	return slices.ContainsFunc(d.workersByID, func(w *worker) bool { return w.presumedEnded && len(w.runs) > 0 })
+	return slices.ContainsFunc(d.workersByID, func(w *worker) bool { return w.expectedEndAt() != 0 && len(w.runs) > 0 })
 }
 
-// confirmMachines handles a read of the list of machines. The runs of workers that are
-// presumed to have ended, and that no machine has, are given up.
+// confirmMachines handles a read of the list of machines. The runs of workers whose end
+// is expected, and that no machine has, are given up.
 func (d *Dispatcher) confirmMachines(now unit.Instant, read MachinesRead) {
 	onMachine := map[id.WorkerName]bool{}
 	for _, x := range read.Incarnations {
@@ -133,18 +145,20 @@
 		return
 	}
 	for _, w := range d.workersByID {
-		if w.presumedEnded && read.AsOf >= w.presumedAt && read.AsOf > w.lastAnswerAt && !onMachine[w.name] {
+		at := w.expectedEndAt()
+		if at != 0 && read.AsOf >= at && read.AsOf > w.lastAnswerAt && !onMachine[w.name] {
 			d.loseAll(now, w, onNoMachine)
 		}
 	}
 }
 
 // hasAllListed reports whether a read of the list of machines has all workers of the
-// list of workers, which must have some. Otherwise the read may be incomplete.
+// list of workers, which must have some. Otherwise the read may be incomplete. Workers
+// that leave, or haven't written their entries since an outage, don't count.
 func (d *Dispatcher) hasAllListed(now unit.Instant, read MachinesRead, onMachine map[id.WorkerName]bool) bool {
 	listed := 0
 	for _, w := range d.workersByID {
-		if !w.listed || w.Draining {
+		if !w.listed || w.Draining || w.unrenewed {
 			continue
 		}
 		if !onMachine[w.name] {
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -36,9 +36,10 @@
 	// an outage of the store and hasn't come back since. It proves nothing of
 	// runs that may have begun.
 	missingAfterOutage evidence = "its entry is missing since an outage of the store"
-	// onNoMachine: the same, and the platform's list of machines, read after that,
-	// has the worker on no machine.
-	onNoMachine evidence = "its entry is missing since an outage of the store, and no machine has it"
+	// onNoMachine: the worker's entry is missing since an outage of the store, or has
+	// gone after the worker announced its end, and the platform's list of machines,
+	// read after that, has the worker on no machine.
+	onNoMachine evidence = "its entry has gone, and no machine has it"
 )
 
 // loseAll gives up every run on a worker because of evidence that nothing runs
