core/dispatch: a run that is given up is recorded for the next owner at once

What callers would have seen: the end of a task that was started again was acknowledged, so that for the platform the task was started after it was done. Cause: which runs were given up without a report was recorded when their task was placed again. If the owner changed in between, the next one didn't know, placed the task, and acknowledged the first run's success when its worker was back and the job over. Change: the run is recorded with its loss. A record without a later start doesn't withhold an end: as long as the store has the tasks of the job, their run numbers tell.

Shown: TestOutages given_up_by_former_owner fails before ("renew w1 told 1").

--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -227,7 +227,6 @@
 	t.Phase, t.Run, t.Worker, t.StartConfirmed, t.StartOpenUntil = job.Placed, number, w.ID, false, 0
 	r := &run{task: s.task(index), number: number, state: runOrdered, worker: w, need: s.step.Reserved(), step: s}
 	d.occupy(r)
-	d.keepGivenUp(r)
 	d.starts = append(d.starts, r)
 	d.window.pendingStarts++
 	d.markChanged(js)
--- a/core/dispatch/lives.go
+++ b/core/dispatch/lives.go
@@ -73,7 +73,7 @@
 		}
 		d.noteRun(EventTaskLost, r, string(e), w.silentFor(now))
 		if e == leaseLapsed || e == onNoMachine {
-			r.noteLost()
+			d.noteLost(r)
 		}
 		r.apply(evLost)
 		d.loseWithGang(now, r, string(e))
--- a/core/dispatch/withheld.go
+++ b/core/dispatch/withheld.go
@@ -30,10 +30,17 @@
 	startedAgain bool
 }
 
-// noteLost records that a run was given up without a report.
-func (r *run) noteLost() {
-	if s := r.step; s != nil && !s.step.LongRunning && !s.step.AllowDuplicates && r.mayHaveStarted() {
-		s.lostRuns = append(s.lostRuns, lostRun{worker: r.worker.ID, task: r.task, number: r.number})
+// noteLost records that a run was given up without a report, also for the next owner,
+// which may be the one that starts the task again.
+func (d *Dispatcher) noteLost(r *run) {
+	s := r.step
+	if s == nil || s.step.LongRunning || s.step.AllowDuplicates || !r.mayHaveStarted() {
+		return
+	}
+	s.lostRuns = append(s.lostRuns, lostRun{worker: r.worker.ID, task: r.task, number: r.number})
+	x, g := d.withheldOf(r.worker.ID), jobtable.GivenUpRun{Task: r.task, Run: r.number}
+	if !slices.Contains(x.record.Runs, g) {
+		x.record.Runs, x.changed = append(x.record.Runs, g), true
 	}
 }
 
@@ -56,12 +63,11 @@
 	if e.Reason != fleet.EndDone {
 		return false
 	}
-	if x := d.withheld[w.ID]; x != nil && x.inherited && slices.Contains(x.record.Runs, jobtable.GivenUpRun{Task: e.Task, Run: e.Run}) {
-		return true
-	}
+	x := d.withheld[w.ID]
+	givenUpBefore := x != nil && x.inherited && slices.Contains(x.record.Runs, jobtable.GivenUpRun{Task: e.Task, Run: e.Run})
 	s := d.stepOfTask(e.Task)
 	if s == nil || s.step.LongRunning || s.step.AllowDuplicates {
-		return false
+		return givenUpBefore
 	}
 	again := func(l lostRun) bool {
 		return l.startedAgain && l.worker == w.ID && l.task == e.Task && l.number == e.Run
@@ -70,7 +76,7 @@
 		return true
 	}
 	if len(s.job.progress.Tasks) == 0 {
-		return false
+		return givenUpBefore // the job is over, and the task was done by a later run if it was done
 	}
 	newest, r := s.job.progress.Tasks[s.base+e.Task.Index].Run, s.runs[e.Task.Index]
 	onlyOrdered := newest == e.Run+1 && r != nil && !r.anyMember((*run).mayHaveStarted)
@@ -120,20 +126,6 @@
 	}
 }
 
-// keepGivenUp keeps for the next owner which lost runs a placement replaces. The
-// record is in the store before the placement's order is sent, like the placement.
-func (d *Dispatcher) keepGivenUp(r *run) {
-	for _, l := range r.step.lostRuns {
-		if !r.replaces(l) {
-			continue
-		}
-		g := jobtable.GivenUpRun{Task: l.task, Run: l.number}
-		if x := d.withheldOf(l.worker); !slices.Contains(x.record.Runs, g) {
-			x.record.Runs, x.changed = append(x.record.Runs, g), true
-		}
-	}
-}
-
 // expireWithheld drops the records of the workers that haven't been known for as
 // long as the state of ended jobs is kept.
 func (d *Dispatcher) expireWithheld(now unit.Instant) {
