--- a/core/world/seeds_test.go
+++ b/core/world/seeds_test.go
@@ -28,7 +28,6 @@
 	},
 	"speeds":                    simulateSpeeds,
 	"outages":                   simulateOutages,
-	"handovers":                 simulateHandovers,
 	"evacuations":               simulation(simulateEvacuations).with(world.AtWorker),
 	"evacuations-on-the-way":    simulation(simulateEvacuations).with(world.OnTheWay),
 	"evacuations-on-connection": simulation(simulateEvacuations).with(world.OnConnection),
