--- a/core/election/election.go
+++ b/core/election/election.go
@@ -74,8 +74,9 @@
 	rejoinTime = 2 * time.Second
 	// aliveFor is how long after its last answer to a probe an owner counts as
 	// live in that time. Probes are sent every 120 ms and time out after 150 ms, so
-	// one may be lost.
-	aliveFor = 500 * time.Millisecond
+	// one may be lost. It is shorter than the time until a host has polled the group
+	// twice, so that an owner which dies at the end of an outage isn't replaced later.
+	aliveFor = 350 * time.Millisecond
 	// minTenure is the minimum time between a claim and a handover to a host of
 	// higher ability, so that a host that is in the group but can't claim doesn't
 	// make ownership alternate.
--- a/internal/entry/outage.go
+++ b/internal/entry/outage.go
@@ -32,7 +32,6 @@
 			since, until := h.outages.Latest()
 			h.log.Info("store-outage", zap.Duration("away", until.Sub(since)))
 			h.recordOutage()
-			wake(h.roleChanged) // memberships may have expired
 		}
 	})
 }
