internal/entry, core/jobtable: ends are told anew in each outage, final messages have 2 s

Found by reading: an owner told its ends again only if their number had changed, so that in a second outage as many ends as in the first one weren't told. And a final message of a large site, some 600 kB, doesn't arrive within 300 ms on a link of 10 Mbit/s. Change: the message itself is compared; a final message has 2 s a try, four tries. TestFormerEpoch checks which owner counts as the direct predecessor, releases and late claims included.

--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -184,3 +184,31 @@
 		s.t.Errorf("line %d: %s: got %s", s.line, strings.Join(f, " "), got)
 	}
 }
+
+// TestFormerEpoch checks which owner came before the newest claim. It guards against an
+// owner that uses what another one than its direct predecessor has told it.
+func TestFormerEpoch(t *testing.T) {
+	table := jobtable.New()
+	for _, c := range []struct {
+		owner jobtable.Owner
+		want  id.Epoch
+	}{
+		{jobtable.Owner{Host: "a", Epoch: 7}, 0}, // nothing is known of earlier owners
+		{jobtable.Owner{Host: "b", Epoch: 9}, 7},
+		{jobtable.Owner{Host: "c", Epoch: 8}, 7}, // a claim that is too late
+		{jobtable.Owner{Epoch: 10}, 9},           // a release
+		{jobtable.Owner{Host: "c", Epoch: 12}, 9},
+		{jobtable.Owner{Host: "a", Epoch: 13}, 12},
+	} {
+		r, err := table.OwnerRecord(c.owner)
+		if err == nil {
+			_, err = table.Apply(r)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := table.FormerEpoch(); got != c.want {
+			t.Errorf("after %+v: the former owner has epoch %d, want %d", c.owner, got, c.want)
+		}
+	}
+}
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"reflect"
 	"slices"
 	"time"
 
@@ -22,12 +23,14 @@
 const (
 	// handoverPath is the path of messages on the route of questions about the owner.
 	handoverPath = "/handover"
-	// handoverTimeout is how long a host may take to accept a message, and
-	// handoverRetryPause the pause until the next try. A final message is tried
-	// maxHandoverTries times: the next owner may be about to resume.
-	handoverTimeout    = 300 * time.Millisecond
-	handoverRetryPause = 200 * time.Millisecond
-	maxHandoverTries   = 8
+	// endsTimeout is how long a host may take to accept a message with ends.
+	endsTimeout = 300 * time.Millisecond
+	// finalTimeout is the same for a final message, which has all runs: at a large
+	// site that is some 600 kB, half a second on the slowest links. It is tried
+	// maxFinalTries times, with a pause of finalRetryPause in between.
+	finalTimeout    = 2 * time.Second
+	finalRetryPause = 200 * time.Millisecond
+	maxFinalTries   = 4
 	// handoverInterval is the interval at which ends are told, if an append has
 	// been in flight for handoverAfter. An append takes some 10 ms.
 	handoverInterval = 200 * time.Millisecond
@@ -86,9 +89,9 @@
 	h.noteHandover(now, m) // this host may become the owner again
 	addresses := h.nextOwnerAddresses()
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), maxHandoverTries*(handoverTimeout+handoverRetryPause))
+		ctx, cancel := context.WithTimeout(context.Background(), maxFinalTries*(finalTimeout+finalRetryPause))
 		defer cancel()
-		accepted := h.tellHosts(ctx, m, addresses, maxHandoverTries)
+		accepted := h.tellHosts(ctx, m, addresses, finalTimeout, maxFinalTries)
 		h.log.Info("handover-sent", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("workers", len(m.Workers)), zap.Int("hosts", len(addresses)), zap.Int("accepted", accepted))
 	}()
 }
@@ -112,7 +115,7 @@
 // tellEnds repeatedly tells the watchers of this host, while it is the owner and can't
 // write, which ends it has read.
 func (h *Host) tellEnds(ctx context.Context) {
-	told := 0
+	var told handover.Message
 	for pause(ctx, handoverInterval) {
 		var addresses []string
 		m, ok := query(ctx, h, func(now unit.Instant) handover.Message {
@@ -126,23 +129,20 @@
 			}
 			return h.owner.core.UnstoredEnds()
 		})
-		ends := 0
-		for _, w := range m.Workers {
-			ends += len(w.Ends)
-		}
-		if !ok || ends == 0 || ends == told {
+		if !ok || m.Empty() || reflect.DeepEqual(m, told) {
 			continue
 		}
-		if h.tellHosts(ctx, m, addresses, 1) == len(addresses) {
-			told = ends
+		accepted := h.tellHosts(ctx, m, addresses, endsTimeout, 1)
+		if accepted == len(addresses) {
+			told = m
 		}
-		h.log.Info("ends-told", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("ends", ends), zap.Int("hosts", len(addresses)))
+		h.log.Info("ends-told", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("workers", len(m.Workers)), zap.Int("hosts", len(addresses)), zap.Int("accepted", accepted))
 	}
 }
 
-// tellHosts sends a message to hosts, to each up to the given number of times. It
-// returns how many have accepted it.
-func (h *Host) tellHosts(ctx context.Context, m handover.Message, addresses []string, tries int) int {
+// tellHosts sends a message to hosts, to each up to the given number of times, with a
+// time limit for each try. It returns how many have accepted it.
+func (h *Host) tellHosts(ctx context.Context, m handover.Message, addresses []string, limit time.Duration, tries int) int {
 	body, err := handovers.Encode(m)
 	if err != nil {
 		h.log.Error("handover-not-encoded", zap.Error(err))
@@ -150,7 +150,7 @@
 	}
 	results := make(chan bool, len(addresses))
 	for _, a := range addresses {
-		go func() { results <- h.tellHost(ctx, a, body, tries) }()
+		go func() { results <- h.tellHost(ctx, a, body, limit, tries) }()
 	}
 	accepted := 0
 	for range addresses {
@@ -163,13 +163,13 @@
 
 // tellHost sends an encoded message to one host. It reports whether the host has
 // accepted it.
-func (h *Host) tellHost(ctx context.Context, address string, body []byte, tries int) bool {
+func (h *Host) tellHost(ctx context.Context, address string, body []byte, limit time.Duration, tries int) bool {
 	for n := range tries {
-		if n > 0 && !pause(ctx, handoverRetryPause) {
+		if n > 0 && !pause(ctx, finalRetryPause) {
 			return false
 		}
-		limited, cancel := context.WithTimeout(ctx, handoverTimeout)
-		status, _, err := h.watchPath.CallPeer(limited, address, relay.Request{Method: http.MethodPost, Path: handoverPath, Body: body, Timeout: handoverTimeout})
+		limited, cancel := context.WithTimeout(ctx, limit)
+		status, _, err := h.watchPath.CallPeer(limited, address, relay.Request{Method: http.MethodPost, Path: handoverPath, Body: body, Timeout: limit})
 		cancel()
 		if err == nil && status == http.StatusOK {
 			return true
