internal/faultproxy: a port stays reserved while connects are refused

Cause: the proxy closes its listener to refuse connects, and the machine gives the port to a connection of another process meanwhile; the proxy tried to get it back for 2 s. Change: a socket that doesn't listen is bound to the port while connects are refused, and listens again itself. Shown: TestRefusedPortReserved fails before (another socket binds to the port).

--- a/internal/faultproxy/faultproxy.go
+++ b/internal/faultproxy/faultproxy.go
@@ -47,10 +47,12 @@
 	healed chan struct{}
 	// delay is how long each chunk is delayed.
 	delay time.Duration
-	// refusing is set while the port is closed. muted is set while connects go
+	// refusing is set while the port is closed, which reserved keeps from being given
+	// to another socket; nil if that failed. muted is set while connects go
 	// unanswered; during this time, fillers are the connections that fill the
 	// accept queue.
 	refusing bool
+	reserved *os.File
 	muted    *mutePeriod
 	fillers  []net.Conn
 	closed   bool
--- a/internal/faultproxy/shut.go
+++ b/internal/faultproxy/shut.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -52,6 +54,7 @@
 	}
 	p.refusing = true
 	err = errors.Join(err, p.listener.Close())
+	p.reserved, _ = reserve(p.address) // without it, AcceptConnects tries to get the port back
 	p.mu.Unlock()
 	p.Reset()
 	return err
@@ -139,7 +142,7 @@
 	case p.closed:
 		return nil
 	case p.refusing:
-		l, err := listenAgain(p.address)
+		l, err := p.listenAgain()
 		if err != nil {
 			return err
 		}
@@ -163,9 +166,49 @@
 	return err
 }
 
-// listenAgain listens on an address that the proxy has listened on before. It
-// retries until relistenTimeout.
-func listenAgain(address string) (*net.TCPListener, error) {
+// reserve binds a socket to an address without listening on it: connects are refused,
+// and no other socket of this machine is given the port meanwhile.
+func reserve(address string) (*os.File, error) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("faultproxy: %w", err)
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("faultproxy: %w", err)
+	}
+	// Connections of the former listener may still use the port.
+	err = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err == nil {
+		err = syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()})
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("faultproxy: %w", err), syscall.Close(fd))
+	}
+	return os.NewFile(uintptr(fd), address), nil
+}
+
+// listenAgain listens on the address that the proxy has listened on before. The proxy
+// is locked.
+func (p *Proxy) listenAgain() (*net.TCPListener, error) {
+	if p.reserved == nil {
+		return retryListen(p.address)
+	}
+	f := p.reserved
+	p.reserved = nil
+	if err := syscall.Listen(int(f.Fd()), defaultBacklog); err != nil {
+		_ = f.Close() // nothing was sent on it
+		return retryListen(p.address)
+	}
+	l, err := net.FileListener(f)
+	if err = errors.Join(err, f.Close()); err != nil {
+		return nil, fmt.Errorf("faultproxy: %w", err)
+	}
+	return l.(*net.TCPListener), nil // the file is that of a TCP socket
+}
+
+// retryListen listens on an address, and retries until relistenTimeout.
+func retryListen(address string) (*net.TCPListener, error) {
 	for deadline := time.Now().Add(relistenTimeout); ; time.Sleep(relistenInterval) {
 		l, err := listen(address)
 		if err == nil || time.Now().After(deadline) {
