--- a/core/dispatch/handover.go
+++ b/core/dispatch/handover.go
@@ -104,7 +104,8 @@
 		return false
 	}
 	d.noteEnded(now, w, e)
-	d.note(Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: e.Reason.String() + ": " + whyFormerOwner, Age: now.Sub(r.knownSince)})
+	why := e.Reason.String() + ": " + whyFormerOwner
+	d.note(Note{Event: EventTaskEnded, Job: e.Task.Job, Task: e.Task, Worker: w.ID, Run: e.Run, Why: why, Age: now.Sub(r.knownSince)})
 	d.endRun(now, r, e, nil)
 	return true
 }
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -74,8 +74,8 @@
 	}
 	direct := m.Epoch == h.table.FormerEpoch()
 	ends := o.core.InheritHandover(now, m.at, m.Message, direct)
-	h.log.Info("handover-used", zap.Uint64("epoch", uint64(o.epoch)), zap.Uint64("from", uint64(m.Epoch)), zap.Bool("final", m.Final), zap.Bool("direct", direct),
-		zap.Int("workers", len(m.Workers)), zap.Int("ends", ends), zap.Duration("age", now.Sub(m.at)))
+	h.log.Info("handover-used", zap.Uint64("epoch", uint64(o.epoch)), zap.Uint64("from", uint64(m.Epoch)), zap.Bool("final", m.Final),
+		zap.Bool("direct", direct), zap.Int("workers", len(m.Workers)), zap.Int("ends", ends), zap.Duration("age", now.Sub(m.at)))
 	h.handover.Workers = nil
 }
 
@@ -92,7 +92,8 @@
 		ctx, cancel := context.WithTimeout(context.Background(), maxFinalTries*(finalTimeout+finalRetryPause))
 		defer cancel()
 		accepted := h.tellHosts(ctx, m, addresses, finalTimeout, maxFinalTries)
-		h.log.Info("handover-sent", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("workers", len(m.Workers)), zap.Int("hosts", len(addresses)), zap.Int("accepted", accepted))
+		h.log.Info("handover-sent", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("workers", len(m.Workers)),
+			zap.Int("hosts", len(addresses)), zap.Int("accepted", accepted))
 	}()
 }
 
@@ -136,7 +137,8 @@
 		if accepted == len(addresses) {
 			told = m
 		}
-		h.log.Info("ends-told", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("workers", len(m.Workers)), zap.Int("hosts", len(addresses)), zap.Int("accepted", accepted))
+		h.log.Info("ends-told", zap.Uint64("epoch", uint64(m.Epoch)), zap.Int("workers", len(m.Workers)),
+			zap.Int("hosts", len(addresses)), zap.Int("accepted", accepted))
 	}
 }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -246,7 +246,8 @@
 		table: jobtable.New(), waves: map[id.Wave]upkeep.Wave{}, clock: clock,
 		election: election.New(member), candidacy: *candidacy.New(election.Member{Host: s.Host, Ability: member.Ability}, rand.Float64()),
 		noTableDelay: time.Duration(rand.Float64() * float64(noTableSpread)),
-		others:       map[id.Host]otherHost{}, watchers: watchers{}, counts: waiting.New(), wake: make(chan struct{}, 1), roleChanged: make(chan struct{}, 1), watchBegins: make(chan struct{}, 1),
+		others:       map[id.Host]otherHost{}, watchers: watchers{}, counts: waiting.New(), wake: make(chan struct{}, 1),
+		roleChanged: make(chan struct{}, 1), watchBegins: make(chan struct{}, 1),
 	}
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
--- a/soak/site_test.go
+++ b/soak/site_test.go
@@ -112,7 +112,8 @@
 // newSite starts the stand-ins, the workers and the hosts of a plan.
 func newSite(t *testing.T, p plan, dir string) *site {
 	s := &site{
-		t: t, seed: p.seed, dir: dir, startedAt: time.Now(), store: standin.NewStore(), machines: standin.NewMachines(func(string) string { return "" }), gangs: standin.NewGangs(), judge: newJudge(), shown: map[string]int{},
+		t: t, seed: p.seed, dir: dir, startedAt: time.Now(), store: standin.NewStore(),
+		machines: standin.NewMachines(func(string) string { return "" }), gangs: standin.NewGangs(), judge: newJudge(), shown: map[string]int{},
 		peerProxies: map[string]*faultproxy.Proxy{}, random: rand.New(rand.NewPCG(p.seed, 2)), queues: p.queues, services: p.services,
 	}
 	if err := os.MkdirAll(dir, 0o750); err != nil {
