core/world: a load gets the records that the store had when it answered

Cause, from the model's reads: host-4 had restarted in the outage. Its first read was sent at 2m48.244 with 462 records in the log, and arrived 19 ms later. Meanwhile the owner had stored summaries of j000133, j000138 and j000140 at 462 to 464. The model then skipped their former summaries (405, 430, 434), since newer ones were in the store, and didn't give the newer ones either, since they came after the read. The host counted three ended jobs as waiting, from a table that it held for complete as of the read. A store that answers with the newest record of each key has one of the two, so this is a fault of the model.

Change: a load skips only records that were replaced before the store answered.

--- a/core/world/callers.go
+++ b/core/world/callers.go
@@ -60,10 +60,8 @@
 type callers struct {
 	world  *World
 	random *rand.Rand
-	// log has the records of the jobs log, and newest the position of the newest
-	// one of each key.
+	// log has the records of the jobs log.
 	log       []jobtable.Record
-	newest    map[string]int
 	followers []*follower
 	// open holds the jobs that may still count as waiting somewhere.
 	open []*submittedJob
@@ -76,7 +74,7 @@
 
 // startCallers lets callers ask if the setup has any.
 func (w *World) startCallers() {
-	w.callers = callers{world: w, random: rand.New(rand.NewPCG(w.setup.Seed, callersStream)), newest: map[string]int{}}
+	w.callers = callers{world: w, random: rand.New(rand.NewPCG(w.setup.Seed, callersStream))}
 }
 
 // on reports whether callers ask anything.
@@ -112,10 +110,19 @@
 	if !c.on() {
 		return
 	}
-	c.newest[r.Key] = len(c.log)
 	c.log = append(c.log, r)
 }
 
+// newestBefore returns the position of the newest record of each key before a
+// position of the log.
+func (c *callers) newestBefore(end int) map[string]int {
+	newest := map[string]int{}
+	for i, r := range c.log[:end] {
+		newest[r.Key] = i
+	}
+	return newest
+}
+
 // storedProgress puts a wrong summary of a job with a placed task into the log that
 // the hosts follow, if they are to answer so.
 func (c *callers) storedProgress(r jobtable.Record) {
--- a/core/world/follower.go
+++ b/core/world/follower.go
@@ -106,7 +106,7 @@
 			done(false)
 			return
 		}
-		f.apply(end)
+		f.apply(end, all)
 		complete := f.next >= all
 		if complete {
 			f.loaded, f.completeAt = true, max(f.completeAt, sent)
@@ -116,12 +116,18 @@
 }
 
 // apply applies the records of the log before a position. A table that is being
-// loaded gets only the newest record of each key, as the store keeps no others.
-func (f *follower) apply(end int) {
+// loaded gets only the newest record of each key, as the store keeps no others. all
+// is the end of the log when the store answered: no later record has replaced one of
+// the answer.
+func (f *follower) apply(end, all int) {
 	c := &f.world.callers
+	var newest map[string]int
+	if !f.loaded {
+		newest = c.newestBefore(all)
+	}
 	for ; f.next < end; f.next++ {
 		r := c.log[f.next]
-		if !f.loaded && c.newest[r.Key] != f.next {
+		if !f.loaded && newest[r.Key] != f.next {
 			continue
 		}
 		if _, err := f.table.Apply(r); err != nil {
--- a/core/world/seeds_test.go
+++ b/core/world/seeds_test.go
@@ -26,8 +26,12 @@
 	"long": func(t *testing.T, seed uint64, length time.Duration) *world.World {
 		return simulateLong(t, seed, longKinds, length)
 	},
-	"speeds":                    simulateSpeeds,
-	"outages":                   simulateOutages,
+	"speeds":  simulateSpeeds,
+	"outages": simulateOutages,
+	// The seed failed after seedDuration.
+	"handovers-of-5m": func(t *testing.T, seed uint64, _ time.Duration) *world.World {
+		return simulateHandovers(t, seed, 5*time.Minute)
+	},
 	"evacuations":               simulation(simulateEvacuations).with(world.AtWorker),
 	"evacuations-on-the-way":    simulation(simulateEvacuations).with(world.OnTheWay),
 	"evacuations-on-connection": simulation(simulateEvacuations).with(world.OnConnection),
