soak: each job is asked for again when every host has to know of its end

Cause: the soak's. A host may show a job as open for 3 s after another one has shown its outcome (check `state`), but the check `lost` takes the last answer of the run as the state at the end.

Change: the soak waits for 3 s after the last call, and then asks for each job until it has ended. The judge is unchanged.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -216,10 +216,15 @@
 	s.inject(p)
 	t.Logf("the last fault ended after %v", time.Since(s.startedAt))
 	calling.Wait()
-	pool.newCaller(p.seed, callersPerSite).awaitJobs(time.Now().Add(completionTimeout))
+	last := pool.newCaller(p.seed, callersPerSite)
+	last.awaitJobs(time.Now().Add(completionTimeout))
 	t.Logf("the wait for the end of all jobs took until %v", time.Since(s.startedAt))
 	s.awaitIdleWorkers(time.Now().Add(completionTimeout))
 	stopAsking()
+	// A host may show a job as open for visibleTime after another one has shown its
+	// outcome, and the judge takes the last answer. So each job is asked for again.
+	time.Sleep(visibleTime)
+	last.awaitJobs(time.Now().Add(completionTimeout))
 	s.crashing.Wait()
 	t.Logf("the wait for idle workers took until %v", time.Since(s.startedAt))
 	s.recordUsage()
