core/dispatch, internal/entry: no task starts on jobs that were read too long ago

The owner's reads of keyed.jobs get no answer ("catch-up-failed", "dependency- lost store keyed.jobs"), but its appends do, and each confirms that it is the owner. Orders that wait in the outbox while their job is cancelled could do the same; no log says how long they waited.

Change: the owner places, records and sends starts only if it knows the cancellations as of the last 2 s, the bound of 3 s (`[workers] cancel`) less the second in which an order arrives. It checks this when a task is placed, when its placement is in the store, and, by Start.SendBefore, when the order is sent. The last also holds for orders that waited behind a worker that hangs. starts-withheld says which knowledge is out of date.

Before: TestCancels fails ("start j1.0.0.0 run 1 on w1" when the append is answered after 2.5 s without a read; a repeated order 2.4 s after the last read), and TestStartsOfCancelledJobsAreHeld ("2 starts are in flight"). After: both pass; the site tests of internal/entry run with the bound.

--- a/core/dispatch/commands_test.go
+++ b/core/dispatch/commands_test.go
@@ -59,14 +59,6 @@
 		s.advised(f, o)
 	case "wave":
 		s.wave(f)
-	case "evacuate":
-		s.evacuate(f[1:])
-	case "bound":
-		s.evacuation = duration(s.t, f[1])
-		s.takeOver()
-	case "informed":
-		s.informed = s.now.Add(-duration(s.t, f[1]))
-		s.d.ConfirmEvacuations(s.informed)
 	case "upkeep":
 		s.d.UpkeepAnswered(s.now, dispatch.UpkeepResult{Upkeep: s.upkeeps[f[1]], Verdict: verdict(s.t, f[2])})
 	case "mostwaits":
@@ -87,12 +79,35 @@
 	case "crashes":
 		s.checkCrashes(id.Job(f[1]), f[2:])
 	default:
-		if !s.doStore(f) && !s.doSpeed(f) && !s.doShown(f) {
+		if !s.doStore(f) && !s.doSpeed(f) && !s.doShown(f) && !s.doKnowledge(f) {
 			s.t.Fatalf("unknown command %q", f[0])
 		}
 	}
 }
 
+// doKnowledge executes a command about evacuations, or about how old the owner's
+// knowledge is. It returns false if there is no such command.
+func (s *script) doKnowledge(f []string) bool {
+	switch f[0] {
+	case "evacuate":
+		s.evacuate(f[1:])
+	case "bound":
+		s.evacuation = duration(s.t, f[1])
+		s.takeOver()
+	case "informed":
+		s.informed = s.now.Add(-duration(s.t, f[1]))
+		s.d.ConfirmEvacuations(s.informed)
+	case "cancelbound":
+		s.cancelLimit = duration(s.t, f[1])
+		s.takeOver()
+	case "jobsread":
+		s.d.ConfirmJobs(s.now.Add(-duration(s.t, f[1])))
+	default:
+		return false
+	}
+	return true
+}
+
 // doStore executes a command of the store. It returns false if there is no such
 // command.
 func (s *script) doStore(f []string) bool {
--- a/core/dispatch/config.go
+++ b/core/dispatch/config.go
@@ -26,4 +26,8 @@
 	// EvacuationLimit is how long after the operator has evacuated a failure
 	// domain a task may still start there; 0 where operators don't evacuate.
 	EvacuationLimit time.Duration
+	// CancelLimit is how long after the cancellation of a job was acknowledged a
+	// task of the job may still start; 0 for no bound, as in a model whose owner
+	// learns of cancellations at once.
+	CancelLimit time.Duration
 }
--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -101,9 +101,12 @@
 	// evacuationsKnownAt, which is 0 before anything is known.
 	evacuated          []id.Domain
 	evacuationsKnownAt unit.Instant
-	// startsWithheld is set while nothing starts because evacuationsKnownAt is
-	// too old.
-	startsWithheld bool
+	// jobsKnownAt is the time as of which all jobs and cancellations are known; 0
+	// before any are.
+	jobsKnownAt unit.Instant
+	// startsWithheld and cancelsUnknown are set while nothing starts because
+	// evacuationsKnownAt or jobsKnownAt is too old.
+	startsWithheld, cancelsUnknown bool
 
 	// outageEnded is when the latest outage of the store ended, or a later time if
 	// only other hosts have seen it; 0 if none is known. inheritedOutage is the
--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -81,17 +81,20 @@
 
 // mayStart reports whether tasks may be placed and ordered to start.
 func (d *Dispatcher) mayStart(now unit.Instant) bool {
-	return d.mayGrantLeases(now) && d.knowsEvacuations(now)
+	return d.mayGrantLeases(now) && d.knowsEvacuations(now) && d.knowsCancels(now)
 }
 
 // knowsEvacuations reports whether the knowledge of evacuations is recent
 // enough for orders to start.
 func (d *Dispatcher) knowsEvacuations(now unit.Instant) bool { return now <= d.evacuationsValidUntil() }
 
-// noteStartsWithheld logs when starts are withheld because the operator's
-// records were not read recently, and when they resume.
+// noteStartsWithheld logs when starts are withheld because the operator's records
+// or the jobs were not read recently, and when they resume.
 func (d *Dispatcher) noteStartsWithheld(now unit.Instant) {
-	d.noteWithheld(&d.startsWithheld, !d.knowsEvacuations(now), EventStartsWithheld, EventStartsResumed, age(now, d.evacuationsKnownAt))
+	starts := Note{Event: EventStartsWithheld, Why: "evacuations", Age: age(now, d.evacuationsKnownAt)}
+	d.noteWithheld(&d.startsWithheld, !d.knowsEvacuations(now), starts, EventStartsResumed)
+	starts.Why, starts.Age = "cancellations", age(now, d.jobsKnownAt)
+	d.noteWithheld(&d.cancelsUnknown, !d.knowsCancels(now), starts, EventStartsResumed)
 }
 
 // SetEvacuated sets the evacuated failure domains; all others are open.
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -144,6 +144,10 @@
 		d.stopWithGang(now, r, "its failure domain may be evacuated")
 		return
 	}
+	if !d.knowsCancels(now) {
+		d.stopWithGang(now, r, "its job may be cancelled")
+		return
+	}
 	if !r.step.mayRunOn(now, r.worker) {
 		d.stopWithGang(now, r, "its permit has expired")
 		return
@@ -206,7 +210,7 @@
 	d.orders.Starts = append(d.orders.Starts, Start{
 		Target: d.target(r.worker), Domain: r.worker.Domain, Task: r.task, Run: r.number, Payload: s.job.spec.Payload,
 		Checkpoint: s.job.progress.Tasks[s.base+r.task.Index].Checkpoint, Ticket: s.permits[r.worker.ID].ticket,
-		Until: d.lease(now, r.worker), MayHaveStarted: r.startUnanswered || r.fromEarlierOwner,
+		Until: d.lease(now, r.worker), MayHaveStarted: r.startUnanswered || r.fromEarlierOwner, SendBefore: d.cancelsValidUntil(),
 	})
 }
 
--- a/core/dispatch/lease.go
+++ b/core/dispatch/lease.go
@@ -31,21 +31,20 @@
 // noteLeasesWithheld logs when leases are no longer extended, and when they are
 // again.
 func (d *Dispatcher) noteLeasesWithheld(now unit.Instant) {
-	d.noteWithheld(&d.leasesWithheld, !d.mayGrantLeases(now), EventLeasesWithheld, EventLeasesGranted, age(now, d.soleOwnerAt))
+	d.noteWithheld(&d.leasesWithheld, !d.mayGrantLeases(now), Note{Event: EventLeasesWithheld, Age: age(now, d.soleOwnerAt)}, EventLeasesGranted)
 }
 
 // noteWithheld logs when leases or starts begin to be withheld and when that
 // ends, with the age of the information that this depends on.
-func (d *Dispatcher) noteWithheld(was *bool, is bool, begins, ends Event, age time.Duration) {
+func (d *Dispatcher) noteWithheld(was *bool, is bool, begins Note, ends Event) {
 	if *was == is {
 		return
 	}
 	*was = is
-	event := ends
-	if is {
-		event = begins
+	if !is {
+		begins.Event = ends
 	}
-	d.note(Note{Event: event, Age: age})
+	d.note(begins)
 }
 
 // age returns the time from known until now; 0 if known is 0, which means
--- a/core/dispatch/message.go
+++ b/core/dispatch/message.go
@@ -33,6 +33,9 @@
 	// MayHaveStarted is set if an earlier copy of the start order may have been
 	// carried out.
 	MayHaveStarted bool
+	// SendBefore is until when the order may be sent; after that its job may be
+	// cancelled. 0 for no bound.
+	SendBefore unit.Instant
 }
 
 // StartResult is the result of a Start.
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -53,9 +53,9 @@
 	EventDomainEvacuated Event = "domain-evacuated"
 	EventDomainOpened    Event = "domain-opened"
 	// EventStartsWithheld: nothing starts, because the owner's knowledge of
-	// evacuations is out of date; the age is that of the knowledge.
-	// EventStartsResumed: the knowledge is up to date again, and tasks may
-	// start.
+	// evacuations or cancellations is out of date; the age is that of the
+	// knowledge, and why says of which. EventStartsResumed: that knowledge is up
+	// to date again.
 	EventStartsWithheld Event = "starts-withheld"
 	EventStartsResumed  Event = "starts-resumed"
 	// EventTaskPlaced: a task is placed on a worker; why is its rack.
--- a/core/dispatch/script_test.go
+++ b/core/dispatch/script_test.go
@@ -64,6 +64,8 @@
 //	bound D                  starts another owner, in a deployment that lets
 //	                         tasks start at most D after an evacuation
 //	informed D               sets how old the owner's knowledge of evacuations is
+//	cancelbound D            sets CancelLimit, and takes over
+//	jobsread D               the owner knows all cancellations as of D ago
 //	upkeep MACHINE VERDICT   answers the last order to take that machine down
 //	lease D                  starts another owner, in a deployment with leases of
 //	                         at most D
@@ -142,6 +144,8 @@
 	// config.EvacuationLimit, which is how long after an evacuation a task may
 	// still start.
 	lease, evacuation time.Duration
+	// cancelLimit is config.CancelLimit.
+	cancelLimit time.Duration
 	// mostWaits is how many renewals may wait at workers at a time; 0 for any
 	// number.
 	mostWaits int
@@ -178,7 +182,7 @@
 	if s.lease > 0 {
 		c.MaxLease = s.lease
 	}
-	c.EvacuationLimit, c.MaxWaitingRenewals = s.evacuation, s.mostWaits
+	c.EvacuationLimit, c.CancelLimit, c.MaxWaitingRenewals = s.evacuation, s.cancelLimit, s.mostWaits
 	s.d = dispatch.New(c, s.policy, s.epoch, s.table)
 	s.d.SetAdvisers(1)
 	s.setGuarantees()
--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -90,10 +90,12 @@
 	o.setStartRules()
 }
 
-// confirmSoleOwner passes the latest time as of which no other host was the owner
-// to the dispatcher and to the goroutines that send orders.
-func (o *owner) confirmSoleOwner() {
+// confirmReads passes the latest times as of which no other host was the owner, and
+// as of which all cancellations are known, to the dispatcher and to the goroutines
+// that send orders.
+func (o *owner) confirmReads() {
 	o.core.ConfirmSoleOwner(o.host.assured)
+	o.core.ConfirmJobs(o.host.jobsReadAt)
 	o.setStartRules()
 }
 
@@ -107,7 +109,11 @@
 // queued for a while. If the order may no longer be sent, denyStart returns the
 // order's result and true, else false.
 func (o *owner) denyStart(s dispatch.Start) (dispatch.StartResult, bool) {
-	why := o.startRules.Load().DenialReason(o.host.now(), s.Domain)
+	now := o.host.now()
+	why := o.startRules.Load().DenialReason(now, s.Domain)
+	if why == "" && s.SendBefore != 0 && now > s.SendBefore {
+		why = "its job may have been cancelled since the order was decided"
+	}
 	if why == "" {
 		return dispatch.StartResult{}, false
 	}
--- a/internal/entry/orders_internal_test.go
+++ b/internal/entry/orders_internal_test.go
@@ -16,6 +16,7 @@
 	"curlewsill.org/curlewsill/core/dispatch"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/platform"
 )
@@ -176,6 +177,34 @@
 	})
 }
 
+// TestStartsOfCancelledJobsAreHeld checks that a queued start order is sent only as
+// long as its job wasn't cancelled too long before.
+//
+// An order waits behind earlier orders to a worker that hangs. It guards against
+// tasks that start more than 3 s after the cancellation of their job was
+// acknowledged, because the order was decided before that.
+func TestStartsOfCancelledJobsAreHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		workers := &hangingWorkers{inFlight: map[string]int{}}
+		o := newOwnerOf(t, workers)
+		deadline := o.host.now().Add(500 * time.Millisecond)
+		var orders dispatch.Orders
+		for i := range startsPerWorker {
+			orders.Starts = append(orders.Starts, dispatch.Start{Target: target(0), Task: job.TaskID{Index: i}, SendBefore: deadline})
+		}
+		for i, before := range []unit.Instant{deadline, deadline.Add(time.Second)} {
+			orders.Starts = append(orders.Starts, dispatch.Start{Target: target(0), Task: job.TaskID{Step: 1, Index: i}, SendBefore: before})
+		}
+		o.enqueueOrders(t.Context(), orders)
+		time.Sleep(time.Second) // the first orders have got no answer in time
+		synctest.Wait()
+		if got := workers.countInFlight("/run-start worker-0"); got != 1 {
+			t.Errorf("%d starts are in flight, want the one that may still be sent", got)
+		}
+		o.cancel()
+	})
+}
+
 // newOwnerOf returns an owner whose calls to workers use the given transport.
 func newOwnerOf(t *testing.T, workers http.RoundTripper) *owner {
 	h := &Host{
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -193,7 +193,7 @@
 // pass runs one scheduling pass and sends the resulting orders.
 func (o *owner) pass(ctx context.Context, now unit.Instant) {
 	o.core.SetAdvisers(o.host.advicePath.PathCount())
-	o.confirmSoleOwner()
+	o.confirmReads()
 	o.noteOutage(now)
 	o.core.Pass(now, unit.At(time.Now()))
 	o.flush(ctx)
@@ -308,7 +308,7 @@
 		return
 	}
 	o.host.assure(w.sent) // if another host had claimed later, the append would have been fenced
-	o.confirmSoleOwner()
+	o.confirmReads()
 	o.core.Committed(now, b)
 	o.sendOrders(ctx)
 	o.flush(ctx)
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -128,6 +128,7 @@
 		Workers: dispatch.Config{
 			MaxLease: s.lease, StopTime: 200 * time.Millisecond, CheckpointInterval: time.Second, EndedRetention: time.Minute,
 			HandoverDelay: 100 * time.Millisecond, MaintenanceTime: 100 * time.Millisecond, EvacuationLimit: 5 * time.Second,
+			CancelLimit: 3 * time.Second,
 		},
 	}, clock, s.logs.log.With(zap.Int("host", n)))
 	if err != nil {
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -58,6 +58,10 @@
 	// order is checked against evacuations, and then takes up to 1 s to reach its
 	// worker.
 	minEvacuation = 1500 * time.Millisecond
+	// minCancel is the shortest bound for cancellations that a host can meet: the
+	// owner reads the jobs every 0.5 s, and a start order then takes up to 1 s to
+	// reach its worker.
+	minCancel = 1500 * time.Millisecond
 	// minDescriptors leaves spare descriptors beside the connections to the store,
 	// to peers and to callers.
 	minDescriptors, maxDescriptors = 256, 1 << 24
@@ -118,6 +122,7 @@
 		// Without a bound, starts don't depend on up-to-date evacuation records:
 		// otherwise a host that can't read these records would start no tasks.
 		EvacuationLimit: workers.Duration("evacuation", 0, minEvacuation, time.Minute),
+		CancelLimit:     workers.Duration("cancel", 3*time.Second, minCancel, time.Minute),
 	}
 }
 
