core/budget, internal/intake: limits for all clients of a listener together

Cause: a limit for one request doesn't bound a crowd. Connections, their buffers in the kernel, heads and bodies need one account over all clients.

Change: core/budget divides memory and places among clients and decides who gives way: one that has sent nothing for a second first, then the one with the most byte-seconds, never one whose request is carried out. internal/intake applies it to an http.Server: connections are accepted at once and closed if there is no room, buffers in the kernel shrink as connections grow in number, a head's memory is reserved as its bytes come (16 times, which is more than 3,000 small fields took), a body's before a block is read. Nothing uses it yet.

hostile: the ordinary request is written in one piece, as callers do, and a line was too long; crowds and bounds are unchanged.

--- a/hostile/target_test.go
+++ b/hostile/target_test.go
@@ -211,7 +211,8 @@
 	if end, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(end)
 	}
-	if _, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n%s", p.path(-1, 0), p.headers, len(ordinaryBody), ordinaryBody); err != nil {
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\n%sContent-Length: %d\r\n\r\n", p.path(-1, 0), p.headers, len(ordinaryBody))
+	if _, err := conn.Write(append([]byte(head), ordinaryBody...)); err != nil {
 		return err
 	}
 	status, err := readAnswer(bufio.NewReader(conn))
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,171 @@
+package intake_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/intake"
+)
+
+// testLimits are limits that two bodies of 64 KiB exceed.
+var testLimits = intake.Limits{
+	Connections: 4, Memory: 144 * unit.KiB, BodyShare: 1, Header: 4 * unit.KiB, Buffers: unit.MiB,
+	Refusal: "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+}
+
+// maxTestBody is the greatest body that the test's handler receives.
+const maxTestBody = 64 * unit.KiB
+
+// serve runs a server that answers a body with its size.
+func serve(t *testing.T, l intake.Limits) (string, *intake.Intake) {
+	i := intake.New(l, zap.NewNop())
+	s := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := intake.ReadBody(w, r, maxTestBody)
+		switch {
+		case errors.Is(err, intake.ErrRefused):
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case err != nil:
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+		default:
+			data, err := b.Join(r.Context())
+			fmt.Fprint(w, len(data), err)
+		}
+	})}
+	i.Attach(s)
+	lis, err := i.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = s.Serve(lis) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return lis.Addr().String(), i
+}
+
+// dial opens a connection and sends text.
+func dial(t *testing.T, address, text string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+// post returns a request whose body lacks some bytes at its end.
+func post(size, missing int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-missing))
+}
+
+// status reads an answer and returns its status, and what follows it.
+func status(t *testing.T, in *bufio.Reader) (int, string) {
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// await waits until the usage is as wanted.
+func await(t *testing.T, i *intake.Intake, wanted func(intake.Usage) bool) {
+	for end := time.Now().Add(time.Minute); !wanted(i.Usage()); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("usage: %+v", i.Usage())
+		}
+	}
+}
+
+// TestBodiesOfMostMemoryGiveWay guards against unfinished bodies that together take
+// more than the memory, and against a client that is made to give way without being
+// told that its request wasn't carried out.
+func TestBodiesOfMostMemoryGiveWay(t *testing.T) {
+	address, i := serve(t, testLimits)
+	_, stopped := dial(t, address, post(int(maxTestBody), 1))
+	await(t, i, func(u intake.Usage) bool { return u.Memory >= maxTestBody })
+	_, second := dial(t, address, post(int(maxTestBody), 0))
+	if got, body := status(t, second); got != http.StatusOK || body != fmt.Sprint(int(maxTestBody), nil) {
+		t.Errorf("whole body: %d %s, want 200", got, body)
+	}
+	if got, _ := status(t, stopped); got != http.StatusServiceUnavailable {
+		t.Errorf("unfinished body: %d, want 503", got)
+	}
+	await(t, i, func(u intake.Usage) bool { return u.Memory == 0 && u.Evicted == 1 })
+}
+
+// TestIdleConnectionsGiveWay guards against connections beyond the limit, and
+// against a new client that finds no place beside idle ones.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	address, i := serve(t, testLimits)
+	for range 3 * testLimits.Connections {
+		dial(t, address, "")
+	}
+	_, in := dial(t, address, post(10, 0))
+	if got, _ := status(t, in); got != http.StatusOK {
+		t.Errorf("got %d, want 200", got)
+	}
+	await(t, i, func(u intake.Usage) bool { return u.Connections <= testLimits.Connections })
+}
+
+// TestKeptConnection guards against memory that stays reserved after a request on a
+// connection that is kept open.
+func TestKeptConnection(t *testing.T) {
+	address, i := serve(t, testLimits)
+	c, in := dial(t, address, "")
+	for n := range 20 {
+		if _, err := io.WriteString(c, post(int(maxTestBody), 0)); err != nil {
+			t.Fatal(err)
+		}
+		if got, body := status(t, in); got != http.StatusOK {
+			t.Fatalf("request %d: %d %s, want 200", n, got, body)
+		}
+	}
+	await(t, i, func(u intake.Usage) bool { return u.Memory == 0 })
+}
+
+// TestBodySizes guards against bodies whose sizes are at the bounds of a block or of
+// the limit.
+func TestBodySizes(t *testing.T) {
+	address, _ := serve(t, testLimits)
+	for size, want := range map[int]int{0: 200, 1: 200, 16383: 200, 16384: 200, 16385: 200, 65535: 200, 65536: 200, 65537: 413} {
+		chunked := fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", size, strings.Repeat("x", size))
+		if size == 0 {
+			chunked = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+		}
+		for _, text := range []string{post(size, 0), chunked} {
+			_, in := dial(t, address, text)
+			got, body := status(t, in)
+			if got != want || got == 200 && body != fmt.Sprint(size, nil) {
+				t.Errorf("%d bytes: %d %s, want %d", size, got, body, want)
+			}
+		}
+	}
+}
+
+// TestHeadTooLarge guards against heads over the limit, and against heads that are
+// rejected although they are within it.
+func TestHeadTooLarge(t *testing.T) {
+	address, _ := serve(t, testLimits)
+	for size, want := range map[int]int{4000: http.StatusOK, 12000: http.StatusRequestHeaderFieldsTooLarge} {
+		_, in := dial(t, address, "GET / HTTP/1.1\r\nHost: h\r\nX: "+strings.Repeat("x", size)+"\r\n\r\n")
+		if got, _ := status(t, in); got != want {
+			t.Errorf("%d bytes: got %d, want %d", size, got, want)
+		}
+	}
+}
