internal/entry, internal/settings: clients share connections and memory for heads

Fault: heads without end, and connections, of clients of curlewsilld site have no bound. Callers saw hosts end (out of memory), or no answer at all: a host that has no descriptor left accepts nobody, and can't reach the store.

Cause: the listeners use the library's bound for a head, 1 MB, for each connection, take any number of connections, and leave the kernel's buffers as large as they grow, also for connections that wait to be accepted.

Change: all four listeners use internal/intake. New keys of [limits], with defaults from memory and descriptors: connections, client_memory, header.

Why it works: each connection and each byte of a head is counted before it takes memory, over all clients; the client that has stopped gives way, so a new one is always accepted.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -57,7 +57,8 @@
 	}
 	h, err := entry.New(settings.Site{
 		Host: "host", Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
-		Store: address, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Descriptors: 1024, Cores: 1, Link: 1000, Grace: 3 * time.Second,
+		Store: address, Partitions: 12, LeastTTL: time.Second, Memory: 512 * unit.MiB, Descriptors: 1024,
+		Clients: settings.SiteClients(512*unit.MiB, 1024), Cores: 1, Link: 1000, Grace: 3 * time.Second,
 		Policy:  policy.New(),
 		Workers: dispatch.Config{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, CheckpointInterval: time.Second, EndedRetention: time.Minute},
 	}, clock, zap.NewNop())
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -35,6 +35,7 @@
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/upkeep"
 	"curlewsill.org/curlewsill/core/waiting"
+	"curlewsill.org/curlewsill/internal/intake"
 	"curlewsill.org/curlewsill/internal/relay"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/internal/settings"
@@ -103,7 +104,10 @@
 	// health tracks the health of the store by the short calls to it.
 	health *storeHealth
 
-	listeners []net.Listener
+	// clients bounds what clients make this host hold, system what callers of the
+	// other listeners do.
+	clients, system *intake.Intake
+	listeners       []net.Listener
 	// peers is the address of the listener for peers, with the port that the
 	// system chose if the settings give none.
 	peers   string
@@ -252,7 +256,10 @@
 	h.recordsPath = relay.New(recordsBase, relay.RouteRecords, &http.Client{Transport: recordsTransport{h}}, links, log)
 	h.watchPath = relay.New(watchBase, relay.RouteWatch, &http.Client{Transport: watchTransport{h}}, links, log)
 	h.jobsPath = relay.New(jobsBase, relay.RouteJobs, &http.Client{Transport: jobQueryTransport{newClientHandler(h)}}, links, log)
+	clients, system := clientLimits(s)
+	h.clients, h.system = intake.New(clients, log.With(zap.String("listener", "clients"))), intake.New(system, log.With(zap.String("listener", "system")))
 	h.metrics.registerLinks(links)
+	h.metrics.registerIntakes(map[string]*intake.Intake{"clients": h.clients, "system": h.system})
 	h.groupCapacity.Store(initialGroupRoom)
 	h.health = newStoreHealth(log)
 	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics)
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
+	"curlewsill.org/curlewsill/internal/intake"
 	"curlewsill.org/curlewsill/internal/relay"
+	"curlewsill.org/curlewsill/internal/settings"
 )
 
 const (
@@ -23,13 +24,41 @@
 	// even if the call itself may take longer. A job of 256 kB must therefore
 	// arrive at 26 kB/s at least.
 	bodyTimeout = 10 * time.Second
+	// bodyShare is the part of the memory for clients up to which bodies are
+	// received.
+	bodyShare = 0.75
+	// bufferShare is the part of the memory for buffers in the kernel, as a divisor.
+	bufferShare = 12
+	// systemShare is how many times as much clients may hold as all callers of the
+	// other listeners may: the load balancer, the collector of metrics, and other
+	// hosts until they have opened a link.
+	systemShare = 4
 )
 
+// refusal is the answer for connections of clients that aren't accepted.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// clientLimits returns the limits for the listener for clients, and for the others.
+func clientLimits(s settings.Site) (clients, system intake.Limits) {
+	clients = intake.Limits{
+		Connections: s.Clients.Connections, Memory: s.Clients.Memory, BodyShare: bodyShare, Header: s.Clients.Header,
+		Buffers: s.Memory / bufferShare, Refusal: refusal,
+	}
+	system = clients
+	system.Connections, system.Memory, system.Buffers = (clients.Connections+1)/2, clients.Memory/systemShare, clients.Buffers/systemShare
+	return clients, system
+}
+
 // listen opens the four listeners, the one for peers last, and creates their
 // servers. Run starts the servers.
 func (h *Host) listen() error {
 	for i, s := range h.newServers() {
-		lis, err := net.Listen("tcp", []string{h.settings.Callers, h.settings.Readiness, h.settings.Metrics, h.settings.Peers}[i])
+		in := h.system
+		if i == 0 {
+			in = h.clients
+		}
+		in.Attach(s)
+		lis, err := in.Listen([]string{h.settings.Callers, h.settings.Readiness, h.settings.Metrics, h.settings.Peers}[i])
 		if err != nil {
 			return fmt.Errorf("entry: %w", err)
 		}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -10,6 +10,7 @@
 
 	"curlewsill.org/curlewsill/core/speed"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/intake"
 	"curlewsill.org/curlewsill/internal/wslink"
 )
 
@@ -105,6 +106,13 @@
 	)
 }
 
+// registerIntakes registers the metrics of what clients hold, by listener.
+func (m *metrics) registerIntakes(intakes map[string]*intake.Intake) {
+	for listener, i := range intakes {
+		m.registry.MustRegister(i.Collectors(listener)...)
+	}
+}
+
 func counter(name, help string) prometheus.Counter {
 	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
 }
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -123,7 +123,7 @@
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0", Metrics: "127.0.0.1:0",
 		Store: s.address, Advice: s.advice, Machines: s.machines, Partitions: 12, LeastTTL: time.Second, ConfigBound: 2 * time.Second,
-		Memory: 512 * unit.MiB, Descriptors: 1024, Cores: s.cores[n], Link: 1000, Grace: 3 * time.Second,
+		Memory: 512 * unit.MiB, Descriptors: 1024, Clients: settings.SiteClients(512*unit.MiB, 1024), Cores: s.cores[n], Link: 1000, Grace: 3 * time.Second,
 		Policy: policy.New(),
 		Workers: dispatch.Config{
 			MaxLease: s.lease, StopTime: 200 * time.Millisecond, CheckpointInterval: time.Second, EndedRetention: time.Minute,
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -31,6 +31,8 @@
 	Memory unit.Bytes
 	// Descriptors is the limit on the process's open files and connections.
 	Descriptors int
+	// Clients are the limits for all clients together.
+	Clients Clients
 	// Cores is the process's CPU limit in cores. It may be a fraction.
 	Cores float64
 	// Link is the bandwidth of the host's network link in each direction.
@@ -85,6 +87,8 @@
 func readSite(f *inifile.File) Site {
 	host, store, limits := f.Section("host"), f.Section("store"), f.Section("limits")
 	workers, machines := f.Section("workers"), f.Section("machines")
+	memory := limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB)
+	descriptors := limits.Int("descriptors", 1024, minDescriptors, maxDescriptors)
 	return Site{
 		Host:        id.Host(host.Required("id")),
 		Domain:      id.Domain(host.Required("domain")),
@@ -96,8 +100,9 @@
 		Partitions:  store.Int("partitions", 12, 1, maxPartitions),
 		LeastTTL:    store.Duration("least_ttl", time.Second, time.Millisecond, time.Minute),
 		ConfigBound: store.Duration("config_bound", 2*time.Second, time.Second, time.Minute),
-		Memory:      limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
-		Descriptors: limits.Int("descriptors", 1024, minDescriptors, maxDescriptors),
+		Memory:      memory,
+		Descriptors: descriptors,
+		Clients:     readClients(limits, SiteClients(memory, descriptors)),
 		Cores:       limits.Number("cores", 1, minCores, maxCores),
 		Link:        unit.MegabitsPerSecond(limits.Number("link_mbps", 1000, minLink, maxLink)),
 		Grace:       limits.Duration("grace", 6*time.Second, time.Second, time.Hour),
--- a/internal/sitedemo/sitedemo.go
+++ b/internal/sitedemo/sitedemo.go
@@ -138,7 +138,7 @@
 	h, err := entry.New(settings.Site{
 		Host: id.Host(fmt.Sprintf("host-%d", n)), Domain: "d", Callers: "127.0.0.1:0", Readiness: "127.0.0.1:0", Peers: "127.0.0.1:0",
 		Metrics: "127.0.0.1:0", Store: store, Partitions: 12, LeastTTL: time.Second, Grace: 3 * time.Second,
-		Memory: 512 * unit.MiB, Descriptors: 1024, Cores: 1, Link: 1000,
+		Memory: 512 * unit.MiB, Descriptors: 1024, Clients: settings.SiteClients(512*unit.MiB, 1024), Cores: 1, Link: 1000,
 		Policy:  policy.New(),
 		Workers: dispatch.Config{MaxLease: 2 * time.Second, StopTime: 200 * time.Millisecond, CheckpointInterval: time.Second, EndedRetention: time.Minute},
 	}, clock, zap.NewNop())
