internal/entry: bodies of jobs are received into memory that all clients share

Fault: clients of curlewsilld site that send bodies of legal size and stop just short of their end make it hold all of them at once. Callers saw hosts end (out of memory).

Cause: each body is read whole into a buffer of its own that grows by copying, for up to 10 s, and nothing bounds them together.

Change: bodies are received in blocks of 16 KiB that are reserved before they are read into. A client that has to give way is told at once that its job was not accepted (503, Retry-After), and its connection ends with the answer, as that of any body that isn't received whole: the rest of it isn't waited for.

Why it works: what isn't reserved isn't read; unfinished bodies give way to new ones, so that an ordinary job is received beside them. The refusal is true: the job has not been decoded yet, nor written.

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"time"
@@ -15,6 +14,7 @@
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/waiting"
+	"curlewsill.org/curlewsill/internal/intake"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -147,16 +147,9 @@
 	if limit <= 0 {
 		limit = maxBody
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, int64(limit)))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return reply{status: http.StatusRequestEntityTooLarge, why: "the job is too large"}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refused("the job has not come in time")
-	}
+	data, err := receive(ctx, c, unit.Bytes(limit))
 	if err != nil {
-		return reply{status: http.StatusBadRequest, why: "the job was not received whole"}
+		return notReceived(err)
 	}
 	f.liftBodyLimit(c.w)
 	spec, err := platform.DecodeJob(data)
@@ -179,6 +172,32 @@
 	return f.store(ctx, rec, "accepted")
 }
 
+// receive receives the body of a call, of at most limit bytes.
+func receive(ctx context.Context, c *call, limit unit.Bytes) ([]byte, error) {
+	body, err := intake.ReadBody(c.w, c.r, limit)
+	if err != nil {
+		return nil, err
+	}
+	return body.Join(ctx)
+}
+
+// notReceived returns the reply to a call whose body was not received. The rest of
+// the body isn't waited for.
+func notReceived(err error) reply {
+	var tooLarge *http.MaxBytesError
+	rep := reply{status: http.StatusBadRequest, why: "the job was not received whole"}
+	switch {
+	case errors.As(err, &tooLarge):
+		rep = reply{status: http.StatusRequestEntityTooLarge, why: "the job is too large"}
+	case errors.Is(err, intake.ErrRefused):
+		rep = refused("this host receives too much from its clients")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		rep = refused("the job has not come in time")
+	}
+	rep.last = true
+	return rep
+}
+
 // applyQueueDefaults sets the fields of a job that the configuration of its
 // queue determines.
 func applyQueueDefaults(s *job.Spec, q *catalog.Queue, customer id.Customer) {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -82,6 +82,8 @@
 	origin origin
 	// waiting is the answer to a question for the number of waiting jobs.
 	waiting int
+	// last is set if the connection ends with the answer.
+	last bool
 	// end is the offset after the record that the call has stored; 0 if there is
 	// none or it isn't known.
 	end id.Offset
@@ -174,7 +176,7 @@
 		f.host.log.Info("client-lost", zap.Error(err))
 	}
 	h := w.Header()
-	if f.host.stopping.Load() {
+	if rep.last || f.host.stopping.Load() {
 		h.Set("Connection", "close")
 	}
 	if rep.status == http.StatusServiceUnavailable || rep.status == http.StatusTooManyRequests {
