--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -152,9 +152,9 @@
 		return notReceived(err)
 	}
 	f.liftBodyLimit(c.w)
-	spec, err := platform.DecodeJob(data)
-	if err != nil {
-		return reply{status: http.StatusBadRequest, why: err.Error()}
+	rec, rep, ok := f.specRecord(ctx, c, data)
+	if !ok {
+		return rep
 	}
 	v, ok := f.queryJob(ctx, c.job)
 	if !ok {
@@ -163,13 +163,33 @@
 	if v.known {
 		return reply{status: http.StatusOK, why: "accepted before"}.from(aboutState, v.origin)
 	}
+	return f.store(ctx, rec, "accepted")
+}
+
+// specRecord translates the body of a job to the record that publishes it. One body
+// is translated at a time, because the decoded form of a job can be many times as
+// large as both. If there is no record, it returns the reply and false.
+func (f *clientHandler) specRecord(ctx context.Context, c *call, body []byte) (jobtable.Record, reply, bool) {
+	select {
+	case f.decoding <- struct{}{}:
+		defer func() { <-f.decoding }()
+	case <-ctx.Done():
+		return jobtable.Record{}, refused("the host is busy"), false
+	}
+	spec, err := platform.DecodeJob(body)
+	if err != nil {
+		return jobtable.Record{}, reply{status: http.StatusBadRequest, why: err.Error()}, false
+	}
 	applyQueueDefaults(&spec, c.queue, c.customer)
 	spec.Accepted = unit.At(time.Now())
 	rec, err := f.records.SpecRecord(c.job, spec)
 	if err != nil {
-		return reply{status: http.StatusBadRequest, why: err.Error()}
+		return jobtable.Record{}, reply{status: http.StatusBadRequest, why: err.Error()}, false
 	}
-	return f.store(ctx, rec, "accepted")
+	if err := intake.Hold(ctx, unit.Bytes(len(rec.Value))); err != nil {
+		return jobtable.Record{}, notReceived(err), false
+	}
+	return rec, reply{}, true
 }
 
 // receive receives the body of a call, of at most limit bytes.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -36,12 +36,14 @@
 	// records only encodes records. The host's own table belongs to the
 	// deciding goroutine and must not be used here.
 	records *jobtable.Table
+	// decoding is held while a job is decoded.
+	decoding chan struct{}
 	// unnamed counts the calls that clients gave no name.
 	unnamed atomic.Uint64
 }
 
 func newClientHandler(h *Host) *clientHandler {
-	return &clientHandler{host: h, records: jobtable.New()}
+	return &clientHandler{host: h, records: jobtable.New(), decoding: make(chan struct{}, 1)}
 }
 
 // call is one call of a client, with the queue, customer and job that it
