internal/entry: methods of clients are no label of a metric

Cause: the histogram of calls has the method as a label, and a method is any text that a client sends: a time series of its own, 1.5 KiB each.

Change: the methods that there are calls for are told apart, all others are `other`, in the log as well.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -30,6 +30,19 @@
 	retryAfterSeconds = 1
 )
 
+// otherMethod stands for all methods of calls that there aren't.
+const otherMethod = "other"
+
+// methodOf returns a call's method for the log and the metrics. Any other text of a
+// client would be a time series of its own.
+func methodOf(r *http.Request) string {
+	switch r.Method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return r.Method
+	}
+	return otherMethod
+}
+
 // clientHandler serves the calls of clients.
 type clientHandler struct {
 	host *Host
@@ -117,7 +130,7 @@
 	rep := f.answer(withCall(ctx, c.name), c)
 	f.write(w, rep)
 	took := time.Since(began)
-	f.host.metrics.requests.WithLabelValues(r.Method, strconv.Itoa(rep.status)).Observe(took.Seconds())
+	f.host.metrics.requests.WithLabelValues(methodOf(r), strconv.Itoa(rep.status)).Observe(took.Seconds())
 	f.host.metrics.answer(rep, f.host.now)
 	f.logCall(c, rep, took)
 }
@@ -129,7 +142,7 @@
 		version = int64(c.catalog.Version)
 	}
 	fields := []zap.Field{
-		zap.String("method", c.r.Method), zap.String("request", string(c.name)), zap.String("job", string(c.job)), zap.String("queue", string(c.queueName())),
+		zap.String("method", methodOf(c.r)), zap.String("request", string(c.name)), zap.String("job", string(c.job)), zap.String("queue", string(c.queueName())),
 		zap.Int("status", rep.status), zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version),
 	}
 	if rep.about == aboutCount && rep.status == http.StatusOK {
