internal/entry: names of jobs and reasons of answers have a greatest length

Fault: while nobody reads the log of a host, thousands of lines wait, each as long as the text in a client's call. Callers saw hosts end (out of memory).

Cause: the line of a call has the job's name, which is the rest of the path, and the reason for the answer, which repeats a number of any length from the body; the answer repeats it too. The log keeps 4,096 lines.

Change: a job with a name of more than 64 bytes is rejected (400), and there is none (410); docs name 16 hex digits. The log has the first 64 bytes. A reason is cut after 300 bytes, in the log and in the answer.

The tests of internal/entry pass.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -28,6 +29,9 @@
 	// retryAfterSeconds is the Retry-After header of a refused call. The header
 	// takes whole seconds.
 	retryAfterSeconds = 1
+	// maxJobName limits the name of a job in bytes, and maxReason the reason for an
+	// answer. Both are logged with the call.
+	maxJobName, maxReason = 64, 300
 )
 
 // otherMethod stands for all methods of calls that there aren't.
@@ -43,6 +47,14 @@
 	return otherMethod
 }
 
+// truncate returns the first limit bytes of a text, without a part of a character.
+func truncate(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	return strings.ToValidUTF8(text[:limit], "") + "..."
+}
+
 // clientHandler serves the calls of clients.
 type clientHandler struct {
 	host *Host
@@ -128,6 +140,7 @@
 	c := &call{w: w, r: r}
 	c.name = f.nameOf(c)
 	rep := f.answer(withCall(ctx, c.name), c)
+	rep.why = truncate(rep.why, maxReason)
 	f.write(w, rep)
 	took := time.Since(began)
 	f.host.metrics.requests.WithLabelValues(methodOf(r), strconv.Itoa(rep.status)).Observe(took.Seconds())
@@ -142,7 +155,7 @@
 		version = int64(c.catalog.Version)
 	}
 	fields := []zap.Field{
-		zap.String("method", methodOf(c.r)), zap.String("request", string(c.name)), zap.String("job", string(c.job)), zap.String("queue", string(c.queueName())),
+		zap.String("method", methodOf(c.r)), zap.String("request", string(c.name)), zap.String("job", truncate(string(c.job), maxJobName)), zap.String("queue", string(c.queueName())),
 		zap.Int("status", rep.status), zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version),
 	}
 	if rep.about == aboutCount && rep.status == http.StatusOK {
@@ -242,9 +255,20 @@
 		return reply{status: http.StatusUnauthorized, why: "unknown key"}
 	}
 	c.customer = customer
+	if len(c.job) > maxJobName {
+		return nameTooLong(c)
+	}
 	return f.handle(ctx, c)
 }
 
+// nameTooLong answers a call with a job name that no job can have.
+func nameTooLong(c *call) reply {
+	if c.r.Method == http.MethodPost {
+		return reply{status: http.StatusBadRequest, why: fmt.Sprintf("the name of the job has more than %d bytes", maxJobName), last: true}
+	}
+	return reply{status: http.StatusGone, why: "no such job"}
+}
+
 // handle answers a call whose queue is known and whose customer may use it.
 func (f *clientHandler) handle(ctx context.Context, c *call) reply {
 	switch {
