internal/daemon, internal/settings: callers of the edge share connections and memory for heads

Fault: heads of many fields, and connections, of callers of curlewsilld have no bound together. Callers saw hosts end (out of memory), or no answer: a host that has no descriptor left accepts nobody.

Cause: a head may have 32 KiB, which takes twelve times as much when it is parsed, on any number of connections, with buffers in the kernel of any size.

Change: the listeners for callers, operators and other hosts use internal/intake, with the keys connections, client_memory and header. The runtime's soft limit is 55 percent of [limits] memory, which is the memory of the process from now on, so that its own text and the kernel's buffers fit beside it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,14 +11,17 @@
 	"runtime/debug"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/node"
 	"curlewsill.org/curlewsill/internal/admin"
 	"curlewsill.org/curlewsill/internal/edge"
 	"curlewsill.org/curlewsill/internal/host"
+	"curlewsill.org/curlewsill/internal/intake"
 	"curlewsill.org/curlewsill/internal/peerlink"
 	"curlewsill.org/curlewsill/internal/platform/hosts"
 	"curlewsill.org/curlewsill/internal/platform/logs"
@@ -36,8 +39,20 @@
 	headerTimeout = 5 * time.Second
 	readTimeout   = time.Minute
 	idleTimeout   = 2 * time.Minute
-	// maxHeader bounds the size of a request's headers in bytes.
-	maxHeader = 32 << 10
+	// memoryShare is the part of the memory that the runtime uses as its soft limit.
+	// What remains is for the program itself and for the buffers of the kernel.
+	memoryShare = 0.55
+	// bodyShare is the part of the memory for callers up to which requests are
+	// received. The rest remains for answers.
+	bodyShare = 0.5
+	// bufferShare is the part of the memory for buffers in the kernel, as a divisor.
+	bufferShare = 12
+	// systemShare is how many times as much callers may hold as operators and other
+	// hosts may, as long as these have not opened a link.
+	systemShare = 4
+	// descriptorShare is the part of the process's descriptors for connections of
+	// callers, as a divisor.
+	descriptorShare = 4
 	// idleConns is how many idle connections to one backend server are kept. The
 	// router bounds the number of open connections.
 	idleConns = 64
@@ -46,20 +61,26 @@
 	announceEvery = time.Second
 )
 
+// refusal is the answer for connections that aren't accepted.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + edge.RanHeader + ": no\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // ErrToken reports a token file that holds no token.
 var ErrToken = errors.New("daemon: empty token file")
 
 // Daemon is one entry host with its listeners.
 type Daemon struct {
-	settings  settings.Settings
-	log       *zap.Logger
-	host      *host.Host
-	tracer    *trace.Tracer
-	hosts     *hosts.Client
-	edge      *edge.Edge
-	servers   []*http.Server
-	listeners []net.Listener
-	stopping  sync.Once
+	settings settings.Settings
+	log      *zap.Logger
+	host     *host.Host
+	tracer   *trace.Tracer
+	hosts    *hosts.Client
+	edge     *edge.Edge
+	// clients bounds what callers make this host hold, system what operators and other
+	// hosts do.
+	clients, system *intake.Intake
+	servers         []*http.Server
+	listeners       []net.Listener
+	stopping        sync.Once
 }
 
 // New builds a daemon and opens its listeners, so that its addresses are known before
@@ -69,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	debug.SetMemoryLimit(int64(s.MemoryLimit))
+	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryShare))
 	tracer, err := trace.New(ctx, s.Host, s.TraceURL, s.TraceShare)
 	if err != nil {
 		return nil, err
@@ -86,6 +107,9 @@
 	d.edge = edge.New(s.Host, d.host, edge.Clients{Requests: backendClient(), Probes: backendClient()}, tracer, s.BodyLimit, s.Requests, metrics.ObserveRequest)
 	metrics.RegisterHost(d.host)
 	metrics.RegisterLinks(d.host.Links())
+	if err := d.limitClients(metrics.Registry()); err != nil {
+		return nil, err
+	}
 	api := admin.New(d.host, token, metrics.Registry(), tracer)
 	peers := http.NewServeMux()
 	peers.Handle(peerlink.Path, d.host.Links())
@@ -94,8 +118,9 @@
 	for _, l := range []struct {
 		address string
 		handler http.Handler
-	}{{s.Callers, callers}, {s.Operators, api}, {s.Peers, peers}} {
-		if err := d.listen(l.address, l.handler); err != nil {
+		limits  *intake.Intake
+	}{{s.Callers, callers, d.clients}, {s.Operators, api, d.system}, {s.Peers, peers, d.system}} {
+		if err := d.listen(l.address, l.handler, l.limits); err != nil {
 			return nil, err
 		}
 	}
@@ -127,16 +152,34 @@
 	}
 }
 
-func (d *Daemon) listen(address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+// limitClients sets the limits for the listeners, and registers their metrics.
+func (d *Daemon) limitClients(r *prometheus.Registry) error {
+	var open syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &open); err != nil {
+		return fmt.Errorf("daemon: limit of open files: %w", err)
+	}
+	c := d.settings.Clients
+	clients := intake.Limits{
+		Connections: int(max(1, min(uint64(c.Connections), open.Cur/descriptorShare))), Memory: c.Memory, BodyShare: bodyShare, Header: c.Header,
+		Buffers: d.settings.MemoryLimit / bufferShare, Refusal: refusal,
+	}
+	system := clients
+	system.Connections, system.Memory, system.Buffers = (clients.Connections+1)/2, clients.Memory/systemShare, clients.Buffers/systemShare
+	d.clients = intake.New(clients, d.log.With(zap.String("listener", "clients")))
+	d.system = intake.New(system, d.log.With(zap.String("listener", "system")))
+	r.MustRegister(d.clients.Collectors("clients")...)
+	r.MustRegister(d.system.Collectors("system")...)
+	return nil
+}
+
+func (d *Daemon) listen(address string, h http.Handler, in *intake.Intake) error {
+	l, err := in.Listen(address)
 	if err != nil {
 		return fmt.Errorf("daemon: %w", err)
 	}
-	d.listeners = append(d.listeners, l)
-	d.servers = append(d.servers, &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	})
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
+	in.Attach(s)
+	d.listeners, d.servers = append(d.listeners, l), append(d.servers, s)
 	return nil
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -54,8 +54,9 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) {
-	c.setPhase(answering)
-	c.intake.answering(c)
+	if c.beginAnswer() {
+		c.intake.answering(c)
+	}
 	return c.Conn.Write(b)
 }
 
@@ -130,6 +131,18 @@
 	c.phase = p
 }
 
+// beginAnswer notes that bytes of an answer are sent. It reports false if there is no
+// request yet, as in the handshake of TLS.
+func (c *conn) beginAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == idle {
+		return false
+	}
+	c.phase = answering
+	return true
+}
+
 // addHead adds n bytes that have come to the current head. It returns the size of
 // the head so far, 0 if the bytes belong to no head, and whether they are its first.
 func (c *conn) addHead(n int) (size unit.Bytes, first bool) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -32,6 +32,9 @@
 	// fieldSize and valueSize are the memory that the field of a parsed head takes
 	// beside its text, and each of its values.
 	fieldSize, valueSize = 96, 32
+	// headCopies is how often a parsed head is held while its request is served: it
+	// is copied when the request is forwarded.
+	headCopies = 2
 	// headSlack is how many bytes behind a head may be read together with it.
 	headSlack = 4 << 10
 	// logInterval is the shortest time between two log lines.
@@ -155,7 +158,7 @@
 // beginRequest notes that a head was received whole, and corrects what is reserved
 // for it.
 func (i *Intake) beginRequest(c *conn, r *http.Request) {
-	size := headSize(r)
+	size := headSize(r) * headCopies
 	next := receiving
 	if r.ContentLength == 0 {
 		next = waiting
--- a/internal/settings/clients.go
+++ b/internal/settings/clients.go
@@ -24,6 +24,9 @@
 	// for the tables of jobs, the reports of workers, the buffers of the kernel and
 	// garbage.
 	siteConnectionShare, siteMemoryShare = 8, 6
+	// edgeConnectionShare and edgeMemoryShare are the same for the edge, which holds
+	// bodies and answers while backend servers work on them.
+	edgeConnectionShare, edgeMemoryShare = 5, 5
 	// descriptorShare is the part of the descriptors for connections of clients, as
 	// a divisor. Half of them are for workers.
 	descriptorShare = 4
@@ -46,6 +49,15 @@
 	}
 }
 
+// edgeClients returns the default limits for the memory of the edge.
+func edgeClients(memory unit.Bytes) Clients {
+	return Clients{
+		Connections: max(minClientConnections, int(memory/edgeConnectionShare/connectionMemory)),
+		Memory:      memory / edgeMemoryShare,
+		Header:      defaultHeader,
+	}
+}
+
 // readClients reads the limits for clients.
 func readClients(limits *inifile.Section, def Clients) Clients {
 	return Clients{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,9 @@
 	// Requests is the maximum number of requests in flight.
 	BodyLimit unit.Bytes
 	Requests  int
-	// MemoryLimit is the soft memory limit of the Go runtime.
+	// Clients are the limits for all callers together.
+	Clients Clients
+	// MemoryLimit is the memory that the process may use.
 	MemoryLimit unit.Bytes
 	// StopWait is how long a planned stop waits, after the last response, for the
 	// callers' connections to close and for the last spans to be exported.
@@ -71,6 +73,7 @@
 func readSettings(f *inifile.File) Settings {
 	host, platform, limits := f.Section("host"), f.Section("platform"), f.Section("limits")
 	logs, traces, tls := f.Section("log"), f.Section("traces"), f.Section("tls")
+	memory := limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB)
 	s := Settings{
 		Host:        id.Host(host.Required("id")),
 		Domain:      id.Domain(host.Required("domain")),
@@ -84,7 +87,8 @@
 		WorkersURL:  platform.URL("workers"),
 		BodyLimit:   limits.Size("body", 4*unit.MiB, unit.KiB, maxBody),
 		Requests:    limits.Int("requests", 2048, 1, maxRequests),
-		MemoryLimit: limits.Size("memory", 256*unit.MiB, 24*unit.MiB, 64*unit.GiB),
+		MemoryLimit: memory,
+		Clients:     readClients(limits, edgeClients(memory)),
 		LogLevel:    logs.OneOf("level", "info", "debug", "warn", "error"),
 		LogFormat:   logs.OneOf("format", "json", "console"),
 		TraceURL:    traces.Text("url", ""),
