core/budget, internal/intake: what is admitted is received whole, refusals arrive

Clients that still sent gave way to each other, and many bodies were admitted in part, so that under a crowd of whole bodies hardly any was received (TestEdge/bodies_whole: 3 answers with 200 in 4 s). A connection without a request could lose its place to a request that needs memory, of which it holds none. A refusal was lost when the client still sent: the connection was reset (5,400 of 19,000 arrived).

Change: a body of known size is reserved at once. A client that still sends gives way only to a request a quarter as large; otherwise the new one is refused. Only who holds memory gives way for memory. After a refusal a connection is kept for half a second at most, unless most places are taken.

Ruled out: the store or the backend servers as the bound.

--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -4,9 +4,9 @@
 //
 // The load that this answers: many clients that each stay inside the limits of one
 // request, but never complete it. A client that has stopped sending gives way
-// first. Among clients that still send, the one that has held the most memory for
-// the longest time does, so that an ordinary request, which is small and arrives
-// quickly, is the last to be affected.
+// first. One that still sends gives way only to a much smaller request: if equal
+// ones did so to each other, none would ever be received whole. So an ordinary
+// request, which is small and arrives quickly, is the last to be affected.
 package budget
 
 import (
@@ -31,6 +31,10 @@
 // It is longer than a lost packet takes to be sent again.
 const stalledAfter = time.Second
 
+// smaller is how many times smaller a request must be than another one that still
+// arrives, for that one to give way to it.
+const smaller = 4
+
 // Budget is the memory and the places of all clients. It is not safe for
 // concurrent use.
 type Budget[K comparable] struct {
@@ -51,6 +55,8 @@
 	// number is different for each client; among equals the oldest gives way.
 	number uint64
 	held   unit.Bytes
+	// size is how much the client's request is going to hold; 0 if that isn't known.
+	size unit.Bytes
 	// began is when the client's request began, or when it became idle. progress
 	// is when bytes last came from it.
 	began, progress unit.Instant
@@ -79,7 +85,7 @@
 // not added then.
 func (b *Budget[K]) Add(k K, now unit.Instant) (victim K, evict bool, err error) {
 	if len(b.clients)-b.leavingClients >= b.places {
-		victim, evict = b.worst(now)
+		victim, evict = b.worst(now, func(K, *client) bool { return true })
 		if !evict {
 			return victim, false, ErrFull
 		}
@@ -106,7 +112,14 @@
 // Begin records that a client begins a request, or that it becomes idle.
 func (b *Budget[K]) Begin(k K, now unit.Instant) {
 	if c := b.clients[k]; c != nil {
-		c.began, c.progress = now, now
+		c.began, c.progress, c.size = now, now, 0
+	}
+}
+
+// Expect records how much a client's request is going to hold.
+func (b *Budget[K]) Expect(k K, size unit.Bytes) {
+	if c := b.clients[k]; c != nil {
+		c.size = size
 	}
 }
 
@@ -154,15 +167,17 @@
 		return nil, ErrGiveWay
 	}
 	for b.used-b.leaving+n > limit {
-		v, ok := b.worst(now)
-		if !ok {
+		v, ok := b.worst(now, func(_ K, v *client) bool { return v != c && v.yields(c, n, now) })
+		switch {
+		case ok:
+			b.markLeaving(b.clients[v])
+			victims = append(victims, v)
+		case c.fixed:
 			return victims, ErrFull
-		}
-		b.markLeaving(b.clients[v])
-		if v == k {
+		default:
+			b.markLeaving(c)
 			return victims, ErrGiveWay
 		}
-		victims = append(victims, v)
 	}
 	if b.used+n > limit {
 		return victims, ErrWait
@@ -179,11 +194,12 @@
 	b.leavingClients++
 }
 
-// worst returns the client that gives way next. It reports false if there is none.
-func (b *Budget[K]) worst(now unit.Instant) (worst K, found bool) {
+// worst returns the client that gives way next, of those that are eligible. It
+// reports false if there is none.
+func (b *Budget[K]) worst(now unit.Instant, eligible func(K, *client) bool) (worst K, found bool) {
 	var most rank
 	for k, c := range b.clients { // in any order: no two ranks are equal
-		if c.fixed || c.leaving {
+		if c.fixed || c.leaving || !eligible(k, c) {
 			continue
 		}
 		if r := c.rank(now); !found || most.less(r) {
@@ -193,9 +209,18 @@
 	return worst, found
 }
 
+// yields reports whether a client gives way to another one that needs n bytes more.
+func (c *client) yields(to *client, n unit.Bytes, now unit.Instant) bool {
+	return c.held > 0 && (to.fixed || c.stalled(now) || max(c.held, c.size) >= smaller*max(to.held+n, to.size))
+}
+
+// stalled reports whether nothing has come from a client for a while.
+func (c *client) stalled(now unit.Instant) bool { return now.Sub(c.progress) > stalledAfter }
+
 // rank is the order in which clients give way: the greatest first.
 type rank struct {
-	stalled bool
+	// class is 2 for a client that has stopped, 1 for one without a request, else 0.
+	class int
 	// cost is what the client has held, times how long, in byte-seconds.
 	cost   float64
 	number uint64
@@ -203,8 +228,8 @@
 
 func (r rank) less(o rank) bool {
 	switch {
-	case r.stalled != o.stalled:
-		return o.stalled
+	case r.class != o.class:
+		return r.class < o.class
 	case r.cost != o.cost:
 		return r.cost < o.cost
 	}
@@ -214,9 +239,14 @@
 // rank returns the client's rank. A client that holds nothing counts as if it held
 // one byte.
 func (c *client) rank(now unit.Instant) rank {
-	since, stalled := c.began, false
-	if now.Sub(c.progress) > stalledAfter {
-		since, stalled = c.progress, true
+	r := rank{number: c.number}
+	since := c.began
+	switch {
+	case c.stalled(now):
+		r.class, since = 2, c.progress
+	case c.held == 0:
+		r.class = 1
 	}
-	return rank{stalled: stalled, cost: float64(c.held+1) * now.Sub(since).Seconds(), number: c.number}
+	r.cost = float64(c.held+1) * now.Sub(since).Seconds()
+	return r
 }
--- a/core/budget/budget_test.go
+++ b/core/budget/budget_test.go
@@ -73,6 +73,8 @@
 		b.Remove(k)
 	case "begin":
 		b.Begin(k, now)
+	case "expect":
+		b.Expect(k, size(t, words[3]))
 	case "progress":
 		b.Progress(k, now)
 	case "fix":
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -10,8 +10,9 @@
 	"curlewsill.org/curlewsill/core/unit"
 )
 
-// blockSize is the size of the blocks in which a body is received. Memory is
-// reserved for a block before bytes are read into it.
+// blockSize is the size of the blocks in which a body is received. Memory is reserved
+// before bytes are read into it: for a body of known size at once, so that a body
+// that has been admitted is received whole, else for each block.
 const blockSize = 16 * unit.KiB
 
 // Body is a body that was received whole. Its memory stays reserved until the
@@ -19,8 +20,10 @@
 type Body struct {
 	blocks [][]byte
 	size   int
-	intake *Intake
-	conn   *conn
+	// reserved is the memory that is reserved for the body.
+	reserved unit.Bytes
+	intake   *Intake
+	conn     *conn
 }
 
 // ReadBody receives a request's body of at most limit bytes. The error is ErrRefused
@@ -30,16 +33,19 @@
 func ReadBody(w http.ResponseWriter, r *http.Request, limit unit.Bytes) (*Body, error) {
 	b := &Body{conn: connOf(r.Context())}
 	share := 1.0
+	hint := sizeOf(r.ContentLength, limit)
+	if hint > limit {
+		return nil, &http.MaxBytesError{Limit: int64(limit)}
+	}
 	if b.conn != nil {
 		b.intake = b.conn.intake
 		share = b.intake.limits.BodyShare
+		b.intake.expect(b.conn, hint)
 	}
-	hint := limit
 	if r.ContentLength >= 0 {
-		hint = unit.Bytes(r.ContentLength)
-	}
-	if hint > limit {
-		return nil, &http.MaxBytesError{Limit: int64(limit)}
+		if err := b.reserve(r.Context(), hint, share, false); err != nil {
+			return nil, err
+		}
 	}
 	if err := b.read(r.Context(), http.MaxBytesReader(w, r.Body, int64(limit)), hint, share, false); err != nil {
 		return nil, err
@@ -52,12 +58,18 @@
 
 // ReadAnswer receives the answer to a client's request from a backend server, of at
 // most limit bytes. It waits for memory until ctx is done.
-func ReadAnswer(ctx context.Context, r *http.Request, answer io.Reader, limit unit.Bytes) (*Body, error) {
+func ReadAnswer(ctx context.Context, r *http.Request, answer *http.Response, limit unit.Bytes) (*Body, error) {
 	b := &Body{conn: connOf(r.Context())}
 	if b.conn != nil {
 		b.intake = b.conn.intake
 	}
-	if err := b.read(ctx, io.LimitReader(answer, int64(limit)+1), limit+1, 1, true); err != nil {
+	hint := sizeOf(answer.ContentLength, limit+1)
+	if hint <= limit {
+		if err := b.reserve(ctx, hint, 1, true); err != nil {
+			return nil, err
+		}
+	}
+	if err := b.read(ctx, io.LimitReader(answer.Body, int64(limit)+1), hint, 1, true); err != nil {
 		return nil, err
 	}
 	if unit.Bytes(b.size) > limit {
@@ -66,14 +78,24 @@
 	return b, nil
 }
 
+// sizeOf returns the size of a body by its head, or unknown.
+func sizeOf(contentLength int64, unknown unit.Bytes) unit.Bytes {
+	if contentLength < 0 {
+		return unknown
+	}
+	return unit.Bytes(contentLength)
+}
+
 // read reads in until its end. hint is the greatest size.
 func (b *Body) read(ctx context.Context, in io.Reader, hint unit.Bytes, share float64, patient bool) error {
 	var probe [1]byte // for the end of a body that is as large as can be
 	for {
 		block := probe[:0]
 		if size := min(hint-unit.Bytes(b.size), blockSize); size > 0 {
-			if err := b.reserve(ctx, size, share, patient); err != nil {
-				return err
+			if missing := unit.Bytes(b.size) + size - b.reserved; missing > 0 {
+				if err := b.reserve(ctx, missing, share, patient); err != nil {
+					return err
+				}
 			}
 			block = make([]byte, 0, size)
 		}
@@ -112,7 +134,8 @@
 }
 
 func (b *Body) reserve(ctx context.Context, n unit.Bytes, share float64, patient bool) error {
-	if b.conn == nil {
+	b.reserved += n
+	if b.conn == nil || n == 0 {
 		return nil
 	}
 	return b.intake.reserve(ctx, b.conn, n, share, patient)
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -25,6 +25,13 @@
 	answering
 )
 
+const (
+	// lingerTimeout and maxLingerBytes bound for how long, and for how many bytes, a
+	// connection is kept after a refusal, so that its client can read it.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 1 << 20
+)
+
 // conn is a connection of a client. While its client sends a request's head, the
 // memory that the head takes is reserved as the bytes arrive.
 type conn struct {
@@ -82,9 +89,12 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	first := !c.closed
+	first, answered := !c.closed, c.evicted && c.phase == answering
 	c.closed = true
 	c.mu.Unlock()
+	if first && answered {
+		c.linger()
+	}
 	err := c.Conn.Close()
 	if first {
 		c.intake.remove(c)
@@ -92,6 +102,17 @@
 	return err
 }
 
+// linger lets a client that is still sending read the answer to its request: a
+// connection that is closed with unread bytes is reset.
+func (c *conn) linger() {
+	if !c.intake.mayLinger(c) {
+		return
+	}
+	_ = c.CloseWrite() // fails only if the connection is broken, as the calls below
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+}
+
 // CloseWrite ends the answer, so that the client can read it before the connection
 // is closed.
 func (c *conn) CloseWrite() error {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -182,6 +182,15 @@
 	i.releaseLocked(c, i.limits.Memory)
 }
 
+// mayLinger reports whether a connection may be kept for a while after a refusal. Its
+// memory is released before.
+func (i *Intake) mayLinger(c *conn) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.releaseLocked(c, i.limits.Memory)
+	return !i.budget.Crowded()
+}
+
 // remove ends the accounting of a connection.
 func (i *Intake) remove(c *conn) {
 	i.mu.Lock()
@@ -192,6 +201,13 @@
 	i.broadcastLocked()
 }
 
+// expect notes how large a body is at most.
+func (i *Intake) expect(c *conn, size unit.Bytes) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.budget.Expect(c, size)
+}
+
 // await notes that a request was received whole and is carried out. It reports false
 // if its client has to give way.
 func (i *Intake) await(c *conn) bool {
