internal/edge: bodies and answers take memory that all callers share

Fault: callers of curlewsilld that send bodies of legal size and stop just short of their end, or don't read their answers, make it hold 2,048 times 4 MiB. Callers saw hosts end (out of memory).

Cause: the number of requests in flight and the size of a body are bounded, their product isn't. Buffers grow by copying beside that.

Change: requests are received through internal/intake, into half of the memory for callers; answers use all of it, and wait until there is some, since their request has run. A caller that has to give way gets queue-full, not run; one that doesn't read its answer loses its connection. A body that is larger than the limit by its head is rejected before it is read.

The largest legal requests, whole, chunked and slowly, are answered in calm. The tests of internal/edge pass.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -10,7 +10,6 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -30,6 +29,7 @@
 	"curlewsill.org/curlewsill/core/node"
 	"curlewsill.org/curlewsill/core/route"
 	"curlewsill.org/curlewsill/core/unit"
+	"curlewsill.org/curlewsill/internal/intake"
 	"curlewsill.org/curlewsill/internal/problem"
 	"curlewsill.org/curlewsill/internal/trace"
 )
@@ -109,7 +109,7 @@
 	service id.Service
 	once    bool
 	request *http.Request
-	body    []byte
+	body    *intake.Body
 	reply   chan route.Reply
 	ctx     context.Context
 
@@ -122,7 +122,7 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *intake.Body
 }
 
 // New returns a handler that admits at most limit requests in flight.
@@ -161,7 +161,7 @@
 		problem.Write(w, problem.Problem{Status: http.StatusBadRequest, Code: "bad-request", Detail: err.Error(), Ran: route.RanNo})
 		return q.Service, "bad-request", route.RanNo
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(e.bodyLimit)))
+	body, err := intake.ReadBody(w, r, e.bodyLimit)
 	if err != nil {
 		return q.Service, writeBodyError(w, err), route.RanNo
 	}
@@ -264,9 +264,9 @@
 		h[k] = v
 	}
 	h.Set(RanHeader, string(rep.Ran))
-	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	h.Set("Content-Length", strconv.Itoa(a.body.Len()))
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+	_, _ = io.Copy(w, a.body.NewReader()) // the caller may be gone
 	return rep.Ran
 }
 
@@ -287,6 +287,11 @@
 		Status: http.StatusBadRequest, Code: "bad-body",
 		Detail: "the body could not be read", Ran: route.RanNo,
 	}
+	// The rest of the body isn't waited for.
+	w.Header().Set("Connection", "close")
+	if errors.Is(err, intake.ErrRefused) {
+		return refuse(w, route.CodeQueueFull, time.Second)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		p.Status, p.Code, p.Detail = http.StatusRequestEntityTooLarge, "body-too-large", "the body is larger than this host takes"
@@ -303,7 +308,7 @@
 
 // newNonReplayableBody returns a request body that the HTTP client can't
 // replay.
-func newNonReplayableBody(b []byte) io.ReadCloser { return nonReplayableBody{bytes.NewReader(b)} }
+func newNonReplayableBody(b *intake.Body) io.ReadCloser { return nonReplayableBody{b.NewReader()} }
 
 // recordOutcome sets the span's status to error unless the response was
 // complete.
--- a/internal/edge/send.go
+++ b/internal/edge/send.go
@@ -17,11 +17,9 @@
 
 	"curlewsill.org/curlewsill/core/node"
 	"curlewsill.org/curlewsill/core/route"
+	"curlewsill.org/curlewsill/internal/intake"
 )
 
-// errResponseTooLarge reports a response body above the size limit.
-var errResponseTooLarge = errors.New("edge: response too large")
-
 // probeTimeout bounds a probe. A probe that takes longer is inconclusive.
 const probeTimeout = 800 * time.Millisecond
 
@@ -87,7 +85,7 @@
 	if n, err := strconv.Atoi(resp.Header.Get(LoadHeader)); err == nil && n >= 0 {
 		res.Load = n
 	}
-	body, err := readBody(resp, int64(e.bodyLimit))
+	body, err := e.readAnswer(ctx, c, resp)
 	echo := resp.Header.Get(RequestHeader)
 	if err != nil || echo != "" && echo != attemptID(e, a) {
 		// The response is incomplete, too large or belongs to another request.
@@ -121,7 +119,7 @@
 	}
 	// The HTTP client retries some requests by itself, but never one whose body
 	// it can't replay.
-	req.Body, req.ContentLength = newNonReplayableBody(c.body), int64(len(c.body))
+	req.Body, req.ContentLength = newNonReplayableBody(c.body), int64(c.body.Len())
 	req.Header = endToEndHeaders(c.request.Header)
 	req.Header.Set(RequestHeader, attemptID(e, a))
 	e.tracer.Inject(ctx, propagation.HeaderCarrier(req.Header))
@@ -140,16 +138,15 @@
 	return out
 }
 
-// readBody reads a response body to its end.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
+// readAnswer reads a response body to its end. Nobody receives it if the caller is
+// gone, but whether it was complete tells whether the request ran.
+func (e *Edge) readAnswer(ctx context.Context, c *call, resp *http.Response) (*intake.Body, error) {
+	body, err := intake.ReadAnswer(ctx, c.request, resp, e.bodyLimit)
+	if errors.Is(err, intake.ErrRefused) && c.request.Context().Err() != nil {
+		body = &intake.Body{}
+		_, err = io.Copy(io.Discard, resp.Body)
+	}
+	return body, err
 }
 
 // classify tells a backend server's refusal from a response of the service.
