internal/edge, internal/stats: names of services that callers send are no label of a metric

Fault: each new name of a service in a wrong request stays in memory until the process ends. Callers would see hosts end.

Cause: only the code unknown-service left the label out. A request with a wrong header, a body that isn't received, a caller that goes, and a host that isn't ready have the name as it came: two time series each.

Change: the label is empty unless the reply shows that there is such a service. A name of more than 200 bytes is rejected, since spans carry it.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,8 +64,9 @@
 // ServicePathPrefix is the path prefix of services: /services/NAME/....
 const ServicePathPrefix = "/services/"
 
-// maxKeyBytes bounds the length of an idempotency key.
-const maxKeyBytes = 200
+// maxKeyBytes and maxServiceBytes bound the length of an idempotency key and of the
+// name of a service, which the spans of a request carry.
+const maxKeyBytes, maxServiceBytes = 200, 200
 
 // writeTimeout bounds the time in which a caller must read its response.
 // Without it, a caller that stops reading would hold its connection and its
@@ -159,11 +160,11 @@
 	q, err := e.parse(r)
 	if err != nil {
 		problem.Write(w, problem.Problem{Status: http.StatusBadRequest, Code: "bad-request", Detail: err.Error(), Ran: route.RanNo})
-		return q.Service, "bad-request", route.RanNo
+		return "", "bad-request", route.RanNo
 	}
 	body, err := intake.ReadBody(w, r, e.bodyLimit)
 	if err != nil {
-		return q.Service, writeBodyError(w, err), route.RanNo
+		return "", writeBodyError(w, err), route.RanNo
 	}
 	c := &call{
 		id: q.ID, service: q.Service, once: q.Once, request: r, body: body, ctx: ctx,
@@ -172,20 +173,35 @@
 	e.register(c)
 	defer e.unregister(c)
 	if !e.core.Offer(node.RequestArrived{Request: q}) {
-		return q.Service, refuse(w, route.CodeQueueFull, time.Second), route.RanNo
+		return "", refuse(w, route.CodeQueueFull, time.Second), route.RanNo
 	}
 	select {
 	case rep := <-c.reply:
-		return q.Service, rep.Code, e.writeReply(w, c, rep)
+		return knownService(q.Service, rep), rep.Code, e.writeReply(w, c, rep)
 	case <-r.Context().Done():
 		e.core.Push(context.WithoutCancel(ctx), node.CallerGone{Request: q.ID})
-		return q.Service, "caller-gone", route.RanUnknown
+		return "", codeCallerGone, route.RanUnknown
+	}
+}
+
+// codeCallerGone is the code of a request whose caller didn't wait for its response.
+const codeCallerGone route.Code = "caller-gone"
+
+// knownService returns the service of a request, or "" if the reply doesn't show that
+// there is one of that name. The name comes from the caller: as the label of a
+// metric, it would let callers create any number of time series.
+func knownService(s id.Service, rep route.Reply) id.Service {
+	switch rep.Code {
+	case route.CodeNoService, route.CodeNotReady, route.CodeStopping:
+		return ""
 	}
+	return s
 }
 
 // Errors in the path and headers of a request. Callers receive them as details.
 var (
 	errPath    = errors.New("want a path like /services/NAME/PATH")
+	errService = errors.New("want the name of the service to have at most 200 bytes")
 	errOnce    = errors.New("want " + OnceHeader + " to be true or false")
 	errTimeout = errors.New("want " + TimeoutHeader + " to be a positive number of milliseconds")
 	errKey     = errors.New("want " + IdempotencyKeyHeader + " to have at most 200 bytes")
@@ -199,6 +215,9 @@
 	if !ok || name == "" {
 		return q, errPath
 	}
+	if len(name) > maxServiceBytes {
+		return q, errService
+	}
 	q.Service = id.Service(name)
 	q.Key = r.Header.Get(IdempotencyKeyHeader)
 	if len(q.Key) > maxKeyBytes {
--- a/internal/stats/stats.go
+++ b/internal/stats/stats.go
@@ -68,13 +68,9 @@
 // CountFault counts a violated invariant.
 func (s *Stats) CountFault(error) { s.faults.Inc() }
 
-// ObserveRequest records a final response and its latency.
+// ObserveRequest records a final response and its latency. The service is empty unless
+// it is known that there is one of that name.
 func (s *Stats) ObserveRequest(service id.Service, code route.Code, ran route.Ran, latency time.Duration) {
-	if code == route.CodeNoService {
-		// The name came from the caller. As a label it would let callers create
-		// any number of time series.
-		service = ""
-	}
 	s.requests.WithLabelValues(string(service), string(code), string(ran)).Inc()
 	s.latency.WithLabelValues(string(service)).Observe(latency.Seconds())
 }
