internal/entry: records that wait for the store are bounded in bytes

Fault: while the store is slow, 1,024 records may wait, 256 KiB each. The owner also appends the records of other hosts, whose clients its own limits don't know.

Cause: the queue bounds the number of records, not their size.

Change: they take a sixteenth of the memory at most, at least 2 MiB; beyond it a call is refused (503), as when the queue is full in number.

Shown by TestQueuedRecordsAreBounded: without the bound it queues 1,024 records of 256 KiB where 4 MiB are allowed. Not shown by a crowd: no real process was brought to this.

--- a/internal/entry/pending.go
+++ b/internal/entry/pending.go
@@ -29,6 +29,9 @@
 	end id.Offset
 }
 
+// size returns the size of the record in bytes.
+func (p *pending) size() int64 { return int64(len(p.record.Key) + len(p.record.Value)) }
+
 // result returns what is known of the record after its write has ended.
 func (p *pending) result(err error) written {
 	got, why := outcomeOf(err)
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -10,6 +10,7 @@
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/platform"
 )
@@ -18,6 +19,10 @@
 	// maxPendingWrites limits the records that wait to be written. Further
 	// calls are refused.
 	maxPendingWrites = 1024
+	// pendingShare is the part of the memory that these records may take, as a
+	// divisor, and minPendingBytes the least that they may take.
+	pendingShare    = 16
+	minPendingBytes = 2 * unit.MiB
 	// batchBytes limits the size of one append. The store takes 2 MB.
 	batchBytes = 512 << 10
 	// maxRefusedTries is how often at most an append is tried if the store
@@ -38,7 +43,10 @@
 	metrics *metrics
 	health  *storeHealth
 	queue   *ring.Ring[*pending]
-	id      platform.Writer
+	// queuedBytes is the size of the records in the queue, maxBytes its limit.
+	queuedBytes atomic.Int64
+	maxBytes    unit.Bytes
+	id          platform.Writer
 	// busySince is when the append in flight began, in nanoseconds since 1970;
 	// 0 if there is none.
 	busySince atomic.Int64
@@ -59,19 +67,20 @@
 // lastDuration returns how long the last append took, or 0 if it failed.
 func (w *writer) lastDuration() time.Duration { return time.Duration(w.duration.Load()) }
 
-func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics) *writer {
-	return &writer{store: s, health: health, log: log, metrics: m, queue: ring.New[*pending](maxPendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
+func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics, maxBytes unit.Bytes) *writer {
+	return &writer{store: s, health: health, log: log, metrics: m, maxBytes: maxBytes, queue: ring.New[*pending](maxPendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
 }
 
-// enqueue queues a record. It returns nil if the queue is full or the store
-// hangs.
+// enqueue queues a record. It returns nil if the queue is full, in number or in
+// bytes, or the store hangs.
 func (w *writer) enqueue(r jobtable.Record) *pending {
 	longest := max(queueWait, time.Duration(float64(w.lastDuration())*slowFactor))
 	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > longest || w.health.hanging() {
 		return nil
 	}
 	p := &pending{record: r, done: make(chan error, 1)}
-	if !w.queue.Offer(p) {
+	if unit.Bytes(w.queuedBytes.Add(p.size())) > w.maxBytes || !w.queue.Offer(p) {
+		w.queuedBytes.Add(-p.size())
 		return nil
 	}
 	return p
@@ -97,9 +106,10 @@
 	var batch []*pending
 	size := 0
 	take := func(p *pending) {
+		w.queuedBytes.Add(-p.size())
 		if p.state.CompareAndSwap(writeQueued, writeSent) {
 			batch = append(batch, p)
-			size += len(p.record.Key) + len(p.record.Value)
+			size += int(p.size())
 		}
 	}
 	take(first)
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/platform"
 )
 
@@ -69,7 +70,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := c.answer
 				h := &Host{health: newStoreHealth(zap.NewNop())}
-				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics())
+				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics(), 16*unit.MiB)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go h.writer.run(ctx)
@@ -96,7 +97,7 @@
 func TestStoredRecordsTellTheirOffset(t *testing.T) {
 	h := &Host{health: newStoreHealth(zap.NewNop()), metrics: newMetrics(), log: zap.NewNop()}
 	store := &fixedStore{status: http.StatusOK, body: `{"offset":7,"end":9}`}
-	h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), h.metrics)
+	h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), h.metrics, 16*unit.MiB)
 	first, second := h.writer.enqueue(jobtable.Record{Key: "spec/a"}), h.writer.enqueue(jobtable.Record{Key: "spec/b"})
 	go h.writer.run(t.Context())
 	if got := first.result(<-first.done); got != (written{outcome: stored, end: 8}) {
@@ -121,3 +122,27 @@
 		t.Errorf("an owner that tells no offset: %d", got)
 	}
 }
+
+// TestQueuedRecordsAreBounded guards against records that wait for a slow store and
+// together take more memory than they may: their number alone allows 256 MiB.
+func TestQueuedRecordsAreBounded(t *testing.T) {
+	const limit = 4 * unit.MiB
+	w := newWriter(nil, newStoreHealth(zap.NewNop()), "w", zap.NewNop(), newMetrics(), limit)
+	large := jobtable.Record{Key: "spec/a", Value: make([]byte, 256<<10)}
+	queued := 0
+	for w.enqueue(large) != nil {
+		queued++
+	}
+	if queued != int(limit)/(len(large.Value)+len(large.Key)) {
+		t.Errorf("%d records of 256 KiB are queued, the limit is %d bytes", queued, limit)
+	}
+	if w.enqueue(jobtable.Record{Key: "spec/b", Value: make([]byte, 1000)}) == nil {
+		t.Error("a small record finds no room beside large ones")
+	}
+	for len(w.queue.C()) > 0 {
+		w.collect(<-w.queue.C())
+	}
+	if got := w.queuedBytes.Load(); got != 0 {
+		t.Errorf("%d bytes count as queued after all records were taken", got)
+	}
+}
