--- a/cmd/curlewsilld/cmd/logsdoc_test.go
+++ b/cmd/curlewsilld/cmd/logsdoc_test.go
@@ -13,7 +13,8 @@
 // loggedBy are the folders, relative to the root of the repository, whose
 // packages write the log of an entry host on the users' platform.
 var loggedBy = []string{
-	"cmd/curlewsilld/cmd", "core/dispatch", "internal/conntrack", "internal/entry", "internal/intake", "internal/logging", "internal/relay", "internal/wslink", "platform",
+	"cmd/curlewsilld/cmd", "core/dispatch", "internal/conntrack", "internal/entry", "internal/intake",
+	"internal/logging", "internal/relay", "internal/wslink", "platform",
 }
 
 // logCall and noteEvent match the name of an event in a call of a logger, and in
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -155,7 +155,8 @@
 		version = int64(c.catalog.Version)
 	}
 	fields := []zap.Field{
-		zap.String("method", methodOf(c.r)), zap.String("request", string(c.name)), zap.String("job", truncate(string(c.job), maxJobName)), zap.String("queue", string(c.queueName())),
+		zap.String("method", methodOf(c.r)), zap.String("request", string(c.name)),
+		zap.String("job", truncate(string(c.job), maxJobName)), zap.String("queue", string(c.queueName())),
 		zap.Int("status", rep.status), zap.String("why", rep.why), zap.Duration("took", took), zap.Int64("config", version),
 	}
 	if rep.about == aboutCount && rep.status == http.StatusOK {
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -68,7 +68,10 @@
 func (w *writer) lastDuration() time.Duration { return time.Duration(w.duration.Load()) }
 
 func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics, maxBytes unit.Bytes) *writer {
-	return &writer{store: s, health: health, log: log, metrics: m, maxBytes: maxBytes, queue: ring.New[*pending](maxPendingWrites), id: platform.Writer{Name: name, Epoch: 1}}
+	return &writer{
+		store: s, health: health, log: log, metrics: m, maxBytes: maxBytes,
+		queue: ring.New[*pending](maxPendingWrites), id: platform.Writer{Name: name, Epoch: 1},
+	}
 }
 
 // enqueue queues a record. It returns nil if the queue is full, in number or in
