internal/settings, internal/demo: the demo's hosts have limits for callers

Cause: hosts of the demo are built without settings from a file, so that their limits for callers were zero since these exist: one connection, no memory.

Change: EdgeClients is exported, as SiteClients is, and the demo and the benchmark of the daemon use it.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -55,7 +55,7 @@
 	d, err := daemon.New(ctx, settings.Settings{
 		Host: "h", Domain: "d", Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0",
 		LogURL: platform.URL, HostsURL: platform.URL, WorkersURL: workers.URL, TokenFile: token,
-		BodyLimit: unit.MiB, Requests: 4096, MemoryLimit: unit.GiB, StopWait: time.Minute,
+		BodyLimit: unit.MiB, Requests: 4096, MemoryLimit: unit.GiB, Clients: settings.EdgeClients(unit.GiB), StopWait: time.Minute,
 	}, zap.NewNop())
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -205,7 +205,8 @@
 		Host: id.Host(fmt.Sprintf("entry-%d", i+1)), Domain: "demo",
 		Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0",
 		LogURL: d.urls[0], HostsURL: d.urls[0], WorkersURL: d.urls[1],
-		TokenFile: d.tokenFile, BodyLimit: unit.MiB, Requests: 2048, MemoryLimit: unit.GiB, StopWait: time.Minute,
+		TokenFile: d.tokenFile, BodyLimit: unit.MiB, Requests: 2048, MemoryLimit: unit.GiB, Clients: settings.EdgeClients(unit.GiB),
+		StopWait: time.Minute,
 	}
 	dm, err := daemon.New(ctx, s, zap.NewNop())
 	if err != nil {
--- a/internal/settings/clients.go
+++ b/internal/settings/clients.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// edgeClients returns the default limits for the memory of the edge.
-func edgeClients(memory unit.Bytes) Clients {
+// EdgeClients returns the default limits for the memory of the edge.
+func EdgeClients(memory unit.Bytes) Clients {
 	return Clients{
 		Connections: max(minClientConnections, int(memory/edgeConnectionShare/connectionMemory)),
 		Memory:      memory / edgeMemoryShare,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,7 +88,7 @@
 		BodyLimit:   limits.Size("body", 4*unit.MiB, unit.KiB, maxBody),
 		Requests:    limits.Int("requests", 2048, 1, maxRequests),
 		MemoryLimit: memory,
-		Clients:     readClients(limits, edgeClients(memory)),
+		Clients:     readClients(limits, EdgeClients(memory)),
 		LogLevel:    logs.OneOf("level", "info", "debug", "warn", "error"),
 		LogFormat:   logs.OneOf("format", "json", "console"),
 		TraceURL:    traces.Text("url", ""),
