--- /dev/null
+++ b/review/stand2/cancel.go
@@ -0,0 +1,89 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"curlewsill.org/curlewsill/platform/standin"
+)
+
+// cutTime is how long the host is cut off: the site file's trouble node_cut has
+// for_s = 5.5.
+const cutTime = 5500 * time.Millisecond
+
+// cancelCase hands a job in at a host that was cut off a moment ago. The client
+// gets no 2xx, and cancels the job at another host, which acknowledges that.
+func cancelCase(s *site, trouble bool) (string, error) {
+	work := map[string]standin.Work{"short": {Duration: 500 * time.Millisecond}}
+	s.store.PutSite()
+	for i, zone := range []string{"gent-zuid", "gent-haven", "merelbeke"} {
+		if _, err := s.addWorker(fmt.Sprintf("ex%d", i), fmt.Sprintf("m%d", i), zone, work); err != nil {
+			return "", err
+		}
+	}
+	for i, zone := range []string{"gent-zuid", "gent-haven", "merelbeke"} {
+		if _, err := s.addHost(fmt.Sprintf("edge-%s-1", zone), zone); err != nil {
+			return "", fmt.Errorf("%w: host %d: %w", errRun, i, err)
+		}
+	}
+	owner := s.awaitOwner(15 * time.Second)
+	if owner == nil {
+		return "", fmt.Errorf("%w: no owner", errRun)
+	}
+	time.Sleep(3 * time.Second)
+	var cut, other *host
+	for _, h := range s.hosts {
+		switch {
+		case h == owner:
+		case cut == nil:
+			cut = h
+		default:
+			other = h
+		}
+	}
+	for i, h := range s.hosts {
+		name := fmt.Sprintf("000000000000000%d", i)
+		if a, err := s.call(h, http.MethodPost, name, standin.JobBody(1, "short")); err != nil || a.Status != http.StatusOK {
+			return "", fmt.Errorf("%w: a job isn't accepted before the trouble", errRun)
+		}
+		if !s.awaitDone(h, name, 10*time.Second) {
+			return "", fmt.Errorf("%w: a job isn't done before the trouble", errRun)
+		}
+	}
+
+	const job = "5c0e7a21d94b36f8"
+	if trouble {
+		s.log("host %s is cut off for %v", cut.name, cutTime)
+		s.cutOff(cut)
+		time.AfterFunc(cutTime, func() {
+			_ = s.heal(cut)
+			s.log("host %s is no longer cut off", cut.name)
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	handed, handedErr := s.call(cut, http.MethodPost, job, standin.JobBody(1, "short"))
+	if !trouble && (handedErr != nil || handed.Status != http.StatusOK) {
+		return "", fmt.Errorf("%w: the job isn't accepted", errRun)
+	}
+	acked := time.Time{}
+	for end := time.Now().Add(10 * time.Second); acked.IsZero() && time.Now().Before(end); {
+		a, err := s.call(other, http.MethodDelete, job, nil)
+		if err == nil && (a.Status/100 == 2 || a.Status == http.StatusGone) {
+			acked = time.Now()
+		}
+	}
+	if acked.IsZero() {
+		return "", fmt.Errorf("%w: the cancelling isn't acknowledged", errRun)
+	}
+	time.Sleep(time.Until(acked.Add(15 * time.Second)))
+	_, _ = s.call(other, http.MethodGet, job, nil)
+	for _, x := range s.startsOf(job) {
+		if late := x.at.Sub(acked); late > cancelMs {
+			return fmt.Sprintf("UNASKED: %s starts on %s %v after the cancelling was acknowledged, cancel_ms is %v", x.task, x.worker, late.Round(time.Millisecond), cancelMs), nil
+		}
+	}
+	return "", nil
+}
