--- a/review/stand2/cancel.go
+++ b/review/stand2/cancel.go
@@ -19,21 +19,15 @@
 func cancelCase(s *site, trouble bool) (string, error) {
 	work := map[string]standin.Work{"short": {Duration: 500 * time.Millisecond}}
 	s.store.PutSite()
-	for i, zone := range []string{"gent-zuid", "gent-haven", "merelbeke"} {
+	for i, zone := range zones {
 		if _, err := s.addWorker(fmt.Sprintf("ex%d", i), fmt.Sprintf("m%d", i), zone, work); err != nil {
 			return "", err
 		}
 	}
-	for i, zone := range []string{"gent-zuid", "gent-haven", "merelbeke"} {
-		if _, err := s.addHost(fmt.Sprintf("edge-%s-1", zone), zone); err != nil {
-			return "", fmt.Errorf("%w: host %d: %w", errRun, i, err)
-		}
-	}
-	owner := s.awaitOwner(15 * time.Second)
-	if owner == nil {
-		return "", fmt.Errorf("%w: no owner", errRun)
+	owner, err := s.startHosts()
+	if err != nil {
+		return "", err
 	}
-	time.Sleep(3 * time.Second)
 	var cut, other *host
 	for _, h := range s.hosts {
 		switch {
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -468,6 +468,25 @@
 	return a, err
 }
 
+// zones are the zones of the site.
+var zones = []string{"gent-zuid", "gent-haven", "merelbeke"}
+
+// startHosts starts a host in each zone, and returns the owner once the hosts have
+// settled.
+func (s *site) startHosts() (*host, error) {
+	for _, zone := range zones {
+		if _, err := s.addHost("edge-"+zone+"-1", zone); err != nil {
+			return nil, fmt.Errorf("%w: %w", errRun, err)
+		}
+	}
+	owner := s.awaitOwner(15 * time.Second)
+	if owner == nil {
+		return nil, fmt.Errorf("%w: no owner", errRun)
+	}
+	time.Sleep(4 * time.Second)
+	return owner, nil
+}
+
 // awaitOwner waits until a host owns the scheduling.
 func (s *site) awaitOwner(limit time.Duration) *host {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/review/stand2/wave.go
+++ b/review/stand2/wave.go
@@ -146,37 +146,15 @@
 // machine of the same wave down.
 func waveCase(s *site, trouble bool) (string, error) {
 	work := map[string]standin.Work{"long": {Duration: 8 * time.Second}}
-	m := &machineService{
-		site: s, work: work, workers: map[string]*worker{}, fences: map[string]uint64{}, done: map[string]bool{}, left: make(chan struct{}), late: trouble,
-	}
-	address, stop, err := freeAddress(m)
+	m, names, err := newMachines(s, work, 4)
 	if err != nil {
 		return "", err
 	}
-	s.cleanup = append(s.cleanup, stop)
-	s.machine = address
-	s.store.PutSite()
-	zones := []string{"gent-zuid", "gent-haven", "merelbeke"}
-	var names []string
-	for i := range 4 {
-		name := fmt.Sprintf("m%d", i)
-		w, err := s.addWorker(name+"-life0", name, zones[i%len(zones)], work)
-		if err != nil {
-			return "", err
-		}
-		m.workers[name] = w
-		names = append(names, name)
-	}
-	for _, zone := range zones {
-		if _, err := s.addHost("edge-"+zone+"-1", zone); err != nil {
-			return "", fmt.Errorf("%w: %w", errRun, err)
-		}
-	}
-	owner := s.awaitOwner(15 * time.Second)
-	if owner == nil {
-		return "", fmt.Errorf("%w: no owner", errRun)
+	m.late = trouble
+	owner, err := s.startHosts()
+	if err != nil {
+		return "", err
 	}
-	time.Sleep(4 * time.Second)
 	wave, _ := json.Marshal(map[string]any{"wave": 1, "Machines": names, "FinishByS": 60, "UpperLimit": upperLimit})
 	s.store.Put("keyed.op", "wave/1", wave)
 	s.log("the operator asks for wave 1 of %v, UpperLimit %d", names, upperLimit)
@@ -198,18 +176,49 @@
 	if a, err := s.call(owner, http.MethodPost, "5c0e7a21d94b36f8", body); err != nil || a.Status != http.StatusOK {
 		return "", fmt.Errorf("%w: a job isn't accepted", errRun)
 	}
-	for end := time.Now().Add(60 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	return m.await(60 * time.Second), nil
+}
+
+// newMachines starts the machine service and the executors of its machines.
+func newMachines(s *site, work map[string]standin.Work, n int) (*machineService, []string, error) {
+	m := &machineService{
+		site: s, work: work, workers: map[string]*worker{}, fences: map[string]uint64{}, done: map[string]bool{}, left: make(chan struct{}),
+	}
+	address, stop, err := freeAddress(m)
+	if err != nil {
+		return nil, nil, err
+	}
+	s.cleanup = append(s.cleanup, stop)
+	s.machine = address
+	s.store.PutSite()
+	var names []string
+	for i := range n {
+		name := fmt.Sprintf("m%d", i)
+		w, err := s.addWorker(name+"-life0", name, zones[i%len(zones)], work)
+		if err != nil {
+			return nil, nil, err
+		}
+		m.workers[name] = w
+		names = append(names, name)
+	}
+	return m, names, nil
+}
+
+// await waits until the wave is said to be completed, or the rule is broken. It tells
+// how it was broken.
+func (m *machineService) await(limit time.Duration) string {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		m.mu.Lock()
 		broken := m.broken
 		m.mu.Unlock()
 		if broken != "" {
 			time.Sleep(3 * time.Second)
-			return broken, nil
+			return broken
 		}
-		if string(s.store.Get("keyed.status", "wave/1")) == `{"State":"completed"}` {
-			s.log("the wave is said to be completed")
-			return "", nil
+		if string(m.site.store.Get("keyed.status", "wave/1")) == `{"State":"completed"}` {
+			m.site.log("the wave is said to be completed")
+			return ""
 		}
 	}
-	return "", nil
+	return ""
 }
