--- a/review/stand2/wave.go
+++ b/review/stand2/wave.go
@@ -141,9 +141,9 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"Machines": rows, "NextToken": nil})
 }
 
-// waveCase kills the owner while a call of it to the machine service has no
-// answer. The call is carried out late, while the next owner takes another
-// machine of the same wave down.
+// waveCase stops the owner as planned while a call of it to the machine service has
+// no answer. The call is carried out late, while the next owner takes another machine
+// of the same wave down.
 func waveCase(s *site, trouble bool) (string, error) {
 	work := map[string]standin.Work{"long": {Duration: 8 * time.Second}}
 	m, names, err := newMachines(s, work, 4)
@@ -165,9 +165,11 @@
 			return "", fmt.Errorf("%w: no upkeep is ordered", errRun)
 		}
 		time.Sleep(100 * time.Millisecond)
-		s.log("host %s is killed", owner.name)
-		owner.signal(syscall.SIGKILL)
-		<-owner.ended
+		s.log("host %s gets SIGTERM", owner.name)
+		owner.signal(syscall.SIGTERM)
+		for owner.owns() {
+			time.Sleep(time.Millisecond)
+		}
 		if owner = s.awaitOwner(10 * time.Second); owner == nil {
 			return "", fmt.Errorf("%w: no next owner", errRun)
 		}
