--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -84,7 +84,8 @@
 	*standin.Worker
 	address, machine, zone string
 	seq                    int
-	gone                   chan struct{}
+	// gone is closed when the executor's entry goes, stop when its heartbeats end.
+	gone, stop chan struct{}
 }
 
 func newSite(folder string) (*site, error) {
@@ -124,7 +125,7 @@
 
 // addWorker starts an executor and its heartbeats.
 func (s *site) addWorker(id, machine, zone string, work map[string]standin.Work) (*worker, error) {
-	w := &worker{machine: machine, zone: zone, gone: make(chan struct{})}
+	w := &worker{machine: machine, zone: zone, gone: make(chan struct{}), stop: make(chan struct{})}
 	w.Worker = standin.NewStrictWorker(id, work, standin.Strict{
 		MaxLease: maxHold, StopTime: stopTime, Gangs: s.gangs, Rate: 1, Speed: 1, Observe: s.observe,
 	})
@@ -149,6 +150,8 @@
 			Service: standin.SiteService, Address: w.address, Domain: w.zone, Machine: w.machine, Clock: w.Clock(), Seq: w.seq,
 		})
 		select {
+		case <-w.stop:
+			return
 		case <-w.gone:
 			s.store.DropWorker(w.ID())
 			return
