--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand2 CASE FOLDER")
 		os.Exit(notRun)
 	}
-	run := map[string]func(*site, bool) (string, error){"cancel": cancelCase, "wave": waveCase, "flap": flapCase}[os.Args[1]]
+	run := map[string]func(*site, bool) (string, error){"cancel": cancelCase, "wave": waveCase, "flap": flapCase, "large": largeCase}[os.Args[1]]
 	if run == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(notRun)
