--- a/review/stand2/cancel.go
+++ b/review/stand2/cancel.go
@@ -28,6 +28,12 @@
 	if err != nil {
 		return "", err
 	}
+	for _, zone := range zones { // with them, the host that is cut off is 1 of 6
+		if _, err := s.addHost("edge-"+zone+"-2", zone); err != nil {
+			return "", fmt.Errorf("%w: %w", errRun, err)
+		}
+	}
+	time.Sleep(3 * time.Second)
 	var cut, other *host
 	for _, h := range s.hosts {
 		switch {
--- a/review/stand2/flap.go
+++ b/review/stand2/flap.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// soundExecutors is the number of executors that stay up. With the one that goes
-	// down and up, its share is 1 of 7; srv_flap has a share of 0.15.
-	soundExecutors = 6
-	// upTime and downTime are how long that executor is up, and down.
-	upTime, downTime = 3 * time.Second, 2 * time.Second
-	// flaps is how often it crashes at most.
-	flaps = 12
+	// soundExecutors is the number of executors that stay up. The one that goes down and
+	// up is 1 of 10: srv_flap has share = 0.1 on the grown site.
+	soundExecutors = 9
+	// upTime and downTime are how long that executor is up, and down. Their sum is its
+	// gap_s there, 1.4; flapTime is its for_s, 6.5.
+	upTime, downTime = 700 * time.Millisecond, 700 * time.Millisecond
+	flapTime         = 6500 * time.Millisecond
 )
 
 // flapCase hands a job in while all executors but one are full. That one goes down and
@@ -49,7 +49,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	life := 0
-	flapper, err := s.addWorker("flapper-life0", "m9", zones[0], work)
+	flapper, err := s.addWorker("flapper-life0", "mf", zones[0], work)
 	if err != nil {
 		return "", err
 	}
@@ -61,7 +61,7 @@
 	defer close(done)
 	if trouble {
 		go func() {
-			for range flaps {
+			for end := time.Now().Add(flapTime); time.Now().Before(end); {
 				if !sleep(done, upTime) {
 					return
 				}
@@ -75,7 +75,7 @@
 					return
 				}
 				life++
-				if flapper, err = s.addWorker(fmt.Sprintf("flapper-life%d", life), "m9", zones[0], work); err != nil {
+				if flapper, err = s.addWorker(fmt.Sprintf("flapper-life%d", life), "mf", zones[0], work); err != nil {
 					return
 				}
 				s.log("executor %s is up", flapper.ID())
