internal/entry: log the outcome of a record whose call has ended

Nothing in the logs told who had written its record, and when: the host that took the call, by a repeated append; the store, which carried out the first one late; or another host, to which the record or a copy of the append had gone.

Change: a record whose call ended while the outcome was unknown gets one line, write-outlived-call, when its outcome is known: the key, whether it is stored and at which offset, the attempts, how long ago the last one was sent, the call ended and the record was queued. The writer measures these ages by the host's clock, which counts suspensions.

--- a/internal/entry/answers_internal_test.go
+++ b/internal/entry/answers_internal_test.go
@@ -139,7 +139,7 @@
 		store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1"}),
 	}
 	accepting := &http.Client{Transport: &fixedStore{status: http.StatusOK, body: `{"offset":0,"end":1}`}}
-	h.writer = newWriter(platform.NewStore("store", accepting), newStoreHealth(zap.NewNop()), "w", zap.NewNop(), h.metrics, 16*unit.MiB)
+	h.writer = newWriter(platform.NewStore("store", accepting), newStoreHealth(zap.NewNop()), "w", zap.NewNop(), h.metrics, 16*unit.MiB, newTestClock().Now)
 	h.jobsPath = relay.New(jobsBase, relay.RouteJobs, &http.Client{Transport: jobQueryTransport{newClientHandler(h)}}, links, zap.NewNop())
 	h.catalog.Store(catalog.New(catalog.Catalog{Version: 3, Queues: []catalog.Queue{{Name: "q", Host: "jobs.example", Prefix: "/q/", Anonymous: true}}}))
 	h.table = jobtable.New()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -262,7 +262,7 @@
 	h.metrics.registerIntakes(map[string]*intake.Intake{"clients": h.clients, "system": h.system})
 	h.groupCapacity.Store(initialGroupRoom)
 	h.health = newStoreHealth(log)
-	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics, max(minPendingBytes, s.Memory/pendingShare))
+	h.writer = newWriter(h.store, h.health, string(self), log, h.metrics, max(minPendingBytes, s.Memory/pendingShare), h.now)
 	if err := h.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/entry/outage_internal_test.go
+++ b/internal/entry/outage_internal_test.go
@@ -174,7 +174,7 @@
 	h.links = wslink.New(nil, wslink.Policies{}, 0, zap.NewNop())
 	h.log, h.health, h.others = zap.NewNop(), newStoreHealth(zap.NewNop()), map[id.Host]otherHost{}
 	h.store, h.table = platform.NewStore("store", &http.Client{Transport: store}), jobtable.New()
-	h.writer = newWriter(h.store, h.health, "a", h.log, h.metrics, 16*unit.MiB)
+	h.writer = newWriter(h.store, h.health, "a", h.log, h.metrics, 16*unit.MiB, newTestClock().Now)
 	if !view.alone {
 		h.others["b"] = otherHost{}
 	}
--- a/internal/entry/pending.go
+++ b/internal/entry/pending.go
@@ -5,6 +5,7 @@
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/unit"
 )
 
 // The states of a pending record. A record that the store has definitely
@@ -18,6 +19,14 @@
 // pending is a record that is being written to the store.
 type pending struct {
 	record jobtable.Record
+	// queuedAt is when the record was queued, and endedAt when its call ended while
+	// the outcome was unknown, in nanoseconds; 0 while the call waits.
+	queuedAt unit.Instant
+	endedAt  atomic.Int64
+	// tries counts the appends that were sent with the record, the last one at
+	// sentAt. Only the writer's goroutine may use them.
+	tries  int
+	sentAt unit.Instant
 	state  atomic.Int32
 	// failFast is set once the caller wants a refusal as soon as it is certain,
 	// instead of further attempts.
@@ -46,10 +55,10 @@
 // definitely refused each time. It reports whether it succeeded.
 func (p *pending) withdraw() bool { return p.state.CompareAndSwap(writeQueued, writeWithdrawn) }
 
-// giveUp stops waiting for a record. A result that is already there takes
+// giveUp stops waiting for a record at a time. A result that is already there takes
 // precedence: after a stall of the process, the result and the timeout are
 // there at the same time.
-func (p *pending) giveUp() written {
+func (p *pending) giveUp(now unit.Instant) written {
 	select {
 	case err := <-p.done:
 		return p.result(err)
@@ -58,5 +67,6 @@
 	if p.withdraw() {
 		return written{outcome: notStored, why: "the store doesn't answer"}
 	}
+	p.endedAt.Store(int64(now))
 	return written{outcome: unknownOutcome, why: "the store has not answered in time"}
 }
--- a/internal/entry/put.go
+++ b/internal/entry/put.go
@@ -94,9 +94,9 @@
 				return written{outcome: notStored, why: "the store doesn't answer"}
 			}
 		case <-sentTimer.C:
-			return p.giveUp()
+			return p.giveUp(h.writer.now())
 		case <-ctx.Done():
-			return p.giveUp()
+			return p.giveUp(h.writer.now())
 		}
 	}
 }
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -42,7 +42,9 @@
 	log     *zap.Logger
 	metrics *metrics
 	health  *storeHealth
-	queue   *ring.Ring[*pending]
+	// now is the time by a clock that doesn't stop while the machine is suspended.
+	now   func() unit.Instant
+	queue *ring.Ring[*pending]
 	// queuedBytes is the size of the records in the queue, maxBytes its limit.
 	queuedBytes atomic.Int64
 	maxBytes    unit.Bytes
@@ -67,9 +69,9 @@
 // lastDuration returns how long the last append took, or 0 if it failed.
 func (w *writer) lastDuration() time.Duration { return time.Duration(w.duration.Load()) }
 
-func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics, maxBytes unit.Bytes) *writer {
+func newWriter(s *platform.Store, health *storeHealth, name string, log *zap.Logger, m *metrics, maxBytes unit.Bytes, now func() unit.Instant) *writer {
 	return &writer{
-		store: s, health: health, log: log, metrics: m, maxBytes: maxBytes,
+		store: s, health: health, log: log, metrics: m, maxBytes: maxBytes, now: now,
 		queue: ring.New[*pending](maxPendingWrites), id: platform.Writer{Name: name, Epoch: 1},
 	}
 }
@@ -81,7 +83,7 @@
 	if since := w.busySince.Load(); since != 0 && time.Since(time.Unix(0, since)) > longest || w.health.hanging() {
 		return nil
 	}
-	p := &pending{record: r, done: make(chan error, 1)}
+	p := &pending{record: r, queuedAt: w.now(), done: make(chan error, 1)}
 	if unit.Bytes(w.queuedBytes.Add(p.size())) > w.maxBytes || !w.queue.Offer(p) {
 		w.queuedBytes.Add(-p.size())
 		return nil
@@ -138,10 +140,34 @@
 	defer w.busySince.Store(0)
 	batch, err := w.persist(ctx, batch)
 	for _, p := range batch {
+		w.logLate(p, err)
 		p.done <- err
 	}
 }
 
+// sent counts an attempt for each record of a batch.
+func (w *writer) sent(batch []*pending) {
+	now := w.now()
+	for _, p := range batch {
+		p.tries++
+		p.sentAt = now
+	}
+}
+
+// logLate logs the outcome of a record whose call has ended without it, so that the
+// log tells whether this host wrote the record, by which attempt and how long after
+// the call.
+func (w *writer) logLate(p *pending, err error) {
+	ended := unit.Instant(p.endedAt.Load())
+	if ended == 0 {
+		return
+	}
+	now := w.now()
+	w.log.Warn("write-outlived-call", zap.String("key", p.record.Key), zap.Bool("stored", err == nil), zap.Uint64("offset", uint64(p.end)),
+		zap.Int("tries", p.tries), zap.Duration("last_try", now.Sub(p.sentAt)), zap.Duration("call_ended", now.Sub(ended)),
+		zap.Duration("age", now.Sub(p.queuedAt)), zap.Error(err))
+}
+
 // persist repeats an append until its outcome is known. It returns the records
 // that their calls have not withdrawn meanwhile. The error is errNotWritten
 // only if it is certain that no attempt had an effect.
@@ -150,6 +176,7 @@
 	unknown := false
 	for tries := 1; ctx.Err() == nil; tries++ {
 		began, ended := time.Now(), w.health.begin()
+		w.sent(batch)
 		end, err := w.store.Append(ctx, platform.TopicJobs, recordsOf(batch), w.id)
 		ended(err)
 		w.noteDuration(began, err)
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -70,7 +70,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := c.answer
 				h := &Host{health: newStoreHealth(zap.NewNop())}
-				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics(), 16*unit.MiB)
+				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics(), 16*unit.MiB, newTestClock().Now)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go h.writer.run(ctx)
@@ -97,7 +97,7 @@
 func TestStoredRecordsTellTheirOffset(t *testing.T) {
 	h := &Host{health: newStoreHealth(zap.NewNop()), metrics: newMetrics(), log: zap.NewNop()}
 	store := &fixedStore{status: http.StatusOK, body: `{"offset":7,"end":9}`}
-	h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), h.metrics, 16*unit.MiB)
+	h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), h.metrics, 16*unit.MiB, newTestClock().Now)
 	first, second := h.writer.enqueue(jobtable.Record{Key: "spec/a"}), h.writer.enqueue(jobtable.Record{Key: "spec/b"})
 	go h.writer.run(t.Context())
 	if got := first.result(<-first.done); got != (written{outcome: stored, end: 8}) {
@@ -127,7 +127,7 @@
 // together take more memory than they may: their number alone allows 256 MiB.
 func TestQueuedRecordsAreBounded(t *testing.T) {
 	const limit = 4 * unit.MiB
-	w := newWriter(nil, newStoreHealth(zap.NewNop()), "w", zap.NewNop(), newMetrics(), limit)
+	w := newWriter(nil, newStoreHealth(zap.NewNop()), "w", zap.NewNop(), newMetrics(), limit, newTestClock().Now)
 	large := jobtable.Record{Key: "spec/a", Value: make([]byte, 256<<10)}
 	queued := 0
 	for w.enqueue(large) != nil {
