internal/entry, core/jobtable: cancelling an unknown job writes a tombstone

What callers saw: a client whose submission had ended with 504 cancelled the job at another host and got 410.

Cause: that a job is unknown was read, and nothing kept its submission from reaching the log afterwards. Ruled out as a fix: to end the repetition with the call, which covers the first way only.

Change: a cancelling of a job that the table doesn't have appends a tombstone, with the customer and the time, and is acknowledged when that is stored. The order in the log decides: a job that comes after a tombstone of its customer is void, isn't shown and never runs; one that came before is cancelled. Both answers follow that order: a submission is accepted only if no tombstone comes before its record, which a read of the keys behind tombstone/JOB/ shows, made beside the append and repeated if other records came in between; a cancelling is answered with 410 only if the table has all records before the tombstone, else with 200. A job that is handed in again is rejected with 503 and Retry-After while the tombstone lasts. A load in pages is applied in the order of the log, by the offsets that the store gives.

Bounds: 32,768 tombstones, after that 503; the owner drops them after 60 s (120 s over changes of the owner), with the job if one came. A writer sends no record that was queued more than 30 s ago, and takes a new epoch then.

--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -22,6 +22,7 @@
 	for _, name := range d.forget {
 		b.Jobs = append(b.Jobs, d.table.DeleteRecords(name)...)
 	}
+	b.Jobs = append(b.Jobs, d.tombstones.takeDrops()...)
 	if err := d.recordBegun(&b); err != nil {
 		return Batch{}, false, err
 	}
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -140,6 +140,8 @@
 	EventJobBegun Event = "job-begun"
 	// EventJobEnded: a job has its outcome.
 	EventJobEnded Event = "job-ended"
+	// EventTombstonesDropped: tombstones of jobs are deleted; Why says how many.
+	EventTombstonesDropped Event = "tombstones-dropped"
 	// EventMachinesIncomplete: a read of the list of machines lacks a worker that
 	// the list of workers has, so that it isn't used; the age is that of the read.
 	EventMachinesIncomplete Event = "machines-incomplete"
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -7,7 +7,8 @@
 // the entry host that accepted the job), the cancellation (by the entry host that
 // accepted it) and the summary (by the owner). The keys are separate so that a
 // late duplicate of a submission can't undo a cancellation or an outcome. One
-// more key names the owner.
+// more key names the owner. A tombstone is the cancellation of a job that the log
+// doesn't have; package tombstone says how long one lasts.
 //
 // The second one, the progress log, has the progress of jobs, task by task, and
 // the state of maintenance waves. Only the owner writes it, and only hosts that
@@ -28,6 +29,8 @@
 	"curlewsill.org/curlewsill/core/codec"
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/tombstone"
+	"curlewsill.org/curlewsill/core/unit"
 )
 
 // ErrUnknownKey reports a record with a key of unknown format.
@@ -36,8 +39,10 @@
 // Entry is the state of one job in the table.
 type Entry struct {
 	// Spec is nil if the table has only other records of the job.
-	Spec      *job.Spec
-	Cancelled bool
+	Spec *job.Spec
+	// Cancelled is set if the job was cancelled, Void if a tombstone had cancelled it
+	// before its spec came. A void job is cancelled, and was never accepted.
+	Cancelled, Void bool
 	// Summary is nil until the owner writes a summary, which it does when a
 	// worker is known to have begun a task of the job, or the job ends.
 	Summary *Summary
@@ -50,6 +55,9 @@
 // a nil entry.
 func (e *Entry) Ended() bool { return e != nil && e.Summary != nil && e.Summary.Outcome != job.Open }
 
+// Accepted reports whether callers see the job. It returns false for a nil entry.
+func (e *Entry) Accepted() bool { return e != nil && e.Spec != nil && !e.Void }
+
 // ResumeProgress returns the progress from which a new owner continues the job. An
 // outcome in Summary takes precedence over the one in Progress.
 func (e *Entry) ResumeProgress() job.Progress {
@@ -76,6 +84,10 @@
 	formerEpoch id.Epoch
 	// unreadable holds which records of jobs were rejected as unreadable.
 	unreadable unreadable
+	// tombstones cancels jobs whose spec may still come. A job that has a spec and
+	// is covered by one is cancelled, whichever record came first, and void if the
+	// tombstone did.
+	tombstones tombstone.Set
 	// legacyProgress has the jobs with progress in the job log, where earlier
 	// versions write it.
 	legacyProgress map[id.Job]bool
@@ -87,7 +99,8 @@
 	waveCodec codec.Codec[Wave]
 	outages   codec.Codec[Outage]
 
-	withheldCodec codec.Codec[Withheld]
+	withheldCodec  codec.Codec[Withheld]
+	tombstoneCodec codec.Codec[Tombstone]
 }
 
 // New returns an empty table.
@@ -105,6 +118,7 @@
 		outages:        codec.New[Outage](),
 		withheld:       map[id.Worker]Withheld{},
 		withheldCodec:  codec.New[Withheld](),
+		tombstoneCodec: codec.New[Tombstone](),
 	}
 }
 
@@ -140,6 +154,19 @@
 // value if there is none.
 func (t *Table) Outage() Outage { return t.outage }
 
+// Tombstones returns the tombstones. They must not be changed.
+func (t *Table) Tombstones() *tombstone.Set { return &t.tombstones }
+
+// Tombstoned returns when a tombstone that cancels a job was written. It reports
+// false if there is none. The customer is the one that the job belongs to, and of a
+// job without a spec the one that asks.
+func (t *Table) Tombstoned(j id.Job, customer id.Customer) (unit.Instant, bool) {
+	if e := t.jobs[j]; e != nil && e.Spec != nil {
+		customer = e.Spec.Customer
+	}
+	return t.tombstones.Covering(j, customer)
+}
+
 // Jobs returns the names of all jobs in ascending order.
 func (t *Table) Jobs() []id.Job { return slices.Sorted(maps.Keys(t.jobs)) }
 
@@ -204,6 +231,8 @@
 		return j, nil
 	case summaryPrefix:
 		return j, t.applySummary(j, r.Value)
+	case tombstonePrefix:
+		return t.applyTombstone(name, r.Value)
 	case progressPrefix:
 		t.applyLegacyProgress(j, r.Value)
 		return "", nil
@@ -299,7 +328,8 @@
 func (t *Table) applySpec(j id.Job, value []byte) error {
 	if len(value) == 0 {
 		delete(t.unreadable.specs, j)
-		t.entry(j).Spec = nil
+		e := t.entry(j)
+		e.Spec, e.Void = nil, false
 		t.prune(j)
 		return nil
 	}
@@ -311,7 +341,10 @@
 	if err != nil {
 		return fmt.Errorf("jobtable: job %s: %w", j, err)
 	}
-	t.entry(j).Spec = &s
+	e := t.entry(j)
+	e.Spec = &s
+	_, covered := t.tombstones.Covering(j, s.Customer)
+	e.Cancelled, e.Void = e.Cancelled || covered, covered
 	return nil
 }
 
@@ -321,6 +354,28 @@
 	t.prune(j)
 }
 
+// applyTombstone applies the tombstone with a name, or removes it if value is empty.
+// It returns the job. A job that a removed tombstone has cancelled stays cancelled:
+// it has an outcome.
+func (t *Table) applyTombstone(name string, value []byte) (id.Job, error) {
+	j, err := tombstone.JobOf(name)
+	if err != nil {
+		return "", fmt.Errorf("%w: %w", ErrUnknownKey, err)
+	}
+	if len(value) == 0 {
+		return j, t.tombstones.Drop(name)
+	}
+	x, err := t.tombstoneCodec.Decode(value)
+	if err != nil {
+		return "", fmt.Errorf("jobtable: tombstone of %s: %w", j, err)
+	}
+	t.tombstones.Put(j, x.Customer, x.Written)
+	if e := t.jobs[j]; e != nil && e.Spec != nil && tombstone.Covers(x.Customer, e.Spec.Customer) {
+		e.Cancelled = true
+	}
+	return j, nil
+}
+
 // applySummary applies the summary of a job, or removes it if value is empty. An
 // outcome is final. A summary without one that follows it is older: a load in
 // pages may find the outcome, and the records after its first page come again.
--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -1,9 +1,11 @@
 package jobtable_test
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
@@ -16,7 +18,9 @@
 // check its state. A line is a command. These apply records or change the table:
 //
 //	spec JOB QUEUE | cancel JOB | owner HOST EPOCH
-//	began JOB | ended JOB     the owner's summary of a job, open or completed
+//	began JOB | ended JOB | cancelled JOB
+//	                          the owner's summary of a job, open, completed or
+//	                          cancelled
 //	placed JOB | dropped JOB  the progress of a job with one task, or its deletion
 //	wave N                    the state of a wave
 //	withheld WORKER SEQ       the first end of a worker that must not be
@@ -26,6 +30,14 @@
 //	                          progress in the job log, as earlier versions
 //	                          write it, or its deletion
 //	forget JOB N              the first N of the records that delete a job
+//	jobof JOB CUSTOMER        the spec of a customer's job, in the queue q
+//	tombstone JOB CUSTOMER T  a tombstone that was written at T, in seconds; for any
+//	                          customer if that is "any"
+//	tombstone-dropped JOB CUSTOMER T
+//	                          its deletion
+//	reload                    the newest record of each key of the job log is applied
+//	                          to a new table, in the order of the log
+//	reload-by-key             the same, in the order of the keys
 //	forgetprogress            removes the progress of all jobs
 //
 // These check the table:
@@ -36,13 +48,19 @@
 //	earlier JOB BOOL          whether the job log has progress of any job
 //	resumes JOB OUTCOME N     the outcome and the number of tasks from which a
 //	                          new owner continues a job
-//	show JOB STATE            the state that callers see; none without a spec
+//	show JOB STATE            the state that callers see; none for a job that wasn't
+//	                          accepted
+//	runs JOB BOOL             whether an owner may start tasks of the job
 //	waiting QUEUE N           the number of jobs of which no task was placed
 //	owned HOST EPOCH          the newest ownership claim
 //	damaged KEY               a damaged record with this key is rejected
 //	damaged-many N            so are damaged specs of N jobs
 //	readable JOB BOOL         whether the state of a job can be told
 //	countable QUEUE BOOL      whether the number of waiting jobs can be told
+//	tombstones all N          the number of tombstones
+//	covered JOB CUSTOMER BOOL whether a tombstone cancels the customer's job
+//	listed JOB CUSTOMER BOOL  the same, by the records that the store returns behind
+//	                          jobtable.TombstonesFrom
 func TestScripts(t *testing.T) {
 	scripttest.Each(t, func(t *testing.T, text string) {
 		s := &script{t: t, table: jobtable.New()}
@@ -59,10 +77,13 @@
 	t     *testing.T
 	table *jobtable.Table
 	line  int
+	// log has the records that were applied to the job log.
+	log []jobtable.Record
 }
 
 func (s *script) apply(r jobtable.Record, err error) {
 	s.t.Helper()
+	s.log = append(s.log, r)
 	if err == nil {
 		_, err = s.table.Apply(r)
 	}
@@ -71,6 +92,57 @@
 	}
 }
 
+// newest returns the newest record of each key of the job log, in the order of the
+// log. Deleted keys are left out.
+func (s *script) newest() []jobtable.Record {
+	last := map[string]int{}
+	for i, r := range s.log {
+		last[r.Key] = i
+	}
+	var out []jobtable.Record
+	for i, r := range s.log {
+		if last[r.Key] == i && len(r.Value) > 0 {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// byKey returns records in the order of their keys.
+func byKey(recs []jobtable.Record) []jobtable.Record {
+	return slices.SortedFunc(slices.Values(recs), func(a, b jobtable.Record) int { return strings.Compare(a.Key, b.Key) })
+}
+
+// reload replaces the table by one that is loaded from records.
+func (s *script) reload(recs []jobtable.Record) {
+	s.table = jobtable.New()
+	for _, r := range recs {
+		if _, err := s.table.Apply(r); err != nil {
+			s.t.Errorf("line %d: %v", s.line, err)
+		}
+	}
+}
+
+// listed reports whether the store's records behind a job's first possible tombstone
+// have one that cancels the job of a customer.
+func (s *script) listed(j id.Job, customer id.Customer) bool {
+	after := slices.DeleteFunc(byKey(s.newest()), func(r jobtable.Record) bool { return r.Key <= jobtable.TombstonesFrom(j) })
+	_, covered, err := s.table.CoveredBy(after, j, customer)
+	if err != nil {
+		s.t.Errorf("line %d: %v", s.line, err)
+	}
+	return covered
+}
+
+// tombstoneOf returns the tombstone that the words of a command name.
+func (s *script) tombstoneOf(customer, seconds string) jobtable.Tombstone {
+	x := jobtable.Tombstone{Customer: id.Customer(customer), Written: unit.Instant(time.Duration(s.number(seconds)) * time.Second)}
+	if customer == "any" {
+		x.Customer = ""
+	}
+	return x
+}
+
 // applyProgress applies a record of the progress log.
 func (s *script) applyProgress(r jobtable.Record, err error) {
 	s.t.Helper()
@@ -91,20 +163,35 @@
 }
 
 func (s *script) do(f []string) {
-	if f[0] == "forgetprogress" {
+	switch f[0] {
+	case "forgetprogress":
 		s.table.ClearProgress()
 		return
+	case "reload":
+		s.reload(s.newest())
+		return
+	case "reload-by-key":
+		s.reload(byKey(s.newest()))
+		return
 	}
 	j := id.Job(f[1])
 	switch f[0] {
 	case "spec":
 		s.apply(s.table.SpecRecord(j, job.Spec{Queue: id.Queue(f[2]), Steps: []job.Step{{Count: 1}}}))
+	case "jobof":
+		s.apply(s.table.SpecRecord(j, job.Spec{Queue: "q", Customer: id.Customer(f[2]), Steps: []job.Step{{Count: 1}}}))
+	case "tombstone":
+		s.apply(s.table.TombstoneRecord(j, s.tombstoneOf(f[2], f[3])))
+	case "tombstone-dropped":
+		s.apply(jobtable.DropTombstoneRecord(j, s.tombstoneOf(f[2], f[3])), nil)
 	case "cancel":
 		s.apply(s.table.CancelRecord(j), nil)
 	case "began":
 		s.apply(s.table.SummaryRecord(j, jobtable.Summary{}))
 	case "ended":
 		s.apply(s.table.SummaryRecord(j, jobtable.Summary{Outcome: job.Completed}))
+	case "cancelled":
+		s.apply(s.table.SummaryRecord(j, jobtable.Summary{Outcome: job.Cancelled}))
 	case "placed":
 		s.applyProgress(s.table.ProgressRecord(j, job.Progress{Tasks: []job.TaskState{{Run: 1, Phase: job.Placed}}}))
 	case "dropped":
@@ -143,11 +230,22 @@
 }
 
 func (s *script) check(f []string) {
-	got := ""
+	got, want := "", f[2]
 	switch f[0] {
+	case "tombstones":
+		got = strconv.Itoa(s.table.Tombstones().Len())
+	case "runs":
+		e := s.table.Get(id.Job(f[1]))
+		got = strconv.FormatBool(e != nil && e.Spec != nil && !e.Cancelled && !e.Ended())
+	case "covered":
+		_, covered := s.table.Tombstoned(id.Job(f[1]), id.Customer(f[2]))
+		got, want = strconv.FormatBool(covered), f[3]
+	case "listed":
+		want = f[3]
+		got = strconv.FormatBool(s.listed(id.Job(f[1]), id.Customer(f[2])))
 	case "show":
 		got = "none"
-		if e := s.table.Get(id.Job(f[1])); e != nil && e.Spec != nil {
+		if e := s.table.Get(id.Job(f[1])); e.Accepted() {
 			got = string(e.State())
 		}
 	case "resumes":
@@ -180,7 +278,7 @@
 	default:
 		s.t.Fatalf("line %d: unknown command %s", s.line, f[0])
 	}
-	if got != f[2] {
+	if got != want {
 		s.t.Errorf("line %d: %s: got %s", s.line, strings.Join(f, " "), got)
 	}
 }
--- a/core/jobtable/record.go
+++ b/core/jobtable/record.go
@@ -1,10 +1,13 @@
 package jobtable
 
 import (
+	"fmt"
 	"strconv"
+	"strings"
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
+	"curlewsill.org/curlewsill/core/tombstone"
 	"curlewsill.org/curlewsill/core/unit"
 )
 
@@ -19,6 +22,10 @@
 	withheldPrefix = "withheld/"
 	ownerKey       = "owner"
 	outageKey      = "outage"
+	// tombstonePrefix comes after all other prefixes of the job log in the order of
+	// keys. A read of the newest records that begins behind the tombstones of a job
+	// returns nothing but later tombstones.
+	tombstonePrefix = "tombstone/"
 )
 
 // Record is one keyed record of the store. An empty value deletes the key.
@@ -82,6 +89,15 @@
 	Run  job.RunNumber
 }
 
+// Tombstone cancels a job that the log doesn't have, whenever it comes.
+type Tombstone struct {
+	_ struct{} `cbor:",toarray"`
+	// Customer is the customer whose job is cancelled; empty for any customer.
+	Customer id.Customer
+	// Written is the wall-clock time of the cancellation, by the host that wrote it.
+	Written unit.Instant
+}
+
 // SpecRecord returns the record that publishes an accepted job.
 func (t *Table) SpecRecord(j id.Job, s job.Spec) (Record, error) {
 	b, err := t.specs.Encode(s)
@@ -93,6 +109,43 @@
 	return Record{Key: cancelPrefix + string(j), Value: []byte{1}}
 }
 
+// TombstoneRecord returns the record of a tombstone of a job. Hosts of the version
+// before reject the record and go on.
+func (t *Table) TombstoneRecord(j id.Job, x Tombstone) (Record, error) {
+	b, err := t.tombstoneCodec.Encode(x)
+	return Record{Key: tombstonePrefix + tombstone.Name(j, x.Customer, x.Written), Value: b}, err
+}
+
+// DropTombstoneRecord returns the record that deletes a tombstone of a job.
+func DropTombstoneRecord(j id.Job, x Tombstone) Record {
+	return Record{Key: tombstonePrefix + tombstone.Name(j, x.Customer, x.Written)}
+}
+
+// TombstonesFrom returns the greatest key before those of a job's tombstones.
+func TombstonesFrom(j id.Job) string { return tombstonePrefix + tombstone.Prefix(j) }
+
+// IsTombstoneOf reports whether a key is that of a tombstone of a job.
+func IsTombstoneOf(key string, j id.Job) bool { return strings.HasPrefix(key, TombstonesFrom(j)) }
+
+// CoveredBy returns when a tombstone that cancels a customer's job was written, if
+// there is one among records that begin behind TombstonesFrom. It returns an error
+// for a tombstone of the job that can't be read.
+func (t *Table) CoveredBy(recs []Record, j id.Job, customer id.Customer) (unit.Instant, bool, error) {
+	var set tombstone.Set
+	for _, r := range recs {
+		if !IsTombstoneOf(r.Key, j) {
+			break
+		}
+		x, err := t.tombstoneCodec.Decode(r.Value)
+		if err != nil {
+			return 0, false, fmt.Errorf("jobtable: tombstone of %s: %w", j, err)
+		}
+		set.Put(j, x.Customer, x.Written)
+	}
+	written, covered := set.Covering(j, customer)
+	return written, covered, nil
+}
+
 // SummaryRecord returns the record of a job's summary, from which callers see
 // its state.
 func (t *Table) SummaryRecord(j id.Job, s Summary) (Record, error) {
--- a/core/world/callers.go
+++ b/core/world/callers.go
@@ -34,6 +34,9 @@
 	ForgetsWay bool
 	// PlacedIsBegun takes a job as begun once its first task was placed.
 	PlacedIsBegun bool
+	// UnknownUnrecorded acknowledges the cancelling of a job that the store doesn't
+	// have without a record of it.
+	UnknownUnrecorded bool
 	// OpenIsRunning shows all open jobs as running.
 	OpenIsRunning bool
 }
@@ -302,7 +305,7 @@
 	}
 	a := answer{age: f.tableAge()}
 	e := f.table.Get(q.job)
-	if e == nil || e.Spec == nil {
+	if !e.Accepted() {
 		a.gone = true
 		return a
 	}
--- a/core/world/check.go
+++ b/core/world/check.go
@@ -85,6 +85,18 @@
 	}
 }
 
+// startedWithin is how long after the acknowledgement of a job's cancelling a start of
+// its tasks may still be ordered. The platform's specification sets it.
+const startedWithin = 3 * time.Second
+
+// checkCancelled checks that a job whose start is ordered wasn't cancelled before.
+func (w *World) checkCancelled(o dispatch.Start) {
+	s := w.jobs[o.Task.Job]
+	if s != nil && before(s.cancelledAt, w.now.Add(-startedWithin)) {
+		w.recordViolation(fmt.Sprintf("%s is started %s after its cancelling was acknowledged", o.Task, w.now.Sub(s.cancelledAt)))
+	}
+}
+
 // dependenciesDone reports whether all steps that a task depends on are done.
 func (s *submittedJob) dependenciesDone(t job.TaskID) bool {
 	for _, dep := range s.Spec.Steps[t.Step].DependsOn {
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -192,6 +192,7 @@
 			if o.host.startedAt > w.outage.began {
 				o.dispatcher.InheritOutage(startedAt, startedAt, w.table.Outage())
 			}
+			o.dispatcher.ExpireTombstones(startedAt, startedAt, w.table)
 			o.dispatcher.Pass(startedAt, startedAt)
 			return o.passCost()
 		},
@@ -294,7 +295,13 @@
 func (o *owner) sendOrders() {
 	orders := o.dispatcher.TakeOrders()
 	for _, x := range orders.Starts {
-		maySend := func() bool { return o.dispatcher.StartRules().DenialReason(o.world.now, x.Domain) == "" }
+		maySend := func() bool {
+			if o.dispatcher.StartRules().DenialReason(o.world.now, x.Domain) != "" {
+				return false
+			}
+			o.world.checkCancelled(x)
+			return true
+		}
 		o.sendOrder(x.Target, maySend, func(m *machine) fleet.Verdict { return m.startRun(x) }, func(v fleet.Verdict, c fleet.ClockReading) {
 			o.dispatcher.Started(o.world.now, dispatch.StartResult{Start: x, Verdict: v, Clock: c})
 			o.hearReport(v, fleet.Report{Running: []fleet.Running{{Task: x.Task, Run: x.Run}}})
--- a/core/world/script_test.go
+++ b/core/world/script_test.go
@@ -26,10 +26,11 @@
 //	    creates the World; the speeds are assigned to the workers in turn
 //	job NAME [count=N] [gpus=N] [takes=D] [estimate=D] [priority=N]
 //	        [attempts=N] [gang] [saves] [twosteps] [fails=X] [cancel=D]
-//	        [crashes=D] [reborn] [lasts] [apart=N] [tails=N,N]
+//	        [crashes=D] [reborn] [lasts] [apart=N] [tails=N,N] [stored=D]
 //	    submits a job; "lasts" makes its tasks long-running, "apart" bounds
 //	    how many of a step run on one worker, and "twosteps" adds a second
-//	    step that depends on the first; the job's first task crashes its
+//	    step that depends on the first; its record reaches the store only after the
+//	    time "stored"; the job's first task crashes its
 //	    worker after the time "crashes", and the worker restarts under its
 //	    name with "reborn"; the tasks with the indexes "tails" take tailFactor
 //	    times as long
@@ -233,6 +234,7 @@
 			DeadlineFactor: 3, DeadlineExtra: time.Second, Steps: []job.Step{step},
 		},
 	}
+	j.StoredAfter = o.duration("stored", 0)
 	j.CrashAfter, j.SameName = o.duration("crashes", 0), o.has("reborn")
 	if o.has("twosteps") {
 		second := step
--- a/core/world/setup.go
+++ b/core/world/setup.go
@@ -198,6 +198,10 @@
 	// CancelAfter is how long after the submission the customer cancels the
 	// job; 0 for never.
 	CancelAfter time.Duration
+	// StoredAfter is how long after the submission the job's record reaches the
+	// store, if that is later than the host waits: the customer gets no answer. It
+	// is 0 for a job that is stored in time.
+	StoredAfter time.Duration
 	// Kind groups jobs in reports.
 	Kind string
 }
--- a/core/world/world.go
+++ b/core/world/world.go
@@ -162,10 +162,16 @@
 		return err
 	}
 	w.callers.noteSubmitted(s)
-	w.store.append(jobsLog, 0, []jobtable.Record{r}, func(bool) {
-		s.acceptedAt = w.now
-		w.notifyOwner(j.Name)
-	})
+	if j.StoredAfter > 0 {
+		w.Schedule(j.StoredAfter, func() {
+			w.store.append(jobsLog, 0, []jobtable.Record{r}, func(bool) { w.notifyOwner(j.Name) })
+		})
+	} else {
+		w.store.append(jobsLog, 0, []jobtable.Record{r}, func(bool) {
+			s.acceptedAt = w.now
+			w.notifyOwner(j.Name)
+		})
+	}
 	if j.CancelAfter > 0 {
 		w.Schedule(j.CancelAfter, func() { w.cancel(s) })
 	}
@@ -187,7 +193,19 @@
 	if s.cancelSentAt == 0 {
 		s.cancelSentAt = w.now
 	}
-	w.store.append(jobsLog, 0, []jobtable.Record{w.table.CancelRecord(s.Name)}, func(bool) {
+	r := w.table.CancelRecord(s.Name)
+	if e := w.table.Get(s.Name); s.StoredAfter > 0 && (e == nil || e.Spec == nil) {
+		if w.setup.Callers.Wrong.UnknownUnrecorded {
+			s.cancelledAt = w.now
+			return
+		}
+		var err error
+		if r, err = w.table.TombstoneRecord(s.Name, jobtable.Tombstone{Customer: s.Spec.Customer, Written: w.now}); err != nil {
+			w.recordViolation("cannot encode a tombstone: " + err.Error())
+			return
+		}
+	}
+	w.store.append(jobsLog, 0, []jobtable.Record{r}, func(bool) {
 		if s.cancelledAt == 0 {
 			s.cancelledAt = w.now
 		}
--- a/internal/entry/answers_internal_test.go
+++ b/internal/entry/answers_internal_test.go
@@ -81,6 +81,9 @@
 	if rec.Code == http.StatusServiceUnavailable && rec.Header().Get("Retry-After") == "" {
 		t.Error("a refusal without Retry-After")
 	}
+	if appends := h.accepting.tries(); question == "cancel" && name == "none" && (rec.Code != http.StatusServiceUnavailable) != (appends == 1) {
+		t.Errorf("the cancelling of an unknown job is answered with %d after %d appends", rec.Code, appends)
+	}
 	if len(f) > 6 && strconv.Itoa(int(h.scripted.reads.Load())) != f[6] {
 		t.Errorf("%d reads, want %s", h.scripted.reads.Load(), f[6])
 	}
@@ -107,6 +110,8 @@
 type answerHost struct {
 	*Host
 	scripted *answerStore
+	// accepting takes what the host appends.
+	accepting *fixedStore
 }
 
 // newAnswerHost returns a host that holds the jobs w, r, d and x in a table that
@@ -138,8 +143,9 @@
 		table: table, events: ring.New[event](eventCapacity), watchers: watchers{}, counts: waiting.New(), wake: make(chan struct{}, 1),
 		store: platform.NewStore("store", &http.Client{Transport: store}), election: election.New(election.Member{Host: "a#1"}),
 	}
-	accepting := &http.Client{Transport: &fixedStore{status: http.StatusOK, body: `{"offset":0,"end":1}`}}
-	h.writer = newWriter(platform.NewStore("store", accepting), newStoreHealth(zap.NewNop()), "w", zap.NewNop(), h.metrics, 16*unit.MiB, newTestClock().Now)
+	accepting := &fixedStore{status: http.StatusOK, body: `{"offset":0,"end":1}`}
+	appends := platform.NewStore("store", &http.Client{Transport: accepting})
+	h.writer = newWriter(appends, newStoreHealth(zap.NewNop()), "w", zap.NewNop(), h.metrics, 16*unit.MiB, newTestClock().Now)
 	h.jobsPath = relay.New(jobsBase, relay.RouteJobs, &http.Client{Transport: jobQueryTransport{newClientHandler(h)}}, links, zap.NewNop())
 	h.catalog.Store(catalog.New(catalog.Catalog{Version: 3, Queues: []catalog.Queue{{Name: "q", Host: "jobs.example", Prefix: "/q/", Anonymous: true}}}))
 	h.table = jobtable.New()
@@ -149,7 +155,7 @@
 	}
 	go h.writer.run(ctx)
 	go decideEach(ctx, h.events, h.now, func(unit.Instant) {})
-	return answerHost{h, store}
+	return answerHost{h, store, accepting}
 }
 
 // setAge marks the table as loaded, and as complete some time ago.
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -12,6 +12,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/job"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/tombstone"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/waiting"
 	"curlewsill.org/curlewsill/internal/intake"
@@ -123,25 +124,38 @@
 }
 
 // cancel cancels a job. The answer is sent when the cancel record is in the
-// store. An open job is cancelled however old the table is: a cancellation has no
-// effect on a job that has ended meanwhile.
+// store, or a tombstone if the job isn't known. An open job is cancelled however old
+// the table is: a cancellation has no effect on a job that has ended meanwhile.
 func (f *clientHandler) cancel(ctx context.Context, c *call) reply {
-	v, ok := f.find(ctx, c.job)
+	t := f.viewTombstones(ctx, c)
 	switch {
-	case !ok:
+	case t.unknown && t.cancelled:
+		v, _ := f.queryJob(ctx, c.job)
+		return noOpenJob(v.origin)
+	case t.unknown && !t.full:
+		return f.cancelUnknown(ctx, c)
+	}
+	v, ok := f.find(ctx, c.job)
+	if !ok {
 		return f.unreadableState(v)
-	case !v.known || v.ofOtherCustomer(c) || v.state == jobtable.StateCompleted || v.state == jobtable.StateFailed:
-		return reply{status: http.StatusGone, why: "no such open job"}.from(aboutGone, v.origin)
-	case v.state == jobtable.StateCancelled:
-		return reply{status: http.StatusOK, why: "cancelled before"}.from(aboutState, v.origin)
 	}
-	return f.store(ctx, f.records.CancelRecord(c.job), "cancelled")
+	if v.known {
+		if rep, done := answerCancel(c, v); done {
+			return rep
+		}
+		return f.store(ctx, f.records.CancelRecord(c.job), "cancelled")
+	}
+	if t.full || v.tombstones >= tombstone.Max {
+		return refused(whyTooManyTombstones).from(aboutGone, v.origin)
+	}
+	return f.afterTombstone(ctx, c, f.putTombstone(ctx, c), v, true)
 }
 
 // submit accepts a job. The answer is sent when the job's record is in the
 // store. A job that is already known gets the same status as a new one, so that
 // clients may retry the request. A host that doesn't know the jobs accepts as
-// well: a second record of the same job has no effect.
+// well: a second record of the same job has no effect. A job that was cancelled
+// before it came is rejected.
 func (f *clientHandler) submit(ctx context.Context, c *call) reply {
 	limit := c.catalog.Limits.BodyBytes
 	if limit <= 0 {
@@ -163,7 +177,10 @@
 	if v.known {
 		return reply{status: http.StatusOK, why: "accepted before"}.from(aboutState, v.origin)
 	}
-	return f.store(ctx, rec, "accepted")
+	if t := f.viewTombstones(ctx, c); t.covered {
+		return rejectCancelled(t.written)
+	}
+	return f.storeSubmission(ctx, c, rec)
 }
 
 // specRecord translates the body of a job to the record that publishes it. One body
--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -64,17 +64,37 @@
 	s.checkStartedOnce()
 }
 
-// cutOff cuts the first host off from the store and from the other hosts, and
-// the first worker off from everything but its open connections.
-func (s *site) cutOff() {
+// TestCancelledWhileSubmitterIsCutOff submits a job at a host that was cut off a moment
+// ago, cancels it at another host, and ends the cut.
+//
+// It guards against the start of a job whose cancelling was acknowledged, since the
+// host repeats the append of its record until the store answers.
+func TestCancelledWhileSubmitterIsCutOff(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.run("links\nworkers 1\nhosts 1\nsubmit 0 j0 1 short 200\nawait 0 j0 completed\nproxied\nhosts 1\nrest 2s\nagain 1 j0 200")
+	s.eachHostProxy(func(p *faultproxy.Proxy) { p.Cut(faultproxy.Both) })
+	s.run("submit 1 j1 1 short 504\ncancel 0 j1 410")
+	s.eachHostProxy((*faultproxy.Proxy).Heal)
+	s.run("rest 4s\nstarts j1 0\nstate 0 j1 410\nagain 0 j1 503\nagain 1 j1 503\nsubmit 1 j2 1 short 200\nawait 0 j2 completed")
+}
+
+// eachHostProxy calls do for each proxy in front of the store and of a host.
+func (s *site) eachHostProxy(do func(*faultproxy.Proxy)) {
 	for _, p := range s.proxies["store"] {
-		p.Cut(faultproxy.Both)
+		do(p)
 	}
 	s.storeProxy.mu.Lock()
+	defer s.storeProxy.mu.Unlock()
 	for _, p := range s.storeProxy.proxies {
-		p.Cut(faultproxy.Both)
+		do(p)
 	}
-	s.storeProxy.mu.Unlock()
+}
+
+// cutOff cuts the first host off from the store and from the other hosts, and
+// the first worker off from everything but its open connections.
+func (s *site) cutOff() {
+	s.eachHostProxy(func(p *faultproxy.Proxy) { p.Cut(faultproxy.Both) })
 	if err := s.proxies["workers"][0].IgnoreConnects(); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -26,9 +27,9 @@
 	// answerMargin is the part of a call's time that is reserved for sending
 	// the answer.
 	answerMargin = 30 * time.Millisecond
-	// retryAfterSeconds is the Retry-After header of a refused call. The header
-	// takes whole seconds.
-	retryAfterSeconds = 1
+	// usualRetryAfter is the Retry-After header of a refused call whose reply gives
+	// none.
+	usualRetryAfter = time.Second
 	// maxJobName limits the name of a job in bytes, and maxReason the reason for an
 	// answer. Both are logged with the call.
 	maxJobName, maxReason = 64, 300
@@ -109,6 +110,8 @@
 	origin origin
 	// waiting is the answer to a question for the number of waiting jobs.
 	waiting int
+	// retryAfter is when a refused call may be repeated; 0 for usualRetryAfter.
+	retryAfter time.Duration
 	// last is set if the connection ends with the answer.
 	last bool
 	// end is the offset after the record that the call has stored; 0 if there is
@@ -209,7 +212,7 @@
 		h.Set("Connection", "close")
 	}
 	if rep.status == http.StatusServiceUnavailable || rep.status == http.StatusTooManyRequests {
-		h.Set("Retry-After", strconv.Itoa(retryAfterSeconds))
+		h.Set("Retry-After", retryAfterText(cmp.Or(rep.retryAfter, usualRetryAfter)))
 	}
 	body := rep.body
 	if body == nil && rep.status >= http.StatusBadRequest {
--- a/internal/entry/gather_internal_test.go
+++ b/internal/entry/gather_internal_test.go
@@ -46,7 +46,8 @@
 // call's timeout.
 func forwardRecord(t *testing.T, takes time.Duration, status int) {
 	h := &Host{health: newStoreHealth(zap.NewNop()), metrics: newMetrics(), log: zap.NewNop()}
-	h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: slowStore(takes)}), h.health, "w", zap.NewNop(), h.metrics, 16*unit.MiB, newTestClock().Now)
+	store := platform.NewStore("store", &http.Client{Transport: slowStore(takes)})
+	h.writer = newWriter(store, h.health, "w", zap.NewNop(), h.metrics, 16*unit.MiB, newTestClock().Now)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go h.writer.run(ctx)
--- a/internal/entry/jobquery.go
+++ b/internal/entry/jobquery.go
@@ -50,7 +50,9 @@
 // jobReply is the answer to a jobQuery. Loaded is false if the host doesn't
 // follow the jobs, and Readable is false if the number of jobs, or whether there is
 // such a job, can't be told. State, Customer and Waiting are valid only if both are
-// true. The state of an open job may be too old to be told.
+// true. Waiting is the number of waiting jobs of the queue, or the number of
+// tombstones if the question is about a job; hosts of the version before say 0 to
+// that. The state of an open job may be too old to be told.
 type jobReply struct {
 	_                       struct{} `cbor:",toarray"`
 	Loaded, Readable, Known bool
@@ -186,7 +188,7 @@
 	if q.AwaitEnd && readable && v.state == jobtable.StateRunning {
 		v = f.awaitEndInTable(ctx, q.Job, v)
 	}
-	reply := jobReply{Loaded: v.loaded, Readable: readable, Known: v.known, State: v.state, Customer: v.customer}
+	reply := jobReply{Loaded: v.loaded, Readable: readable, Known: v.known, State: v.state, Customer: v.customer, Waiting: v.tombstones}
 	return jobAnswer{jobReply: reply, origin: v.origin}
 }
 
@@ -224,5 +226,5 @@
 
 // view returns the answer as the state of a job.
 func (a jobAnswer) view() jobView {
-	return jobView{known: a.Known, state: a.State, customer: a.Customer, origin: a.origin}
+	return jobView{known: a.Known, state: a.State, customer: a.Customer, tombstones: a.Waiting, origin: a.origin}
 }
--- a/internal/entry/lookup.go
+++ b/internal/entry/lookup.go
@@ -48,6 +48,8 @@
 	// customer is the customer that submitted the job; empty for an anonymous
 	// queue.
 	customer id.Customer
+	// tombstones is the number of tombstones of all jobs.
+	tombstones int
 	// origin is where the view was taken from.
 	origin origin
 }
@@ -98,8 +100,9 @@
 	if !h.loaded {
 		return jobView{origin: origin{stale: notLoaded}}
 	}
-	v := jobView{loaded: true, origin: origin{source: ownTable, completeAt: h.jobsReadAt, offset: h.table.NextOffset()}}
-	if e := h.table.Get(j); e != nil && e.Spec != nil {
+	v := jobView{loaded: true, tombstones: h.table.Tombstones().Len()}
+	v.origin = origin{source: ownTable, completeAt: h.jobsReadAt, offset: h.table.NextOffset()}
+	if e := h.table.Get(j); e.Accepted() {
 		v.known, v.state, v.customer = true, e.State(), e.Spec.Customer
 	}
 	if !h.table.Readable(j) {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -37,6 +37,8 @@
 	// counts the rejected records about evacuations.
 	evacuated           atomic.Int64
 	evacuationsRejected prometheus.Counter
+	// tombstones is the number of tombstones in this host's table.
+	tombstones atomic.Int64
 	// suspensions counts how often the machine was suspended.
 	suspensions     prometheus.Counter
 	gatheredRecords prometheus.Counter
@@ -66,6 +68,8 @@
 	m.evacuationsRejected = counter("curlewsill_evacuations_rejected_total", "Operators' records about evacuations that were rejected as unreadable.")
 	evacuated := gauge("curlewsill_evacuated_domains", "Evacuated failure domains, as known to this host.",
 		func() float64 { return float64(m.evacuated.Load()) })
+	tombstones := gauge("curlewsill_tombstones", "Jobs that were cancelled before the log had them, as known to this host.",
+		func() float64 { return float64(m.tombstones.Load()) })
 	m.suspensions = counter("curlewsill_suspensions_total", "Times that this machine was suspended.")
 	m.requests = histogram("curlewsill_request_seconds", "Clients' calls by method and status.", "method", "status")
 	m.answerAge = histogram("curlewsill_answer_age_seconds",
@@ -92,7 +96,7 @@
 	m.ordersDropped = counter("curlewsill_orders_dropped_total", "Orders to workers that were dropped because the queue was full.")
 	m.registry.MustRegister(m.deadConnections, m.suspectConnections, m.gatheredRecords, m.ownerAnswers, m.ordersDropped, m.takeovers, m.faults,
 		m.rejectedListings, m.suspensions, m.decisions, m.requests, m.answerAge, m.answersRefused,
-		m.store, m.orders, owning, placedRuns, m.evacuationsRejected, evacuated)
+		m.store, m.orders, owning, placedRuns, m.evacuationsRejected, evacuated, tombstones)
 	return m
 }
 
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -195,6 +195,7 @@
 	o.core.SetAdvisers(o.host.advicePath.PathCount())
 	o.confirmReads()
 	o.noteOutage(now)
+	o.core.ExpireTombstones(now, unit.At(time.Now()), o.host.table)
 	o.core.Pass(now, unit.At(time.Now()))
 	o.flush(ctx)
 	o.sendOrders(ctx)
--- a/internal/entry/reader.go
+++ b/internal/entry/reader.go
@@ -106,6 +106,7 @@
 	for _, j := range table.Jobs() {
 		h.jobChanged(now, j)
 	}
+	h.metrics.tombstones.Store(int64(table.Tombstones().Len()))
 }
 
 // applyJobs applies the records that the table doesn't hold yet.
@@ -128,6 +129,7 @@
 			h.jobChanged(now, j)
 		}
 	}
+	h.metrics.tombstones.Store(int64(h.table.Tombstones().Len()))
 	h.updateOwnership(now)
 }
 
--- a/internal/entry/writer.go
+++ b/internal/entry/writer.go
@@ -10,6 +10,7 @@
 
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
+	"curlewsill.org/curlewsill/core/tombstone"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/internal/ring"
 	"curlewsill.org/curlewsill/platform"
@@ -31,11 +32,18 @@
 	// refusedPause is the pause between these attempts. Unless the store is
 	// slow, all attempts and the pauses between them fit into queueWait.
 	refusedPause = 80 * time.Millisecond
+	// maxRecordAge is how long after it was queued a record may still be sent. What is
+	// sent later could reach the log after the tombstone that cancels it is dropped.
+	maxRecordAge = tombstone.Retention / 2
 )
 
 // errNotWritten is the result for a record that certainly isn't in the store.
 var errNotWritten = errors.New("entry: the record was not written")
 
+// errOutdated is the result for a record that isn't sent any more, and that the store
+// may have or not.
+var errOutdated = errors.New("entry: the record has waited too long for the store")
+
 // writer appends records of jobs, in batches of all that are queued.
 type writer struct {
 	store   *platform.Store
@@ -112,10 +120,15 @@
 	size := 0
 	take := func(p *pending) {
 		w.queuedBytes.Add(-p.size())
-		if p.state.CompareAndSwap(writeQueued, writeSent) {
-			batch = append(batch, p)
-			size += int(p.size())
+		if !p.state.CompareAndSwap(writeQueued, writeSent) {
+			return
+		}
+		if w.outdated(p) {
+			w.drop(p, errNotWritten)
+			return
 		}
+		batch = append(batch, p)
+		size += int(p.size())
 	}
 	take(first)
 	for size < batchBytes {
@@ -204,11 +217,44 @@
 		default:
 			unknown = true
 			b.wait(ctx, began)
+			if batch = w.dropOutdated(batch); len(batch) == 0 {
+				return nil, errOutdated
+			}
 		}
 	}
 	return batch, ctx.Err()
 }
 
+// outdated reports whether a record has waited too long to be sent.
+func (w *writer) outdated(p *pending) bool { return w.now().Sub(p.queuedAt) > maxRecordAge }
+
+// drop ends the write of a record without another attempt.
+func (w *writer) drop(p *pending, err error) {
+	w.log.Warn("write-dropped", zap.String("key", p.record.Key), zap.Int("tries", p.tries), zap.Duration("age", w.now().Sub(p.queuedAt)), zap.Error(err))
+	p.done <- err
+}
+
+// dropOutdated returns the records of a batch that may still be sent. If that isn't
+// all of them, they form a new append, under an epoch that keeps the store from
+// carrying out the earlier one after them.
+func (w *writer) dropOutdated(batch []*pending) []*pending {
+	var rest []*pending
+	for _, p := range batch {
+		if w.outdated(p) {
+			w.drop(p, errOutdated)
+			continue
+		}
+		rest = append(rest, p)
+	}
+	if len(rest) < len(batch) {
+		w.renumber()
+		if len(rest) > 0 {
+			w.id.Seq++
+		}
+	}
+	return rest
+}
+
 // renumber continues under a new epoch. Its sequence numbers start from the
 // beginning, so the writer need not know which of its earlier appends the store
 // has counted. After the first append under the new epoch, the store refuses
--- a/internal/entry/writer_internal_test.go
+++ b/internal/entry/writer_internal_test.go
@@ -70,7 +70,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := c.answer
 				h := &Host{health: newStoreHealth(zap.NewNop())}
-				h.writer = newWriter(platform.NewStore("store", &http.Client{Transport: store}), h.health, "w", zap.NewNop(), newMetrics(), 16*unit.MiB, newTestClock().Now)
+				client := platform.NewStore("store", &http.Client{Transport: store})
+				h.writer = newWriter(client, h.health, "w", zap.NewNop(), newMetrics(), 16*unit.MiB, newTestClock().Now)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				go h.writer.run(ctx)
