platform, internal/entry: odd entries of the list of workers are rejected and logged with a bound

What operators saw elsewhere: another writer left one odd entry among those of the executors (nested deeply, a number too large, a port out of range), and machines that read the list ended again and again or stopped following it.

Seen here: no process ends and the list is followed (TestPath/odd_entries.txt, 36 kinds of entries at once, over changes of the owner; it passes on too, as the decoder's own limit on nesting and the bounds of numbers hold). But 14 kinds were taken for workers or logged whole: ports that there aren't, no host, and texts of 20,000 bytes were accepted (worker-listed), and orders to such an address fail for as long as the entry stands, some with an error line each; listing-rejected printed up to 250,147 bytes, and each time that another program rewrote its entry.

Cause: an address only had to have a colon, texts had no bound, the error has the value that it rejects, and a line was due whenever the bytes changed.

A line has 300 bytes of the error, and there are 20 at once and then one a second; unlogged counts the others. The counter counts them all, as before.

--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"curlewsill.org/curlewsill/core/catalog"
 	"curlewsill.org/curlewsill/core/dispatch"
@@ -78,6 +79,10 @@
 	// rejected holds the workers whose entry in that list is rejected, with a
 	// digest of the rejected value.
 	rejected map[id.WorkerName]uint64
+	// rejectedLines bounds the lines about such entries. unlogged counts those that
+	// were left out since the last one; nil before the first.
+	rejectedLines *rate.Limiter
+	unlogged      int
 }
 
 // updateJob updates a job in the dispatcher from the table.
@@ -141,6 +146,10 @@
 // digestSeed is the seed for all digests of rejected entries in this process.
 var digestSeed = maphash.MakeSeed()
 
+// rejectedLineBurst is how many lines about rejected entries may be logged at once.
+// After that it is one a second. Another program may rewrite its entries all the time.
+const rejectedLineBurst = 20
+
 // rejectListing handles an invalid entry of the list of workers: the worker of
 // that name gets no tasks until it writes a valid one. The worker's answers and
 // leases still decide about the runs on it. An entry is logged once, however
@@ -154,7 +163,15 @@
 	}
 	o.rejected[name] = digest
 	o.host.metrics.rejectedListings.Inc()
-	o.host.log.Error("listing-rejected", zap.String("worker", r.Key), zap.Error(err))
+	if o.rejectedLines == nil {
+		o.rejectedLines = rate.NewLimiter(rate.Every(time.Second), rejectedLineBurst)
+	}
+	if !o.rejectedLines.Allow() {
+		o.unlogged++
+		return
+	}
+	o.host.log.Error("listing-rejected", zap.String("worker", r.Key), zap.String("error", truncate(err.Error(), maxReason)), zap.Int("unlogged", o.unlogged))
+	o.unlogged = 0
 }
 
 // unlist handles the removal of a worker's entry from the list.
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/internal/entry"
 )
 
 // deadline is the time after which a script that makes no progress is aborted.
@@ -52,6 +53,8 @@
 //	                                 of these, or links for those between hosts) carry no
 //	                                 more data to-target, from-target or both ways; new
 //	                                 connections work
+//	odd | nomoreodd                  another program leaves all odd entries in the list of
+//	                                 workers | deletes them
 //	rest DURATION                    waits
 //	forget                           the store drops its history
 //	keepmembers                      the store's group lists dead hosts forever
@@ -173,6 +176,10 @@
 		s.putEntry(s.number(f[1]), int64(s.number(f[2])))
 	case "entry":
 		s.putEntry(s.number(f[1]), int64(s.number(f[2])))
+	case "odd":
+		entry.OddEntries(s.t, func(key string, _ bool, value []byte) { s.store.Put("keyed.servers", key, value) })
+	case "nomoreodd":
+		entry.OddEntries(s.t, func(key string, _ bool, _ []byte) { s.store.Put("keyed.servers", key, nil) })
 	case "keepmembers":
 		s.store.KeepExpiredMembers()
 	case "forget":
