core/tombstone, core/dispatch: a tombstone ends in two steps

Cause, found by reasoning on: the owner deletes the key of a tombstone by its own table, which may lack a submission that has just reached the log. A host that asks the store after that finds no tombstone and accepts the job, which every table has taken as void: accepted, and never run. The window is some milliseconds wide, a minute after a cancelling.

Change: the owner first writes the record again, as expired. A job behind that record is accepted, one before it isn't; hosts compare the offsets, and the key is deleted 10 s later. A load, which finds the end in place of the tombstone, takes a covered job before it as cancelled. The read for tombstones also ends with a call that is refused, so that refused calls don't go on loading a store that hangs.

The event is called tombstones-end now.

--- a/core/dispatch/dispatcher.go
+++ b/core/dispatch/dispatcher.go
@@ -83,7 +83,7 @@
 	begun []*jobState
 	// forget lists the jobs whose records are to be deleted from the store.
 	forget []id.Job
-	// tombstones holds the tombstones to delete from the store.
+	// tombstones holds which tombstones are to end.
 	tombstones tombstones
 	// newEnds is set if new ends reported by workers were handled since the
 	// last batch.
--- a/core/dispatch/flush.go
+++ b/core/dispatch/flush.go
@@ -22,7 +22,7 @@
 	for _, name := range d.forget {
 		b.Jobs = append(b.Jobs, d.table.DeleteRecords(name)...)
 	}
-	b.Jobs = append(b.Jobs, d.tombstones.takeDrops()...)
+	b.Jobs = append(b.Jobs, d.tombstones.takeRecords()...)
 	if err := d.recordBegun(&b); err != nil {
 		return Batch{}, false, err
 	}
--- a/core/dispatch/note.go
+++ b/core/dispatch/note.go
@@ -140,8 +140,9 @@
 	EventJobBegun Event = "job-begun"
 	// EventJobEnded: a job has its outcome.
 	EventJobEnded Event = "job-ended"
-	// EventTombstonesDropped: tombstones of jobs are deleted; Why says how many.
-	EventTombstonesDropped Event = "tombstones-dropped"
+	// EventTombstonesEnd: tombstones of jobs expire, or the keys of expired ones are
+	// deleted; Why says how many of how many.
+	EventTombstonesEnd Event = "tombstones-end"
 	// EventMachinesIncomplete: a read of the list of machines lacks a worker that
 	// the list of workers has, so that it isn't used; the age is that of the read.
 	EventMachinesIncomplete Event = "machines-incomplete"
--- a/core/dispatch/tombstones_test.go
+++ b/core/dispatch/tombstones_test.go
@@ -27,6 +27,7 @@
 //	spec JOB CUSTOMER        the spec of a job reaches the log
 //	run D                    the owner works for some time; all it writes is stored
 //	left N | most N          the number of tombstones, or the largest that is allowed
+//	covered JOB BOOL         whether one cancels the job of the customer c
 //	show JOB STATE           the state that callers see; none for a job that was not accepted
 func TestTombstonesExpire(t *testing.T) {
 	scripttest.EachIn(t, "tombstones", func(t *testing.T, text string) {
@@ -74,7 +75,9 @@
 func (s *tombstoneScript) run(d time.Duration) {
 	for end := s.now.Add(d); s.now < end; {
 		s.now = s.now.Add(500 * time.Millisecond)
-		s.owner.ExpireTombstones(s.now, s.now.Add(s.ahead), s.table)
+		if err := s.owner.ExpireTombstones(s.now, s.now.Add(s.ahead), s.table); err != nil {
+			s.t.Fatalf("line %d: %v", s.line, err)
+		}
 		s.owner.Pass(s.now, s.now.Add(s.ahead))
 		for {
 			b, some, err := s.owner.Flush()
@@ -135,6 +138,10 @@
 		if strconv.Itoa(left) != f[1] {
 			s.t.Errorf("line %d: %d tombstones, want %s", s.line, left, f[1])
 		}
+	case "covered":
+		if _, covered := s.table.Tombstoned(id.Job(f[1]), "c"); strconv.FormatBool(covered) != f[2] {
+			s.t.Errorf("line %d: a tombstone cancels %s: %t", s.line, f[1], covered)
+		}
 	case "most":
 		if most, _ := strconv.Atoi(f[1]); left > most || left > tombstone.Max {
 			s.t.Errorf("line %d: %d tombstones, at most %s", s.line, left, f[1])
--- a/core/jobtable/jobtable.go
+++ b/core/jobtable/jobtable.go
@@ -355,8 +355,8 @@
 }
 
 // applyTombstone applies the tombstone with a name, or removes it if value is empty.
-// It returns the job. A job that a removed tombstone has cancelled stays cancelled:
-// it has an outcome.
+// It returns the job. A job that an expired or removed tombstone has cancelled stays
+// cancelled.
 func (t *Table) applyTombstone(name string, value []byte) (id.Job, error) {
 	j, err := tombstone.JobOf(name)
 	if err != nil {
@@ -369,7 +369,13 @@
 	if err != nil {
 		return "", fmt.Errorf("jobtable: tombstone of %s: %w", j, err)
 	}
-	t.tombstones.Put(j, x.Customer, x.Written)
+	if x.Expired {
+		t.tombstones.Expire(j, x.Customer, x.Written)
+	} else {
+		t.tombstones.Put(j, x.Customer, x.Written)
+	}
+	// The record of the end replaces that of the tombstone, so that a load finds only
+	// the former. A job that comes before it was cancelled.
 	if e := t.jobs[j]; e != nil && e.Spec != nil && tombstone.Covers(x.Customer, e.Spec.Customer) {
 		e.Cancelled = true
 	}
--- a/core/jobtable/jobtable_test.go
+++ b/core/jobtable/jobtable_test.go
@@ -33,8 +33,8 @@
 //	jobof JOB CUSTOMER        the spec of a customer's job, in the queue q
 //	tombstone JOB CUSTOMER T  a tombstone that was written at T, in seconds; for any
 //	                          customer if that is "any"
-//	tombstone-dropped JOB CUSTOMER T
-//	                          its deletion
+//	tombstone-expired JOB CUSTOMER T | tombstone-dropped JOB CUSTOMER T
+//	                          its end, and the deletion of its key
 //	reload                    the newest record of each key of the job log is applied
 //	                          to a new table, in the order of the log
 //	reload-by-key             the same, in the order of the keys
@@ -63,7 +63,7 @@
 //	                          jobtable.TombstonesFrom
 func TestScripts(t *testing.T) {
 	scripttest.Each(t, func(t *testing.T, text string) {
-		s := &script{t: t, table: jobtable.New()}
+		s := &script{t: t, table: jobtable.New(), specAt: map[id.Job]id.Offset{}}
 		for i, line := range strings.Split(text, "\n") {
 			if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
 				s.line = i + 1
@@ -79,6 +79,8 @@
 	line  int
 	// log has the records that were applied to the job log.
 	log []jobtable.Record
+	// specAt holds the offset of the newest spec of each job that jobof has applied.
+	specAt map[id.Job]id.Offset
 }
 
 func (s *script) apply(r jobtable.Record, err error) {
@@ -93,19 +95,20 @@
 }
 
 // newest returns the newest record of each key of the job log, in the order of the
-// log. Deleted keys are left out.
-func (s *script) newest() []jobtable.Record {
+// log, and their offsets. Deleted keys are left out.
+func (s *script) newest() ([]jobtable.Record, []id.Offset) {
 	last := map[string]int{}
 	for i, r := range s.log {
 		last[r.Key] = i
 	}
 	var out []jobtable.Record
+	var offsets []id.Offset
 	for i, r := range s.log {
 		if last[r.Key] == i && len(r.Value) > 0 {
-			out = append(out, r)
+			out, offsets = append(out, r), append(offsets, id.Offset(i))
 		}
 	}
-	return out
+	return out, offsets
 }
 
 // byKey returns records in the order of their keys.
@@ -123,11 +126,18 @@
 	}
 }
 
-// listed reports whether the store's records behind a job's first possible tombstone
-// have one that cancels the job of a customer.
+// listed reports whether the store's records of a job's tombstones have one that
+// cancels the job of a customer.
 func (s *script) listed(j id.Job, customer id.Customer) bool {
-	after := slices.DeleteFunc(byKey(s.newest()), func(r jobtable.Record) bool { return r.Key <= jobtable.TombstonesFrom(j) })
-	_, covered, err := s.table.CoveredBy(after, j, customer)
+	all, offsets := s.newest()
+	var recs []jobtable.Record
+	var at []id.Offset
+	for _, r := range byKey(all) {
+		if i := slices.IndexFunc(all, func(x jobtable.Record) bool { return x.Key == r.Key }); r.Key > jobtable.TombstonesFrom(j) {
+			recs, at = append(recs, r), append(at, offsets[i])
+		}
+	}
+	_, covered, err := s.table.CoveredBy(recs, at, j, customer, s.specAt[j])
 	if err != nil {
 		s.t.Errorf("line %d: %v", s.line, err)
 	}
@@ -168,10 +178,12 @@
 		s.table.ClearProgress()
 		return
 	case "reload":
-		s.reload(s.newest())
+		recs, _ := s.newest()
+		s.reload(recs)
 		return
 	case "reload-by-key":
-		s.reload(byKey(s.newest()))
+		recs, _ := s.newest()
+		s.reload(byKey(recs))
 		return
 	}
 	j := id.Job(f[1])
@@ -179,9 +191,14 @@
 	case "spec":
 		s.apply(s.table.SpecRecord(j, job.Spec{Queue: id.Queue(f[2]), Steps: []job.Step{{Count: 1}}}))
 	case "jobof":
+		s.specAt[j] = id.Offset(len(s.log))
 		s.apply(s.table.SpecRecord(j, job.Spec{Queue: "q", Customer: id.Customer(f[2]), Steps: []job.Step{{Count: 1}}}))
 	case "tombstone":
 		s.apply(s.table.TombstoneRecord(j, s.tombstoneOf(f[2], f[3])))
+	case "tombstone-expired":
+		x := s.tombstoneOf(f[2], f[3])
+		x.Expired = true
+		s.apply(s.table.TombstoneRecord(j, x))
 	case "tombstone-dropped":
 		s.apply(jobtable.DropTombstoneRecord(j, s.tombstoneOf(f[2], f[3])), nil)
 	case "cancel":
--- a/core/jobtable/record.go
+++ b/core/jobtable/record.go
@@ -96,6 +96,8 @@
 	Customer id.Customer
 	// Written is the wall-clock time of the cancellation, by the host that wrote it.
 	Written unit.Instant
+	// Expired is set by the owner: a job that comes after this record isn't cancelled.
+	Expired bool
 }
 
 // SpecRecord returns the record that publishes an accepted job.
@@ -128,11 +130,12 @@
 func IsTombstoneOf(key string, j id.Job) bool { return strings.HasPrefix(key, TombstonesFrom(j)) }
 
 // CoveredBy returns when a tombstone that cancels a customer's job was written, if
-// there is one among records that begin behind TombstonesFrom. It returns an error
-// for a tombstone of the job that can't be read.
-func (t *Table) CoveredBy(recs []Record, j id.Job, customer id.Customer) (unit.Instant, bool, error) {
+// there is one among records that begin behind TombstonesFrom. The job's own record
+// has the offset at; offsets holds those of the others. It returns an error for a
+// tombstone of the job that can't be read.
+func (t *Table) CoveredBy(recs []Record, offsets []id.Offset, j id.Job, customer id.Customer, at id.Offset) (unit.Instant, bool, error) {
 	var set tombstone.Set
-	for _, r := range recs {
+	for i, r := range recs {
 		if !IsTombstoneOf(r.Key, j) {
 			break
 		}
@@ -140,7 +143,9 @@
 		if err != nil {
 			return 0, false, fmt.Errorf("jobtable: tombstone of %s: %w", j, err)
 		}
-		set.Put(j, x.Customer, x.Written)
+		if !x.Expired || offsets[i] > at {
+			set.Put(j, x.Customer, x.Written)
+		}
 	}
 	written, covered := set.Covering(j, customer)
 	return written, covered, nil
--- a/core/tombstone/tombstone.go
+++ b/core/tombstone/tombstone.go
@@ -1,8 +1,9 @@
 // Package tombstone holds the cancellations of jobs that the job log doesn't have.
 //
 // The submission of such a job may still be on its way to the log, for longer than
-// any call lasts. A tombstone cancels the job whenever it comes, until the tombstone
-// is dropped.
+// any call lasts. A tombstone cancels the job whenever it comes, until the log has a
+// record that the tombstone has expired. Its key is deleted only later: until then
+// the host of a submission can tell on which side of that record the job is.
 package tombstone
 
 import (
@@ -27,6 +28,9 @@
 	// Retention is how long a tombstone is kept. It has to be longer than a
 	// submission may be on its way.
 	Retention = 60 * time.Second
+	// Linger is how long the key of an expired tombstone is kept. It has to be longer
+	// than a call lasts after its record is stored.
+	Linger = 10 * time.Second
 	// renewAfter is the age from which another cancellation writes a tombstone anew.
 	renewAfter = Retention / 2
 )
@@ -53,6 +57,8 @@
 	customer id.Customer
 	// written is when the job was cancelled, by the clock of the host that did.
 	written unit.Instant
+	// expired is set if the mark cancels nothing any more.
+	expired bool
 }
 
 // Name returns the name of a tombstone, which has no more bytes than a key may have.
@@ -100,16 +106,27 @@
 
 // Put adds a tombstone, or replaces the one with the same name.
 func (s *Set) Put(j id.Job, customer id.Customer, written unit.Instant) {
+	s.put(j, mark{customer: customer, written: written})
+}
+
+// Expire records that a tombstone cancels nothing that comes from now on.
+func (s *Set) Expire(j id.Job, customer id.Customer, written unit.Instant) {
+	s.put(j, mark{customer: customer, written: written, expired: true})
+}
+
+// put adds a mark, or replaces the one with the same name.
+func (s *Set) put(j id.Job, x mark) {
 	if s.marks == nil {
 		s.marks = map[id.Job][]mark{}
 	}
 	for i, m := range s.marks[j] {
-		if m.customer == customer && period(m.written) == period(written) {
-			s.marks[j][i].written = max(m.written, written)
+		if m.customer == x.customer && period(m.written) == period(x.written) {
+			x.written = max(m.written, x.written)
+			s.marks[j][i] = x
 			return
 		}
 	}
-	s.marks[j] = append(s.marks[j], mark{customer: customer, written: written})
+	s.marks[j] = append(s.marks[j], x)
 	s.count++
 }
 
@@ -136,7 +153,7 @@
 	var written unit.Instant
 	found := false
 	for _, m := range s.marks[j] {
-		if Covers(m.customer, customer) {
+		if !m.expired && Covers(m.customer, customer) {
 			written, found = max(written, m.written), true
 		}
 	}
@@ -150,24 +167,24 @@
 	var written unit.Instant
 	found := false
 	for _, m := range s.marks[j] {
-		if m.customer == "" || m.customer == customer {
+		if !m.expired && (m.customer == "" || m.customer == customer) {
 			written, found = max(written, m.written), true
 		}
 	}
 	return written, found
 }
 
-// Len returns the number of tombstones.
+// Len returns the number of tombstones, expired ones included.
 func (s *Set) Len() int { return s.count }
 
 // Full reports whether there are as many tombstones as there may be.
 func (s *Set) Full() bool { return s.count >= Max }
 
 // Each calls do for each tombstone, in the order of the jobs.
-func (s *Set) Each(do func(j id.Job, customer id.Customer, written unit.Instant)) {
+func (s *Set) Each(do func(j id.Job, customer id.Customer, written unit.Instant, expired bool)) {
 	for _, j := range slices.Sorted(maps.Keys(s.marks)) {
 		for _, m := range s.marks[j] {
-			do(j, m.customer, m.written)
+			do(j, m.customer, m.written, m.expired)
 		}
 	}
 }
--- a/core/world/owner.go
+++ b/core/world/owner.go
@@ -192,7 +192,9 @@
 			if o.host.startedAt > w.outage.began {
 				o.dispatcher.InheritOutage(startedAt, startedAt, w.table.Outage())
 			}
-			o.dispatcher.ExpireTombstones(startedAt, startedAt, w.table)
+			if err := o.dispatcher.ExpireTombstones(startedAt, startedAt, w.table); err != nil {
+				w.recordViolation("cannot encode a tombstone: " + err.Error())
+			}
 			o.dispatcher.Pass(startedAt, startedAt)
 			return o.passCost()
 		},
--- a/internal/entry/cancelled_internal_test.go
+++ b/internal/entry/cancelled_internal_test.go
@@ -22,6 +22,7 @@
 	"curlewsill.org/curlewsill/core/id"
 	"curlewsill.org/curlewsill/core/jobtable"
 	"curlewsill.org/curlewsill/core/scripttest"
+	"curlewsill.org/curlewsill/core/tombstone"
 	"curlewsill.org/curlewsill/core/unit"
 	"curlewsill.org/curlewsill/core/waiting"
 	"curlewsill.org/curlewsill/internal/relay"
@@ -45,14 +46,16 @@
 //	                          call is carried out, its answer lost; late: appends are
 //	                          carried out after the duration and not answered; noreads:
 //	                          only reads hang; norecords: only appends hang;
-//	                          slowappend: appends wait for the duration before they
-//	                          are carried out
+//	                          slowappend, slowreads: appends or reads wait for the
+//	                          duration before they are carried out
 //	submit HOST JOB STATUS [CUSTOMER]
 //	cancel HOST JOB STATUS [CUSTOMER]
 //	                          a client's call, and the status that it must get
 //	begin CALL                the same in the background; "ended" waits for its status
 //	ended
 //	read HOST                 the host reads the log to its end
+//	expire                    all tombstones expire, as if by an owner
+//	fill HOST                 the host's table has as many tombstones as there may be
 //	wait DURATION
 //	runs JOB BOOL             whether an owner may start the job, by the log, read in its
 //	                          order, and by the newest record of each key
@@ -139,7 +142,7 @@
 		carryOut()
 		return nil, errPath
 	}
-	if mode.how == "slowappend" && isAppend {
+	if mode.how == "slowappend" && isAppend || mode.how == "slowreads" && !isAppend {
 		time.Sleep(mode.after)
 	}
 	time.Sleep(4 * time.Millisecond)
@@ -228,6 +231,10 @@
 		s.report(<-s.ended)
 	case "read":
 		s.read(f[1])
+	case "expire":
+		s.expire()
+	case "fill":
+		s.fill(s.hosts[f[1]].Host)
 	case "wait":
 		time.Sleep(s.duration(f[1]))
 	case "runs":
@@ -241,6 +248,35 @@
 	}
 }
 
+// expire writes the end of each tombstone of the log.
+func (s *cancelScript) expire() {
+	table := jobtable.New()
+	for _, r := range s.newest() {
+		if _, err := table.Apply(r); err != nil {
+			s.t.Errorf("line %d: %v", s.line, err)
+		}
+	}
+	table.Tombstones().Each(func(j id.Job, customer id.Customer, written unit.Instant, _ bool) {
+		r, err := table.TombstoneRecord(j, jobtable.Tombstone{Customer: customer, Written: written, Expired: true})
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.store.Put(string(platform.TopicJobs), r.Key, r.Value)
+	})
+}
+
+// fill gives a host's table as many tombstones as there may be.
+func (s *cancelScript) fill(h *Host) {
+	if _, ok := query(s.ctx, h, func(unit.Instant) bool {
+		for i := range tombstone.Max {
+			h.table.Tombstones().Put(id.Job("other-"+strconv.Itoa(i)), "c", unit.At(time.Now()))
+		}
+		return true
+	}); !ok {
+		s.t.Fatalf("line %d: the host handles no events", s.line)
+	}
+}
+
 func (s *cancelScript) report(problem string) {
 	if problem != "" {
 		s.t.Errorf("line %d: %s", s.line, problem)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -212,7 +212,9 @@
 	o.core.SetAdvisers(o.host.advicePath.PathCount())
 	o.confirmReads()
 	o.noteOutage(now)
-	o.core.ExpireTombstones(now, unit.At(time.Now()), o.host.table)
+	if err := o.core.ExpireTombstones(now, unit.At(time.Now()), o.host.table); err != nil {
+		o.host.log.Error("flush-failed", zap.Error(err))
+	}
 	o.core.Pass(now, unit.At(time.Now()))
 	o.flush(ctx)
 	o.sendOrders(ctx)
--- a/internal/entry/tombstones.go
+++ b/internal/entry/tombstones.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -142,22 +143,24 @@
 // seconds.
 func retryAfterText(d time.Duration) string { return fmt.Sprint(int(math.Ceil(d.Seconds()))) }
 
-// tombstoneCheck is what the store has of tombstones that cancel a job.
+// errNoOffset reports that the host that stored a record has not told its offset.
+var errNoOffset = errors.New("entry: the offset of the record isn't known")
+
+// tombstoneCheck is what the store has of the tombstones of a job.
 type tombstoneCheck struct {
-	covered bool
-	written unit.Instant
+	records []jobtable.Record
+	offsets []id.Offset
 	// end is the end of the log when the store answered.
 	end id.Offset
 	err error
 }
 
-// readTombstones asks the store whether a tombstone cancels a job that the call
-// submits. It needs no table.
+// readTombstones asks the store for the tombstones of a job that the call submits. It
+// needs no table.
 func (f *clientHandler) readTombstones(ctx context.Context, c *call) tombstoneCheck {
 	ctx, cancel := context.WithTimeout(ctx, boundedWait(ctx, unknownWait, callerShares.sent))
 	defer cancel()
 	var check tombstoneCheck
-	var recs []jobtable.Record
 	for after, first := jobtable.TombstonesFrom(c.job), true; ; first = false {
 		page, err := f.host.store.Newest(ctx, platform.TopicJobs, after)
 		if err != nil {
@@ -166,41 +169,53 @@
 		if first {
 			check.end = page.End
 		}
-		recs = append(recs, page.Records...)
+		check.records, check.offsets = append(check.records, page.Records...), append(check.offsets, page.Offsets...)
 		if !page.More || len(page.Records) == 0 {
-			break
+			return check
 		}
 		if after = page.Records[len(page.Records)-1].Key; !jobtable.IsTombstoneOf(after, c.job) {
-			break
+			return check
 		}
 	}
-	check.written, check.covered, check.err = f.records.CoveredBy(recs, c.job, c.customer)
-	return check
 }
 
-// storeSubmission writes the record of a job and meanwhile asks the store for a
-// tombstone of the job. The job is accepted only if no tombstone comes before its
+// storeSubmission writes the record of a job and meanwhile asks the store for
+// tombstones of the job. The job is accepted only if no tombstone comes before its
 // record in the log: a job that a tombstone cancels never runs.
 func (f *clientHandler) storeSubmission(ctx context.Context, c *call, rec jobtable.Record) reply {
+	checkCtx, cancel := context.WithCancel(ctx) // a refused call must not go on loading the store
+	defer cancel()
 	checked := make(chan tombstoneCheck, 1)
-	go func() { checked <- f.readTombstones(ctx, c) }()
+	go func() { checked <- f.readTombstones(checkCtx, c) }()
 	rep := f.store(ctx, rec, "accepted")
 	if rep.status != http.StatusOK {
 		return rep
 	}
 	check := <-checked
-	if !check.covered && (check.err != nil || rep.end == 0 || check.end+1 < rep.end) {
+	if check.err != nil || rep.end == 0 || check.end+1 < rep.end {
 		check = f.readTombstones(ctx, c) // other records came in between
 	}
+	if check.err != nil {
+		return f.unknownTombstone(ctx, c, rep, check.err)
+	}
+	written, covered, err := f.records.CoveredBy(check.records, check.offsets, c.job, c.customer, max(1, rep.end)-1)
 	switch {
-	case check.covered:
-		rejected := rejectCancelled(check.written)
+	case err != nil:
+		return f.unknownTombstone(ctx, c, rep, err)
+	case covered && rep.end == 0:
+		return f.unknownTombstone(ctx, c, rep, errNoOffset)
+	case covered:
+		rejected := rejectCancelled(written)
 		rejected.end = rep.end
 		return rejected
-	case check.err != nil:
-		f.host.log.Warn("tombstone-unknown", zap.String("request", string(callOf(ctx))), zap.String("job", string(c.job)),
-			zap.Uint64("offset", uint64(rep.end)), zap.Error(check.err))
-		return reply{status: http.StatusGatewayTimeout, why: "the job is stored, but it isn't known whether it was cancelled before", end: rep.end}
 	}
 	return rep
 }
+
+// unknownTombstone returns the reply to a submission that is stored, if it can't be
+// found out whether a tombstone comes before it.
+func (f *clientHandler) unknownTombstone(ctx context.Context, c *call, rep reply, err error) reply {
+	f.host.log.Warn("tombstone-unknown", zap.String("request", string(callOf(ctx))), zap.String("job", string(c.job)),
+		zap.Uint64("offset", uint64(rep.end)), zap.Error(err))
+	return reply{status: http.StatusGatewayTimeout, why: "the job is stored, but it isn't known whether it was cancelled before", end: rep.end}
+}
