internal/entry: a client whose job stays cancelled isn't asked back every second

The tombstone of a job whose record has come lasts for as long as the job, up to four minutes. A submission that was rejected for it got a Retry-After of 1 s once the tombstone was a minute old; it is 10 s at least now. Each rejection of the scripts of testdata/cancelled is checked for that; none of them is older than a minute, so that no script failed before.

--- a/internal/entry/tombstones.go
+++ b/internal/entry/tombstones.go
@@ -131,11 +131,11 @@
 
 // rejectCancelled returns the reply to the submission of a job whose tombstone was
 // written at a time. The job doesn't run; it may be submitted again once the
-// tombstone is dropped.
+// tombstone has expired. That of a job whose record has come lasts longer.
 func rejectCancelled(written unit.Instant) reply {
 	age := max(0, unit.At(time.Now()).Sub(written))
 	rep := refused(fmt.Sprintf("the job was cancelled %.1f s ago, before it came", age.Seconds()))
-	rep.retryAfter = max(time.Second, tombstone.Retention-age)
+	rep.retryAfter = max(tombstone.Linger, tombstone.Retention-age)
 	return rep
 }
 
