Review: case 11 uses one executor that crashes again and again

The other executor is full, and the crashing one stays up after its fifth crash: the lasting job is failed all the same, with room for 8 tasks.

--- a/review/stand3/away.go
+++ b/review/stand3/away.go
@@ -103,24 +103,34 @@
 	return ""
 }
 
-// playCrashes: the executor that runs a task that lasts crashes again and again, and
-// is back soon as a new life.
+// playCrashes: one executor crashes 2 s after the start of its task, again and again,
+// and is back a second later as a new life. The other executor is full. After its last
+// crash the executor stays up.
 func playCrashes(s *site, trouble bool) (string, error) {
-	if err := s.start3(4, []route{{name: "serve", priority: 1, attempts: 2}}); err != nil {
+	if err := s.start3(2, []route{{name: "serve", priority: 1, attempts: 2}}); err != nil {
 		return "", err
 	}
-	const lasting, crashes = "00000000000000a2", 6
+	const full, lasting, crashes = "00000000000000b2", "00000000000000a2", 5
 	north := s.newClient("key-north")
-	if err := north.submit("/serve/"+lasting, map[string]any{"TaskSpec": "long 0s 1", "Steps": []any{map[string]any{
-		"Count": 1, "Cpu": 8000, "MemMb": 1024, "Gpus": 1, "EstimateMs": 10000, "LongRunning": true, "image": "desk",
-	}}}); err != nil {
+	submit := func(id string, gpus int) error {
+		return north.submit("/serve/"+id, map[string]any{"TaskSpec": fmt.Sprintf("long 0s %d", gpus), "Steps": []any{map[string]any{
+			"Count": 1, "Cpu": 8000, "MemMb": 1024, "Gpus": gpus, "EstimateMs": 10000, "LongRunning": true, "image": "desk",
+		}}})
+	}
+	if err := submit(full, 8); err != nil {
+		return "", err
+	}
+	if !wait(12*time.Second, func() bool { return len(s.hosting(full)) == 1 }) {
+		return "", fmt.Errorf("%w: the first job doesn't run", errSetUp)
+	}
+	if err := submit(lasting, 1); err != nil {
 		return "", err
 	}
 	for range crashes {
 		if !wait(12*time.Second, func() bool { return len(s.hosting(lasting)) == 1 }) {
 			break
 		}
-		time.Sleep(4 * time.Second)
+		time.Sleep(2 * time.Second)
 		if !trouble {
 			continue
 		}
@@ -131,15 +141,16 @@
 			return "", err
 		}
 	}
-	time.Sleep(6 * time.Second)
-	if state := north.state("/serve/" + lasting); state == "failed" || state == "cancelled" || state == "gone" {
-		failed := 0
-		for _, r := range s.runsOf(lasting) {
-			if r.how == "failed" {
-				failed++
-			}
+	time.Sleep(12 * time.Second)
+	state, failed, running := north.state("/serve/"+lasting), 0, false
+	for _, r := range s.runsOf(lasting) {
+		if r.how == "failed" {
+			failed++
 		}
-		return fmt.Sprintf("LOST: the job is shown as %s, nobody has cancelled it, and %d of its runs ended failed", state, failed), nil
+		running = running || r.to.IsZero()
+	}
+	if state == "failed" || state == "cancelled" || state == "gone" {
+		return fmt.Sprintf("LOST: the lasting job is shown as %s, nobody has cancelled it, and %d of its runs ended failed; 12 s after the executor has come back for good with room for 8 tasks, a run of it is there: %t", state, failed, running), nil
 	}
 	return "", nil
 }
--- a/review/stand3/executor.go
+++ b/review/stand3/executor.go
@@ -3,13 +3,17 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -82,6 +86,7 @@
 	highest  map[string]int
 	ended    [][]any
 	lastEnd  int
+	lapsedAt int
 	seq      int
 }
 
@@ -95,6 +100,11 @@
 
 	mu   sync.Mutex
 	life *life
+
+	// While cut is set, calls get no answer and aren't carried out. While late is
+	// set, some orders get no answer and are carried out seconds later.
+	cut, late atomic.Bool
+	rnd       *lockedRand
 }
 
 // newExecutor starts the first life of an executor.
@@ -126,6 +136,21 @@
 	return nil
 }
 
+// present returns the present life.
+func (x *executor) present() *life {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.life
+}
+
+func mustJSON(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
 // crash ends the present life without a word: all that runs there dies, and its
 // address refuses connections.
 func (x *executor) crash() {
@@ -221,7 +246,7 @@
 		x.site.ended(l.id, r, how)
 	}
 	if lapsed {
-		l.leaseEnd = 0
+		l.leaseEnd, l.lapsedAt = 0, l.lastEnd
 	}
 }
 
@@ -249,6 +274,20 @@
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
+	if x.cut.Load() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if _, again := w.(nowhere); !again && x.late.Load() && x.rnd.float() < 0.06 {
+		r2 := r.Clone(context.Background())
+		time.AfterFunc(time.Duration(2000+x.rnd.intn(10000))*time.Millisecond, func() {
+			defer func() { _ = recover() }()
+			r2.Body = io.NopCloser(bytes.NewReader(mustJSON(o)))
+			x.serve(x.present(), nowhere{}, r2)
+		})
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != l.id {
 		reply(w, http.StatusMisdirectedRequest, map[string]any{})
 		return
@@ -342,7 +381,11 @@
 	x.endDue(l)
 	l.extend(o.UntilMs)
 	for len(l.ended) > 0 && l.ended[0][0].(int) <= o.LastSeen {
+		e := l.ended[0]
 		l.ended = l.ended[1:]
+		if e[0].(int) > l.lapsedAt {
+			x.site.noted(l.id, e[1].(string), e[2].(int))
+		}
 	}
 	until := time.Now().Add(min(2*time.Second, time.Duration(o.WaitMs)*time.Millisecond))
 	for len(l.ended) == 0 && time.Now().Before(until) && r.Context().Err() == nil && !l.over {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -90,6 +90,20 @@
 	fence               uint64
 	work                work
 	from, to            time.Time
+	// notedAt is when the owner has taken note of the end.
+	notedAt time.Time
+}
+
+// noted records that the owner has taken note of the end of a run.
+func (s *site) noted(executor, task string, number int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.past {
+		if x.executor == executor && x.task == task && x.number == number {
+			x.notedAt = time.Now()
+		}
+	}
+	s.write("noted", "task", task, "run", number, "executor", executor)
 }
 
 // newSite starts the stand-ins of the platform.
@@ -194,6 +208,8 @@
 	cmd     *exec.Cmd
 	callers string
 	ended   chan struct{}
+	// counted is set once the end of the process was counted.
+	counted bool
 }
 
 // startHost starts a process with the command of the deploy file, and waits until
