--- a/review/stand3/away.go
+++ b/review/stand3/away.go
@@ -25,7 +25,7 @@
 	return nil
 }
 
-// running returns how many executors have a run of a job.
+// hosting returns the executors that have a run of a job.
 func (s *site) hosting(job string) []*executor {
 	var out []*executor
 	for _, x := range s.executors {
--- a/review/stand3/executor.go
+++ b/review/stand3/executor.go
@@ -3,17 +3,13 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -100,11 +96,6 @@
 
 	mu   sync.Mutex
 	life *life
-
-	// While cut is set, calls get no answer and aren't carried out. While late is
-	// set, some orders get no answer and are carried out seconds later.
-	cut, late atomic.Bool
-	rnd       *lockedRand
 }
 
 // newExecutor starts the first life of an executor.
@@ -136,13 +127,6 @@
 	return nil
 }
 
-// present returns the present life.
-func (x *executor) present() *life {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return x.life
-}
-
 func mustJSON(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
@@ -274,20 +258,6 @@
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
-	if x.cut.Load() {
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
-	if _, again := w.(nowhere); !again && x.late.Load() && x.rnd.float() < 0.06 {
-		r2 := r.Clone(context.Background())
-		time.AfterFunc(time.Duration(2000+x.rnd.intn(10000))*time.Millisecond, func() {
-			defer func() { _ = recover() }()
-			r2.Body = io.NopCloser(bytes.NewReader(mustJSON(o)))
-			x.serve(x.present(), nowhere{}, r2)
-		})
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != l.id {
 		reply(w, http.StatusMisdirectedRequest, map[string]any{})
 		return
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -32,6 +32,7 @@
 	"crashes": playCrashes,
 	"stray":   playStray,
 	"foreign": playForeign,
+	"suffix":  playSuffix,
 }
 
 func main() {
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -161,7 +161,7 @@
 	return fmt.Sprintf("%s#%d@%s", task, number, executor)
 }
 
-// began records the start of a run.
+// beganRun records the start of a run.
 func (s *site) beganRun(executor string, r *taskRun, fence uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,6 +169,7 @@
 	s.write("began", "task", r.task, "run", r.number, "executor", executor, "fence", fence)
 }
 
+// ended records the end of a run.
 func (s *site) ended(executor string, r *taskRun, how string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
