--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -9,6 +9,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -50,26 +52,42 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(notRun)
 	}
-	time.AfterFunc(maxTotal, func() {
-		fmt.Println("not run: out of time")
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	code := make(chan int, 1)
+	go func() { code <- judge(play, s) }()
+	select {
+	case c := <-code:
 		s.close()
-		os.Exit(notRun)
-	})
+		os.Exit(c)
+	case <-stop:
+	case <-time.After(maxTotal):
+	}
+	fmt.Println("not run: stopped, or out of time")
+	s.close()
+	os.Exit(notRun)
+}
+
+// judge plays a case and returns the exit code.
+func judge(play scenario, s *site) (code int) {
+	defer func() {
+		if problem := recover(); problem != nil {
+			fmt.Println("not run:", problem)
+			code = notRun
+		}
+	}()
 	what, err := play(s, os.Getenv("TROUBLE") != "0")
-	code := held
 	switch {
 	case err != nil:
-		code = notRun
 		s.event("verdict", "not-run", err)
 		fmt.Println("not run:", err)
+		return notRun
 	case what != "":
-		code = broken
 		s.event("verdict", "broken", what)
 		fmt.Println("broken:", what)
-	default:
-		s.event("verdict", "held", "yes")
-		fmt.Println("held")
+		return broken
 	}
-	s.close()
-	os.Exit(code)
+	s.event("verdict", "held", "yes")
+	fmt.Println("held")
+	return held
 }
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -256,7 +256,7 @@
 }
 
 // notedLines are the messages of a host's log that are copied to the record.
-var notedLines = []string{"\"owner\"", "owner-ended", "job-ended", "invariant-violated", "crash-counted", "task-stop", "panic:", "upkeep", "wave", "worker-replaced", "task-lost"}
+var notedLines = []string{"\"owner\"", "owner-ended", "job-ended", "invariant-violated", "crash-counted", "task-stop", "panic:", "upkeep", "wave", "worker-replaced", "task-lost", "report-rejected"}
 
 // read reads the log of a host.
 func (h *host) read(out io.Reader, listening chan<- string) {
@@ -378,6 +378,9 @@
 	}
 	for try := range 30 {
 		live := c.site.live()
+		if len(live) == 0 {
+			return fmt.Errorf("%w: no host is up", errSetUp)
+		}
 		if status, _ := c.call(live[try%len(live)], http.MethodPost, path, body); status/100 == 2 {
 			return nil
 		}
@@ -390,6 +393,9 @@
 func (c *client) state(path string) string {
 	for try := range 10 {
 		live := c.site.live()
+		if len(live) == 0 {
+			return ""
+		}
 		status, text := c.call(live[try%len(live)], http.MethodGet, path, nil)
 		var out struct{ State string }
 		if status == http.StatusOK && json.Unmarshal([]byte(text), &out) == nil {
