--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -31,10 +31,10 @@
 
 var scenarios = map[string]scenario{
 	"away":    playAway,
-	"crashes": playCrashes,
 	"stray":   playStray,
 	"foreign": playForeign,
 	"suffix":  playSuffix,
+	"timed":   playTimed,
 }
 
 func main() {
--- a/review/stand3/suffix.go
+++ b/review/stand3/suffix.go
@@ -35,19 +35,9 @@
 		status, _ := south.call(s.hosts[0], http.MethodPost, "/labels/"+timed+".0", mustJSON(map[string]any{"TaskSpec": "done 2500ms 1", "Steps": []any{step}}))
 		s.event("note", "suffix", status)
 	}
-	exits := map[string]int{}
-	for end := time.Now().Add(92 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		for _, h := range s.hosts {
-			if h.alive() || h.counted {
-				continue
-			}
-			h.counted = true
-			exits[h.name]++
-			time.Sleep(restartDelay)
-			if _, err := s.startHost(h.name); err != nil {
-				return "", err
-			}
-		}
+	exits, err := s.supervise(time.Now().Add(92 * time.Second))
+	if err != nil {
+		return "", err
 	}
 	often := 0
 	for _, n := range exits {
