--- a/review/stand3/away.go
+++ b/review/stand3/away.go
@@ -36,12 +36,20 @@
 	return out
 }
 
+// The doses of the case: one executor of six is gone, for as long as the site's cuts of
+// executors last. The urgent job comes when its task has been away for notice_ms.
+const (
+	awayExecutors = 6
+	awayFor       = 5500 * time.Millisecond
+	urgentAfter   = noticeMs + 100*time.Millisecond
+)
+
 // playAway: a job that lasts has two tasks, one of which may be away at a time by
-// the system's doing. An executor with one of them crashes and stays down. More than
-// notice_ms later an urgent job comes, for which work of lower priority could be
-// stopped elsewhere.
+// the system's doing. The executor of one of them crashes and begins again 5.5 s later.
+// Before that an urgent job comes, for which work of lower priority could be stopped
+// on four other executors.
 func playAway(s *site, trouble bool) (string, error) {
-	if err := s.start3(3, []route{{name: "urgent", priority: 0, attempts: 2}, {name: "serve", priority: 1, attempts: 2}, {name: "batch", priority: 2, attempts: 2}}); err != nil {
+	if err := s.start3(awayExecutors, []route{{name: "urgent", priority: 0, attempts: 2}, {name: "serve", priority: 1, attempts: 2}, {name: "batch", priority: 2, attempts: 2}}); err != nil {
 		return "", err
 	}
 	const lasting, batch, urgent = "00000000000000a1", "00000000000000b1", "00000000000000c1"
@@ -54,26 +62,35 @@
 	if !wait(15*time.Second, func() bool { return len(s.hosting(lasting)) == 2 }) {
 		return "", fmt.Errorf("%w: the lasting job doesn't run", errSetUp)
 	}
+	others := awayExecutors - 2
 	if err := north.submit("/batch/"+batch, map[string]any{"TaskSpec": "done 80s 8", "Steps": []any{map[string]any{
-		"Count": 1, "Cpu": 8000, "MemMb": 1024, "Gpus": 8, "EstimateMs": 80000,
+		"Count": others, "Cpu": 8000, "MemMb": 1024, "Gpus": 8, "EstimateMs": 80000,
 	}}}); err != nil {
 		return "", err
 	}
-	if !wait(15*time.Second, func() bool { return len(s.hosting(batch)) == 1 }) {
+	if !wait(20*time.Second, func() bool { return len(s.hosting(batch)) == others }) {
 		return "", fmt.Errorf("%w: the batch job doesn't run", errSetUp)
 	}
 	time.Sleep(9 * time.Second)
 	crashedAt := time.Now()
+	back := make(chan error, 1)
 	if trouble {
-		s.hosting(lasting)[0].crash()
+		x := s.hosting(lasting)[0]
+		x.crash()
+		time.AfterFunc(awayFor, func() { back <- x.start() })
 	}
-	time.Sleep(5500 * time.Millisecond)
+	time.Sleep(time.Until(crashedAt.Add(urgentAfter)))
 	if err := south.submit("/urgent/"+urgent, map[string]any{"TaskSpec": "done 2500ms 8", "Steps": []any{map[string]any{
 		"Count": 1, "Cpu": 8000, "MemMb": 1024, "Gpus": 8, "EstimateMs": 2500,
 	}}}); err != nil {
 		return "", err
 	}
 	time.Sleep(8 * time.Second)
+	if trouble {
+		if err := <-back; err != nil {
+			return "", err
+		}
+	}
 	return judgeAway(s.runsOf(lasting), crashedAt), nil
 }
 
